--- /dev/null
+++ b/src/libdecision/ids.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+
+namespace kingcuptrail {
+
+/// A length of time or a point on a monotonic clock, in milliseconds.
+using Millis = std::int64_t;
+
+/// Names one flow; chosen at random by the caller.
+using FlowId = std::uint64_t;
+
+/// Names one upstream; the hash of its configured name, never 0.
+using UpstreamId = std::uint64_t;
+
+/// Counts the processes that have spoken for one upstream; given out by the platform's conditional update, never 0.
+using Incarnation = std::uint64_t;
+
+/// The address end users connect to: IPv4 address << 16 | port.
+using ServiceAddress = std::uint64_t;
+
+/// Orders accepted configurations; each accepted one has a larger version than the last.
+using ConfigVersion = std::uint64_t;
+
+/// Says which process owns a flow. A packet that carries one needs no lookup of the flow.
+struct OwnerToken {
+    UpstreamId upstream = 0;
+    Incarnation incarnation = 0;
+
+    bool isSet() const { return upstream != 0; }
+    auto operator<=>(const OwnerToken&) const = default;
+};
+
+}
+
+template <>
+struct std::hash<kingcuptrail::OwnerToken> {
+    std::size_t operator()(const kingcuptrail::OwnerToken& token) const noexcept
+    {
+        return std::hash<std::uint64_t>()(token.upstream * 0x9e3779b97f4a7c15ULL ^ token.incarnation);
+    }
+};
--- /dev/null
+++ b/src/libprotocol/link.cpp
@@ -0,0 +1,252 @@
+#include "link.h"
+
+#include <asio/write.hpp>
+
+namespace kingcuptrail {
+
+using std::chrono::steady_clock;
+
+namespace {
+
+    constexpr auto watchInterval = std::chrono::milliseconds(100);
+
+    bool hasPassed(steady_clock::time_point since, Millis limit)
+    {
+        return steady_clock::now() - since > std::chrono::milliseconds(limit);
+    }
+
+}
+
+Link::Link(asio::ip::tcp::socket socket, const LinkOptions& options)
+    : m_socket(std::move(socket))
+    , m_timer(m_socket.get_executor())
+    , m_options(options)
+    , m_startedAt(steady_clock::now())
+    , m_heardAt(m_startedAt)
+    , m_partialSince(m_startedAt)
+    , m_writeSince(m_startedAt)
+{
+}
+
+void Link::start(Handlers handlers)
+{
+    m_handlers = std::move(handlers);
+    asio::error_code ignored;
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    m_startedAt = steady_clock::now();
+    m_heardAt = m_startedAt;
+    read();
+    watch();
+}
+
+void Link::send(Bytes frame)
+{
+    if (m_closed)
+        return;
+    m_outputBytes += frame.size();
+    m_output.push_back(std::move(frame));
+    write();
+}
+
+bool Link::sendDroppable(Bytes frame)
+{
+    if (m_closed)
+        return false;
+    if (m_outputBytes + frame.size() > m_options.sendLimitBytes) {
+        ++m_droppedFrames;
+        return false;
+    }
+    send(std::move(frame));
+    return true;
+}
+
+void Link::close(bool flush)
+{
+    if (m_closed)
+        return;
+    m_lastReason = LinkError::ClosedHere;
+    m_handlers.onClosed = nullptr;
+    m_handlers.onFrame = nullptr;
+    if (flush && !m_output.empty()) {
+        m_closeAfterFlush = true;
+        return;
+    }
+    shut();
+}
+
+void Link::read()
+{
+    auto self = shared_from_this();
+    m_socket.async_read_some(asio::buffer(m_input), [self](asio::error_code error, std::size_t count) {
+        if (self->m_closed)
+            return;
+        if (error) {
+            self->fail(LinkError::PeerClosed);
+            return;
+        }
+        self->handleBytes(count);
+        if (!self->m_closed)
+            self->read();
+    });
+}
+
+void Link::handleBytes(std::size_t count)
+{
+    m_heardAt = steady_clock::now();
+    m_bytesReceived += count;
+    if (!m_reader.hasPartial())
+        m_partialSince = m_heardAt;
+    m_reader.append({ m_input.data(), count });
+    while (const auto view = m_reader.next()) {
+        m_heardFrame = true;
+        m_partialSince = m_heardAt;
+        if (m_handlers.onFrame)
+            m_handlers.onFrame(*this, *view->frame, view->raw);
+        if (m_closed)
+            return;
+    }
+    if (m_reader.lastReason() == FrameError::TooLarge)
+        fail(LinkError::FrameTooLarge);
+    else if (m_reader.lastReason() != FrameError::None)
+        fail(LinkError::BadFrame);
+}
+
+void Link::write()
+{
+    if (m_isWriting || m_output.empty())
+        return;
+    m_isWriting = true;
+    m_writeSince = steady_clock::now();
+    auto self = shared_from_this();
+    asio::async_write(m_socket, asio::buffer(m_output.front()), [self](asio::error_code error, std::size_t count) {
+        self->m_isWriting = false;
+        if (self->m_closed)
+            return;
+        if (error) {
+            self->fail(LinkError::PeerClosed);
+            return;
+        }
+        self->m_bytesSent += count;
+        self->m_outputBytes -= self->m_output.front().size();
+        self->m_output.pop_front();
+        if (self->m_output.empty() && self->m_closeAfterFlush) {
+            self->shut();
+            return;
+        }
+        self->write();
+    });
+}
+
+void Link::watch()
+{
+    auto self = shared_from_this();
+    m_timer.expires_after(watchInterval);
+    m_timer.async_wait([self](asio::error_code error) {
+        if (error || self->m_closed)
+            return;
+        const LinkError reason = self->overdue();
+        if (reason != LinkError::None)
+            self->fail(reason);
+        else
+            self->watch();
+    });
+}
+
+LinkError Link::overdue() const
+{
+    if (!m_heardFrame && hasPassed(m_startedAt, m_options.handshakeTimeout))
+        return LinkError::HandshakeTimeout;
+    if (m_options.silenceLimit > 0 && hasPassed(m_heardAt, m_options.silenceLimit))
+        return LinkError::Silent;
+    if (m_reader.hasPartial() && hasPassed(m_partialSince, m_options.frameTimeout))
+        return LinkError::SlowFrame;
+    if (m_isWriting && hasPassed(m_writeSince, m_options.frameTimeout))
+        return LinkError::SendStalled;
+    return LinkError::None;
+}
+
+void Link::fail(LinkError reason)
+{
+    if (m_closed)
+        return;
+    m_lastReason = reason;
+    shut();
+    auto onClosed = std::move(m_handlers.onClosed);
+    m_handlers = {};
+    if (onClosed)
+        onClosed(*this, reason);
+}
+
+void Link::shut()
+{
+    m_closed = true;
+    asio::error_code ignored;
+    m_timer.cancel(ignored);
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    m_socket.close(ignored);
+}
+
+struct LinkDialer::Attempt {
+    explicit Attempt(asio::io_context& context)
+        : socket(context)
+        , timer(context)
+    {
+    }
+
+    void finish(const LinkOptions& options, LinkError reason)
+    {
+        if (!handler)
+            return;
+        timer.cancel();
+        Handler done = std::move(handler);
+        handler = nullptr;
+        if (reason == LinkError::None)
+            done(std::make_shared<Link>(std::move(socket), options), LinkError::None);
+        else
+            done(nullptr, reason);
+    }
+
+    asio::ip::tcp::socket socket;
+    asio::steady_timer timer;
+    Handler handler;
+};
+
+LinkDialer::LinkDialer(asio::io_context& context, const LinkOptions& options)
+    : m_context(context)
+    , m_options(options)
+{
+}
+
+LinkDialer::~LinkDialer()
+{
+    cancel();
+}
+
+void LinkDialer::dial(const asio::ip::tcp::endpoint& endpoint, Millis timeout, Handler handler)
+{
+    cancel();
+    auto attempt = std::make_shared<Attempt>(m_context);
+    m_attempt = attempt;
+    attempt->handler = std::move(handler);
+    attempt->timer.expires_after(std::chrono::milliseconds(timeout));
+    attempt->timer.async_wait([attempt, options = m_options](asio::error_code error) {
+        if (!error)
+            attempt->finish(options, LinkError::ConnectTimeout);
+    });
+    attempt->socket.async_connect(endpoint, [attempt, options = m_options](asio::error_code error) {
+        attempt->finish(options, error ? LinkError::ConnectFailed : LinkError::None);
+    });
+}
+
+void LinkDialer::cancel()
+{
+    if (!m_attempt)
+        return;
+    m_attempt->handler = nullptr;
+    m_attempt->timer.cancel();
+    asio::error_code ignored;
+    m_attempt->socket.close(ignored);
+    m_attempt.reset();
+}
+
+}
--- /dev/null
+++ b/src/libruntime/events.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace kingcuptrail {
+
+/// Events that daemons log. Numbers are kept for ever: operators' alarms name them. docs/EVENTS.md explains each.
+enum class Event : std::uint16_t {
+    // Process
+    DaemonStarted = 100,
+    DaemonStopping = 101,
+    DaemonStopped = 102,
+    SettingsRefused = 103,
+    ChildRestarted = 110,
+    ChildGaveUp = 111,
+    // Links
+    LinkUp = 200,
+    LinkLost = 201,
+    LinkRefused = 202,
+    PeerLeaving = 203,
+    // Configuration and membership
+    ConfigInForce = 300,
+    ConfigOlderIgnored = 301,
+    DataCentreOut = 302,
+    DataCentreBack = 303,
+    MemberJoined = 310,
+    MemberChanged = 311,
+    MemberLeft = 312,
+    Announced = 320,
+    Fenced = 321,
+    PlatformTrouble = 330,
+    PlatformBack = 331,
+    // Load
+    UpstreamCold = 400,
+    UpstreamWarm = 401,
+    UpstreamHealthChanged = 402,
+    Saturated = 403,
+    // Safety
+    WrongServicePacket = 500,
+    OutcomeUnknown = 501,
+    FlowsGivenUp = 502,
+};
+
+enum class EventLevel : std::uint8_t {
+    Info,
+    Warning,
+    Error,
+};
+
+struct EventInfo {
+    Event event;
+    EventLevel level;
+    std::string_view name;
+    std::string_view meaning;
+};
+
+/// Every event, in the order of their numbers.
+std::span<const EventInfo> eventTable();
+
+/// A name and value logged with an event.
+struct EventField {
+    EventField(std::string_view fieldName, std::string_view fieldValue);
+    EventField(std::string_view fieldName, std::uint64_t fieldValue);
+
+    std::string_view name;
+    std::string value;
+};
+
+/// Logs "E310 memberJoined upstream=board-1 dataCentre=north" at the event's level.
+void logEvent(Event event, std::initializer_list<EventField> fields = {});
+
+/// Sets up logging to standard error for this process; false when the level's name is unknown.
+bool startLogging(std::string_view processName, std::string_view level);
+
+}
--- /dev/null
+++ b/tests/protocol/testflowendpoint.cpp
@@ -0,0 +1,70 @@
+#include "libprotocol/flowendpoint.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <random>
+
+using namespace kingcuptrail;
+
+class TestFlowEndpoint : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(TestFlowEndpoint);
+    CPPUNIT_TEST(lossyPathDeliversAllOnceInOrder);
+    CPPUNIT_TEST(fullQueueTakesNothing);
+    CPPUNIT_TEST(acknowledgementOfUnsentIsIgnored);
+    CPPUNIT_TEST_SUITE_END();
+
+    static Bytes numbered(std::uint32_t number)
+    {
+        return { static_cast<std::uint8_t>(number), static_cast<std::uint8_t>(number >> 8) };
+    }
+
+    // A caller's upload loses, repeats and reorders packets, as when one of three balancers dies in the middle.
+    // Every third segment is dropped, some are delivered twice and the rest in a shuffled order. All must arrive
+    // once and in order, since a hole or a repeat would corrupt the drawing.
+    void lossyPathDeliversAllOnceInOrder()
+    {
+        std::mt19937 random(7);
+        FlowEndpoint sender;
+        FlowEndpoint receiver;
+        constexpr std::uint32_t count = 500;
+        for (std::uint32_t number = 0; number < count; ++number)
+            CPPUNIT_ASSERT(sender.send(numbered(number)));
+        std::uint32_t delivered = 0;
+        for (Millis now = 0; now < 200000 && delivered < count; now += 10) {
+            auto due = sender.takeDue(now);
+            std::shuffle(due.begin(), due.end(), random);
+            for (const auto& segment : due) {
+                const auto luck = random() % 6;
+                if (luck < 2)
+                    continue;
+                receiver.receive(segment.sequence, *segment.payload);
+                if (luck == 2)
+                    receiver.receive(segment.sequence, *segment.payload);
+            }
+            while (const auto payload = receiver.takeDelivered())
+                CPPUNIT_ASSERT(*payload == numbered(delivered++));
+            if (random() % 3)
+                sender.acknowledge(receiver.receivedUpTo(), now + 3);
+        }
+        CPPUNIT_ASSERT_EQUAL(count, delivered);
+        CPPUNIT_ASSERT(sender.resent() > 0);
+    }
+
+    void fullQueueTakesNothing()
+    {
+        FlowEndpoint sender({ .queueSegments = 2 });
+        CPPUNIT_ASSERT(sender.send({ 1 }));
+        CPPUNIT_ASSERT(sender.send({ 2 }));
+        CPPUNIT_ASSERT(!sender.send({ 3 }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, sender.unacknowledged());
+    }
+
+    void acknowledgementOfUnsentIsIgnored()
+    {
+        FlowEndpoint sender;
+        CPPUNIT_ASSERT(sender.send({ 1 }));
+        sender.acknowledge(100, 5);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, sender.unacknowledged());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestFlowEndpoint);
