--- a/src/libprotocol/link.h
+++ b/src/libprotocol/link.h
@@ -88,6 +88,9 @@
     /// Ends the link without telling the handlers. What is queued is still written when `flush` is set.
     void close(bool flush = false);
 
+    /// Adapts the limit to a peer that announced slower heartbeats; 0 means no limit.
+    void setSilenceLimit(Millis limit) { m_options.silenceLimit = limit; }
+
     bool isOpen() const { return !m_closed; }
     LinkError lastReason() const { return m_lastReason; }
     std::uint64_t droppedFrames() const { return m_droppedFrames; }
