--- /dev/null
+++ b/src/kingcuptraild/adminendpoint.cpp
@@ -0,0 +1,42 @@
+#include "adminendpoint.h"
+
+namespace kingcuptrail {
+
+namespace {
+
+    /// Administration is a few readers; the bounds keep a stuck or hostile one from taking the daemon's descriptors.
+    constexpr HttpServerOptions adminLimits { .maxBodyBytes = 4096, .requestTimeout = 3000, .maxConnections = 64 };
+
+    HttpResponse reply(int status, std::string_view contentType, std::string body)
+    {
+        return { .status = status, .headers = { { "Content-Type", std::string(contentType) } }, .body = std::move(body) };
+    }
+
+}
+
+AdminEndpoint::AdminEndpoint(asio::io_context& context, const asio::ip::tcp::endpoint& endpoint, Sources sources, const FailureHandler& onFailure)
+    : m_sources(std::move(sources))
+{
+    asio::error_code error;
+    m_server = HttpServer::listen(
+        context, endpoint, adminLimits,
+        [this](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) { responder->respond(answer(request)); }, error);
+    if (error)
+        onFailure(ChildFailure::BindFailed);
+}
+
+HttpResponse AdminEndpoint::answer(const HttpRequest& request) const
+{
+    if (request.method != "GET")
+        return reply(405, "application/json", R"({"error":"methodNotAllowed"})");
+    const std::string_view path = pathOf(request.target);
+    if (path == "/status")
+        return reply(200, "application/json", m_sources.status());
+    if (path == "/metrics")
+        return reply(200, "text/plain; version=0.0.4", m_sources.metrics());
+    if (path == "/health")
+        return reply(200, "application/json", R"({"healthy":true})");
+    return reply(404, "application/json", R"({"error":"notFound"})");
+}
+
+}
--- /dev/null
+++ b/src/kingcuptraild/agent/agent.cpp
@@ -0,0 +1,308 @@
+#include "agent.h"
+
+#include "kingcuptraild/balancer/agentconnection.h"
+#include "kingcuptraild/listener.h"
+#include "kingcuptraild/watchers.h"
+#include "libdecision/pacing.h"
+#include "libruntime/events.h"
+#include "upstreamprobe.h"
+
+#include <nlohmann/json.hpp>
+
+namespace kingcuptrail {
+
+namespace {
+
+    /// How often segments that are due are sent again; half of the shortest resend wait.
+    constexpr Millis tickInterval = 20;
+    constexpr Millis sweepInterval = 500;
+
+    /// How long a leaving agent waits for the platform to take its withdrawal, in milliseconds. Balancers know already,
+    /// so it is only tidiness, and an outage must not hold the host.
+    constexpr Millis withdrawLimit = 1500;
+
+}
+
+/// Keeps the announcement under supervision.
+class Agent::AnnouncerChild : public Supervised {
+public:
+    AnnouncerChild(Agent& agent)
+        : m_agent(agent)
+        , m_announcer(agent.m_role.context, agent.m_role.platform, agent.wantedPresence(),
+              { .onAnnounced = [&agent](const Presence& presence) { agent.handleAnnounced(presence); },
+                  .onFenced = [&agent](const OwnerToken& newer) { agent.handleFenced(newer); } })
+    {
+        m_agent.m_announcer = this;
+    }
+
+    ~AnnouncerChild() override { m_agent.m_announcer = nullptr; }
+
+    Announcer& announcer() { return m_announcer; }
+
+private:
+    Agent& m_agent;
+    Announcer m_announcer;
+};
+
+Agent::Agent(const RoleContext& role)
+    : m_role(role)
+    , m_flows(role.clock, { .flowSilence = role.settings.agent.flowSilence },
+          { .onMessage = [this](FlowId flow, const wire::Message& message) { return m_requests.handleMessage(flow, message); },
+              .onRoom = [this](FlowId flow) { m_requests.flowHasRoom(flow); },
+              .onEnded = [this](FlowId flow) { m_requests.flowEnded(flow); },
+              .hasRequests = [this](FlowId flow) { return m_requests.hasRequests(flow); } })
+    , m_requests(role.context, role.clock, { .upstream = role.settings.agent.upstream, .service = role.settings.agent.service },
+          { .send = [this](FlowId flow, Bytes message) { return m_flows.send(flow, std::move(message)); },
+              .askLedger = [this](std::uint64_t query, const OwnerToken& holder, const std::string& key) { askLedger(query, holder, key); } })
+    , m_tickTimer(role.context)
+    , m_sweepTimer(role.context)
+    , m_drainOptions { .idleBeforeClose = role.settings.agent.drainIdle, .limit = role.settings.agent.drainLimit }
+{
+    m_role.config.addListener([this](const Config& current, const Config& previous) { handleConfig(current, previous); });
+    m_role.root.add({ .name = "config", .make = [this](FailureHandler) { return std::make_unique<ConfigFollower>(m_role, ConfigFollower::Mode::Once); } });
+    m_role.root.add({ .name = "balancers", .make = [this](FailureHandler onFailure) {
+                         return std::make_unique<Listener>(m_role.context, m_role.settings.listen, LinkOptions { .silenceLimit = m_role.settings.linkSilence },
+                             [this](std::shared_ptr<Link> link) { acceptBalancer(std::move(link)); }, std::move(onFailure));
+                     } });
+    m_role.root.add({ .name = "announcer", .make = [this](FailureHandler) { return std::make_unique<AnnouncerChild>(*this); } });
+    m_role.root.add({ .name = "probe", .make = [this](FailureHandler) {
+                         return std::make_unique<UpstreamProbe>(m_role, [this](const UpstreamHint& hint) { m_requests.noteHint(hint); });
+                     } });
+    startTimers();
+}
+
+Agent::~Agent() = default;
+
+void Agent::handleConfig(const Config& current, const Config& previous)
+{
+    const ServiceConfig* service = current.findService(m_role.settings.agent.service);
+    m_flows.setService(service ? service->address : 0);
+    if (service) {
+        m_flows.setFlowLimit(service->flowLimit);
+        m_requests.setAdmission({ .slots = service->slots, .queueLimit = service->queueLimit, .warmUp = service->warmUp });
+    }
+    const bool wasOut = previous.isOut(m_role.settings.dataCentre);
+    m_isOut = current.isOut(m_role.settings.dataCentre);
+    if (wasOut != m_isOut) {
+        logEvent(m_isOut ? Event::DataCentreOut : Event::DataCentreBack, { { "dataCentre", m_role.settings.dataCentre } });
+        m_flows.setDataCentreOut(m_isOut);
+        // Nobody has sent the upstream anything for as long as the data centre was out: its caches and pools are cold.
+        if (!m_isOut)
+            m_requests.restartCold();
+    }
+    applyState();
+    beatNow();
+}
+
+void Agent::handleAnnounced(const Presence& presence)
+{
+    m_token = presence.token;
+    m_flows.setOwnToken(m_token);
+    m_requests.setOwnToken(m_token);
+    logEvent(Event::Announced, { { "upstream", presence.upstream }, { "incarnation", m_token.incarnation } });
+}
+
+// A process that was paused beyond its lease may wake beside its successor. Both would take new work for one upstream
+// and give it twice what it bears; the larger incarnation wins, and this one only finishes what it has.
+void Agent::handleFenced(const OwnerToken& newer)
+{
+    logEvent(Event::Fenced, { { "incarnation", m_token.incarnation }, { "newer", newer.incarnation } });
+    m_isFenced = true;
+    applyState();
+    beatNow();
+}
+
+void Agent::applyState()
+{
+    m_flows.setDraining(isLeaving());
+    if (m_isOut)
+        m_requests.setRefuseNew(RefusalReason::DataCentreOut);
+    else if (isLeaving())
+        m_requests.setRefuseNew(RefusalReason::UpstreamDraining);
+    else
+        m_requests.setRefuseNew(RefusalReason::None);
+}
+
+void Agent::acceptBalancer(std::shared_ptr<Link> link)
+{
+    PeerLink::Handlers handlers {
+        .onHello = [this](const PeerIdentity& peer) -> std::optional<wire::GoodbyeReason> {
+            if (peer.role != wire::Role::Balancer || !m_token.isSet())
+                return wire::GoodbyeReason::NotExpected;
+            return std::nullopt;
+        },
+        .onUp = [this](PeerLink& peer) {
+            logEvent(Event::LinkUp, { { "peer", peer.peer().name } });
+            m_flows.linkUp(peer.shared_from_this()); },
+        .onPacket = [this](PeerLink& peer, const wire::Packet& packet, std::span<const std::uint8_t>) { m_flows.handlePacket(peer.shared_from_this(), packet); },
+        .onLeaving = [](PeerLink& peer, wire::GoodbyeReason) { logEvent(Event::PeerLeaving, { { "peer", peer.peer().name } }); },
+        .onOther = [this](PeerLink& peer, const wire::Frame& frame, std::span<const std::uint8_t>) { handleFrame(peer, frame); },
+        .onClosed = [this](PeerLink& peer, LinkError reason) {
+            logEvent(Event::LinkLost, { { "peer", peer.peer().name }, { "reason", nameOf(reason) } });
+            m_flows.linkDown(peer); },
+        .reportLoad = [this] { return report(); },
+        .heartbeatInterval = [this] { return heartbeatInterval(m_flows.linkCount(), { .baseInterval = m_role.settings.heartbeat }); },
+    };
+    wire::HelloT hello = makeHello(m_role.settings, wire::Role::Agent);
+    hello.upstream = m_token.upstream;
+    hello.incarnation = m_token.incarnation;
+    hello.service = m_role.settings.agent.service;
+    std::make_shared<PeerLink>(m_role.context, std::move(link), std::move(hello), m_role.config, std::move(handlers))->start();
+}
+
+void Agent::handleFrame(PeerLink& from, const wire::Frame& frame)
+{
+    if (const auto* redirects = frame.body_as_Redirects())
+        m_flows.handleRedirects(*redirects);
+    else if (const auto* query = frame.body_as_LedgerQuery())
+        answerQuery(from, *query);
+    else if (const auto* answer = frame.body_as_LedgerAnswer())
+        m_requests.handleLedgerAnswer(answer->query(), readLedgerAnswer(*answer));
+}
+
+void Agent::answerQuery(PeerLink& from, const wire::LedgerQuery& query)
+{
+    const bool isForMe = query.holder_upstream() == m_token.upstream && query.holder_incarnation() == m_token.incarnation;
+    if (!isForMe || !query.key())
+        return;
+    wire::LedgerAnswerT answer = makeLedgerAnswer(m_requests.answerLedgerQuery(query.key()->str()));
+    answer.query = query.query();
+    answer.asker_upstream = query.asker_upstream();
+    answer.asker_incarnation = query.asker_incarnation();
+    from.send(encodeFrameOf(std::move(answer)));
+}
+
+void Agent::askLedger(std::uint64_t query, const OwnerToken& holder, const std::string& key)
+{
+    wire::LedgerQueryT question;
+    question.query = query;
+    question.key = key;
+    question.asker_upstream = m_token.upstream;
+    question.asker_incarnation = m_token.incarnation;
+    question.holder_upstream = holder.upstream;
+    question.holder_incarnation = holder.incarnation;
+    m_flows.sendOverAnyLink(encodeFrameOf(std::move(question)));
+}
+
+void Agent::beatNow()
+{
+    for (const auto& link : m_flows.links())
+        link->heartbeatNow();
+}
+
+void Agent::startTimers()
+{
+    tick();
+    sweep();
+}
+
+void Agent::tick()
+{
+    m_flows.tick();
+    m_requests.tick();
+    m_tickTimer.expires_after(std::chrono::milliseconds(tickInterval));
+    m_tickTimer.async_wait([this](asio::error_code error) {
+        if (!error)
+            tick();
+    });
+}
+
+void Agent::sweep()
+{
+    m_flows.sweep();
+    if (m_isDraining)
+        drain();
+    m_sweepTimer.expires_after(std::chrono::milliseconds(sweepInterval));
+    m_sweepTimer.async_wait([this](asio::error_code error) {
+        if (!error)
+            sweep();
+    });
+}
+
+void Agent::shutDown(std::function<void()> done)
+{
+    m_onDrained = std::move(done);
+    m_isDraining = true;
+    m_drainProgress = { .startedAt = m_role.clock.now(), .announced = true, .announcedAt = m_role.clock.now() };
+    applyState();
+    // Balancers hear it over their links at once; the platform's news is for those that are not linked.
+    beatNow();
+    if (m_announcer)
+        m_announcer->announcer().setState(MemberState::Draining);
+}
+
+void Agent::drain()
+{
+    const DrainStep step = m_flows.drainStep(m_drainProgress, m_drainOptions);
+    if (step == DrainStep::Wait || !m_onDrained)
+        return;
+    if (step == DrainStep::LimitReached)
+        m_flows.closeAll(RefusalReason::UpstreamDraining);
+    finishDrain();
+}
+
+void Agent::finishDrain()
+{
+    auto done = std::move(m_onDrained);
+    m_onDrained = nullptr;
+    if (m_announcer)
+        m_announcer->announcer().withdraw(withdrawLimit, std::move(done));
+    else
+        done();
+}
+
+Presence Agent::wantedPresence() const
+{
+    const AgentSettings& agent = m_role.settings.agent;
+    return {
+        .upstream = agent.upstreamName,
+        .token = { upstreamIdOf(agent.upstreamName), 0 },
+        .service = agent.service,
+        .dataCentre = m_role.settings.dataCentre,
+        .address = m_role.settings.listen.address().to_string() + ":" + std::to_string(m_role.settings.listen.port()),
+        .state = isLeaving() ? MemberState::Draining : MemberState::Serving,
+        .lease = agent.lease,
+    };
+}
+
+LoadReport Agent::report() const
+{
+    return {
+        .openFlows = static_cast<std::uint32_t>(m_flows.flowCount()),
+        .busy = busy(m_requests.admission()),
+        .queued = queued(m_requests.admission()),
+        .limit = currentLimit(m_requests.admission()),
+        .state = isLeaving() ? MemberState::Draining : MemberState::Serving,
+    };
+}
+
+std::string Agent::statusMembers() const
+{
+    const LoadReport load = report();
+    const nlohmann::json status {
+        { "upstream", m_role.settings.agent.upstreamName },
+        { "incarnation", m_token.incarnation },
+        { "service", m_role.settings.agent.service },
+        { "state", nameOf(load.state) },
+        { "fenced", m_isFenced },
+        { "dataCentreOut", m_isOut },
+        { "links", m_flows.linkCount() },
+        { "openFlows", load.openFlows },
+        { "busy", load.busy },
+        { "queued", load.queued },
+        { "limit", load.limit },
+        { "cold", isCold(m_requests.admission()) },
+        { "requests", m_requests.requestCount() },
+        { "ledger", m_requests.ledgerSize() },
+    };
+    const std::string text = status.dump();
+    return text.substr(1, text.size() - 2);
+}
+
+void Agent::exposeMetrics(std::string& out) const
+{
+    m_flows.exposeMetrics(out);
+    m_requests.exposeMetrics(out);
+}
+
+}
--- /dev/null
+++ b/src/kingcuptraild/agent/agent.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "flowdesk.h"
+#include "kingcuptraild/role.h"
+#include "kingcuptraild/rolecontext.h"
+#include "libplatform/announcer.h"
+#include "requestdesk.h"
+
+#include <asio/steady_timer.hpp>
+#include <memory>
+
+namespace kingcuptrail {
+
+/// The role beside an upstream: owns the flows that end there, and decides what the upstream is given and when.
+class Agent : public Role {
+public:
+    explicit Agent(const RoleContext& role);
+    ~Agent() override;
+
+    std::string statusMembers() const override;
+    void exposeMetrics(std::string& out) const override;
+    void shutDown(std::function<void()> done) override;
+
+private:
+    class AnnouncerChild;
+
+    void handleConfig(const Config& current, const Config& previous);
+    void handleAnnounced(const Presence& presence);
+    void handleFenced(const OwnerToken& newer);
+    void acceptBalancer(std::shared_ptr<Link> link);
+    void handleFrame(PeerLink& from, const wire::Frame& frame);
+    void answerQuery(PeerLink& from, const wire::LedgerQuery& query);
+    void askLedger(std::uint64_t query, const OwnerToken& holder, const std::string& key);
+    void applyState();
+    void beatNow();
+    void startTimers();
+    void tick();
+    void sweep();
+    void drain();
+    void finishDrain();
+    Presence wantedPresence() const;
+    LoadReport report() const;
+    bool isLeaving() const { return m_isDraining || m_isFenced; }
+
+    const RoleContext m_role;
+    FlowDesk m_flows;
+    RequestDesk m_requests;
+    OwnerToken m_token;
+    AnnouncerChild* m_announcer = nullptr;
+    asio::steady_timer m_tickTimer;
+    asio::steady_timer m_sweepTimer;
+    DrainProgress m_drainProgress;
+    DrainOptions m_drainOptions;
+    std::function<void()> m_onDrained;
+    bool m_isDraining = false;
+    bool m_isFenced = false;
+    bool m_isOut = false;
+};
+
+}
--- /dev/null
+++ b/src/kingcuptraild/agent/answerstore.cpp
@@ -0,0 +1,52 @@
+#include "answerstore.h"
+
+namespace kingcuptrail {
+
+wire::LedgerAnswerT makeLedgerAnswer(const LedgerReply& reply)
+{
+    wire::LedgerAnswerT answer;
+    answer.state = static_cast<std::uint8_t>(reply.state);
+    answer.has_answer = reply.answer.has_value();
+    if (reply.answer) {
+        answer.status = static_cast<std::uint16_t>(reply.answer->status);
+        answer.body.assign(reply.answer->body.begin(), reply.answer->body.end());
+    }
+    return answer;
+}
+
+LedgerReply readLedgerAnswer(const wire::LedgerAnswer& answer)
+{
+    LedgerReply reply { .state = fromNumber<LedgerState>(answer.state()).value_or(LedgerState::Unknown), .answer = std::nullopt };
+    if (answer.has_answer()) {
+        StoredAnswer stored { .status = answer.status(), .body = {} };
+        if (answer.body())
+            stored.body.assign(answer.body()->begin(), answer.body()->end());
+        reply.answer = std::move(stored);
+    }
+    return reply;
+}
+
+void AnswerStore::add(const std::string& key, StoredAnswer answer)
+{
+    if (answer.body.size() > maxAnswerBytes || m_answers.contains(key))
+        return;
+    m_heldBytes += answer.body.size();
+    m_answers.emplace(key, std::move(answer));
+    m_order.push_back(key);
+    while (m_heldBytes > maxHeldBytes) {
+        const auto oldest = m_answers.find(m_order.front());
+        m_heldBytes -= oldest->second.body.size();
+        m_answers.erase(oldest);
+        m_order.pop_front();
+    }
+}
+
+std::optional<StoredAnswer> AnswerStore::find(std::string_view key) const
+{
+    const auto found = m_answers.find(std::string(key));
+    if (found == m_answers.end())
+        return std::nullopt;
+    return found->second;
+}
+
+}
--- /dev/null
+++ b/src/kingcuptraild/agent/flowdesk.cpp
@@ -0,0 +1,393 @@
+#include "flowdesk.h"
+
+#include "libruntime/events.h"
+
+#include <algorithm>
+
+namespace kingcuptrail {
+
+namespace {
+
+    /// When a caller that met a full or leaving agent should open its flow again, in milliseconds.
+    constexpr Millis reopenAfter = 200;
+
+    OwnerToken tokenOf(const wire::Packet& packet)
+    {
+        return { packet.owner_upstream(), packet.owner_incarnation() };
+    }
+
+    bool isAnswerable(const wire::Packet& packet)
+    {
+        return packet.kind() != wire::PacketKind::Reset && packet.kind() != wire::PacketKind::Close;
+    }
+
+}
+
+FlowDesk::FlowDesk(const Clock& clock, const FlowDeskOptions& options, Hooks hooks)
+    : m_clock(clock)
+    , m_options(options)
+    , m_hooks(std::move(hooks))
+{
+}
+
+void FlowDesk::setDataCentreOut(bool isOut)
+{
+    const bool becameOut = isOut && !m_isDataCentreOut;
+    m_isDataCentreOut = isOut;
+    if (!becameOut)
+        return;
+    std::vector<FlowId> ids;
+    for (const auto& [id, flow] : m_flows)
+        ids.push_back(id);
+    for (const FlowId id : ids)
+        endFlow(id, FlowEnd::GivenUpDataCentreOut, RefusalReason::DataCentreOut);
+    logEvent(Event::FlowsGivenUp, { { "flows", ids.size() } });
+}
+
+void FlowDesk::linkUp(std::shared_ptr<PeerLink> link)
+{
+    m_links.push_back(std::move(link));
+}
+
+void FlowDesk::linkDown(const PeerLink& link)
+{
+    std::erase_if(m_links, [&](const auto& known) { return known.get() == &link; });
+}
+
+void FlowDesk::handlePacket(const std::shared_ptr<PeerLink>& from, const wire::Packet& packet)
+{
+    Flow* flow = find(packet.flow());
+    const PacketVerdict verdict = decidePacket(factsOf(packet, flow));
+    m_actions.increment(verdict.action);
+    if (verdict.reason == RefusalReason::WrongService) {
+        ++m_wrongService;
+        logEvent(Event::WrongServicePacket, { { "flow", packet.flow() }, { "address", packet.service() } });
+    }
+    switch (verdict.action) {
+    case PacketAction::Deliver:
+        deliver(from, *flow, packet);
+        return;
+    case PacketAction::Open:
+        open(from, packet);
+        return;
+    case PacketAction::ForwardToOwner: {
+        const auto redirect = findRedirect(m_redirects, m_redirectOptions, packet.flow(), m_clock.now());
+        passOn(from, packet, tokenOf(packet).isSet() || !redirect ? tokenOf(packet) : *redirect, false);
+        return;
+    }
+    case PacketAction::NextInRanking:
+        passOn(from, packet, {}, true);
+        return;
+    case PacketAction::ReplyReset:
+        if (isAnswerable(packet))
+            replyReset(packet, verdict.reason, reopenAfter);
+        return;
+    case PacketAction::Drop:
+        return;
+    }
+}
+
+PacketFacts FlowDesk::factsOf(const wire::Packet& packet, const Flow* flow) const
+{
+    const OwnerToken token = tokenOf(packet);
+    return {
+        .isOpen = packet.kind() == wire::PacketKind::Open,
+        .hasToken = token.isSet(),
+        .tokenIsMine = token == m_token,
+        .tokenIsPredecessor = token.upstream == m_token.upstream && token.incarnation < m_token.incarnation,
+        .holdsFlow = flow != nullptr,
+        .redirectFound = !flow && findRedirect(m_redirects, m_redirectOptions, packet.flow(), m_clock.now()).has_value(),
+        .serviceMatches = packet.service() != 0 && packet.service() == (flow ? flow->service : m_service),
+        .hops = packet.hops(),
+        .draining = m_isDraining,
+        .dataCentreOut = m_isDataCentreOut,
+    };
+}
+
+void FlowDesk::open(const std::shared_ptr<PeerLink>& from, const wire::Packet& packet)
+{
+    if (m_flows.size() >= m_options.flowLimit) {
+        replyReset(packet, RefusalReason::TooManyFlows, reopenAfter);
+        return;
+    }
+    const Millis now = m_clock.now();
+    Flow& flow = m_flows[packet.flow()];
+    flow.id = packet.flow();
+    flow.source = packet.source();
+    flow.service = packet.service();
+    flow.openedAt = now;
+    flow.heardAt = now;
+    flow.idleSince = now;
+    flow.path = from;
+    ++m_opened;
+    if (packet.passed_over() != 0)
+        m_redirectsDue[packet.passed_over()].push_back(flow.id);
+    sendOpened(flow);
+}
+
+void FlowDesk::deliver(const std::shared_ptr<PeerLink>& from, Flow& flow, const wire::Packet& packet)
+{
+    const Millis now = m_clock.now();
+    flow.heardAt = now;
+    flow.path = from;
+    if (packet.kind() == wire::PacketKind::Open) {
+        sendOpened(flow);
+        return;
+    }
+    if (packet.kind() == wire::PacketKind::Close || packet.kind() == wire::PacketKind::Reset) {
+        endFlow(flow.id, FlowEnd::ClosedByCaller, RefusalReason::None);
+        return;
+    }
+    flow.isConfirmed = true;
+    flow.endpoint.acknowledge(packet.acknowledged(), now);
+    flow.ackOwed = true;
+    const FlowId id = flow.id;
+    if (packet.kind() == wire::PacketKind::Segment && packet.payload()) {
+        flow.endpoint.receive(packet.sequence(), Bytes(packet.payload()->begin(), packet.payload()->end()));
+        deliverMessages(id);
+    }
+    Flow* still = find(id);
+    if (still && still->needsRoom && still->endpoint.hasRoom()) {
+        still->needsRoom = false;
+        m_hooks.onRoom(id);
+        still = find(id);
+    }
+    if (still)
+        flush(*still);
+}
+
+void FlowDesk::deliverMessages(FlowId id)
+{
+    while (Flow* flow = find(id)) {
+        const auto payload = flow->endpoint.takeDelivered();
+        if (!payload)
+            return;
+        flow->idleSince = m_clock.now();
+        const wire::Message* message = readMessage(*payload);
+        if (!message || !m_hooks.onMessage(id, *message)) {
+            endFlow(id, FlowEnd::ProtocolError, RefusalReason::BadRequest);
+            return;
+        }
+    }
+}
+
+// Another agent holds the flow, or may: the packet goes back to a balancer, which knows more agents than this one. A
+// different balancer than the one it came from is taken if there is one, since that one's view sent it here.
+void FlowDesk::passOn(const std::shared_ptr<PeerLink>& from, const wire::Packet& packet, const OwnerToken& owner, bool visitedMe)
+{
+    std::unique_ptr<wire::PacketT> onward(packet.UnPack());
+    onward->bounced = true;
+    ++onward->hops;
+    onward->owner_upstream = owner.upstream;
+    onward->owner_incarnation = owner.incarnation;
+    if (visitedMe)
+        onward->visited.push_back(m_token.upstream);
+    std::shared_ptr<PeerLink> next = anyLink();
+    for (std::size_t tries = 0; tries < m_links.size() && next == from; ++tries)
+        next = anyLink();
+    if (next)
+        next->sendPacket(encodeFrameOf(std::move(*onward)));
+}
+
+void FlowDesk::replyReset(const wire::Packet& packet, RefusalReason reason, Millis retryAfter)
+{
+    m_resets.increment(reason);
+    wire::PacketT reset;
+    reset.kind = wire::PacketKind::Reset;
+    reset.service = packet.service();
+    reset.flow = packet.flow();
+    reset.source = packet.source();
+    reset.owner_upstream = packet.owner_upstream();
+    reset.owner_incarnation = packet.owner_incarnation();
+    reset.reason = static_cast<std::uint8_t>(reason);
+    reset.retry_after = static_cast<std::uint32_t>(retryAfter);
+    sendOverAnyLink(encodeFrameOf(std::move(reset)));
+}
+
+void FlowDesk::handleRedirects(const wire::Redirects& redirects)
+{
+    if (!redirects.entries())
+        return;
+    for (const wire::Redirect* redirect : *redirects.entries()) {
+        noteRedirect(m_redirects, m_redirectOptions, redirect->flow(), { redirect->owner_upstream(), redirect->owner_incarnation() }, m_clock.now());
+    }
+}
+
+bool FlowDesk::send(FlowId id, Bytes message)
+{
+    Flow* flow = find(id);
+    if (!flow)
+        return true;
+    if (!flow->endpoint.send(std::move(message))) {
+        flow->needsRoom = true;
+        return false;
+    }
+    flow->idleSince = m_clock.now();
+    m_active.insert(id);
+    return true;
+}
+
+bool FlowDesk::sendOverAnyLink(Bytes frame)
+{
+    const auto link = anyLink();
+    return link && link->sendPacket(std::move(frame));
+}
+
+void FlowDesk::tick()
+{
+    std::vector<FlowId> active(m_active.begin(), m_active.end());
+    for (const FlowId id : active) {
+        Flow* flow = find(id);
+        if (flow)
+            flush(*flow);
+        flow = find(id);
+        if (!flow || flow->endpoint.unacknowledged() == 0)
+            m_active.erase(id);
+    }
+}
+
+void FlowDesk::flush(Flow& flow)
+{
+    for (const FlowEndpoint::Segment& segment : flow.endpoint.takeDue(m_clock.now())) {
+        wire::PacketT packet;
+        packet.kind = wire::PacketKind::Segment;
+        packet.sequence = segment.sequence;
+        packet.payload = *segment.payload;
+        sendOnFlow(flow, std::move(packet));
+    }
+    if (flow.ackOwed) {
+        wire::PacketT packet;
+        packet.kind = wire::PacketKind::Ack;
+        sendOnFlow(flow, std::move(packet));
+    }
+    if (flow.endpoint.unacknowledged() > 0)
+        m_active.insert(flow.id);
+}
+
+void FlowDesk::sendOpened(Flow& flow)
+{
+    wire::PacketT packet;
+    packet.kind = wire::PacketKind::Opened;
+    sendOnFlow(flow, std::move(packet));
+}
+
+void FlowDesk::sendOnFlow(Flow& flow, wire::PacketT packet)
+{
+    packet.service = flow.service;
+    packet.flow = flow.id;
+    packet.source = flow.source;
+    packet.owner_upstream = m_token.upstream;
+    packet.owner_incarnation = m_token.incarnation;
+    packet.acknowledged = flow.endpoint.receivedUpTo();
+    flow.ackOwed = false;
+    if (const auto link = pathOf(flow))
+        link->sendPacket(encodeFrameOf(std::move(packet)));
+}
+
+void FlowDesk::endFlow(FlowId id, FlowEnd end, RefusalReason tellCaller)
+{
+    Flow* flow = find(id);
+    if (!flow)
+        return;
+    m_ends.increment(end);
+    if (tellCaller != RefusalReason::None) {
+        m_resets.increment(tellCaller);
+        wire::PacketT reset;
+        reset.kind = wire::PacketKind::Reset;
+        reset.reason = static_cast<std::uint8_t>(tellCaller);
+        sendOnFlow(*flow, std::move(reset));
+    }
+    m_flows.erase(id);
+    m_active.erase(id);
+    m_hooks.onEnded(id);
+}
+
+void FlowDesk::sweep()
+{
+    const Millis now = m_clock.now();
+    std::vector<std::pair<FlowId, FlowEnd>> over;
+    for (const auto& [id, flow] : m_flows) {
+        if (now - flow.heardAt > m_options.flowSilence)
+            over.emplace_back(id, FlowEnd::Silent);
+        else if (!flow.isConfirmed && now - flow.openedAt > m_options.unconfirmedLimit)
+            over.emplace_back(id, FlowEnd::Unconfirmed);
+    }
+    for (const auto& [id, end] : over)
+        endFlow(id, end, RefusalReason::FlowSilent);
+    for (auto& [upstream, flows] : m_redirectsDue) {
+        wire::RedirectsT redirects;
+        redirects.target_upstream = upstream;
+        for (const FlowId flow : flows) {
+            auto redirect = std::make_unique<wire::RedirectT>();
+            redirect->flow = flow;
+            redirect->owner_upstream = m_token.upstream;
+            redirect->owner_incarnation = m_token.incarnation;
+            redirects.entries.push_back(std::move(redirect));
+        }
+        sendOverAnyLink(encodeFrameOf(std::move(redirects)));
+    }
+    m_redirectsDue.clear();
+    expireRedirects(m_redirects, m_redirectOptions, now);
+}
+
+DrainStep FlowDesk::drainStep(const DrainProgress& progress, const DrainOptions& options)
+{
+    const Millis now = m_clock.now();
+    std::vector<FlowId> idle;
+    std::vector<DrainFlow> left;
+    for (const auto& [id, flow] : m_flows) {
+        const bool isBusy = m_hooks.hasRequests(id) || flow.endpoint.unacknowledged() > 0;
+        const DrainFlow drain { .idleSince = flow.idleSince, .pending = isBusy ? 1U : 0U };
+        if (drainFlow(drain, progress, options, now) == DrainFlowStep::CloseIdle)
+            idle.push_back(id);
+        else
+            left.push_back(drain);
+    }
+    for (const FlowId id : idle)
+        endFlow(id, FlowEnd::ClosedDraining, RefusalReason::UpstreamDraining);
+    return nextDrainStep(left, progress, options, now);
+}
+
+void FlowDesk::closeAll(RefusalReason reason)
+{
+    std::vector<FlowId> ids;
+    for (const auto& [id, flow] : m_flows)
+        ids.push_back(id);
+    for (const FlowId id : ids)
+        endFlow(id, FlowEnd::ClosedDraining, reason);
+}
+
+std::shared_ptr<PeerLink> FlowDesk::pathOf(const Flow& flow)
+{
+    const auto link = flow.path.lock();
+    return link && link->isUsable() ? link : anyLink();
+}
+
+std::shared_ptr<PeerLink> FlowDesk::anyLink()
+{
+    for (std::size_t tries = 0; tries < m_links.size(); ++tries) {
+        const auto& link = m_links[m_nextLink++ % m_links.size()];
+        if (link->isUsable())
+            return link;
+    }
+    return nullptr;
+}
+
+FlowDesk::Flow* FlowDesk::find(FlowId id)
+{
+    const auto found = m_flows.find(id);
+    return found == m_flows.end() ? nullptr : &found->second;
+}
+
+void FlowDesk::exposeMetrics(std::string& out) const
+{
+    exposeCounters(out, "kingcuptrail_packets_total", "Packets by what was done with them.", m_actions);
+    exposeCounters(out, "kingcuptrail_flows_ended_total", "Flows by the way they ended.", m_ends);
+    exposeCounters(out, "kingcuptrail_flow_resets_total", "Flows reset by this agent, by reason.", m_resets);
+    exposeCounter(out, "kingcuptrail_flows_opened_total", "Flows opened here.", m_opened);
+    exposeCounter(out, "kingcuptrail_wrong_service_total", "Packets for another service's address, refused.", m_wrongService);
+    exposeGauge(out, "kingcuptrail_flows_open", "Flows held.", static_cast<double>(m_flows.size()));
+    exposeGauge(out, "kingcuptrail_redirects", "Redirect entries held.", static_cast<double>(m_redirects.entries.size()));
+}
+
+}
--- /dev/null
+++ b/src/kingcuptraild/agent/flowdesk.h
@@ -0,0 +1,152 @@
+#pragma once
+
+#include "kingcuptraild/peerlink.h"
+#include "libdecision/drain.h"
+#include "libdecision/forwarding.h"
+#include "libdecision/redirects.h"
+#include "libdecision/refusal.h"
+#include "libprotocol/flowendpoint.h"
+#include "libruntime/metrics.h"
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace kingcuptrail {
+
+struct FlowDeskOptions {
+    /// Flows held at most; more are refused, so that one upstream's memory stays bounded.
+    std::size_t flowLimit = 20000;
+    /// How long a caller may say nothing, in milliseconds. Callers probe idle flows, so a longer silence means that the
+    /// caller is gone or the path has lost track of the flow.
+    Millis flowSilence = 90000;
+    /// An opened flow whose caller never came back, in milliseconds: a duplicated open that another agent won.
+    Millis unconfirmedLimit = 15000;
+};
+
+/// How flows ended at this agent.
+enum class FlowEnd : std::uint8_t {
+    ClosedByCaller,
+    Silent,
+    Unconfirmed,
+    GivenUpDataCentreOut,
+    ClosedDraining,
+    ProtocolError,
+};
+
+template <>
+struct EnumNames<FlowEnd> {
+    static constexpr std::array<std::string_view, 6> names {
+        "closedByCaller",
+        "silent",
+        "unconfirmed",
+        "givenUpDataCentreOut",
+        "closedDraining",
+        "protocolError",
+    };
+};
+
+/// Holds the flows that this agent owns: decides on each packet, keeps both ends' segments in order, and answers over
+/// whichever balancer is there.
+class FlowDesk {
+public:
+    struct Hooks {
+        /// Takes a message; false when it is none that a caller may send.
+        std::function<bool(FlowId, const wire::Message&)> onMessage;
+        /// A flow that refused a message has room again.
+        std::function<void(FlowId)> onRoom;
+        std::function<void(FlowId)> onEnded;
+        /// Whether requests of the flow are under way.
+        std::function<bool(FlowId)> hasRequests;
+    };
+
+    FlowDesk(const Clock& clock, const FlowDeskOptions& options, Hooks hooks);
+
+    void setOwnToken(const OwnerToken& token) { m_token = token; }
+    /// The address of this agent's service; 0 while no configuration names it.
+    void setService(ServiceAddress address) { m_service = address; }
+    void setFlowLimit(std::size_t limit) { m_options.flowLimit = limit; }
+    void setDraining(bool isDraining) { m_isDraining = isDraining; }
+    /// Gives up every flow when it becomes true.
+    void setDataCentreOut(bool isOut);
+
+    void linkUp(std::shared_ptr<PeerLink> link);
+    void linkDown(const PeerLink& link);
+
+    void handlePacket(const std::shared_ptr<PeerLink>& from, const wire::Packet& packet);
+    void handleRedirects(const wire::Redirects& redirects);
+
+    /// Queues a message on a flow; false when it has no room.
+    bool send(FlowId flow, Bytes message);
+
+    /// Sends a frame over any usable balancer link; false when there is none.
+    bool sendOverAnyLink(Bytes frame);
+
+    /// Sends what is due, in order of need: new and resent segments.
+    void tick();
+    /// Drops flows that are silent or were never confirmed, and sends collected redirects.
+    void sweep();
+    /// Closes flows that may be closed while this agent drains, and says whether any is left.
+    DrainStep drainStep(const DrainProgress& progress, const DrainOptions& options);
+    /// Ends every flow that is left, for a shutdown that has reached its limit.
+    void closeAll(RefusalReason reason);
+
+    std::size_t flowCount() const { return m_flows.size(); }
+    std::size_t linkCount() const { return m_links.size(); }
+    const std::vector<std::shared_ptr<PeerLink>>& links() const { return m_links; }
+    void exposeMetrics(std::string& out) const;
+
+private:
+    struct Flow {
+        FlowId id = 0;
+        std::uint64_t source = 0;
+        ServiceAddress service = 0;
+        FlowEndpoint endpoint;
+        Millis openedAt = 0;
+        Millis heardAt = 0;
+        Millis idleSince = 0;
+        std::weak_ptr<PeerLink> path;
+        bool isConfirmed = false;
+        bool ackOwed = false;
+        bool needsRoom = false;
+    };
+
+    PacketFacts factsOf(const wire::Packet& packet, const Flow* flow) const;
+    void open(const std::shared_ptr<PeerLink>& from, const wire::Packet& packet);
+    void deliver(const std::shared_ptr<PeerLink>& from, Flow& flow, const wire::Packet& packet);
+    void deliverMessages(FlowId id);
+    void passOn(const std::shared_ptr<PeerLink>& from, const wire::Packet& packet, const OwnerToken& owner, bool visitedMe);
+    void replyReset(const wire::Packet& packet, RefusalReason reason, Millis retryAfter);
+    void sendOpened(Flow& flow);
+    void flush(Flow& flow);
+    void sendOnFlow(Flow& flow, wire::PacketT packet);
+    void endFlow(FlowId id, FlowEnd end, RefusalReason tellCaller);
+    std::shared_ptr<PeerLink> pathOf(const Flow& flow);
+    std::shared_ptr<PeerLink> anyLink();
+    Flow* find(FlowId id);
+
+    const Clock& m_clock;
+    FlowDeskOptions m_options;
+    Hooks m_hooks;
+    OwnerToken m_token;
+    ServiceAddress m_service = 0;
+    bool m_isDraining = false;
+    bool m_isDataCentreOut = false;
+    std::unordered_map<FlowId, Flow> m_flows;
+    std::unordered_set<FlowId> m_active;
+    std::vector<std::shared_ptr<PeerLink>> m_links;
+    std::size_t m_nextLink = 0;
+    Redirects m_redirects;
+    RedirectOptions m_redirectOptions;
+    std::unordered_map<UpstreamId, std::vector<FlowId>> m_redirectsDue;
+    EnumCounters<PacketAction> m_actions;
+    EnumCounters<FlowEnd> m_ends;
+    EnumCounters<RefusalReason> m_resets;
+    std::uint64_t m_opened = 0;
+    std::uint64_t m_wrongService = 0;
+    std::uint64_t m_resent = 0;
+};
+
+}
--- /dev/null
+++ b/src/kingcuptraild/agent/requestdesk.cpp
@@ -0,0 +1,597 @@
+#include "requestdesk.h"
+
+#include "libruntime/events.h"
+
+#include <algorithm>
+#include <charconv>
+#include <xxhash.h>
+
+namespace kingcuptrail {
+
+namespace {
+
+    /// An upstream answers with this status and header when it turned a request away before it ran any of it.
+    constexpr int statusShed = 503;
+    constexpr std::string_view ranHeader = "X-Request-Ran";
+    constexpr std::string_view ranNo = "no";
+
+    /// How long an earlier owner may take to answer before it is asked again, and how often it is asked.
+    /// A balancer that carried the question may have died with it; the next one goes over another link.
+    constexpr Millis askAgainAfter = 300;
+    constexpr std::uint32_t maxAsks = 4;
+
+    /// Chunks of a stream that may wait for room on a flow before the upstream is no longer read.
+    constexpr std::size_t maxStreamOutbox = 64;
+
+    /// When a request that found no memory should come back, in milliseconds: about the time of one upload.
+    constexpr Millis memoryRetryAfter = 1000;
+
+    Millis retryAfterOf(const HttpResponse& response)
+    {
+        const std::string_view text = headerValue(response.headers, "Retry-After");
+        Millis seconds = 0;
+        std::from_chars(text.data(), text.data() + text.size(), seconds);
+        return seconds * 1000;
+    }
+
+    bool isShed(const HttpResponse& response)
+    {
+        return response.status == statusShed && headerValue(response.headers, ranHeader) == ranNo;
+    }
+
+    Bytes answerHead(std::uint64_t request, int status, bool stream, std::string_view body)
+    {
+        wire::AnswerHeadT head;
+        head.request = request;
+        head.status = static_cast<std::uint16_t>(status);
+        head.stream = stream;
+        head.body_length = body.size();
+        head.body_hash = XXH3_64bits(body.data(), body.size());
+        return encodeMessageOf(std::move(head));
+    }
+
+    Bytes answerChunk(std::uint64_t request, std::uint64_t offset, std::string_view bytes)
+    {
+        wire::AnswerChunkT chunk;
+        chunk.request = request;
+        chunk.offset = offset;
+        chunk.bytes.assign(bytes.begin(), bytes.end());
+        return encodeMessageOf(std::move(chunk));
+    }
+
+    RefusalVerdict refusalOf(BeginVerdict verdict)
+    {
+        switch (verdict) {
+        case BeginVerdict::AlreadyRunning:
+            return { Ran::Unknown, RefusalReason::AlreadyRunning, 0 };
+        case BeginVerdict::AlreadyRan:
+            return { Ran::Yes, RefusalReason::AlreadyRan, 0 };
+        case BeginVerdict::Fenced:
+            return { Ran::No, RefusalReason::KeyFenced, 0 };
+        case BeginVerdict::Full:
+            return { Ran::No, RefusalReason::QueueFull, memoryRetryAfter };
+        default:
+            return { Ran::Unknown, RefusalReason::EarlierAttemptUnknown, 0 };
+        }
+    }
+
+}
+
+RequestDesk::RequestDesk(asio::io_context& context, const Clock& clock, RequestDeskOptions options, Hooks hooks)
+    : m_context(context)
+    , m_clock(clock)
+    , m_options(std::move(options))
+    , m_hooks(std::move(hooks))
+    , m_ledger(std::make_unique<Ledger>())
+{
+}
+
+RequestDesk::~RequestDesk()
+{
+    for (const auto& [work, request] : m_byWork) {
+        if (request->call)
+            request->call->cancel();
+    }
+}
+
+void RequestDesk::setRefuseNew(RefusalReason reason)
+{
+    m_refuseNew = reason;
+    if (reason == RefusalReason::None)
+        return;
+    for (const ExpiredItem& expired : refuseQueue(m_admission, reason, m_clock.now())) {
+        if (const auto found = m_byWork.find(expired.item.id); found != m_byWork.end())
+            refuse(RequestPtr(found->second), expired.refusal);
+    }
+}
+
+bool RequestDesk::handleMessage(FlowId flow, const wire::Message& message)
+{
+    if (const auto* head = message.body_as_RequestHead())
+        receiveHead(flow, *head);
+    else if (const auto* chunk = message.body_as_BodyChunk())
+        receiveChunk(flow, *chunk);
+    else if (const auto* withdrawn = message.body_as_Cancel())
+        cancel(flow, withdrawn->request());
+    else
+        return false;
+    return true;
+}
+
+void RequestDesk::receiveHead(FlowId flow, const wire::RequestHead& head)
+{
+    if (m_requests.contains({ flow, head.request() }))
+        return;
+    auto request = std::make_shared<ActiveRequest>();
+    request->flow = flow;
+    request->request = head.request();
+    request->work = ++m_lastWork;
+    request->key = head.key() ? head.key()->str() : std::string();
+    request->method = head.method() ? head.method()->str() : "GET";
+    request->target = head.target() ? head.target()->str() : "/";
+    request->idempotent = head.idempotent();
+    request->stream = head.stream();
+    request->workClass = head.long_work() ? WorkClass::Long : WorkClass::Short;
+    request->arrivedAt = m_clock.now();
+    request->deadline = request->arrivedAt + (head.deadline() > 0 ? head.deadline() : m_options.defaultDeadline);
+    request->bodyLength = head.body_length();
+    request->bodyHash = head.body_hash();
+    if (head.earlier()) {
+        for (const wire::Attempt* attempt : *head.earlier())
+            request->earlier.push_back({ attempt->upstream(), attempt->incarnation() });
+    }
+    m_requests[{ flow, head.request() }] = request;
+    m_byWork[request->work] = request;
+    if (const auto verdict = judgeHead(*request))
+        refuse(request, *verdict);
+    else if (request->bodyLength == 0)
+        bodyComplete(request);
+    else
+        hold(*request, request->bodyLength);
+}
+
+// A request that has no chance is refused before its body is sent: an upload that would only be refused at its end
+// costs its end user the whole transfer.
+std::optional<RefusalVerdict> RequestDesk::judgeHead(const ActiveRequest& request) const
+{
+    if (m_refuseNew != RefusalReason::None)
+        return RefusalVerdict { Ran::No, m_refuseNew, 0 };
+    if (!request.idempotent && request.key.empty())
+        return RefusalVerdict { Ran::No, RefusalReason::BadRequest, 0 };
+    if (request.bodyLength > m_options.maxBodyBytes)
+        return RefusalVerdict { Ran::No, RefusalReason::BodyTooLarge, 0 };
+    if (m_heldBytes + request.bodyLength > m_options.maxHeldBytes)
+        return RefusalVerdict { Ran::No, RefusalReason::QueueFull, memoryRetryAfter };
+    const Millis wait = expectedWait(m_admission, m_admissionOptions, request.workClass, request.arrivedAt);
+    if (request.arrivedAt + wait > request.deadline)
+        return RefusalVerdict { Ran::No, RefusalReason::ExpectedWaitTooLong, wait };
+    return std::nullopt;
+}
+
+void RequestDesk::receiveChunk(FlowId flow, const wire::BodyChunk& chunk)
+{
+    const RequestPtr request = find(flow, chunk.request());
+    if (!request || request->stage != RequestStage::Receiving || !chunk.bytes())
+        return;
+    const std::size_t size = chunk.bytes()->size();
+    if (chunk.offset() != request->body.size() || request->body.size() + size > request->bodyLength) {
+        refuse(request, { Ran::No, RefusalReason::BodyCorrupt, 0 });
+        return;
+    }
+    request->body.append(reinterpret_cast<const char*>(chunk.bytes()->data()), size);
+    if (request->body.size() == request->bodyLength)
+        bodyComplete(request);
+}
+
+void RequestDesk::bodyComplete(const RequestPtr& request)
+{
+    if (request->bodyLength > 0 && XXH3_64bits(request->body.data(), request->body.size()) != request->bodyHash) {
+        refuse(request, { Ran::No, RefusalReason::BodyCorrupt, 0 });
+        return;
+    }
+    if (request->idempotent)
+        submit(request);
+    else if (!request->earlier.empty())
+        askEarlier(request);
+    else
+        enterLedger(request);
+}
+
+void RequestDesk::askEarlier(const RequestPtr& request)
+{
+    request->stage = RequestStage::AskingEarlier;
+    if (request->attempts.attempts.empty())
+        request->attempts = startAttempts(request->earlier, m_ownToken);
+    request->askedAt = m_clock.now();
+    ++request->asks;
+    for (const EarlierAttempt& attempt : request->attempts.attempts) {
+        if (attempt.answer || attempt.unreachable)
+            continue;
+        const std::uint64_t query = ++m_lastQuery;
+        m_queries[query] = { request, attempt.owner };
+        m_hooks.askLedger(query, attempt.owner, request->key);
+    }
+    considerEarlier(request);
+}
+
+void RequestDesk::handleLedgerAnswer(std::uint64_t query, const LedgerReply& reply)
+{
+    const auto found = m_queries.find(query);
+    if (found == m_queries.end())
+        return;
+    const RequestPtr request = found->second.request.lock();
+    const OwnerToken owner = found->second.owner;
+    m_queries.erase(found);
+    if (!request || request->stage != RequestStage::AskingEarlier)
+        return;
+    // The work ran at the earlier owner and its answer is still held there: the caller gets it, though its flow is gone.
+    if (reply.state == LedgerState::Ran && reply.answer) {
+        m_ends.increment(RequestEnd::AnsweredFromLedger);
+        answer(request, reply.answer->status, reply.answer->body);
+        return;
+    }
+    noteAnswer(request->attempts, owner, reply.state);
+    considerEarlier(request);
+}
+
+void RequestDesk::considerEarlier(const RequestPtr& request)
+{
+    const AttemptsVerdict verdict = decideAttempts(request->attempts);
+    if (verdict.decision == AttemptsDecision::Run)
+        enterLedger(request);
+    else if (verdict.decision == AttemptsDecision::Refuse)
+        refuse(request, verdict.refusal);
+}
+
+void RequestDesk::enterLedger(const RequestPtr& request)
+{
+    const BeginVerdict verdict = beginWork(*m_ledger, m_options.ledger, request->key, m_clock.now());
+    if (verdict == BeginVerdict::Run) {
+        request->inLedger = true;
+        submit(request);
+        return;
+    }
+    if (verdict == BeginVerdict::AlreadyRan) {
+        if (const auto stored = m_answers.find(request->key)) {
+            m_ends.increment(RequestEnd::AnsweredFromLedger);
+            answer(request, stored->status, stored->body);
+            return;
+        }
+    }
+    refuse(request, refusalOf(verdict));
+}
+
+void RequestDesk::submit(const RequestPtr& request)
+{
+    const Millis now = m_clock.now();
+    request->queuedAt = now;
+    request->stage = RequestStage::Queued;
+    const WorkItem item { .id = request->work, .workClass = request->workClass, .deadline = request->deadline, .queuedAt = now };
+    const AdmitVerdict verdict = admit(m_admission, m_admissionOptions, item, now);
+    if (verdict.decision == AdmitDecision::Run)
+        run(request);
+    else if (verdict.decision == AdmitDecision::Refuse)
+        refuse(request, verdict.refusal);
+}
+
+void RequestDesk::startRunnable()
+{
+    for (const WorkItem& item : takeRunnable(m_admission, m_admissionOptions, m_clock.now())) {
+        const auto found = m_byWork.find(item.id);
+        if (found != m_byWork.end())
+            run(RequestPtr(found->second));
+        else
+            finishWork(m_admission, m_admissionOptions, item.workClass, WorkOutcome::Cancelled, 0, m_clock.now());
+    }
+}
+
+void RequestDesk::run(const RequestPtr& request)
+{
+    const Millis now = m_clock.now();
+    request->stage = RequestStage::Running;
+    request->startedAt = now;
+    request->holdsSlot = true;
+    m_queueTime.record(static_cast<double>(now - request->queuedAt));
+    HttpRequest http {
+        .method = request->method,
+        .target = request->target,
+        .headers = {
+            { "X-Service", m_options.service },
+            { "X-Request-Key", request->key },
+            { "X-Body-Hash", std::to_string(request->bodyHash) },
+            { "X-Request-Deadline-Ms", std::to_string(std::max<Millis>(request->deadline - now, 0)) },
+        },
+        .body = std::move(request->body),
+    };
+    HttpCallOptions options { .timeout = request->stream ? 0 : std::max<Millis>(request->deadline - now, 1) };
+    HttpCall::Handlers handlers;
+    handlers.onDone = [this, request](std::optional<HttpResponse> response, const HttpOutcome& outcome) {
+        handleDone(request, std::move(response), outcome);
+    };
+    if (request->stream) {
+        handlers.onHead = [this, request](const HttpResponse& head) { handleHead(request, head); };
+        handlers.onChunk = [this, request](std::string_view chunk) { handleStreamChunk(request, chunk); };
+    }
+    request->call = startHttpCall(m_context, m_options.upstream, std::move(http), options, std::move(handlers));
+}
+
+// A feed is held open for a shift. It takes a slot only while the upstream sets it up: two thousand open feeds before
+// five slots would otherwise keep every query out, while feeds that all come back at once to a cold upstream still
+// take their turn.
+void RequestDesk::handleHead(const RequestPtr& request, const HttpResponse& head)
+{
+    if (isShed(head))
+        return;
+    finishSlot(request, WorkOutcome::Succeeded);
+    request->streamOpen = true;
+    request->outbox.push_back(answerHead(request->request, head.status, true, {}));
+    pump(request);
+}
+
+void RequestDesk::handleStreamChunk(const RequestPtr& request, std::string_view chunk)
+{
+    if (!request->streamOpen)
+        return;
+    while (!chunk.empty()) {
+        const std::string_view piece = chunk.substr(0, maxChunkBytes);
+        request->outbox.push_back(answerChunk(request->request, request->streamOffset, piece));
+        request->streamOffset += piece.size();
+        chunk.remove_prefix(piece.size());
+    }
+    pump(request);
+    if (request->outbox.size() > maxStreamOutbox && request->call) {
+        request->isPaused = true;
+        request->call->pause();
+    }
+}
+
+void RequestDesk::handleDone(const RequestPtr& request, std::optional<HttpResponse> response, const HttpOutcome& outcome)
+{
+    request->call = nullptr;
+    if (response && isShed(*response)) {
+        finishSlot(request, WorkOutcome::Shed);
+        refuse(request, { Ran::No, RefusalReason::UpstreamShed, retryAfterOf(*response) });
+        return;
+    }
+    if (response && !request->stream) {
+        finishSlot(request, WorkOutcome::Succeeded);
+        if (request->inLedger)
+            m_answers.add(request->key, { response->status, response->body });
+        settle(request, LedgerState::Ran);
+        m_ends.increment(RequestEnd::Answered);
+        answer(request, response->status, std::move(response->body));
+        return;
+    }
+    const bool isTimeout = outcome.error == HttpError::Timeout;
+    finishSlot(request, isTimeout ? WorkOutcome::TimedOut : WorkOutcome::Failed);
+    if (!outcome.mayHaveReached && !response)
+        refuse(request, { Ran::No, RefusalReason::UpstreamUnreachable, 0 });
+    else
+        refuse(request, { Ran::Unknown, isTimeout ? RefusalReason::UpstreamTimeout : RefusalReason::UpstreamLost, 0 });
+}
+
+void RequestDesk::finishSlot(const RequestPtr& request, WorkOutcome outcome)
+{
+    if (!request->holdsSlot)
+        return;
+    request->holdsSlot = false;
+    const Millis now = m_clock.now();
+    const bool wasCold = isCold(m_admission);
+    m_serviceTime.record(static_cast<double>(now - request->startedAt));
+    finishWork(m_admission, m_admissionOptions, request->workClass, outcome, now - request->startedAt, now);
+    if (wasCold != isCold(m_admission))
+        logEvent(wasCold ? Event::UpstreamWarm : Event::UpstreamCold, { { "limit", currentLimit(m_admission) }, { "outcome", static_cast<std::uint64_t>(outcome) } });
+    startRunnable();
+}
+
+void RequestDesk::answer(const RequestPtr& request, int status, std::string body)
+{
+    request->stage = RequestStage::Answering;
+    hold(*request, body.size());
+    request->outbox.push_back(answerHead(request->request, status, false, body));
+    for (std::size_t offset = 0; offset < body.size(); offset += maxChunkBytes)
+        request->outbox.push_back(answerChunk(request->request, offset, std::string_view(body).substr(offset, maxChunkBytes)));
+    pump(request);
+}
+
+void RequestDesk::refuse(const RequestPtr& request, const RefusalVerdict& verdict)
+{
+    m_refusals.increment(verdict.reason);
+    m_refusedRan.increment(verdict.ran);
+    m_ends.increment(request->streamOpen ? RequestEnd::StreamEnded : RequestEnd::Refused);
+    settle(request, verdict.ran == Ran::No ? LedgerState::NotRun : LedgerState::Unknown);
+    if (verdict.ran == Ran::Unknown && !request->idempotent)
+        logEvent(Event::OutcomeUnknown, { { "key", request->key }, { "reason", nameOf(verdict.reason) } });
+    wire::RefusalT refusal;
+    refusal.request = request->request;
+    refusal.ran = static_cast<std::uint8_t>(verdict.ran);
+    refusal.reason = static_cast<std::uint8_t>(verdict.reason);
+    refusal.retry_after = static_cast<std::uint32_t>(std::max<Millis>(verdict.retryAfter, 0));
+    request->stage = RequestStage::Answering;
+    request->outbox.push_back(encodeMessageOf(refusal));
+    pump(request);
+}
+
+void RequestDesk::settle(const RequestPtr& request, LedgerState outcome)
+{
+    if (!request->inLedger)
+        return;
+    request->inLedger = false;
+    settleWork(*m_ledger, m_options.ledger, request->key, outcome, m_clock.now());
+}
+
+void RequestDesk::pump(const RequestPtr& request)
+{
+    while (request->hasFlow && !request->outbox.empty()) {
+        if (!m_hooks.send(request->flow, request->outbox.front()))
+            return;
+        request->outbox.pop_front();
+    }
+    if (request->stage == RequestStage::Answering) {
+        forget(request);
+    } else if (request->isPaused && request->call) {
+        request->isPaused = false;
+        request->call->resume();
+    }
+}
+
+void RequestDesk::cancel(FlowId flow, std::uint64_t id)
+{
+    const RequestPtr request = find(flow, id);
+    if (!request || request->stage == RequestStage::Answering)
+        return;
+    const bool mayHaveRun = request->stage == RequestStage::Running;
+    if (request->stage == RequestStage::Queued)
+        cancelQueued(m_admission, request->work);
+    // The slot is free once the connection is gone: closing it is how an HTTP/1.1 upstream is told.
+    if (request->call) {
+        request->call->cancel();
+        request->call = nullptr;
+    }
+    finishSlot(request, WorkOutcome::Cancelled);
+    refuse(request, { mayHaveRun ? Ran::Unknown : Ran::No, RefusalReason::Cancelled, 0 });
+}
+
+void RequestDesk::flowHasRoom(FlowId flow)
+{
+    std::vector<RequestPtr> waiting;
+    for (auto item = m_requests.lower_bound({ flow, 0 }); item != m_requests.end() && item->first.first == flow; ++item) {
+        if (!item->second->outbox.empty())
+            waiting.push_back(item->second);
+    }
+    for (const RequestPtr& request : waiting)
+        pump(request);
+}
+
+void RequestDesk::flowEnded(FlowId flow)
+{
+    std::vector<RequestPtr> ended;
+    for (auto item = m_requests.lower_bound({ flow, 0 }); item != m_requests.end() && item->first.first == flow; ++item)
+        ended.push_back(item->second);
+    for (const RequestPtr& request : ended) {
+        request->hasFlow = false;
+        m_requests.erase({ flow, request->request });
+        const bool isLeftToEnd = !request->idempotent && request->stage == RequestStage::Running;
+        if (isLeftToEnd)
+            continue;
+        m_ends.increment(RequestEnd::Abandoned);
+        cancelAbandoned(request);
+    }
+}
+
+void RequestDesk::cancelAbandoned(const RequestPtr& request)
+{
+    if (request->stage == RequestStage::Queued)
+        cancelQueued(m_admission, request->work);
+    if (request->call) {
+        request->call->cancel();
+        request->call = nullptr;
+    }
+    finishSlot(request, WorkOutcome::Cancelled);
+    settle(request, LedgerState::NotRun);
+    forget(request);
+}
+
+LedgerReply RequestDesk::answerLedgerQuery(const std::string& key)
+{
+    LedgerReply reply { .state = queryAndFence(*m_ledger, m_options.ledger, key, m_clock.now()), .answer = std::nullopt };
+    if (reply.state == LedgerState::Ran)
+        reply.answer = m_answers.find(key);
+    return reply;
+}
+
+void RequestDesk::noteHint(const UpstreamHint& hint)
+{
+    kingcuptrail::noteHint(m_admission, m_admissionOptions, hint, m_clock.now());
+}
+
+void RequestDesk::tick()
+{
+    const Millis now = m_clock.now();
+    for (const ExpiredItem& expired : takeExpired(m_admission, m_admissionOptions, now)) {
+        if (const auto found = m_byWork.find(expired.item.id); found != m_byWork.end())
+            refuse(RequestPtr(found->second), expired.refusal);
+    }
+    startRunnable();
+    expireDeadlines(now);
+    expireLedger(*m_ledger, m_options.ledger, now);
+}
+
+void RequestDesk::expireDeadlines(Millis now)
+{
+    std::vector<RequestPtr> late;
+    std::vector<RequestPtr> unanswered;
+    for (const auto& [work, request] : m_byWork) {
+        const bool isWaiting = request->stage == RequestStage::Receiving || request->stage == RequestStage::AskingEarlier;
+        if (isWaiting && now > request->deadline)
+            late.push_back(request);
+        else if (request->stage == RequestStage::AskingEarlier && now > request->askedAt + askAgainAfter)
+            unanswered.push_back(request);
+    }
+    for (const RequestPtr& request : late)
+        refuse(request, { Ran::No, RefusalReason::DeadlinePassed, 0 });
+    for (const RequestPtr& request : unanswered)
+        askAgain(request);
+}
+
+void RequestDesk::askAgain(const RequestPtr& request)
+{
+    if (request->asks < maxAsks) {
+        askEarlier(request);
+        return;
+    }
+    const std::vector<EarlierAttempt> attempts = request->attempts.attempts;
+    for (const EarlierAttempt& attempt : attempts) {
+        if (!attempt.answer && !attempt.unreachable)
+            noteUnreachable(request->attempts, attempt.owner);
+    }
+    considerEarlier(request);
+}
+
+void RequestDesk::forget(const RequestPtr& request)
+{
+    m_heldBytes -= request->heldBytes;
+    request->heldBytes = 0;
+    m_byWork.erase(request->work);
+    if (request->hasFlow)
+        m_requests.erase({ request->flow, request->request });
+}
+
+void RequestDesk::hold(ActiveRequest& request, std::size_t bytes)
+{
+    request.heldBytes += bytes;
+    m_heldBytes += bytes;
+}
+
+RequestDesk::RequestPtr RequestDesk::find(FlowId flow, std::uint64_t request) const
+{
+    const auto found = m_requests.find({ flow, request });
+    return found == m_requests.end() ? nullptr : found->second;
+}
+
+bool RequestDesk::hasRequests(FlowId flow) const
+{
+    const auto first = m_requests.lower_bound({ flow, 0 });
+    return first != m_requests.end() && first->first.first == flow;
+}
+
+std::size_t RequestDesk::ledgerSize() const
+{
+    return m_ledger->entries.size();
+}
+
+void RequestDesk::exposeMetrics(std::string& out) const
+{
+    exposeCounters(out, "kingcuptrail_refusals_total", "Requests refused, by reason.", m_refusals);
+    exposeCounters(out, "kingcuptrail_refusals_ran_total", "Requests refused, by whether they ran.", m_refusedRan);
+    exposeCounters(out, "kingcuptrail_requests_total", "Requests by the way they ended.", m_ends);
+    m_queueTime.expose(out, "kingcuptrail_queue_milliseconds", "Time from arrival of a whole request to its slot.");
+    m_serviceTime.expose(out, "kingcuptrail_service_milliseconds", "Time a request held its slot.");
+    exposeGauge(out, "kingcuptrail_slots_busy", "Requests at the upstream.", busy(m_admission));
+    exposeGauge(out, "kingcuptrail_slots_limit", "Concurrency limit in force.", currentLimit(m_admission));
+    exposeGauge(out, "kingcuptrail_queue_length", "Requests waiting for a slot.", queued(m_admission));
+    exposeGauge(out, "kingcuptrail_held_bytes", "Bodies and answers held.", static_cast<double>(m_heldBytes));
+    exposeGauge(out, "kingcuptrail_ledger_entries", "Keys of non-idempotent work held.", static_cast<double>(ledgerSize()));
+}
+
+}
--- /dev/null
+++ b/src/kingcuptraild/agent/requestdesk.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include "activerequest.h"
+#include "answerstore.h"
+#include "libdecision/admission.h"
+#include "libdecision/ledger.h"
+#include "libhttp/httpclient.h"
+#include "libruntime/clock.h"
+#include "libruntime/metrics.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+namespace kingcuptrail {
+
+struct RequestDeskOptions {
+    asio::ip::tcp::endpoint upstream;
+    std::string service;
+    /// One request's body at most. It is held whole, since its hash is checked before any of it runs.
+    std::size_t maxBodyBytes = std::size_t { 16 } * 1024 * 1024;
+    /// All bodies and answers held at once at most: four times the largest body, so that one slow sender cannot keep
+    /// others out, and an agent stays far below its host's memory.
+    std::size_t maxHeldBytes = std::size_t { 64 } * 1024 * 1024;
+    /// When a request names no deadline, in milliseconds.
+    Millis defaultDeadline = 30000;
+    LedgerOptions ledger;
+};
+
+/// Counts of how requests ended at this agent.
+enum class RequestEnd : std::uint8_t {
+    Answered,
+    AnsweredFromLedger,
+    StreamEnded,
+    Refused,
+    Abandoned,
+};
+
+template <>
+struct EnumNames<RequestEnd> {
+    static constexpr std::array<std::string_view, 5> names { "answered", "answeredFromLedger", "streamEnded", "refused", "abandoned" };
+};
+
+/// Takes the requests of all flows through receipt, the questions to earlier owners, admission, the upstream and the
+/// answer. The decisions are libdecision's; here they meet the upstream's connection and the flows.
+class RequestDesk {
+public:
+    struct Hooks {
+        /// Queues a message on a flow; false when the flow has no room, and it is called again by flowHasRoom().
+        std::function<bool(FlowId, Bytes)> send;
+        /// Asks an earlier owner about a key; answered by handleLedgerAnswer().
+        std::function<void(std::uint64_t query, const OwnerToken& holder, const std::string& key)> askLedger;
+    };
+
+    RequestDesk(asio::io_context& context, const Clock& clock, RequestDeskOptions options, Hooks hooks);
+    ~RequestDesk();
+    RequestDesk(const RequestDesk&) = delete;
+    RequestDesk& operator=(const RequestDesk&) = delete;
+
+    /// Slots and queue limits of the service, from the configuration in force.
+    void setAdmission(const AdmissionOptions& options) { m_admissionOptions = options; }
+    void setOwnToken(const OwnerToken& token) { m_ownToken = token; }
+
+    /// While set, new requests are refused as not run for this reason; None accepts them.
+    void setRefuseNew(RefusalReason reason);
+
+    /// False when the message is not one that a caller may send.
+    bool handleMessage(FlowId flow, const wire::Message& message);
+    void flowHasRoom(FlowId flow);
+    /// The flow is gone: idempotent work is cancelled; a non-idempotent request that runs is left to end, so that its
+    /// outcome is known to whoever asks later.
+    void flowEnded(FlowId flow);
+
+    LedgerReply answerLedgerQuery(const std::string& key);
+    void handleLedgerAnswer(std::uint64_t query, const LedgerReply& reply);
+
+    void noteHint(const UpstreamHint& hint);
+    void restartCold() { kingcuptrail::restartCold(m_admission, m_clock.now()); }
+    void tick();
+
+    bool hasRequests(FlowId flow) const;
+    std::size_t requestCount() const { return m_requests.size(); }
+    const AdmissionState& admission() const { return m_admission; }
+    std::size_t ledgerSize() const;
+    std::size_t heldBytes() const { return m_heldBytes; }
+    void exposeMetrics(std::string& out) const;
+
+private:
+    using RequestPtr = std::shared_ptr<ActiveRequest>;
+
+    struct Query {
+        std::weak_ptr<ActiveRequest> request;
+        OwnerToken owner;
+    };
+
+    void receiveHead(FlowId flow, const wire::RequestHead& head);
+    void receiveChunk(FlowId flow, const wire::BodyChunk& chunk);
+    void cancel(FlowId flow, std::uint64_t request);
+    std::optional<RefusalVerdict> judgeHead(const ActiveRequest& request) const;
+    void bodyComplete(const RequestPtr& request);
+    void askEarlier(const RequestPtr& request);
+    void askAgain(const RequestPtr& request);
+    void considerEarlier(const RequestPtr& request);
+    void enterLedger(const RequestPtr& request);
+    void submit(const RequestPtr& request);
+    void startRunnable();
+    void run(const RequestPtr& request);
+    void handleHead(const RequestPtr& request, const HttpResponse& head);
+    void handleStreamChunk(const RequestPtr& request, std::string_view chunk);
+    void handleDone(const RequestPtr& request, std::optional<HttpResponse> response, const HttpOutcome& outcome);
+    void finishSlot(const RequestPtr& request, WorkOutcome outcome);
+    void answer(const RequestPtr& request, int status, std::string body);
+    void refuse(const RequestPtr& request, const RefusalVerdict& verdict);
+    void settle(const RequestPtr& request, LedgerState outcome);
+    void pump(const RequestPtr& request);
+    void cancelAbandoned(const RequestPtr& request);
+    void forget(const RequestPtr& request);
+    void expireDeadlines(Millis now);
+    void hold(ActiveRequest& request, std::size_t bytes);
+    RequestPtr find(FlowId flow, std::uint64_t request) const;
+
+    asio::io_context& m_context;
+    const Clock& m_clock;
+    RequestDeskOptions m_options;
+    Hooks m_hooks;
+    OwnerToken m_ownToken;
+    AdmissionOptions m_admissionOptions;
+    AdmissionState m_admission;
+    std::unique_ptr<Ledger> m_ledger;
+    AnswerStore m_answers;
+    std::map<std::pair<FlowId, std::uint64_t>, RequestPtr> m_requests;
+    std::unordered_map<std::uint64_t, RequestPtr> m_byWork;
+    std::unordered_map<std::uint64_t, Query> m_queries;
+    std::uint64_t m_lastWork = 0;
+    std::uint64_t m_lastQuery = 0;
+    std::size_t m_heldBytes = 0;
+    RefusalReason m_refuseNew = RefusalReason::None;
+    EnumCounters<RefusalReason> m_refusals;
+    EnumCounters<RequestEnd> m_ends;
+    EnumCounters<Ran> m_refusedRan;
+    LatencyHistogram m_queueTime;
+    LatencyHistogram m_serviceTime;
+};
+
+}
--- /dev/null
+++ b/src/kingcuptraild/balancer/agentconnection.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "kingcuptraild/peerlink.h"
+#include "kingcuptraild/rolecontext.h"
+#include "libplatform/presence.h"
+
+namespace kingcuptrail {
+
+/// Keeps one link to one agent. A child of the supervisor of links: it fails when the link does, and is made again.
+class AgentConnection : public Supervised {
+public:
+    /// `handlers` gets onUp and everything after it; the hello is checked here.
+    AgentConnection(const RoleContext& role, Presence presence, PeerLink::Handlers handlers, FailureHandler onFailure);
+    ~AgentConnection() override;
+
+private:
+    void handleDialed(std::shared_ptr<Link> link, LinkError reason);
+    std::optional<wire::GoodbyeReason> checkHello(const PeerIdentity& peer) const;
+
+    const RoleContext& m_role;
+    Presence m_presence;
+    PeerLink::Handlers m_handlers;
+    FailureHandler m_onFailure;
+    LinkDialer m_dialer;
+    std::shared_ptr<PeerLink> m_link;
+};
+
+/// The hello a daemon sends to its peers.
+wire::HelloT makeHello(const Settings& settings, wire::Role role);
+
+}
--- /dev/null
+++ b/src/kingcuptraild/balancer/balancer.cpp
@@ -0,0 +1,372 @@
+#include "balancer.h"
+
+#include "agentconnection.h"
+#include "libdecision/pacing.h"
+#include "kingcuptraild/listener.h"
+#include "kingcuptraild/watchers.h"
+#include "libruntime/events.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace kingcuptrail {
+
+namespace {
+
+    /// How long a leaving balancer goes on carrying packets that were already on their way to it, in milliseconds:
+    /// several round trips across the fabric, and more than one of the fabric's redials.
+    constexpr Millis leaveGrace = 1000;
+
+    /// When a caller that found no upstream should come back, in milliseconds: about the time in which a member that
+    /// is only relinking is back.
+    constexpr Millis noUpstreamRetryAfter = 500;
+
+    OwnerToken tokenOf(const wire::Packet& packet)
+    {
+        return { packet.owner_upstream(), packet.owner_incarnation() };
+    }
+
+    Bytes copyOf(std::span<const std::uint8_t> raw)
+    {
+        return Bytes(raw.begin(), raw.end());
+    }
+
+    std::string childName(const OwnerToken& token)
+    {
+        return std::to_string(token.upstream) + "." + std::to_string(token.incarnation);
+    }
+
+}
+
+Balancer::Balancer(const RoleContext& role)
+    : m_role(role)
+    , m_leaveTimer(role.context)
+{
+    m_role.config.addListener([this](const Config& current, const Config& previous) { handleConfig(current, previous); });
+    m_role.root.add({ .name = "links", .make = [this](FailureHandler onFailure) {
+                         auto links = std::make_unique<Supervisor>(m_role.context, "links", std::move(onFailure));
+                         m_links = links.get();
+                         return links;
+                     } });
+    m_role.root.add({ .name = "config", .make = [this](FailureHandler) {
+                         return std::make_unique<ConfigFollower>(m_role, ConfigFollower::Mode::Follow);
+                     } });
+    m_role.root.add({ .name = "presence", .make = [this](FailureHandler) {
+                         return std::make_unique<PresenceFollower>(m_role, [this](const std::vector<Presence>& presences) { handlePresence(presences); });
+                     } });
+    m_role.root.add({ .name = "fabric", .make = [this](FailureHandler onFailure) {
+                         return std::make_unique<Listener>(m_role.context, m_role.settings.listen, LinkOptions { .silenceLimit = m_role.settings.linkSilence },
+                             [this](std::shared_ptr<Link> link) { acceptFabric(std::move(link)); }, std::move(onFailure));
+                     } });
+}
+
+void Balancer::handleConfig(const Config& current, const Config& previous)
+{
+    for (const DataCentreConfig& dataCentre : current.dataCentres) {
+        if (dataCentre.out != previous.isOut(dataCentre.name))
+            logEvent(dataCentre.out ? Event::DataCentreOut : Event::DataCentreBack, { { "dataCentre", dataCentre.name } });
+    }
+    m_members.setConfig(current);
+    if (isOwnDataCentreOut())
+        leaveFabric(wire::GoodbyeReason::DataCentreOut);
+    // Agents follow no watch: they hear of a new configuration from the next heartbeat, so it goes out now.
+    for (const OwnerToken& token : m_members.tokens()) {
+        if (const auto& link = m_members.find(token)->link)
+            link->heartbeatNow();
+    }
+}
+
+void Balancer::handlePresence(const std::vector<Presence>& presences)
+{
+    m_members.setPresences(presences);
+    reconcileConnections();
+}
+
+void Balancer::reconcileConnections()
+{
+    if (!m_links)
+        return;
+    for (const OwnerToken& token : m_members.tokens()) {
+        const MemberTable::Entry* entry = m_members.find(token);
+        if (entry->isAnnounced && !m_links->contains(childName(token)))
+            m_links->add(connectionSpec(entry->presence));
+    }
+}
+
+ChildSpec Balancer::connectionSpec(const Presence& presence)
+{
+    logEvent(Event::MemberJoined, { { "upstream", presence.upstream }, { "incarnation", presence.token.incarnation }, { "service", presence.service } });
+    return {
+        .name = childName(presence.token),
+        .make = [this, presence](FailureHandler onFailure) {
+            return std::make_unique<AgentConnection>(m_role, presence, agentHandlers(presence.token), std::move(onFailure));
+        },
+    };
+}
+
+PeerLink::Handlers Balancer::agentHandlers(const OwnerToken& token)
+{
+    return {
+        .onUp = [this, token](PeerLink& link) { m_members.linkUp(token, link.shared_from_this()); },
+        .onPacket = [this](PeerLink&, const wire::Packet& packet, std::span<const std::uint8_t> raw) { handleAgentPacket(packet, raw); },
+        .onLoad = [this, token](PeerLink&, const LoadReport& report) { m_members.setReport(token, report); },
+        .onLeaving = [this, token](PeerLink&, wire::GoodbyeReason) { m_members.linkLeaving(token); },
+        .onOther = [this](PeerLink&, const wire::Frame& frame, std::span<const std::uint8_t> raw) { handleAgentFrame(frame, raw); },
+        .onClosed = [this, token](PeerLink&, LinkError) {
+            m_members.linkDown(token);
+            if (!m_members.find(token) && m_links)
+                m_links->remove(childName(token)); },
+        .heartbeatInterval = [this] { return heartbeatPause(); },
+    };
+}
+
+void Balancer::acceptFabric(std::shared_ptr<Link> link)
+{
+    PeerLink::Handlers handlers {
+        .onHello = [this](const PeerIdentity& peer) -> std::optional<wire::GoodbyeReason> {
+            if (peer.role != wire::Role::Fabric)
+                return wire::GoodbyeReason::NotExpected;
+            if (m_isLeaving)
+                return wire::GoodbyeReason::ShuttingDown;
+            if (isOwnDataCentreOut())
+                return wire::GoodbyeReason::DataCentreOut;
+            return std::nullopt;
+        },
+        .onUp = [this](PeerLink& peer) {
+            logEvent(Event::LinkUp, { { "peer", peer.peer().name }, { "role", "fabric" } });
+            m_fabrics.push_back(peer.shared_from_this()); },
+        .onPacket = [this](PeerLink&, const wire::Packet& packet, std::span<const std::uint8_t> raw) { handleFabricPacket(packet, raw); },
+        .onClosed = [this](PeerLink& peer, LinkError reason) {
+            logEvent(Event::LinkLost, { { "peer", peer.peer().name }, { "reason", nameOf(reason) } });
+            std::erase_if(m_fabrics, [&](const auto& fabric) { return fabric.get() == &peer; }); },
+        .heartbeatInterval = [this] { return heartbeatPause(); },
+    };
+    auto peer = std::make_shared<PeerLink>(m_role.context, std::move(link), makeHello(m_role.settings, wire::Role::Balancer), m_role.config, std::move(handlers));
+    peer->start();
+}
+
+void Balancer::handleFabricPacket(const wire::Packet& packet, std::span<const std::uint8_t> raw)
+{
+    const OwnerToken token = tokenOf(packet);
+    if (token.isSet())
+        routeOwned(packet, raw, token);
+    else if (packet.kind() == wire::PacketKind::Open && packet.hops() == 0)
+        place(packet, raw);
+    else
+        walk(packet, raw);
+}
+
+void Balancer::routeOwned(const wire::Packet& packet, std::span<const std::uint8_t> raw, const OwnerToken& token)
+{
+    const RouteResult result = routeByToken(m_members.index(), m_members.allMembers(), token, packet.hops());
+    if (result.action == RouteAction::ToMember)
+        sendToMember(m_members.allMembers()[result.member].token, copyOf(raw), PacketRoute::ByToken);
+    else if (result.action == RouteAction::AnyAgent)
+        relay(packet);
+    else
+        refusePacket(packet, result);
+}
+
+void Balancer::place(const wire::Packet& packet, std::span<const std::uint8_t> raw)
+{
+    const auto members = m_members.members(packet.service());
+    const auto placement = placeFlow(packet.flow(), members, m_placeOptions);
+    if (!placement) {
+        const bool isKnown = m_role.config.current().findAddress(packet.service());
+        sendReset(packet, isKnown ? RefusalReason::NoUpstream : RefusalReason::UnknownService);
+        return;
+    }
+    const OwnerToken chosen = members[placement->member].token;
+    if (!placement->passedOver) {
+        sendToMember(chosen, copyOf(raw), PacketRoute::Placed);
+    } else {
+        std::unique_ptr<wire::PacketT> marked(packet.UnPack());
+        marked->passed_over = members[*placement->passedOver].token.upstream;
+        sendToMember(chosen, encodeFrameOf(std::move(*marked)), PacketRoute::PlacedSecondChoice);
+    }
+    m_members.notePlaced(chosen);
+}
+
+void Balancer::walk(const wire::Packet& packet, std::span<const std::uint8_t> raw)
+{
+    const auto members = m_members.members(packet.service());
+    std::vector<UpstreamId> visited;
+    if (packet.visited())
+        visited.assign(packet.visited()->begin(), packet.visited()->end());
+    const UnownedPacket unowned {
+        .flow = packet.flow(),
+        .isOpen = packet.kind() == wire::PacketKind::Open,
+        .hops = packet.hops(),
+        .visited = visited,
+    };
+    const RouteResult result = routeUnowned(members, unowned, m_placeOptions);
+    if (result.action == RouteAction::ToMember)
+        sendToMember(members[result.member].token, copyOf(raw), PacketRoute::Walked);
+    else
+        refusePacket(packet, result);
+}
+
+void Balancer::refusePacket(const wire::Packet& packet, const RouteResult& result)
+{
+    if (result.action == RouteAction::ResetFlow)
+        sendReset(packet, result.reason);
+    else
+        m_routes.increment(PacketRoute::Dropped);
+}
+
+// An owner that this balancer has not heard of yet is linked to others that have. Any agent can pass the packet to one
+// of them; dropping it here would break the flow for as long as this balancer's view is old.
+void Balancer::relay(const wire::Packet& packet)
+{
+    const auto link = m_members.anyLink(packet.flow() + packet.hops());
+    if (!link) {
+        m_routes.increment(PacketRoute::Dropped);
+        return;
+    }
+    std::unique_ptr<wire::PacketT> relayed(packet.UnPack());
+    ++relayed->hops;
+    relayed->bounced = false;
+    if (link->sendPacket(encodeFrameOf(std::move(*relayed))))
+        m_routes.increment(PacketRoute::Relayed);
+    else
+        m_routes.increment(PacketRoute::Dropped);
+}
+
+void Balancer::handleAgentPacket(const wire::Packet& packet, std::span<const std::uint8_t> raw)
+{
+    if (packet.bounced())
+        handleFabricPacket(packet, raw);
+    else
+        sendToCaller(copyOf(raw), PacketRoute::ToCaller);
+}
+
+void Balancer::handleAgentFrame(const wire::Frame& frame, std::span<const std::uint8_t> raw)
+{
+    if (const auto* redirects = frame.body_as_Redirects()) {
+        forwardToUpstream(redirects->target_upstream(), raw);
+    } else if (const auto* query = frame.body_as_LedgerQuery()) {
+        const auto* holder = m_members.find({ query->holder_upstream(), query->holder_incarnation() });
+        if (holder && holder->link && !m_role.config.current().isOut(holder->presence.dataCentre))
+            holder->link->send(copyOf(raw));
+    } else if (const auto* answer = frame.body_as_LedgerAnswer()) {
+        const auto* asker = m_members.find({ answer->asker_upstream(), answer->asker_incarnation() });
+        if (asker && asker->link)
+            asker->link->send(copyOf(raw));
+    }
+}
+
+void Balancer::forwardToUpstream(UpstreamId upstream, std::span<const std::uint8_t> raw)
+{
+    const auto* entry = m_members.findNewest(upstream);
+    if (entry && entry->link && !m_role.config.current().isOut(entry->presence.dataCentre))
+        entry->link->send(copyOf(raw));
+}
+
+void Balancer::sendToMember(const OwnerToken& token, Bytes frame, PacketRoute route)
+{
+    const auto* entry = m_members.find(token);
+    const bool isSent = entry && entry->link && entry->link->sendPacket(std::move(frame));
+    m_routes.increment(isSent ? route : PacketRoute::Dropped);
+}
+
+void Balancer::sendToCaller(Bytes frame, PacketRoute route)
+{
+    const auto fabric = std::find_if(m_fabrics.begin(), m_fabrics.end(), [](const auto& link) { return link->isUsable(); });
+    const bool isSent = fabric != m_fabrics.end() && (*fabric)->sendPacket(std::move(frame));
+    m_routes.increment(isSent ? route : PacketRoute::Dropped);
+}
+
+void Balancer::sendReset(const wire::Packet& packet, RefusalReason reason)
+{
+    // A reset that answers a reset or a close would travel for ever.
+    if (packet.kind() == wire::PacketKind::Reset || packet.kind() == wire::PacketKind::Close)
+        return;
+    m_resets.increment(reason);
+    wire::PacketT reset;
+    reset.kind = wire::PacketKind::Reset;
+    reset.service = packet.service();
+    reset.flow = packet.flow();
+    reset.source = packet.source();
+    reset.owner_upstream = packet.owner_upstream();
+    reset.owner_incarnation = packet.owner_incarnation();
+    reset.reason = static_cast<std::uint8_t>(reason);
+    reset.retry_after = static_cast<std::uint32_t>(noUpstreamRetryAfter);
+    sendToCaller(encodeFrameOf(std::move(reset)), PacketRoute::ResetSent);
+}
+
+bool Balancer::isOwnDataCentreOut() const
+{
+    return m_role.config.current().isOut(m_role.settings.dataCentre);
+}
+
+void Balancer::leaveFabric(wire::GoodbyeReason reason)
+{
+    for (const auto& fabric : m_fabrics)
+        fabric->goodbye(reason, false);
+}
+
+void Balancer::shutDown(std::function<void()> done)
+{
+    m_isLeaving = true;
+    leaveFabric(wire::GoodbyeReason::ShuttingDown);
+    m_leaveTimer.expires_after(std::chrono::milliseconds(leaveGrace));
+    m_leaveTimer.async_wait([this, done = std::move(done)](asio::error_code error) {
+        if (!error)
+            finishLeaving(done);
+    });
+}
+
+void Balancer::finishLeaving(std::function<void()> done)
+{
+    for (const OwnerToken& token : m_members.tokens()) {
+        if (const auto link = m_members.find(token)->link)
+            link->goodbye(wire::GoodbyeReason::ShuttingDown, false);
+    }
+    m_leaveTimer.expires_after(std::chrono::milliseconds(leaveGrace / 2));
+    m_leaveTimer.async_wait([done = std::move(done)](asio::error_code error) {
+        if (!error)
+            done();
+    });
+}
+
+Millis Balancer::heartbeatPause() const
+{
+    return heartbeatInterval(m_members.linkedCount() + m_fabrics.size(), { .baseInterval = m_role.settings.heartbeat });
+}
+
+std::string Balancer::statusMembers() const
+{
+    nlohmann::json members = nlohmann::json::array();
+    for (const OwnerToken& token : m_members.tokens()) {
+        const auto* entry = m_members.find(token);
+        members.push_back({
+            { "upstream", entry->presence.upstream },
+            { "incarnation", token.incarnation },
+            { "service", entry->presence.service },
+            { "dataCentre", entry->presence.dataCentre },
+            { "announced", entry->isAnnounced },
+            { "linked", entry->link != nullptr },
+            { "state", nameOf(entry->report.state) },
+            { "openFlows", entry->report.openFlows },
+            { "busy", entry->report.busy },
+            { "limit", entry->report.limit },
+        });
+    }
+    nlohmann::json status {
+        { "members", members },
+        { "fabrics", m_fabrics.size() },
+        { "leaving", m_isLeaving },
+        { "dataCentreOut", isOwnDataCentreOut() },
+    };
+    const std::string text = status.dump();
+    return text.substr(1, text.size() - 2);
+}
+
+void Balancer::exposeMetrics(std::string& out) const
+{
+    exposeCounters(out, "kingcuptrail_packets_routed_total", "Packets by the way they were routed.", m_routes);
+    exposeCounters(out, "kingcuptrail_flow_resets_total", "Flows reset by this balancer, by reason.", m_resets);
+    exposeGauge(out, "kingcuptrail_members_linked", "Upstreams whose link is up.", static_cast<double>(m_members.linkedCount()));
+}
+
+}
--- /dev/null
+++ b/src/kingcuptraild/balancer/balancer.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "kingcuptraild/role.h"
+#include "kingcuptraild/rolecontext.h"
+#include "libdecision/placing.h"
+#include "libdecision/refusal.h"
+#include "libdecision/routing.h"
+#include "libruntime/metrics.h"
+#include "membertable.h"
+
+#include <asio/steady_timer.hpp>
+#include <vector>
+
+namespace kingcuptrail {
+
+/// Why a balancer routed a packet as it did; one counter each.
+enum class PacketRoute : std::uint8_t {
+    ByToken,
+    Placed,
+    PlacedSecondChoice,
+    Walked,
+    Relayed,
+    ToCaller,
+    ResetSent,
+    Dropped,
+};
+
+template <>
+struct EnumNames<PacketRoute> {
+    static constexpr std::array<std::string_view, 8> names {
+        "byToken",
+        "placed",
+        "placedSecondChoice",
+        "walked",
+        "relayed",
+        "toCaller",
+        "resetSent",
+        "dropped",
+    };
+};
+
+/// The role of an entry host: takes any packet of any flow from the fabric and hands it to the agent that owns the flow.
+/// Keeps nothing per flow, so that another balancer can take any packet in its place.
+class Balancer : public Role {
+public:
+    explicit Balancer(const RoleContext& role);
+
+    std::string statusMembers() const override;
+    void exposeMetrics(std::string& out) const override;
+    void shutDown(std::function<void()> done) override;
+
+private:
+    void handleConfig(const Config& current, const Config& previous);
+    void handlePresence(const std::vector<Presence>& presences);
+    void reconcileConnections();
+    ChildSpec connectionSpec(const Presence& presence);
+    PeerLink::Handlers agentHandlers(const OwnerToken& token);
+
+    void acceptFabric(std::shared_ptr<Link> link);
+    void handleFabricPacket(const wire::Packet& packet, std::span<const std::uint8_t> raw);
+    void handleAgentPacket(const wire::Packet& packet, std::span<const std::uint8_t> raw);
+    void handleAgentFrame(const wire::Frame& frame, std::span<const std::uint8_t> raw);
+    void routeOwned(const wire::Packet& packet, std::span<const std::uint8_t> raw, const OwnerToken& token);
+    void place(const wire::Packet& packet, std::span<const std::uint8_t> raw);
+    void walk(const wire::Packet& packet, std::span<const std::uint8_t> raw);
+    void relay(const wire::Packet& packet);
+    void sendToMember(const OwnerToken& token, Bytes frame, PacketRoute route);
+    void sendToCaller(Bytes frame, PacketRoute route);
+    void refusePacket(const wire::Packet& packet, const RouteResult& result);
+    void sendReset(const wire::Packet& packet, RefusalReason reason);
+    void forwardToUpstream(UpstreamId upstream, std::span<const std::uint8_t> raw);
+
+    bool isOwnDataCentreOut() const;
+    void leaveFabric(wire::GoodbyeReason reason);
+    void finishLeaving(std::function<void()> done);
+    Millis heartbeatPause() const;
+
+    const RoleContext m_role;
+    MemberTable m_members;
+    std::vector<std::shared_ptr<PeerLink>> m_fabrics;
+    Supervisor* m_links = nullptr;
+    asio::steady_timer m_leaveTimer;
+    PlaceOptions m_placeOptions;
+    EnumCounters<PacketRoute> m_routes;
+    EnumCounters<RefusalReason> m_resets;
+    bool m_isLeaving = false;
+};
+
+}
--- /dev/null
+++ b/src/kingcuptraild/daemon.cpp
@@ -0,0 +1,114 @@
+#include "daemon.h"
+
+#include "adminendpoint.h"
+#include "agent/agent.h"
+#include "balancer/balancer.h"
+#include "exitcode.h"
+#include "libruntime/events.h"
+#include "libruntime/metrics.h"
+#include "registration.h"
+
+#include <csignal>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+namespace kingcuptrail {
+
+namespace {
+
+    std::unique_ptr<Role> makeRole(const RoleContext& context)
+    {
+        if (context.settings.role == DaemonRole::Agent)
+            return std::make_unique<Agent>(context);
+        return std::make_unique<Balancer>(context);
+    }
+
+    nlohmann::json childrenOf(const Supervisor& supervisor)
+    {
+        nlohmann::json children = nlohmann::json::array();
+        for (const ChildStatus& child : supervisor.status()) {
+            children.push_back({
+                { "path", child.path },
+                { "running", child.isRunning },
+                { "restarts", child.restarts },
+                { "lastReason", nameOf(child.lastReason) },
+            });
+        }
+        return children;
+    }
+
+}
+
+Daemon::Daemon(Settings settings)
+    : m_settings(std::move(settings))
+    , m_signals(m_context, SIGTERM, SIGINT)
+    , m_platform { .server = m_settings.platform }
+    , m_root(m_context, "root", [this](ChildFailure) { stop(static_cast<int>(ExitCode::GaveUp)); })
+    , m_roleContext { m_context, m_settings, m_platform, m_clock, m_config, m_root }
+{
+}
+
+Daemon::~Daemon() = default;
+
+int Daemon::run()
+{
+    logEvent(Event::DaemonStarted, { { "role", nameOf(m_settings.role) }, { "dataCentre", m_settings.dataCentre }, { "pid", static_cast<std::uint64_t>(getpid()) } });
+    m_role = makeRole(m_roleContext);
+    m_root.add({ .name = "admin", .make = [this](const FailureHandler& onFailure) {
+                    return std::make_unique<AdminEndpoint>(m_context, m_settings.admin,
+                        AdminEndpoint::Sources { .status = [this] { return status(); }, .metrics = [this] { return metrics(); } }, onFailure);
+                } });
+    m_root.add({ .name = "registration", .make = [this](const FailureHandler&) { return std::make_unique<Registration>(m_roleContext); } });
+    waitForSignal();
+    m_context.run();
+    logEvent(Event::DaemonStopped, { { "exitCode", static_cast<std::uint64_t>(m_exitCode) } });
+    return m_exitCode;
+}
+
+void Daemon::waitForSignal()
+{
+    m_signals.async_wait([this](asio::error_code error, int) {
+        if (error)
+            return;
+        if (m_isStopping) {
+            stop(static_cast<int>(ExitCode::StoppedEarly));
+            return;
+        }
+        m_isStopping = true;
+        logEvent(Event::DaemonStopping);
+        m_role->shutDown([this] { stop(static_cast<int>(ExitCode::Success)); });
+        waitForSignal();
+    });
+}
+
+void Daemon::stop(int exitCode)
+{
+    m_exitCode = exitCode;
+    m_context.stop();
+}
+
+std::string Daemon::status() const
+{
+    const nlohmann::json common {
+        { "name", m_settings.name },
+        { "role", nameOf(m_settings.role) },
+        { "dataCentre", m_settings.dataCentre },
+        { "configVersion", m_config.version() },
+        { "stopping", m_isStopping },
+        { "children", childrenOf(m_root) },
+    };
+    std::string text = common.dump();
+    text.pop_back();
+    return text + "," + m_role->statusMembers() + "}";
+}
+
+std::string Daemon::metrics() const
+{
+    std::string out;
+    exposeGauge(out, "kingcuptrail_config_version", "Configuration in force.", static_cast<double>(m_config.version()));
+    exposeCounter(out, "kingcuptrail_config_older_ignored_total", "Older configurations that were offered and ignored.", m_config.olderIgnored());
+    m_role->exposeMetrics(out);
+    return out;
+}
+
+}
--- /dev/null
+++ b/src/kingcuptraild/daemon.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "configkeeper.h"
+#include "role.h"
+#include "rolecontext.h"
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <memory>
+
+namespace kingcuptrail {
+
+/// One daemon process: the root of the supervisor tree, its role, its administration endpoint and its signals.
+class Daemon {
+public:
+    explicit Daemon(Settings settings);
+    ~Daemon();
+    Daemon(const Daemon&) = delete;
+    Daemon& operator=(const Daemon&) = delete;
+
+    /// Runs until SIGTERM or SIGINT has been followed by a graceful shutdown, a second signal, or the root gives up.
+    /// Yields the process's exit code.
+    int run();
+
+private:
+    void waitForSignal();
+    void stop(int exitCode);
+    std::string status() const;
+    std::string metrics() const;
+
+    Settings m_settings;
+    asio::io_context m_context;
+    asio::signal_set m_signals;
+    Clock m_clock;
+    PlatformOptions m_platform;
+    ConfigKeeper m_config;
+    Supervisor m_root;
+    RoleContext m_roleContext;
+    std::unique_ptr<Role> m_role;
+    bool m_isStopping = false;
+    int m_exitCode = 0;
+};
+
+}
--- /dev/null
+++ b/src/kingcuptraild/listener.cpp
@@ -0,0 +1,85 @@
+#include "listener.h"
+
+#include <asio/steady_timer.hpp>
+
+namespace kingcuptrail {
+
+namespace {
+
+    /// Wait after a failed accept, which mostly means that the process is out of file descriptors: without it the
+    /// loop would spin.
+    constexpr auto acceptRetryDelay = std::chrono::milliseconds(100);
+
+}
+
+// Outlives the listener while a handler is pending, so the loop lives here.
+struct Listener::Private : std::enable_shared_from_this<Private> {
+    explicit Private(asio::io_context& context)
+        : acceptor(context)
+        , timer(context)
+    {
+    }
+
+    void accept();
+    void retry();
+
+    asio::ip::tcp::acceptor acceptor;
+    asio::steady_timer timer;
+    LinkOptions options;
+    OnLink onLink;
+    bool isStopped = false;
+};
+
+void Listener::Private::accept()
+{
+    acceptor.async_accept([self = shared_from_this()](asio::error_code error, asio::ip::tcp::socket socket) {
+        if (self->isStopped)
+            return;
+        if (error) {
+            self->retry();
+            return;
+        }
+        self->onLink(std::make_shared<Link>(std::move(socket), self->options));
+        if (!self->isStopped)
+            self->accept();
+    });
+}
+
+void Listener::Private::retry()
+{
+    timer.expires_after(acceptRetryDelay);
+    timer.async_wait([self = shared_from_this()](asio::error_code error) {
+        if (!error && !self->isStopped)
+            self->accept();
+    });
+}
+
+Listener::Listener(asio::io_context& context, const asio::ip::tcp::endpoint& endpoint, const LinkOptions& options, OnLink onLink, FailureHandler onFailure)
+    : d(std::make_shared<Private>(context))
+{
+    d->options = options;
+    d->onLink = std::move(onLink);
+    asio::error_code error;
+    d->acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        d->acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        d->acceptor.bind(endpoint, error);
+    if (!error)
+        d->acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error) {
+        onFailure(ChildFailure::BindFailed);
+        return;
+    }
+    d->accept();
+}
+
+Listener::~Listener()
+{
+    d->isStopped = true;
+    asio::error_code ignored;
+    d->acceptor.close(ignored);
+    d->timer.cancel(ignored);
+}
+
+}
--- /dev/null
+++ b/src/kingcuptraild/listener.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "libprotocol/link.h"
+#include "libruntime/supervisor.h"
+
+#include <asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+
+namespace kingcuptrail {
+
+/// Accepts links at an address. Fails when the address cannot be bound, so that its supervisor tries again.
+class Listener : public Supervised {
+public:
+    using OnLink = std::function<void(std::shared_ptr<Link>)>;
+
+    Listener(asio::io_context& context, const asio::ip::tcp::endpoint& endpoint, const LinkOptions& options, OnLink onLink, FailureHandler onFailure);
+    ~Listener() override;
+
+private:
+    struct Private;
+
+    std::shared_ptr<Private> d;
+};
+
+}
--- /dev/null
+++ b/src/kingcuptraild/peerlink.cpp
@@ -0,0 +1,202 @@
+#include "peerlink.h"
+
+#include "configkeeper.h"
+#include "libdecision/configorder.h"
+
+#include <algorithm>
+
+namespace kingcuptrail {
+
+namespace {
+
+    /// Heartbeats that may be missed before a peer that sends them slowly is taken for silent.
+    constexpr Millis missedHeartbeats = 5;
+
+    std::string text(const flatbuffers::String* string)
+    {
+        return string ? string->str() : std::string();
+    }
+
+}
+
+PeerLink::PeerLink(asio::io_context& context, std::shared_ptr<Link> link, wire::HelloT hello, ConfigKeeper& config, Handlers handlers)
+    : m_link(std::move(link))
+    , m_timer(context)
+    , m_hello(std::move(hello))
+    , m_config(config)
+    , m_handlers(std::move(handlers))
+{
+    m_ownSilenceLimit = m_link->silenceLimit();
+}
+
+void PeerLink::start()
+{
+    auto self = shared_from_this();
+    m_link->start({
+        .onFrame = [self](Link&, const wire::Frame& frame, std::span<const std::uint8_t> raw) { self->handleFrame(frame, raw); },
+        .onClosed = [self](Link&, LinkError reason) {
+            self->m_timer.cancel();
+            if (self->m_handlers.onClosed)
+                self->m_handlers.onClosed(*self, reason); },
+    });
+    m_hello.protocol = protocolVersion;
+    m_hello.config_version = m_config.version();
+    m_link->send(encodeFrameOf(m_hello));
+}
+
+void PeerLink::heartbeatNow()
+{
+    if (!isUp())
+        return;
+    const LoadReport report = m_handlers.reportLoad ? m_handlers.reportLoad() : LoadReport {};
+    wire::HeartbeatT heartbeat;
+    heartbeat.config_version = m_config.version();
+    heartbeat.open_flows = report.openFlows;
+    heartbeat.busy = report.busy;
+    heartbeat.queued = report.queued;
+    heartbeat.limit = report.limit;
+    heartbeat.member_state = static_cast<std::uint8_t>(report.state);
+    heartbeat.interval = static_cast<std::uint32_t>(m_handlers.heartbeatInterval());
+    m_link->send(encodeFrameOf(heartbeat));
+}
+
+void PeerLink::goodbye(wire::GoodbyeReason reason, bool closeAfter)
+{
+    wire::GoodbyeT goodbye;
+    goodbye.reason = reason;
+    m_link->send(encodeFrameOf(goodbye));
+    if (closeAfter)
+        close(true);
+}
+
+void PeerLink::close(bool flush)
+{
+    m_timer.cancel();
+    m_link->close(flush);
+}
+
+void PeerLink::handleFrame(const wire::Frame& frame, std::span<const std::uint8_t> raw)
+{
+    if (!m_isUp && frame.body_type() != wire::FrameBody::Hello && frame.body_type() != wire::FrameBody::Goodbye) {
+        refuse(wire::GoodbyeReason::BadFrame);
+        return;
+    }
+    switch (frame.body_type()) {
+    case wire::FrameBody::Packet:
+        m_handlers.onPacket(*this, *frame.body_as_Packet(), raw);
+        return;
+    case wire::FrameBody::Hello:
+        handleHello(*frame.body_as_Hello());
+        return;
+    case wire::FrameBody::Heartbeat:
+        handleHeartbeat(*frame.body_as_Heartbeat());
+        return;
+    case wire::FrameBody::Goodbye:
+        handleGoodbye(*frame.body_as_Goodbye());
+        return;
+    case wire::FrameBody::ConfigFetch:
+    case wire::FrameBody::ConfigSnapshot:
+        handleConfigFrame(frame);
+        return;
+    default:
+        if (m_handlers.onOther)
+            m_handlers.onOther(*this, frame, raw);
+        return;
+    }
+}
+
+void PeerLink::handleHello(const wire::Hello& hello)
+{
+    if (m_isUp || hello.protocol() != protocolVersion) {
+        refuse(wire::GoodbyeReason::ProtocolMismatch);
+        return;
+    }
+    m_peer = {
+        .role = hello.role(),
+        .name = text(hello.name()),
+        .service = text(hello.service()),
+        .dataCentre = text(hello.data_centre()),
+        .token = { hello.upstream(), hello.incarnation() },
+    };
+    if (const auto refusal = m_handlers.onHello(m_peer)) {
+        refuse(*refusal);
+        return;
+    }
+    m_isUp = true;
+    m_peerConfigVersion = hello.config_version();
+    if (m_handlers.onUp)
+        m_handlers.onUp(*this);
+    heartbeatNow();
+    reconcileConfig();
+    scheduleHeartbeat();
+}
+
+void PeerLink::handleHeartbeat(const wire::Heartbeat& heartbeat)
+{
+    m_peerConfigVersion = heartbeat.config_version();
+    m_link->setSilenceLimit(std::max<Millis>(m_ownSilenceLimit, missedHeartbeats * heartbeat.interval()));
+    if (m_handlers.onLoad) {
+        m_handlers.onLoad(*this, {
+                                     .openFlows = heartbeat.open_flows(),
+                                     .busy = heartbeat.busy(),
+                                     .queued = heartbeat.queued(),
+                                     .limit = heartbeat.limit(),
+                                     .state = fromNumber<MemberState>(heartbeat.member_state()).value_or(MemberState::Draining),
+                                 });
+    }
+    reconcileConfig();
+}
+
+void PeerLink::handleGoodbye(const wire::Goodbye& goodbye)
+{
+    m_isLeaving = true;
+    if (m_handlers.onLeaving)
+        m_handlers.onLeaving(*this, goodbye.reason());
+}
+
+void PeerLink::handleConfigFrame(const wire::Frame& frame)
+{
+    if (const auto* fetch = frame.body_as_ConfigFetch()) {
+        wire::ConfigSnapshotT snapshot;
+        snapshot.version = m_config.version();
+        snapshot.document = m_config.document();
+        if (fetch->have() < snapshot.version)
+            m_link->send(encodeFrameOf(snapshot));
+        return;
+    }
+    const auto* snapshot = frame.body_as_ConfigSnapshot();
+    if (snapshot->document())
+        m_config.offerDocument(snapshot->document()->string_view());
+}
+
+// A fabric or platform that is slow for some processes leaves them on an old configuration, which shows as packets sent
+// to a data centre that was taken out. Every heartbeat names the version in force, so whoever is behind asks the peer.
+void PeerLink::reconcileConfig()
+{
+    if (nextConfigStep(m_config.version(), m_peerConfigVersion) != ConfigStep::Fetch)
+        return;
+    wire::ConfigFetchT fetch;
+    fetch.have = m_config.version();
+    m_link->send(encodeFrameOf(fetch));
+}
+
+void PeerLink::scheduleHeartbeat()
+{
+    auto self = shared_from_this();
+    m_timer.expires_after(std::chrono::milliseconds(m_handlers.heartbeatInterval()));
+    m_timer.async_wait([self](asio::error_code error) {
+        if (error || !self->isUp())
+            return;
+        self->heartbeatNow();
+        self->scheduleHeartbeat();
+    });
+}
+
+void PeerLink::refuse(wire::GoodbyeReason reason)
+{
+    goodbye(reason, true);
+    if (m_handlers.onClosed)
+        m_handlers.onClosed(*this, LinkError::NotExpected);
+}
+
+}
--- /dev/null
+++ b/src/kingcuptraild/role.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+namespace kingcuptrail {
+
+/// What a daemon does: balancer or agent.
+class Role {
+public:
+    virtual ~Role() = default;
+
+    /// Fields of this role for the status page, as the members of a JSON object without its braces.
+    virtual std::string statusMembers() const = 0;
+
+    /// Appends this role's metrics in text exposition format.
+    virtual void exposeMetrics(std::string& out) const = 0;
+
+    /// Leaves without cutting anything; `done` is called when nothing is left to wait for.
+    virtual void shutDown(std::function<void()> done) = 0;
+};
+
+}
--- a/src/libprotocol/link.cpp
+++ b/src/libprotocol/link.cpp
@@ -97,11 +97,13 @@
     if (!m_reader.hasPartial())
         m_partialSince = m_heardAt;
     m_reader.append({ m_input.data(), count });
+    // A handler that closes the link drops m_handlers; the copy keeps what is running alive.
+    const auto onFrame = m_handlers.onFrame;
     while (const auto view = m_reader.next()) {
         m_heardFrame = true;
         m_partialSince = m_heardAt;
         if (m_handlers.onFrame)
-            m_handlers.onFrame(*this, *view->frame, view->raw);
+            onFrame(*this, *view->frame, view->raw);
         if (m_closed)
             return;
     }
--- a/src/libprotocol/link.h
+++ b/src/libprotocol/link.h
@@ -88,6 +88,8 @@
     /// Ends the link without telling the handlers. What is queued is still written when `flush` is set.
     void close(bool flush = false);
 
+    Millis silenceLimit() const { return m_options.silenceLimit; }
+
     /// Adapts the limit to a peer that announced slower heartbeats; 0 means no limit.
     void setSilenceLimit(Millis limit) { m_options.silenceLimit = limit; }
 
