--- /dev/null
+++ b/src/libdecision/admission.cpp
@@ -0,0 +1,360 @@
+#include "admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace kingcuptrail {
+
+namespace {
+
+    /// Weight of one sample in the estimates of service time; they follow a change within some 10 requests.
+    constexpr double serviceTimeWeight = 0.1;
+    /// Samples before a least service time is believed.
+    constexpr std::uint32_t trustedSamples = 8;
+    /// Short work counts as present this long after the last of it, in milliseconds.
+    constexpr Millis shortPresence = 5000;
+    /// Bounds of what a refused caller is told to wait, in milliseconds.
+    constexpr Millis leastRetryAfter = 50;
+    constexpr Millis longestRetryAfter = 30000;
+    /// Hints older than this say nothing; a fresh one is believed this long, in milliseconds.
+    constexpr Millis oldestHint = 5000;
+    constexpr Millis hintHold = 2000;
+
+    std::size_t indexOf(WorkClass workClass)
+    {
+        return static_cast<std::size_t>(workClass);
+    }
+
+    LimitOptions limitOptions(const AdmissionOptions& options)
+    {
+        return { .slots = options.slots, .warmUp = options.warmUp, .guard = options.coldStartGuard };
+    }
+
+    double meanTime(const AdmissionState& state, const AdmissionOptions& options, WorkClass workClass)
+    {
+        const ServiceTime& estimate = state.serviceTime[indexOf(workClass)];
+        if (estimate.samples > 0)
+            return std::max(estimate.mean, 1.0);
+        return static_cast<double>(workClass == WorkClass::Short ? options.assumedShortTime : options.assumedLongTime);
+    }
+
+    // Load: saturation, where the head of the queue has waited nearly its whole deadline.
+    // Harm: a request started with less time left than the upstream needs is cut off halfway; the slot time is lost, and
+    // at three times saturation the upstream would be busy with nothing else.
+    // Limit: the mean less two deviations, so that a request with a fair chance still starts. Long work's time depends
+    // on its size, which this estimate does not know, so for long work only the deadline counts.
+    std::array<Millis, 2> leastTimes(const AdmissionState& state)
+    {
+        const ServiceTime& estimate = state.serviceTime[indexOf(WorkClass::Short)];
+        if (estimate.samples < trustedSamples)
+            return { 0, 0 };
+        const double least = std::max(0.0, estimate.mean - 2 * estimate.deviation);
+        return { static_cast<Millis>(least), 0 };
+    }
+
+    bool shortIsPresent(const AdmissionState& state, Millis now)
+    {
+        if (state.running[indexOf(WorkClass::Short)] > 0 || !lineOf(state.queue, WorkClass::Short).empty())
+            return true;
+        return state.lastShort && now - *state.lastShort < shortPresence;
+    }
+
+    // Load: requests at the upstream make no progress, and more arrive while slots are free.
+    // Harm: an upstream that has turned cold tells it only by the end of its slow requests; until then it would get the
+    // free slots' worth on top.
+    // Limit: half of the slots, so that one slow outlier does not hold up all others.
+    bool isStalled(const AdmissionState& state, Millis now)
+    {
+        return state.running[indexOf(WorkClass::Short)] > 0 && isSuddenRise(state.limit, now - state.shortProgress);
+    }
+
+    bool hintsHold(const AdmissionState& state, Millis now)
+    {
+        return state.limit.cold && now < state.hintUntil;
+    }
+
+    std::uint32_t usableSlots(const AdmissionState& state, const AdmissionOptions& options, Millis now)
+    {
+        std::uint32_t slots = allowedConcurrency(state.limit, limitOptions(options));
+        if (!options.coldStartGuard)
+            return slots;
+        if (isStalled(state, now))
+            slots = std::max<std::uint32_t>(1, slots / 2);
+        if (hintsHold(state, now))
+            slots -= std::min(state.hintedBusy, slots - 1);
+        return slots;
+    }
+
+    // Load: uploads of seconds, with queries of milliseconds between them.
+    // Harm: once uploads hold every slot, a query waits for the end of one, longer than its deadline.
+    // Limit: a quarter of the slots, at least one, is kept for short work while there is any; with a single slot nothing
+    // can be kept, and the shares of classInTurn() alone hold the balance.
+    std::uint32_t longSlots(std::uint32_t slots)
+    {
+        return slots > 1 ? slots - std::max<std::uint32_t>(1, slots / 4) : 1;
+    }
+
+    bool mayStart(const AdmissionState& state, const AdmissionOptions& options, WorkClass workClass, Millis now)
+    {
+        if (options.coldStartGuard && now < state.limit.pausedUntil)
+            return false;
+        const std::uint32_t slots = usableSlots(state, options, now);
+        if (busy(state) >= slots)
+            return false;
+        if (workClass == WorkClass::Short || !options.classGuard || !shortIsPresent(state, now))
+            return true;
+        return state.running[indexOf(WorkClass::Long)] < longSlots(slots);
+    }
+
+    void start(AdmissionState& state, const AdmissionOptions& options, WorkClass workClass, Millis now)
+    {
+        if (busy(state) == 0)
+            noteIdleStart(state.limit, limitOptions(options), now);
+        std::uint32_t& running = state.running[indexOf(workClass)];
+        if (workClass == WorkClass::Short && running == 0)
+            state.shortProgress = now;
+        ++running;
+        chargeStart(state.queue, workClass, meanTime(state, options, workClass));
+    }
+
+    std::uint64_t mix(std::uint64_t value)
+    {
+        value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
+        value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
+        return value ^ (value >> 31);
+    }
+
+    // Load: a burst of which most is refused within the same millisecond.
+    // Harm: told the same time, all come back at once and are refused again.
+    // Limit: spread over once more the expected wait, by the request's id, so that they come back at the pace at which
+    // the upstream works the queue off. At most 30 s, since a refused caller must learn of a mended upstream.
+    Millis retryAfter(Millis wait, std::uint64_t id)
+    {
+        const Millis base = std::clamp(wait, leastRetryAfter, longestRetryAfter / 2);
+        return base + static_cast<Millis>(mix(id) % static_cast<std::uint64_t>(base));
+    }
+
+    RefusalVerdict refuse(const AdmissionState& state, const AdmissionOptions& options, const WorkItem& item,
+        RefusalReason reason, Millis now)
+    {
+        const Millis wait = expectedWait(state, options, item.workClass, now);
+        return { .ran = Ran::No, .reason = reason, .retryAfter = retryAfter(wait, item.id) };
+    }
+
+    // Load: a burst of uploads, or of queries, larger than the queue.
+    // Harm: one class fills the queue and the other is refused although its share of the slots is free.
+    // Limit: a quarter of the queue for long work, which waits longer in fewer places; both bounds leave a place for
+    // each class from a queue of two.
+    std::size_t lineLimit(const AdmissionOptions& options, WorkClass workClass)
+    {
+        const std::uint32_t longLimit = std::max<std::uint32_t>(1, options.queueLimit / 4);
+        if (workClass == WorkClass::Long)
+            return std::min(longLimit, options.queueLimit);
+        return options.queueLimit > longLimit ? options.queueLimit - longLimit : options.queueLimit;
+    }
+
+    bool queueIsFull(const AdmissionState& state, const AdmissionOptions& options, WorkClass workClass)
+    {
+        return queueLength(state.queue) >= options.queueLimit
+            || lineOf(state.queue, workClass).size() >= lineLimit(options, workClass);
+    }
+
+    // Load: more work than the slots carry, for longer than a burst.
+    // Harm: a queue without bound makes every request late: each is answered after its caller has given up.
+    // Limit: the wait that is expected must leave the time of service before the deadline, and stay under a second for
+    // short work (five for long), so that a caller can still be served elsewhere.
+    bool waitsTooLong(const AdmissionState& state, const AdmissionOptions& options, const WorkItem& item, Millis now)
+    {
+        const Millis wait = expectedWait(state, options, item.workClass, now);
+        const Millis longest = item.workClass == WorkClass::Short ? options.longestShortWait : options.longestLongWait;
+        const auto service = static_cast<Millis>(meanTime(state, options, item.workClass));
+        return wait > longest || now + wait + service > item.deadline;
+    }
+
+    /// Slots that work of this class may count on while it queues.
+    double servingSlots(const AdmissionState& state, const AdmissionOptions& options, WorkClass workClass, Millis now)
+    {
+        const std::uint32_t slots = usableSlots(state, options, now);
+        const std::uint32_t others = state.running[1 - indexOf(workClass)];
+        const double left = slots > others ? slots - others : 0;
+        if (workClass == WorkClass::Short)
+            return std::max(left, 1.0);
+        return std::max(left, slots / (shortWeight + 1));
+    }
+
+    /// The wait until long work gives up a slot, when it holds all of them.
+    double waitForLong(const AdmissionState& state, const AdmissionOptions& options, WorkClass workClass, Millis now)
+    {
+        const std::uint32_t running = state.running[indexOf(WorkClass::Long)];
+        if (workClass == WorkClass::Long || running < usableSlots(state, options, now))
+            return 0;
+        return meanTime(state, options, WorkClass::Long) / (running + 1);
+    }
+
+}
+
+AdmitVerdict admit(AdmissionState& state, const AdmissionOptions& options, const WorkItem& item, Millis now)
+{
+    if (item.workClass == WorkClass::Short)
+        state.lastShort = now;
+    if (item.deadline <= now && options.queueGuard)
+        return { AdmitDecision::Refuse, refuse(state, options, item, RefusalReason::DeadlinePassed, now) };
+    if (lineOf(state.queue, item.workClass).empty() && mayStart(state, options, item.workClass, now)) {
+        start(state, options, item.workClass, now);
+        return { AdmitDecision::Run, {} };
+    }
+    if (options.queueGuard && queueIsFull(state, options, item.workClass))
+        return { AdmitDecision::Refuse, refuse(state, options, item, RefusalReason::QueueFull, now) };
+    if (options.queueGuard && waitsTooLong(state, options, item, now))
+        return { AdmitDecision::Refuse, refuse(state, options, item, RefusalReason::ExpectedWaitTooLong, now) };
+    pushWork(state.queue, item);
+    return { AdmitDecision::Queue, {} };
+}
+
+std::vector<WorkItem> takeRunnable(AdmissionState& state, const AdmissionOptions& options, Millis now)
+{
+    std::vector<WorkItem> runnable;
+    const auto least = leastTimes(state);
+    std::array<bool, 2> exhausted {};
+    while (true) {
+        const bool shortMay = !exhausted[0] && mayStart(state, options, WorkClass::Short, now);
+        const bool longMay = !exhausted[1] && mayStart(state, options, WorkClass::Long, now);
+        const auto turn = classInTurn(state.queue, shortMay, longMay);
+        if (!turn)
+            return runnable;
+        const Millis needed = options.queueGuard ? least[indexOf(*turn)] : std::numeric_limits<Millis>::min();
+        const auto item = popStartable(state.queue, *turn, needed, now);
+        if (!item) {
+            exhausted[indexOf(*turn)] = true;
+            continue;
+        }
+        start(state, options, *turn, now);
+        runnable.push_back(*item);
+    }
+}
+
+std::vector<ExpiredItem> takeExpired(AdmissionState& state, const AdmissionOptions& options, Millis now)
+{
+    std::vector<ExpiredItem> expired;
+    if (!options.queueGuard)
+        return expired;
+    for (const WorkItem& item : takeOverdue(state.queue, leastTimes(state), now)) {
+        const auto reason = item.deadline <= now ? RefusalReason::DeadlinePassed : RefusalReason::ExpectedWaitTooLong;
+        expired.push_back({ item, refuse(state, options, item, reason, now) });
+    }
+    return expired;
+}
+
+void finishWork(AdmissionState& state, const AdmissionOptions& options, WorkClass workClass, WorkOutcome outcome,
+    Millis serviceTime, Millis now)
+{
+    const std::uint32_t busyBefore = busy(state);
+    std::uint32_t& running = state.running[indexOf(workClass)];
+    if (running == 0)
+        return;
+    --running;
+    if (workClass == WorkClass::Short) {
+        state.lastShort = now;
+        state.shortProgress = now;
+    }
+    if (outcome == WorkOutcome::Succeeded)
+        noteServiceTime(state.serviceTime[indexOf(workClass)], static_cast<double>(serviceTime), serviceTimeWeight);
+    const LimitSample sample {
+        .outcome = outcome,
+        .measured = workClass == WorkClass::Short,
+        .serviceTime = serviceTime,
+        .busy = busyBefore,
+        .holdGrowth = hintsHold(state, now),
+    };
+    noteCompletion(state.limit, limitOptions(options), sample, now);
+}
+
+bool cancelQueued(AdmissionState& state, std::uint64_t id)
+{
+    return removeWork(state.queue, id);
+}
+
+std::vector<ExpiredItem> refuseQueue(AdmissionState& state, RefusalReason reason, Millis)
+{
+    std::vector<ExpiredItem> refused;
+    for (const WorkItem& item : takeAll(state.queue))
+        refused.push_back({ item, { .ran = Ran::No, .reason = reason, .retryAfter = retryAfter(0, item.id) } });
+    return refused;
+}
+
+std::optional<Millis> nextWake(const AdmissionState& state, Millis now)
+{
+    std::optional<Millis> wake;
+    const auto consider = [&](Millis time) { wake = wake ? std::min(*wake, time) : time; };
+    const auto least = leastTimes(state);
+    for (std::size_t index = 0; index < state.queue.lines.size(); ++index) {
+        for (const WorkItem& item : state.queue.lines[index])
+            consider(item.deadline - least[index]);
+    }
+    if (!wake)
+        return wake;
+    for (const Millis change : { state.limit.pausedUntil, state.hintUntil, state.lastShort.value_or(now) + shortPresence }) {
+        if (change > now)
+            consider(change);
+    }
+    return std::max(*wake, now);
+}
+
+// Load: a cold upstream whose endpoints know what the agent cannot: that it is not ready, or that work from before the
+// agent's own restart still runs there.
+// Harm: an endpoint that lags or lies would otherwise take an upstream that answers out of service, or open the gates
+// of one that does not.
+// Limit: during a warm-up only, when the agent's own measurements say little yet; never below one slot, so that they
+// go on; for at most one more warm-up, so that a stuck endpoint costs a delay and not the upstream.
+void noteHint(AdmissionState& state, const AdmissionOptions& options, const UpstreamHint& hint, Millis now)
+{
+    if (!state.limit.cold || hint.age > oldestHint)
+        return;
+    if (state.hintsEnd == 0 || state.hintsColdStart != state.limit.coldStarts) {
+        state.hintsColdStart = state.limit.coldStarts;
+        state.hintsEnd = now + options.warmUp;
+    }
+    const std::uint32_t own = busy(state);
+    state.hintedBusy = hint.busy > own ? hint.busy - own : 0;
+    const bool asksForCare = !hint.healthy || state.hintedBusy > 0;
+    state.hintUntil = asksForCare ? std::min(now + hintHold, state.hintsEnd) : 0;
+}
+
+void restartCold(AdmissionState& state, Millis now)
+{
+    startCold(state.limit, now);
+}
+
+bool isCold(const AdmissionState& state)
+{
+    return state.limit.cold;
+}
+
+std::uint32_t currentLimit(const AdmissionState& state)
+{
+    return static_cast<std::uint32_t>(std::max(1.0, state.limit.limit));
+}
+
+std::uint32_t busy(const AdmissionState& state)
+{
+    return state.running[0] + state.running[1];
+}
+
+std::uint32_t queued(const AdmissionState& state)
+{
+    return static_cast<std::uint32_t>(queueLength(state.queue));
+}
+
+Millis expectedWait(const AdmissionState& state, const AdmissionOptions& options, WorkClass workClass, Millis now)
+{
+    const auto& line = lineOf(state.queue, workClass);
+    if (line.empty() && mayStart(state, options, workClass, now))
+        return 0;
+    const double ahead = static_cast<double>(line.size()) + 1;
+    const double slots = servingSlots(state, options, workClass, now);
+    const double work = ahead * meanTime(state, options, workClass) / slots;
+    const double pause = static_cast<double>(std::max<Millis>(0, state.limit.pausedUntil - now));
+    return static_cast<Millis>(std::ceil(work + waitForLong(state, options, workClass, now) + pause));
+}
+
+}
--- /dev/null
+++ b/src/libdecision/attempts.cpp
@@ -0,0 +1,107 @@
+#include "attempts.h"
+
+#include <algorithm>
+
+namespace kingcuptrail {
+
+namespace {
+
+    bool isNamed(const EarlierAttempts& earlier, const OwnerToken& owner)
+    {
+        return std::any_of(earlier.attempts.begin(), earlier.attempts.end(), [&](const EarlierAttempt& attempt) {
+            return attempt.owner == owner;
+        });
+    }
+
+    EarlierAttempt* openAttempt(EarlierAttempts& earlier, const OwnerToken& owner)
+    {
+        for (EarlierAttempt& attempt : earlier.attempts) {
+            if (attempt.owner == owner && !attempt.answer && !attempt.unreachable)
+                return &attempt;
+        }
+        return nullptr;
+    }
+
+    AttemptsVerdict refuse(Ran ran, RefusalReason reason)
+    {
+        return { AttemptsDecision::Refuse, { .ran = ran, .reason = reason, .retryAfter = 0 } };
+    }
+
+    AttemptsVerdict decideOne(const EarlierAttempt& attempt)
+    {
+        if (attempt.unreachable)
+            return refuse(Ran::Unknown, RefusalReason::EarlierAttemptUnknown);
+        if (!attempt.answer)
+            return { AttemptsDecision::Wait, {} };
+        switch (*attempt.answer) {
+        case LedgerState::NeverSeen:
+        case LedgerState::NotRun:
+        case LedgerState::Fenced:
+            return { AttemptsDecision::Run, {} };
+        case LedgerState::Running:
+            return refuse(Ran::Yes, RefusalReason::AlreadyRunning);
+        case LedgerState::Ran:
+            return refuse(Ran::Yes, RefusalReason::AlreadyRan);
+        case LedgerState::Unknown:
+            break;
+        }
+        return refuse(Ran::Unknown, RefusalReason::EarlierAttemptUnknown);
+    }
+
+    /// How much a verdict settles: what is known to have run goes before what is unknown, and both before waiting.
+    int weightOf(const AttemptsVerdict& verdict)
+    {
+        if (verdict.decision == AttemptsDecision::Run)
+            return 0;
+        if (verdict.decision == AttemptsDecision::Wait)
+            return 1;
+        return verdict.refusal.ran == Ran::Yes ? 3 : 2;
+    }
+
+}
+
+EarlierAttempts startAttempts(std::span<const OwnerToken> owners, const OwnerToken& mine)
+{
+    EarlierAttempts earlier;
+    for (const OwnerToken& owner : owners) {
+        if (owner == mine || !owner.isSet() || isNamed(earlier, owner))
+            continue;
+        earlier.tooMany = earlier.attempts.size() == maxEarlierAttempts;
+        if (earlier.tooMany)
+            break;
+        earlier.attempts.push_back({ .owner = owner, .answer = std::nullopt, .unreachable = false });
+    }
+    return earlier;
+}
+
+void noteAnswer(EarlierAttempts& earlier, const OwnerToken& owner, LedgerState state)
+{
+    if (EarlierAttempt* attempt = openAttempt(earlier, owner))
+        attempt->answer = state;
+}
+
+void noteUnreachable(EarlierAttempts& earlier, const OwnerToken& owner)
+{
+    if (EarlierAttempt* attempt = openAttempt(earlier, owner))
+        attempt->unreachable = true;
+}
+
+// Failure: the same Filing on a new flow after its first flow went silent, while the first owner runs it, has run it, or
+// cannot be asked. It would show as a trench booked twice. It runs here only when every earlier owner has promised that
+// it neither ran nor will run it; anything else is answered at once as what it is.
+AttemptsVerdict decideAttempts(const EarlierAttempts& earlier, const AttemptsOptions& options)
+{
+    AttemptsVerdict settled { AttemptsDecision::Run, {} };
+    if (!options.guard)
+        return settled;
+    if (earlier.tooMany)
+        return refuse(Ran::Unknown, RefusalReason::EarlierAttemptUnknown);
+    for (const EarlierAttempt& attempt : earlier.attempts) {
+        const AttemptsVerdict verdict = decideOne(attempt);
+        if (weightOf(verdict) > weightOf(settled))
+            settled = verdict;
+    }
+    return settled;
+}
+
+}
--- /dev/null
+++ b/src/libdecision/drain.cpp
@@ -0,0 +1,35 @@
+#include "drain.h"
+
+namespace kingcuptrail {
+
+namespace {
+
+    bool newsIsOut(const DrainProgress& progress, const DrainOptions& options, Millis now)
+    {
+        return progress.announced && now - progress.announcedAt >= options.announceGrace;
+    }
+
+}
+
+// Load: an upstream leaves with some 2,000 flows, most of them idle between two queries.
+// Harm: waiting for callers to close them, the leaving would take a shift; closing one with a request or a feed in
+// progress cuts it, and closing before the balancers know brings the caller straight back.
+// Limit: only flows without anything pending, and idle for a second, which covers a request that is on its way; only
+// after the announcement's grace. A caller told of the close opens its next flow elsewhere and has lost nothing.
+DrainFlowStep drainFlow(const DrainFlow& flow, const DrainProgress& progress, const DrainOptions& options, Millis now)
+{
+    if (flow.pending > 0 || !newsIsOut(progress, options, now))
+        return DrainFlowStep::Keep;
+    return now - flow.idleSince >= options.idleBeforeClose ? DrainFlowStep::CloseIdle : DrainFlowStep::Keep;
+}
+
+DrainStep nextDrainStep(std::span<const DrainFlow> flows, const DrainProgress& progress, const DrainOptions& options, Millis now)
+{
+    if (flows.empty() && newsIsOut(progress, options, now))
+        return DrainStep::Done;
+    if (options.limit > 0 && now - progress.startedAt >= options.limit)
+        return DrainStep::LimitReached;
+    return DrainStep::Wait;
+}
+
+}
--- /dev/null
+++ b/src/libdecision/ledger.cpp
@@ -0,0 +1,139 @@
+#include "ledger.h"
+
+namespace kingcuptrail {
+
+namespace {
+
+    /// Keys forgotten in one call at most: a call stays under some 100 microseconds and cannot hold up packets.
+    constexpr std::size_t expiredPerCall = 256;
+
+    void settle(Ledger& ledger, const std::string& key, LedgerEntry& entry, LedgerState state, Millis now)
+    {
+        if (entry.settledOrder != 0)
+            ledger.settled.erase(entry.settledOrder);
+        entry.state = state;
+        entry.settledAt = now;
+        entry.settledOrder = ++ledger.lastOrder;
+        ledger.settled.emplace(entry.settledOrder, key);
+    }
+
+    void run(Ledger& ledger, LedgerEntry& entry)
+    {
+        if (entry.settledOrder != 0)
+            ledger.settled.erase(entry.settledOrder);
+        entry.settledOrder = 0;
+        entry.state = LedgerState::Running;
+    }
+
+    // Load: more keys within `keepFor` than the ledger holds.
+    // Harm: to make room by forgetting a key is to let it run twice.
+    // Limit: full means refused as not run, which is true and safe to try elsewhere; only keys older than `keepFor`,
+    // which no caller sends any more, make room.
+    bool hasRoom(Ledger& ledger, const LedgerOptions& options, Millis now)
+    {
+        if (ledger.entries.size() < options.maxEntries)
+            return true;
+        expireLedger(ledger, options, now);
+        return ledger.entries.size() < options.maxEntries;
+    }
+
+    LedgerState fenceUnseen(Ledger& ledger, const LedgerOptions& options, const std::string& key, Millis now)
+    {
+        if (!hasRoom(ledger, options, now))
+            return LedgerState::Unknown;
+        LedgerEntry& entry = ledger.entries[key];
+        settle(ledger, key, entry, LedgerState::Fenced, now);
+        return LedgerState::NeverSeen;
+    }
+
+    BeginVerdict verdictFor(LedgerState state)
+    {
+        switch (state) {
+        case LedgerState::Running:
+            return BeginVerdict::AlreadyRunning;
+        case LedgerState::Ran:
+            return BeginVerdict::AlreadyRan;
+        case LedgerState::Unknown:
+            return BeginVerdict::OutcomeUnknown;
+        case LedgerState::Fenced:
+            return BeginVerdict::Fenced;
+        case LedgerState::NeverSeen:
+        case LedgerState::NotRun:
+            break;
+        }
+        return BeginVerdict::Run;
+    }
+
+}
+
+BeginVerdict beginWork(Ledger& ledger, const LedgerOptions& options, std::string_view key, Millis now)
+{
+    if (!options.guard)
+        return BeginVerdict::Run;
+    const std::string name(key);
+    const auto found = ledger.entries.find(name);
+    if (found == ledger.entries.end()) {
+        if (!hasRoom(ledger, options, now))
+            return BeginVerdict::Full;
+        ledger.entries.emplace(name, LedgerEntry {});
+        return BeginVerdict::Run;
+    }
+    const BeginVerdict verdict = verdictFor(found->second.state);
+    if (verdict == BeginVerdict::Run)
+        run(ledger, found->second);
+    return verdict;
+}
+
+// A key that was asked about while it ran and then turns out not to have run is fenced: the asker was told that it
+// would not run here later, and may run it itself after asking once more.
+void settleWork(Ledger& ledger, const LedgerOptions&, std::string_view key, LedgerState outcome, Millis now)
+{
+    const auto found = ledger.entries.find(std::string(key));
+    if (found == ledger.entries.end())
+        return;
+    LedgerEntry& entry = found->second;
+    const bool isOutcome = outcome == LedgerState::Ran || outcome == LedgerState::NotRun || outcome == LedgerState::Unknown;
+    const bool ends = entry.state == LedgerState::Running && isOutcome;
+    const bool clears = entry.state == LedgerState::Unknown && outcome == LedgerState::Ran;
+    if (!ends && !clears)
+        return;
+    const bool fenced = outcome == LedgerState::NotRun && entry.asked;
+    settle(ledger, found->first, entry, fenced ? LedgerState::Fenced : outcome, now);
+}
+
+// Failure: a Filing's flow goes silent, its caller sends it again on a new flow, and the first packet reaches its old
+// owner after the new one has run it. It would show as the same trench booked twice. The answer "never seen" is
+// therefore a promise: the key is entered as fenced before the answer goes out.
+LedgerState queryAndFence(Ledger& ledger, const LedgerOptions& options, std::string_view key, Millis now)
+{
+    if (!options.guard)
+        return LedgerState::NeverSeen;
+    const std::string name(key);
+    const auto found = ledger.entries.find(name);
+    if (found == ledger.entries.end())
+        return fenceUnseen(ledger, options, name, now);
+    LedgerEntry& entry = found->second;
+    const LedgerState state = entry.state;
+    entry.asked = true;
+    const bool notRun = state == LedgerState::NotRun || state == LedgerState::Fenced;
+    if (notRun)
+        settle(ledger, name, entry, LedgerState::Fenced, now);
+    return state;
+}
+
+std::size_t expireLedger(Ledger& ledger, const LedgerOptions& options, Millis now)
+{
+    std::size_t expired = 0;
+    while (expired < expiredPerCall && !ledger.settled.empty()) {
+        const auto oldest = ledger.settled.begin();
+        const auto entry = ledger.entries.find(oldest->second);
+        if (now - entry->second.settledAt <= options.keepFor)
+            break;
+        ledger.entries.erase(entry);
+        ledger.settled.erase(oldest);
+        ++expired;
+    }
+    return expired;
+}
+
+}
--- /dev/null
+++ b/src/libdecision/pacing.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "ids.h"
+
+namespace kingcuptrail {
+
+struct PacingOptions {
+    /// The interval while there are few links, in milliseconds.
+    Millis baseInterval = 1000;
+    /// One heartbeat on the wire, framing included.
+    std::uint32_t bytesPerHeartbeat = 120;
+    /// What heartbeats may take of a process's control traffic. Of 11 KB/s, the rest is for configuration and redirects.
+    std::uint32_t budgetBytesPerSecond = 6000;
+    /// Heartbeats missed before a link is given up.
+    std::uint32_t missed = 3;
+};
+
+/// The interval between heartbeats on each of `links` links, in milliseconds.
+Millis heartbeatInterval(std::size_t links, const PacingOptions&);
+
+/// How long a link may be silent before it is given up, in milliseconds, when its peer beats at `interval`.
+Millis silenceLimit(Millis interval, const PacingOptions&);
+
+}
--- /dev/null
+++ b/src/libdecision/redirects.cpp
@@ -0,0 +1,92 @@
+#include "redirects.h"
+
+#include <vector>
+
+namespace kingcuptrail {
+
+namespace {
+
+    /// Entries forgotten in one call at most, so that a call cannot hold up packets.
+    constexpr std::size_t expiredPerCall = 256;
+
+    void forgetEntry(Redirects& redirects, std::unordered_map<FlowId, RedirectEntry>::iterator entry)
+    {
+        redirects.order.erase(entry->second.order);
+        redirects.entries.erase(entry);
+    }
+
+    void forgetOldest(Redirects& redirects)
+    {
+        forgetEntry(redirects, redirects.entries.find(redirects.order.begin()->second));
+    }
+
+    bool isOlder(const OwnerToken& offered, const OwnerToken& held)
+    {
+        return offered.upstream == held.upstream && offered.incarnation < held.incarnation;
+    }
+
+}
+
+// Load: flows that a second choice opened, or whose first rank has moved to this agent: tens of thousands when a data
+// centre returns.
+// Harm: without a bound, redirects of flows that ended long ago take the agent's memory.
+// Limit: the entry noted longest ago goes, since its owner has renewed the others; a lost entry costs its flow's next
+// packet without a token up to `maxHops` hops, and packets with a token nothing.
+void noteRedirect(Redirects& redirects, const RedirectOptions& options, FlowId flow, const OwnerToken& owner, Millis now)
+{
+    const auto found = redirects.entries.find(flow);
+    if (found != redirects.entries.end()) {
+        if (isOlder(owner, found->second.owner))
+            return;
+        forgetEntry(redirects, found);
+    }
+    if (options.maxEntries == 0)
+        return;
+    while (redirects.entries.size() >= options.maxEntries)
+        forgetOldest(redirects);
+    const std::uint64_t order = ++redirects.lastOrder;
+    redirects.entries.emplace(flow, RedirectEntry { .owner = owner, .order = order, .notedAt = now });
+    redirects.order.emplace(order, flow);
+}
+
+std::optional<OwnerToken> findRedirect(const Redirects& redirects, const RedirectOptions& options, FlowId flow, Millis now)
+{
+    const auto found = redirects.entries.find(flow);
+    if (found == redirects.entries.end() || now - found->second.notedAt > options.keepFor)
+        return std::nullopt;
+    return found->second.owner;
+}
+
+void forgetFlow(Redirects& redirects, FlowId flow)
+{
+    const auto found = redirects.entries.find(flow);
+    if (found != redirects.entries.end())
+        forgetEntry(redirects, found);
+}
+
+std::size_t forgetOwner(Redirects& redirects, const OwnerToken& owner)
+{
+    std::vector<FlowId> flows;
+    for (const auto& [flow, entry] : redirects.entries) {
+        if (entry.owner == owner)
+            flows.push_back(flow);
+    }
+    for (const FlowId flow : flows)
+        forgetFlow(redirects, flow);
+    return flows.size();
+}
+
+std::size_t expireRedirects(Redirects& redirects, const RedirectOptions& options, Millis now)
+{
+    std::size_t expired = 0;
+    while (expired < expiredPerCall && !redirects.order.empty()) {
+        const auto oldest = redirects.entries.find(redirects.order.begin()->second);
+        if (now - oldest->second.notedAt <= options.keepFor)
+            break;
+        forgetEntry(redirects, oldest);
+        ++expired;
+    }
+    return expired;
+}
+
+}
--- /dev/null
+++ b/src/libdecision/workqueue.cpp
@@ -0,0 +1,129 @@
+#include "workqueue.h"
+
+#include <algorithm>
+
+namespace kingcuptrail {
+
+namespace {
+
+    std::size_t indexOf(WorkClass workClass)
+    {
+        return static_cast<std::size_t>(workClass);
+    }
+
+    std::size_t otherIndex(WorkClass workClass)
+    {
+        return 1 - indexOf(workClass);
+    }
+
+    // Load: a class that was away comes back while the other kept the slots busy.
+    // Harm: the credit of its absence would let it take every slot, or its old debt would keep it out.
+    // Limit: one largest piece of work apart, which is what non-preemptive service can owe.
+    void boundLag(WorkQueue& queue, WorkClass workClass)
+    {
+        const double other = queue.virtualTime[otherIndex(workClass)];
+        double& own = queue.virtualTime[indexOf(workClass)];
+        own = std::clamp(own, other - queue.largestCharge, other + queue.largestCharge);
+    }
+
+    bool isOverdue(const WorkItem& item, Millis leastServiceTime, Millis now)
+    {
+        return item.deadline - now <= leastServiceTime;
+    }
+
+}
+
+std::deque<WorkItem>& lineOf(WorkQueue& queue, WorkClass workClass)
+{
+    return queue.lines[indexOf(workClass)];
+}
+
+const std::deque<WorkItem>& lineOf(const WorkQueue& queue, WorkClass workClass)
+{
+    return queue.lines[indexOf(workClass)];
+}
+
+std::size_t queueLength(const WorkQueue& queue)
+{
+    return queue.lines[0].size() + queue.lines[1].size();
+}
+
+void pushWork(WorkQueue& queue, const WorkItem& item)
+{
+    auto& line = lineOf(queue, item.workClass);
+    if (line.empty())
+        boundLag(queue, item.workClass);
+    line.push_back(item);
+}
+
+// Load: uploads of seconds mixed with queries of milliseconds, more of both than the slots carry.
+// Harm: in order of arrival, queries wait behind uploads and a crew stands idle; with queries always first, a Filing
+// waits until its deadline.
+// Limit: slot time is shared 3 to 1, queries first, since there are more of them and their deadlines are short; the
+// quarter that is left lets every upload that was queued within its expected wait start.
+std::optional<WorkClass> classInTurn(const WorkQueue& queue, bool shortMayStart, bool longMayStart)
+{
+    const bool shortWaits = shortMayStart && !lineOf(queue, WorkClass::Short).empty();
+    const bool longWaits = longMayStart && !lineOf(queue, WorkClass::Long).empty();
+    if (shortWaits && longWaits)
+        return queue.virtualTime[0] <= queue.virtualTime[1] ? WorkClass::Short : WorkClass::Long;
+    if (shortWaits)
+        return WorkClass::Short;
+    if (longWaits)
+        return WorkClass::Long;
+    return std::nullopt;
+}
+
+void chargeStart(WorkQueue& queue, WorkClass workClass, double serviceTime)
+{
+    const double charge = workClass == WorkClass::Short ? serviceTime / shortWeight : serviceTime;
+    queue.virtualTime[indexOf(workClass)] += charge;
+    queue.largestCharge = std::max(queue.largestCharge, charge);
+}
+
+std::optional<WorkItem> popStartable(WorkQueue& queue, WorkClass workClass, Millis leastServiceTime, Millis now)
+{
+    auto& line = lineOf(queue, workClass);
+    const auto found = std::find_if(line.begin(), line.end(), [&](const WorkItem& item) {
+        return !isOverdue(item, leastServiceTime, now);
+    });
+    if (found == line.end())
+        return std::nullopt;
+    const WorkItem item = *found;
+    line.erase(found);
+    return item;
+}
+
+std::vector<WorkItem> takeOverdue(WorkQueue& queue, const std::array<Millis, 2>& leastServiceTime, Millis now)
+{
+    std::vector<WorkItem> overdue;
+    for (std::size_t index = 0; index < queue.lines.size(); ++index) {
+        std::erase_if(queue.lines[index], [&](const WorkItem& item) {
+            const bool taken = isOverdue(item, leastServiceTime[index], now);
+            if (taken)
+                overdue.push_back(item);
+            return taken;
+        });
+    }
+    return overdue;
+}
+
+bool removeWork(WorkQueue& queue, std::uint64_t id)
+{
+    std::size_t removed = 0;
+    for (auto& line : queue.lines)
+        removed += std::erase_if(line, [&](const WorkItem& item) { return item.id == id; });
+    return removed > 0;
+}
+
+std::vector<WorkItem> takeAll(WorkQueue& queue)
+{
+    std::vector<WorkItem> all;
+    for (auto& line : queue.lines) {
+        all.insert(all.end(), line.begin(), line.end());
+        line.clear();
+    }
+    return all;
+}
+
+}
