--- a/src/libhttp/http.h
+++ b/src/libhttp/http.h
@@ -59,10 +59,16 @@
 /// The value of a header, by its name without regard to case; empty when there is none.
 std::string_view headerValue(const std::vector<HttpHeader>& headers, std::string_view name);
 
+bool isSameHeaderName(std::string_view first, std::string_view second);
+
 /// The path of a target, without its query.
 std::string_view pathOf(std::string_view target);
 
 /// The value of a query parameter of a target, percent-decoded; empty when there is none.
 std::string queryValue(std::string_view target, std::string_view name);
 
+/// Percent-encoding of one path segment or query value (RFC 3986); a malformed escape is left as it stands.
+std::string percentEncode(std::string_view text);
+std::string percentDecode(std::string_view text);
+
 }
--- a/src/libhttp/httpclient.h
+++ b/src/libhttp/httpclient.h
@@ -18,6 +18,7 @@
     Millis timeout = 10000;
     /// How long the server may send nothing once it has begun to answer, in milliseconds; 0 means no limit.
     Millis silenceLimit = 0;
+    /// Largest body that is collected; one handed over in chunks is not limited, since it takes no memory here.
     std::size_t maxBodyBytes = std::size_t { 16 } * 1024 * 1024;
 };
 
@@ -46,7 +47,8 @@
     /// Closes the connection; onDone is not called.
     virtual void cancel() = 0;
 
-    /// Stops reading from the server until resumed, so that a slow reader's data waits in the server's socket.
+    /// Stops reading from the server until resumed, so that a slow reader's data waits in the server's socket. What
+    /// was read before, one buffer at most, is still handed over.
     virtual void pause() = 0;
     virtual void resume() = 0;
 };
