--- /dev/null
+++ b/src/libruntime/metrics.cpp
@@ -0,0 +1,115 @@
+#include "metrics.h"
+
+#include <algorithm>
+#include <boost/histogram.hpp>
+#include <cmath>
+#include <cstdio>
+
+namespace kingcuptrail {
+
+namespace {
+
+    /// From 50 microseconds to 10 minutes in steps of about 11 %: the error of a percentile.
+    constexpr double smallestMillis = 0.05;
+    constexpr double largestMillis = 600000;
+    constexpr int bucketCount = 160;
+    /// Only each eighth bound is exposed: a scraper keeps 20 series for a histogram and not 160.
+    constexpr int bucketsPerExposed = 8;
+
+    using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+    using Histogram = boost::histogram::histogram<std::tuple<Axis>, boost::histogram::dense_storage<std::uint64_t>>;
+
+    std::string formatNumber(double value)
+    {
+        std::array<char, 32> text {};
+        const int length = std::snprintf(text.data(), text.size(), "%.6g", value);
+        return { text.data(), static_cast<std::size_t>(length) };
+    }
+
+    void appendHeader(std::string& out, std::string_view name, std::string_view help, std::string_view type)
+    {
+        out.append("# HELP ").append(name).append(" ").append(help);
+        out.append("\n# TYPE ").append(name).append(" ").append(type).append("\n");
+    }
+
+}
+
+struct LatencyHistogram::Private {
+    std::uint64_t countAt(int bucket) const { return histogram.at(bucket); }
+    /// The upper bound of a bucket; of the one above all, the largest sample.
+    double upperBound(int bucket) const { return bucket < bucketCount ? histogram.axis().value(bucket + 1) : largest; }
+
+    Histogram histogram = boost::histogram::make_histogram_with(
+        boost::histogram::dense_storage<std::uint64_t>(), Axis(bucketCount, smallestMillis, largestMillis));
+    std::uint64_t count = 0;
+    double sum = 0;
+    double largest = 0;
+};
+
+LatencyHistogram::LatencyHistogram()
+    : d(std::make_unique<Private>())
+{
+}
+
+LatencyHistogram::~LatencyHistogram() = default;
+
+void LatencyHistogram::record(double millis)
+{
+    if (!std::isfinite(millis) || millis < 0)
+        return;
+    // The logarithm of 0 has no bucket.
+    d->histogram(std::max(millis, smallestMillis / 2));
+    ++d->count;
+    d->sum += millis;
+    d->largest = std::max(d->largest, millis);
+}
+
+std::uint64_t LatencyHistogram::count() const
+{
+    return d->count;
+}
+
+double LatencyHistogram::percentile(double part) const
+{
+    if (d->count == 0)
+        return 0;
+    const double wanted = std::ceil(std::clamp(part, 0.0, 1.0) * static_cast<double>(d->count));
+    const auto rank = std::max<std::uint64_t>(static_cast<std::uint64_t>(wanted), 1);
+    std::uint64_t seen = 0;
+    for (int bucket = -1; bucket < bucketCount; ++bucket) {
+        seen += d->countAt(bucket);
+        if (seen >= rank)
+            return d->upperBound(bucket);
+    }
+    return d->largest;
+}
+
+void LatencyHistogram::expose(std::string& out, std::string_view name, std::string_view help) const
+{
+    appendHeader(out, name, help, "histogram");
+    std::uint64_t cumulative = d->countAt(-1);
+    for (int bucket = 0; bucket < bucketCount; ++bucket) {
+        cumulative += d->countAt(bucket);
+        if ((bucket + 1) % bucketsPerExposed != 0)
+            continue;
+        out.append(name).append("_bucket{le=\"").append(formatNumber(d->upperBound(bucket))).append("\"} ");
+        out.append(std::to_string(cumulative)).append("\n");
+    }
+    out.append(name).append("_bucket{le=\"+Inf\"} ").append(std::to_string(d->count)).append("\n");
+    out.append(name).append("_sum ").append(formatNumber(d->sum)).append("\n");
+    out.append(name).append("_count ").append(std::to_string(d->count)).append("\n");
+}
+
+void exposeCounter(std::string& out, std::string_view name, std::string_view help, std::uint64_t value)
+{
+    appendHeader(out, name, help, "counter");
+    out.append(name).append(" ").append(std::to_string(value)).append("\n");
+}
+
+void exposeGauge(std::string& out, std::string_view name, std::string_view help, double value)
+{
+    appendHeader(out, name, help, "gauge");
+    out.append(name).append(" ").append(formatNumber(value)).append("\n");
+}
+
+}
--- /dev/null
+++ b/src/libruntime/settings.cpp
@@ -0,0 +1,175 @@
+#include "settings.h"
+
+#include "schemacheck.h"
+#include "settingsschema.h"
+
+#include <asio/ip/address.hpp>
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace kingcuptrail {
+
+namespace {
+
+    using nlohmann::json;
+
+    /// Far more than any settings file needs; keeps a wrong file from being read as one.
+    constexpr std::size_t maxSettingsBytes = std::size_t { 64 } * 1024;
+    /// A link is given up only after at least two heartbeats are missing: one may be late on a busy host.
+    constexpr Millis heartbeatsInSilence = 2;
+
+    enum class PortRule : std::uint8_t {
+        /// 0 lets the host choose, for tests.
+        MayBeZero,
+        MustBeSet,
+    };
+
+    class SettingsReader {
+    public:
+        SettingsReader(const json& document, std::vector<Fault>& faults)
+            : m_document(document)
+            , m_faults(faults)
+        {
+        }
+
+        Settings read()
+        {
+            Settings settings;
+            settings.role = fromName<DaemonRole>(m_document["role"].get<std::string>()).value_or(DaemonRole::Balancer);
+            readText(m_document, "name", settings.name);
+            readText(m_document, "dataCentre", settings.dataCentre);
+            readText(m_document, "logLevel", settings.logLevel);
+            readMillis(m_document, "heartbeatMs", settings.heartbeat);
+            readMillis(m_document, "linkSilenceMs", settings.linkSilence);
+            settings.listen = readEndpoint(m_document, "", "listen", PortRule::MayBeZero);
+            settings.admin = readEndpoint(m_document, "", "admin", PortRule::MayBeZero);
+            settings.platform = readEndpoint(m_document, "", "platform", PortRule::MustBeSet);
+            if (m_document.contains("agent"))
+                settings.agent = readAgent(m_document["agent"]);
+            crossCheck(settings);
+            return settings;
+        }
+
+    private:
+        void addFault(FaultKind kind, std::string place, std::string detail)
+        {
+            m_faults.push_back({ .kind = kind, .place = std::move(place), .detail = std::move(detail) });
+        }
+
+        static void readText(const json& object, const char* field, std::string& target)
+        {
+            if (object.contains(field))
+                target = object[field].get<std::string>();
+        }
+
+        static void readMillis(const json& object, const char* field, Millis& target)
+        {
+            if (object.contains(field))
+                target = object[field].get<Millis>();
+        }
+
+        asio::ip::tcp::endpoint readEndpoint(const json& object, const std::string& parent, const char* field, PortRule rule)
+        {
+            const std::string place = parent + "/" + field;
+            const auto endpoint = parseEndpoint(object[field].get<std::string>());
+            if (!endpoint) {
+                addFault(FaultKind::BadAddress, place, "Must be an IP number and a port, as 127.0.0.1:80.");
+                return {};
+            }
+            if (endpoint->port() == 0 && rule == PortRule::MustBeSet)
+                addFault(FaultKind::BadAddress, place, "The port must not be 0.");
+            return *endpoint;
+        }
+
+        AgentSettings readAgent(const json& object)
+        {
+            AgentSettings agent;
+            readText(object, "upstreamName", agent.upstreamName);
+            readText(object, "service", agent.service);
+            readText(object, "healthPath", agent.healthPath);
+            readText(object, "loadPath", agent.loadPath);
+            readMillis(object, "leaseMs", agent.lease);
+            readMillis(object, "drainIdleMs", agent.drainIdle);
+            readMillis(object, "drainLimitMs", agent.drainLimit);
+            readMillis(object, "flowSilenceMs", agent.flowSilence);
+            agent.upstream = readEndpoint(object, "/agent", "upstream", PortRule::MustBeSet);
+            return agent;
+        }
+
+        void crossCheck(const Settings& settings)
+        {
+            const bool hasAgent = m_document.contains("agent");
+            if (settings.role == DaemonRole::Agent && !hasAgent)
+                addFault(FaultKind::MissingField, "/agent", "The role agent needs it.");
+            if (settings.role == DaemonRole::Balancer && hasAgent)
+                addFault(FaultKind::Inconsistent, "/agent", "A balancer has none.");
+            if (settings.linkSilence <= heartbeatsInSilence * settings.heartbeat)
+                addFault(FaultKind::Inconsistent, "/linkSilenceMs", "Must be larger than two heartbeats.");
+            checkOverlap("/admin", settings.admin, "/listen", settings.listen);
+            checkOverlap("/platform", settings.platform, "/listen", settings.listen);
+            checkOverlap("/platform", settings.platform, "/admin", settings.admin);
+            if (!hasAgent)
+                return;
+            checkOverlap("/agent/upstream", settings.agent.upstream, "/listen", settings.listen);
+            checkOverlap("/agent/upstream", settings.agent.upstream, "/admin", settings.admin);
+            if (settings.agent.drainIdle > settings.agent.drainLimit)
+                addFault(FaultKind::Inconsistent, "/agent/drainIdleMs", "Must not be larger than drainLimitMs.");
+        }
+
+        void checkOverlap(std::string place, const asio::ip::tcp::endpoint& one, const std::string& otherPlace, const asio::ip::tcp::endpoint& other)
+        {
+            if (one.port() != 0 && one == other)
+                addFault(FaultKind::OverlappingAddress, std::move(place), "Same address as " + otherPlace + ".");
+        }
+
+        const json& m_document;
+        std::vector<Fault>& m_faults;
+    };
+
+}
+
+std::optional<Settings> parseSettings(std::string_view text, std::vector<Fault>& faults)
+{
+    if (text.size() > maxSettingsBytes) {
+        faults.push_back({ .kind = FaultKind::OutOfRange, .place = "", .detail = "The file is larger than 64 KiB." });
+        return std::nullopt;
+    }
+    const auto document = json::parse(text, nullptr, false);
+    if (document.is_discarded()) {
+        faults.push_back({ .kind = FaultKind::NotJson, .place = "", .detail = "The file is not JSON." });
+        return std::nullopt;
+    }
+    std::vector<Fault> found;
+    checkAgainstSchema(document, settingsSchema(), found);
+    std::optional<Settings> settings;
+    // Cross-checks read the fields, so they need all of the right type.
+    if (found.empty())
+        settings = SettingsReader(document, found).read();
+    if (found.empty())
+        return settings;
+    faults.insert(faults.end(), found.begin(), found.end());
+    return std::nullopt;
+}
+
+std::optional<asio::ip::tcp::endpoint> parseEndpoint(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return std::nullopt;
+    std::string_view host = text.substr(0, colon);
+    const std::string_view portText = text.substr(colon + 1);
+    const bool isBracketed = host.size() > 2 && host.front() == '[' && host.back() == ']';
+    if (isBracketed)
+        host = host.substr(1, host.size() - 2);
+    std::uint16_t port = 0;
+    const auto parsed = std::from_chars(portText.data(), portText.data() + portText.size(), port);
+    if (portText.empty() || parsed.ec != std::errc() || parsed.ptr != portText.data() + portText.size())
+        return std::nullopt;
+    asio::error_code error;
+    const auto address = asio::ip::make_address(std::string(host), error);
+    if (error || address.is_v6() != isBracketed)
+        return std::nullopt;
+    return asio::ip::tcp::endpoint(address, port);
+}
+
+}
--- /dev/null
+++ b/src/libruntime/settingsschema.cpp
@@ -0,0 +1,44 @@
+#include "settingsschema.h"
+
+namespace kingcuptrail {
+
+// Unknown fields are matched against a schema that nothing matches, because the library reports each of them so, and only
+// the first for "additionalProperties": false.
+std::string_view settingsSchema()
+{
+    return R"JSON({
+"$schema": "http://json-schema.org/draft-07/schema#",
+"type": "object",
+"additionalProperties": { "not": {} },
+"required": ["role", "name", "dataCentre", "listen", "admin", "platform"],
+"properties": {
+    "role": { "type": "string", "enum": ["balancer", "agent"] },
+    "name": { "type": "string", "minLength": 1, "maxLength": 64, "pattern": "^[A-Za-z0-9][A-Za-z0-9._-]*$" },
+    "dataCentre": { "type": "string", "minLength": 1, "maxLength": 64 },
+    "listen": { "type": "string" },
+    "admin": { "type": "string" },
+    "platform": { "type": "string" },
+    "logLevel": { "type": "string", "enum": ["info", "warning", "error", "off"] },
+    "heartbeatMs": { "type": "integer", "minimum": 10, "maximum": 10000 },
+    "linkSilenceMs": { "type": "integer", "minimum": 30, "maximum": 60000 },
+    "agent": {
+        "type": "object",
+        "additionalProperties": { "not": {} },
+        "required": ["upstreamName", "service", "upstream"],
+        "properties": {
+            "upstreamName": { "type": "string", "minLength": 1, "maxLength": 64, "pattern": "^[A-Za-z0-9][A-Za-z0-9._-]*$" },
+            "service": { "type": "string", "minLength": 1, "maxLength": 64 },
+            "upstream": { "type": "string" },
+            "healthPath": { "type": "string", "pattern": "^/" },
+            "loadPath": { "type": "string", "pattern": "^/" },
+            "leaseMs": { "type": "integer", "minimum": 500, "maximum": 300000 },
+            "drainIdleMs": { "type": "integer", "minimum": 0, "maximum": 600000 },
+            "drainLimitMs": { "type": "integer", "minimum": 0, "maximum": 86400000 },
+            "flowSilenceMs": { "type": "integer", "minimum": 1000, "maximum": 3600000 }
+        }
+    }
+}
+})JSON";
+}
+
+}
