--- a/src/libruntime/metrics.cpp
+++ b/src/libruntime/metrics.cpp
@@ -47,7 +47,7 @@
 };
 
 LatencyHistogram::LatencyHistogram()
-    : d(std::make_unique<Private>())
+    : m_d(std::make_unique<Private>())
 {
 }
 
@@ -58,46 +58,46 @@
     if (!std::isfinite(millis) || millis < 0)
         return;
     // The logarithm of 0 has no bucket.
-    d->histogram(std::max(millis, smallestMillis / 2));
-    ++d->count;
-    d->sum += millis;
-    d->largest = std::max(d->largest, millis);
+    m_d->histogram(std::max(millis, smallestMillis / 2));
+    ++m_d->count;
+    m_d->sum += millis;
+    m_d->largest = std::max(m_d->largest, millis);
 }
 
 std::uint64_t LatencyHistogram::count() const
 {
-    return d->count;
+    return m_d->count;
 }
 
 double LatencyHistogram::percentile(double part) const
 {
-    if (d->count == 0)
+    if (m_d->count == 0)
         return 0;
-    const double wanted = std::ceil(std::clamp(part, 0.0, 1.0) * static_cast<double>(d->count));
+    const double wanted = std::ceil(std::clamp(part, 0.0, 1.0) * static_cast<double>(m_d->count));
     const auto rank = std::max<std::uint64_t>(static_cast<std::uint64_t>(wanted), 1);
     std::uint64_t seen = 0;
     for (int bucket = -1; bucket < bucketCount; ++bucket) {
-        seen += d->countAt(bucket);
+        seen += m_d->countAt(bucket);
         if (seen >= rank)
-            return d->upperBound(bucket);
+            return m_d->upperBound(bucket);
     }
-    return d->largest;
+    return m_d->largest;
 }
 
 void LatencyHistogram::expose(std::string& out, std::string_view name, std::string_view help) const
 {
     appendHeader(out, name, help, "histogram");
-    std::uint64_t cumulative = d->countAt(-1);
+    std::uint64_t cumulative = m_d->countAt(-1);
     for (int bucket = 0; bucket < bucketCount; ++bucket) {
-        cumulative += d->countAt(bucket);
+        cumulative += m_d->countAt(bucket);
         if ((bucket + 1) % bucketsPerExposed != 0)
             continue;
-        out.append(name).append("_bucket{le=\"").append(formatNumber(d->upperBound(bucket))).append("\"} ");
+        out.append(name).append("_bucket{le=\"").append(formatNumber(m_d->upperBound(bucket))).append("\"} ");
         out.append(std::to_string(cumulative)).append("\n");
     }
-    out.append(name).append("_bucket{le=\"+Inf\"} ").append(std::to_string(d->count)).append("\n");
-    out.append(name).append("_sum ").append(formatNumber(d->sum)).append("\n");
-    out.append(name).append("_count ").append(std::to_string(d->count)).append("\n");
+    out.append(name).append("_bucket{le=\"+Inf\"} ").append(std::to_string(m_d->count)).append("\n");
+    out.append(name).append("_sum ").append(formatNumber(m_d->sum)).append("\n");
+    out.append(name).append("_count ").append(std::to_string(m_d->count)).append("\n");
 }
 
 void exposeCounter(std::string& out, std::string_view name, std::string_view help, std::uint64_t value)
--- a/src/libruntime/metrics.h
+++ b/src/libruntime/metrics.h
@@ -52,7 +52,7 @@
 
 private:
     struct Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 
 /// Appends one metric line with its help and type.
--- a/src/libruntime/supervisor.cpp
+++ b/src/libruntime/supervisor.cpp
@@ -198,7 +198,7 @@
         const std::string path = prefix + "/" + child->spec.name;
         out.push_back({ .path = path, .isRunning = child->running != nullptr, .restarts = child->restarts, .lastReason = child->lastReason });
         if (const auto* nested = dynamic_cast<const Supervisor*>(child->running.get()))
-            nested->d->appendStatus(path, out);
+            nested->m_d->appendStatus(path, out);
     }
 }
 
@@ -213,41 +213,41 @@
 }
 
 Supervisor::Supervisor(asio::io_context& context, std::string name, FailureHandler onGiveUp)
-    : d(std::make_shared<Private>(context, std::move(name), std::move(onGiveUp)))
+    : m_d(std::make_shared<Private>(context, std::move(name), std::move(onGiveUp)))
 {
 }
 
 Supervisor::~Supervisor()
 {
-    d->stop();
+    m_d->stop();
 }
 
 void Supervisor::add(ChildSpec spec)
 {
     remove(spec.name);
-    d->children.push_back(std::make_unique<Child>(d->context, std::move(spec)));
-    d->start(*d->children.back());
+    m_d->children.push_back(std::make_unique<Child>(m_d->context, std::move(spec)));
+    m_d->start(*m_d->children.back());
 }
 
 void Supervisor::remove(const std::string& name)
 {
-    const auto found = std::ranges::find_if(d->children, [&](const auto& child) { return child->spec.name == name; });
-    if (found == d->children.end())
+    const auto found = std::ranges::find_if(m_d->children, [&](const auto& child) { return child->spec.name == name; });
+    if (found == m_d->children.end())
         return;
     const auto removed = std::move(*found);
-    d->children.erase(found);
-    d->destroyLater(std::move(removed->running));
+    m_d->children.erase(found);
+    m_d->destroyLater(std::move(removed->running));
 }
 
 bool Supervisor::contains(const std::string& name) const
 {
-    return d->find(name) != nullptr;
+    return m_d->find(name) != nullptr;
 }
 
 std::vector<ChildStatus> Supervisor::status() const
 {
     std::vector<ChildStatus> result;
-    d->appendStatus(d->name, result);
+    m_d->appendStatus(m_d->name, result);
     return result;
 }
 
--- a/src/libruntime/supervisor.h
+++ b/src/libruntime/supervisor.h
@@ -89,7 +89,7 @@
 
 private:
     struct Private;
-    std::shared_ptr<Private> d;
+    std::shared_ptr<Private> m_d;
 };
 
 }
