--- a/src/kingcuptraild/agent/agent.cpp
+++ b/src/kingcuptraild/agent/agent.cpp
@@ -59,13 +59,14 @@
     , m_drainOptions { .idleBeforeClose = role.settings.agent.drainIdle, .limit = role.settings.agent.drainLimit }
 {
     m_role.config.addListener([this](const Config& current, const Config& previous) { handleConfig(current, previous); });
-    m_role.root.add({ .name = "config", .make = [this](FailureHandler) { return std::make_unique<ConfigFollower>(m_role, ConfigFollower::Mode::Once); } });
-    m_role.root.add({ .name = "balancers", .make = [this](FailureHandler onFailure) {
-                         return std::make_unique<Listener>(m_role.context, m_role.settings.listen, LinkOptions { .silenceLimit = m_role.settings.linkSilence },
-                             [this](std::shared_ptr<Link> link) { acceptBalancer(std::move(link)); }, std::move(onFailure));
+    m_role.root.add({ .name = "config", .make = [this](const FailureHandler&) { return std::make_unique<ConfigFollower>(m_role, ConfigFollower::Mode::Once); } });
+    m_role.root.add({ .name = "balancers", .make = [this](const FailureHandler& onFailure) {
+                         return std::make_unique<Listener>(
+                             m_role.context, m_role.settings.listen, LinkOptions { .silenceLimit = m_role.settings.linkSilence },
+                             [this](std::shared_ptr<Link> link) { acceptBalancer(std::move(link)); }, onFailure);
                      } });
-    m_role.root.add({ .name = "announcer", .make = [this](FailureHandler) { return std::make_unique<AnnouncerChild>(*this); } });
-    m_role.root.add({ .name = "probe", .make = [this](FailureHandler) {
+    m_role.root.add({ .name = "announcer", .make = [this](const FailureHandler&) { return std::make_unique<AnnouncerChild>(*this); } });
+    m_role.root.add({ .name = "probe", .make = [this](const FailureHandler&) {
                          return std::make_unique<UpstreamProbe>(m_role, [this](const UpstreamHint& hint) { m_requests.noteHint(hint); });
                      } });
     startTimers();
--- a/src/kingcuptraild/agent/requestdesk.cpp
+++ b/src/kingcuptraild/agent/requestdesk.cpp
@@ -47,7 +47,7 @@
         head.stream = stream;
         head.body_length = body.size();
         head.body_hash = XXH3_64bits(body.data(), body.size());
-        return encodeMessageOf(std::move(head));
+        return encodeMessageOf(head);
     }
 
     Bytes answerChunk(std::uint64_t request, std::uint64_t offset, std::string_view bytes)
@@ -359,7 +359,7 @@
             m_answers.add(request->key, { response->status, response->body });
         settle(request, LedgerState::Ran);
         m_ends.increment(RequestEnd::Answered);
-        answer(request, response->status, std::move(response->body));
+        answer(request, response->status, response->body);
         return;
     }
     const bool isTimeout = outcome.error == HttpError::Timeout;
@@ -384,7 +384,7 @@
     startRunnable();
 }
 
-void RequestDesk::answer(const RequestPtr& request, int status, std::string body)
+void RequestDesk::answer(const RequestPtr& request, int status, const std::string& body)
 {
     request->stage = RequestStage::Answering;
     hold(*request, body.size());
--- a/src/kingcuptraild/agent/requestdesk.h
+++ b/src/kingcuptraild/agent/requestdesk.h
@@ -110,7 +110,7 @@
     void handleStreamChunk(const RequestPtr& request, std::string_view chunk);
     void handleDone(const RequestPtr& request, std::optional<HttpResponse> response, const HttpOutcome& outcome);
     void finishSlot(const RequestPtr& request, WorkOutcome outcome);
-    void answer(const RequestPtr& request, int status, std::string body);
+    void answer(const RequestPtr& request, int status, const std::string& body);
     void refuse(const RequestPtr& request, const RefusalVerdict& verdict);
     void settle(const RequestPtr& request, LedgerState outcome);
     void pump(const RequestPtr& request);
--- a/src/kingcuptraild/balancer/balancer.cpp
+++ b/src/kingcuptraild/balancer/balancer.cpp
@@ -1,9 +1,9 @@
 #include "balancer.h"
 
 #include "agentconnection.h"
-#include "libdecision/pacing.h"
 #include "kingcuptraild/listener.h"
 #include "kingcuptraild/watchers.h"
+#include "libdecision/pacing.h"
 #include "libruntime/events.h"
 
 #include <algorithm>
@@ -43,20 +43,21 @@
     , m_leaveTimer(role.context)
 {
     m_role.config.addListener([this](const Config& current, const Config& previous) { handleConfig(current, previous); });
-    m_role.root.add({ .name = "links", .make = [this](FailureHandler onFailure) {
-                         auto links = std::make_unique<Supervisor>(m_role.context, "links", std::move(onFailure));
+    m_role.root.add({ .name = "links", .make = [this](const FailureHandler& onFailure) {
+                         auto links = std::make_unique<Supervisor>(m_role.context, "links", onFailure);
                          m_links = links.get();
                          return links;
                      } });
-    m_role.root.add({ .name = "config", .make = [this](FailureHandler) {
+    m_role.root.add({ .name = "config", .make = [this](const FailureHandler&) {
                          return std::make_unique<ConfigFollower>(m_role, ConfigFollower::Mode::Follow);
                      } });
-    m_role.root.add({ .name = "presence", .make = [this](FailureHandler) {
+    m_role.root.add({ .name = "presence", .make = [this](const FailureHandler&) {
                          return std::make_unique<PresenceFollower>(m_role, [this](const std::vector<Presence>& presences) { handlePresence(presences); });
                      } });
-    m_role.root.add({ .name = "fabric", .make = [this](FailureHandler onFailure) {
-                         return std::make_unique<Listener>(m_role.context, m_role.settings.listen, LinkOptions { .silenceLimit = m_role.settings.linkSilence },
-                             [this](std::shared_ptr<Link> link) { acceptFabric(std::move(link)); }, std::move(onFailure));
+    m_role.root.add({ .name = "fabric", .make = [this](const FailureHandler& onFailure) {
+                         return std::make_unique<Listener>(
+                             m_role.context, m_role.settings.listen, LinkOptions { .silenceLimit = m_role.settings.linkSilence },
+                             [this](std::shared_ptr<Link> link) { acceptFabric(std::move(link)); }, onFailure);
                      } });
 }
 
--- a/src/kingcuptraild/listener.cpp
+++ b/src/kingcuptraild/listener.cpp
@@ -54,32 +54,32 @@
     });
 }
 
-Listener::Listener(asio::io_context& context, const asio::ip::tcp::endpoint& endpoint, const LinkOptions& options, OnLink onLink, FailureHandler onFailure)
-    : d(std::make_shared<Private>(context))
+Listener::Listener(asio::io_context& context, const asio::ip::tcp::endpoint& endpoint, const LinkOptions& options, OnLink onLink, const FailureHandler& onFailure)
+    : m_private(std::make_shared<Private>(context))
 {
-    d->options = options;
-    d->onLink = std::move(onLink);
+    m_private->options = options;
+    m_private->onLink = std::move(onLink);
     asio::error_code error;
-    d->acceptor.open(endpoint.protocol(), error);
+    m_private->acceptor.open(endpoint.protocol(), error);
     if (!error)
-        d->acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
+        m_private->acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
     if (!error)
-        d->acceptor.bind(endpoint, error);
+        m_private->acceptor.bind(endpoint, error);
     if (!error)
-        d->acceptor.listen(asio::socket_base::max_listen_connections, error);
+        m_private->acceptor.listen(asio::socket_base::max_listen_connections, error);
     if (error) {
         onFailure(ChildFailure::BindFailed);
         return;
     }
-    d->accept();
+    m_private->accept();
 }
 
 Listener::~Listener()
 {
-    d->isStopped = true;
+    m_private->isStopped = true;
     asio::error_code ignored;
-    d->acceptor.close(ignored);
-    d->timer.cancel(ignored);
+    m_private->acceptor.close(ignored);
+    m_private->timer.cancel(ignored);
 }
 
 }
--- a/src/kingcuptraild/listener.h
+++ b/src/kingcuptraild/listener.h
@@ -14,13 +14,13 @@
 public:
     using OnLink = std::function<void(std::shared_ptr<Link>)>;
 
-    Listener(asio::io_context& context, const asio::ip::tcp::endpoint& endpoint, const LinkOptions& options, OnLink onLink, FailureHandler onFailure);
+    Listener(asio::io_context& context, const asio::ip::tcp::endpoint& endpoint, const LinkOptions& options, OnLink onLink, const FailureHandler& onFailure);
     ~Listener() override;
 
 private:
     struct Private;
 
-    std::shared_ptr<Private> d;
+    std::shared_ptr<Private> m_private;
 };
 
 }
--- a/src/libdecision/ids.h
+++ b/src/libdecision/ids.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 
@@ -30,7 +29,11 @@
     Incarnation incarnation = 0;
 
     bool isSet() const { return upstream != 0; }
-    auto operator<=>(const OwnerToken&) const = default;
+    bool operator==(const OwnerToken&) const = default;
+    bool operator<(const OwnerToken& other) const
+    {
+        return upstream != other.upstream ? upstream < other.upstream : incarnation < other.incarnation;
+    }
 };
 
 }
