--- a/src/kingcuptraild/agent/agent.cpp
+++ b/src/kingcuptraild/agent/agent.cpp
@@ -273,6 +273,7 @@
         .busy = busy(m_requests.admission()),
         .queued = queued(m_requests.admission()),
         .limit = currentLimit(m_requests.admission()),
+        .links = static_cast<std::uint32_t>(m_flows.linkCount()),
         .state = isLeaving() ? MemberState::Draining : MemberState::Serving,
     };
 }
--- a/src/kingcuptraild/balancer/balancer.cpp
+++ b/src/kingcuptraild/balancer/balancer.cpp
@@ -21,6 +21,9 @@
     /// is only relinking is back.
     constexpr Millis noUpstreamRetryAfter = 500;
 
+    /// Balancers that push a change of configuration to one agent.
+    constexpr std::uint32_t newsCopies = 3;
+
     OwnerToken tokenOf(const wire::Packet& packet)
     {
         return { packet.owner_upstream(), packet.owner_incarnation() };
@@ -40,6 +43,7 @@
 
 Balancer::Balancer(const RoleContext& role)
     : m_role(role)
+    , m_id(upstreamIdOf(role.settings.name))
     , m_leaveTimer(role.context)
 {
     m_role.config.addListener([this](const Config& current, const Config& previous) { handleConfig(current, previous); });
@@ -70,10 +74,19 @@
     m_members.setConfig(current);
     if (isOwnDataCentreOut())
         leaveFabric(wire::GoodbyeReason::DataCentreOut);
-    // Agents follow no watch: they hear of a new configuration from the next heartbeat, so it goes out now.
+    pushNews();
+}
+
+// Load: every change of configuration, to every agent, from every balancer: 700 balancers with 4,500 links each.
+// Harm: agents follow no watch, so without a push they would hear with the next paced heartbeat, too late for a data
+// centre that was taken out; a push from each balancer would cost each of them 4,500 heartbeats a change.
+// Limit: each agent is pushed to by about `newsCopies` of its balancers; three, so that two may fail at that moment.
+void Balancer::pushNews()
+{
     for (const OwnerToken& token : m_members.tokens()) {
-        if (const auto& link = m_members.find(token)->link)
-            link->heartbeatNow();
+        const MemberTable::Entry* entry = m_members.find(token);
+        if (entry->link && isPusher(m_id, token.upstream, entry->report.links, newsCopies))
+            entry->link->heartbeatNow();
     }
 }
 
--- a/src/kingcuptraild/balancer/balancer.h
+++ b/src/kingcuptraild/balancer/balancer.h
@@ -51,6 +51,7 @@
 
 private:
     void handleConfig(const Config& current, const Config& previous);
+    void pushNews();
     void handlePresence(const std::vector<Presence>& presences);
     void reconcileConnections();
     ChildSpec connectionSpec(const Presence& presence);
@@ -76,6 +77,7 @@
     Millis heartbeatPause() const;
 
     const RoleContext m_role;
+    std::uint64_t m_id;
     MemberTable m_members;
     std::vector<std::shared_ptr<PeerLink>> m_fabrics;
     Supervisor* m_links = nullptr;
--- a/src/kingcuptraild/configkeeper.cpp
+++ b/src/kingcuptraild/configkeeper.cpp
@@ -3,8 +3,23 @@
 #include "libdecision/configorder.h"
 #include "libruntime/events.h"
 
+#include <algorithm>
+
 namespace kingcuptrail {
 
+namespace {
+
+    /// A service takes at most some 500 bytes of JSON, so that a part stays below half of the frame limit.
+    constexpr std::size_t servicesPerPart = 200;
+
+    /// More parts than a configuration of the platform's largest object could need are a fault.
+    constexpr std::uint32_t maxParts = 1024;
+
+    /// How long a peer that was asked may take before another is asked, in milliseconds.
+    constexpr Millis fetchPause = 500;
+
+}
+
 void ConfigKeeper::addListener(Listener listener)
 {
     m_listeners.push_back(std::move(listener));
@@ -21,18 +36,71 @@
     }
     const Config previous = std::move(m_current);
     m_current = std::move(config);
-    m_document = toJson(m_current);
+    m_history.note(m_current, previous);
     logEvent(Event::ConfigInForce, { { "version", m_current.version }, { "previous", previous.version } });
     for (const Listener& listener : m_listeners)
         listener(m_current, previous);
     return true;
 }
 
-bool ConfigKeeper::offerDocument(std::string_view document)
+std::vector<Bytes> ConfigKeeper::snapshotFor(ConfigVersion have) const
+{
+    std::vector<Bytes> frames;
+    if (have >= m_current.version)
+        return frames;
+    const std::vector<ConfigDelta> parts = splitDelta(m_history.since(have, m_current), servicesPerPart);
+    for (std::size_t index = 0; index < parts.size(); ++index) {
+        wire::ConfigSnapshotT snapshot;
+        snapshot.version = m_current.version;
+        snapshot.base = parts[index].base;
+        snapshot.part = static_cast<std::uint32_t>(index);
+        snapshot.parts = static_cast<std::uint32_t>(parts.size());
+        snapshot.document = toJson(parts[index].changed);
+        snapshot.removed = parts[index].removed;
+        frames.push_back(encodeFrameOf(std::move(snapshot)));
+    }
+    return frames;
+}
+
+void ConfigKeeper::takeSnapshot(const wire::ConfigSnapshot& snapshot)
 {
+    if (!snapshot.document() || snapshot.version() <= m_current.version || snapshot.part() >= snapshot.parts() || snapshot.parts() > maxParts)
+        return;
     std::vector<Fault> faults;
-    auto config = parseConfig(document, faults);
-    return config && offer(std::move(*config));
+    const auto part = parseConfig(snapshot.document()->string_view(), faults);
+    if (!part)
+        return;
+    const bool isSame = m_assembly.delta.changed.version == snapshot.version() && m_assembly.delta.base == snapshot.base() && m_assembly.hasPart.size() == snapshot.parts();
+    if (!isSame) {
+        m_assembly = {};
+        m_assembly.delta.base = snapshot.base();
+        m_assembly.hasPart.resize(snapshot.parts());
+    }
+    if (m_assembly.hasPart[snapshot.part()])
+        return;
+    m_assembly.hasPart[snapshot.part()] = true;
+    Config& changed = m_assembly.delta.changed;
+    changed.version = snapshot.version();
+    changed.dataCentres = part->dataCentres;
+    changed.services.insert(changed.services.end(), part->services.begin(), part->services.end());
+    if (snapshot.removed()) {
+        for (const flatbuffers::String* name : *snapshot.removed())
+            m_assembly.delta.removed.push_back(name->str());
+    }
+    if (std::find(m_assembly.hasPart.begin(), m_assembly.hasPart.end(), false) != m_assembly.hasPart.end())
+        return;
+    auto merged = mergeDelta(m_current, m_assembly.delta);
+    m_assembly = {};
+    if (merged)
+        offer(std::move(*merged));
+}
+
+bool ConfigKeeper::mayFetch(Millis now)
+{
+    if (m_fetchedAt >= 0 && now - m_fetchedAt < fetchPause)
+        return false;
+    m_fetchedAt = now;
+    return true;
 }
 
 }
--- a/src/kingcuptraild/peerlink.cpp
+++ b/src/kingcuptraild/peerlink.cpp
@@ -56,6 +56,7 @@
     heartbeat.queued = report.queued;
     heartbeat.limit = report.limit;
     heartbeat.member_state = static_cast<std::uint8_t>(report.state);
+    heartbeat.links = report.links;
     heartbeat.interval = static_cast<std::uint32_t>(m_handlers.heartbeatInterval());
     m_link->send(encodeFrameOf(heartbeat));
 }
@@ -141,6 +142,7 @@
                                      .busy = heartbeat.busy(),
                                      .queued = heartbeat.queued(),
                                      .limit = heartbeat.limit(),
+                                     .links = heartbeat.links(),
                                      .state = fromNumber<MemberState>(heartbeat.member_state()).value_or(MemberState::Draining),
                                  });
     }
@@ -157,23 +159,18 @@
 void PeerLink::handleConfigFrame(const wire::Frame& frame)
 {
     if (const auto* fetch = frame.body_as_ConfigFetch()) {
-        wire::ConfigSnapshotT snapshot;
-        snapshot.version = m_config.version();
-        snapshot.document = m_config.document();
-        if (fetch->have() < snapshot.version)
-            m_link->send(encodeFrameOf(snapshot));
-        return;
+        for (Bytes& part : m_config.snapshotFor(fetch->have()))
+            m_link->send(std::move(part));
+    } else if (const auto* snapshot = frame.body_as_ConfigSnapshot()) {
+        m_config.takeSnapshot(*snapshot);
     }
-    const auto* snapshot = frame.body_as_ConfigSnapshot();
-    if (snapshot->document())
-        m_config.offerDocument(snapshot->document()->string_view());
 }
 
 // A fabric or platform that is slow for some processes leaves them on an old configuration, which shows as packets sent
 // to a data centre that was taken out. Every heartbeat names the version in force, so whoever is behind asks the peer.
 void PeerLink::reconcileConfig()
 {
-    if (nextConfigStep(m_config.version(), m_peerConfigVersion) != ConfigStep::Fetch)
+    if (nextConfigStep(m_config.version(), m_peerConfigVersion) != ConfigStep::Fetch || !m_config.mayFetch(m_clock.now()))
         return;
     wire::ConfigFetchT fetch;
     fetch.have = m_config.version();
--- a/src/kingcuptraild/peerlink.h
+++ b/src/kingcuptraild/peerlink.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "libdecision/member.h"
-#include "libdecision/pacing.h"
 #include "libprotocol/link.h"
 #include "libruntime/clock.h"
 
@@ -30,6 +29,8 @@
     std::uint32_t busy = 0;
     std::uint32_t queued = 0;
     std::uint32_t limit = 0;
+    /// Balancers an agent is linked to.
+    std::uint32_t links = 0;
     MemberState state = MemberState::Serving;
 };
 
@@ -95,6 +96,7 @@
     Handlers m_handlers;
     PeerIdentity m_peer;
     ConfigVersion m_peerConfigVersion = 0;
+    Clock m_clock;
     Millis m_ownSilenceLimit = 0;
     bool m_isUp = false;
     bool m_isLeaving = false;
--- a/src/libdecision/pacing.cpp
+++ b/src/libdecision/pacing.cpp
@@ -1,5 +1,7 @@
 #include "pacing.h"
 
+#include "ranking.h"
+
 #include <algorithm>
 
 namespace kingcuptrail {
@@ -22,4 +24,9 @@
     return interval * (static_cast<Millis>(options.missed) + 1);
 }
 
+bool isPusher(std::uint64_t self, std::uint64_t peer, std::uint32_t links, std::uint32_t copies)
+{
+    return links <= copies || rankWeight(self, peer) % links < copies;
+}
+
 }
--- a/src/libdecision/pacing.h
+++ b/src/libdecision/pacing.h
@@ -21,4 +21,8 @@
 /// How long a link may be silent before it is given up, in milliseconds, when its peer beats at `interval`.
 Millis silenceLimit(Millis interval, const PacingOptions&);
 
+/// Whether this process is one of about `copies` that push news to a peer at once, of the `links` that could. Each
+/// decides by itself; together they are a share of copies / links, and all of them while there are few.
+bool isPusher(std::uint64_t self, std::uint64_t peer, std::uint32_t links, std::uint32_t copies);
+
 }
