--- a/src/libcaller/requestcall.h
+++ b/src/libcaller/requestcall.h
@@ -112,6 +112,8 @@
     AnswerFault fault() const { return m_fault; }
     std::uint16_t status() const { return m_status; }
     const RefusalVerdict& refusal() const { return m_refusal; }
+    /// Whether the answer is a stream; before its head, whether one is expected.
+    bool isStream() const { return m_expectsStream; }
     std::uint64_t received() const { return m_received; }
     std::string takeBody() { return std::move(m_body); }
 
