--- a/src/libcaller/caller.cpp
+++ b/src/libcaller/caller.cpp
@@ -61,12 +61,12 @@
     RefusalReason reasonOf(const CallerFlow& flow)
     {
         switch (flow.end()) {
-        case FlowEnd::Silent:
-        case FlowEnd::Unanswered:
+        case CallerFlowEnd::Silent:
+        case CallerFlowEnd::Unanswered:
             return RefusalReason::FlowSilent;
-        case FlowEnd::ClosedHere:
+        case CallerFlowEnd::ClosedHere:
             return RefusalReason::Cancelled;
-        case FlowEnd::ClosedByPeer:
+        case CallerFlowEnd::ClosedByPeer:
             return RefusalReason::OwnerGone;
         default:
             return flow.lastReason();
@@ -448,7 +448,7 @@
 void Caller::Private::handleFlowEnd(Flow& flow)
 {
     const FlowId id = flow.flow.id();
-    const FlowEnd end = flow.flow.end();
+    const CallerFlowEnd end = flow.flow.end();
     const RefusalReason reason = reasonOf(flow.flow);
     counters.flowEnds.increment(end);
     for (const CallId callId : std::set<CallId>(flow.calls)) {
--- a/src/libcaller/caller.h
+++ b/src/libcaller/caller.h
@@ -49,7 +49,7 @@
 
 struct CallerHandlers {
     std::function<void(FlowId, const OwnerToken&)> onFlowOpened;
-    std::function<void(FlowId, FlowEnd, RefusalReason)> onFlowEnded;
+    std::function<void(FlowId, CallerFlowEnd, RefusalReason)> onFlowEnded;
 };
 
 struct CallerCounters {
@@ -59,7 +59,7 @@
     /// Answers and refusals that came after their request was given up.
     std::uint64_t lateAnswers = 0;
     std::uint64_t badMessages = 0;
-    EnumCounters<FlowEnd> flowEnds;
+    EnumCounters<CallerFlowEnd> flowEnds;
     EnumCounters<RefusalReason> refusals;
     EnumCounters<RetryReason> retries;
     EnumCounters<AnswerFault> answerFaults;
--- a/src/libcaller/callerflow.cpp
+++ b/src/libcaller/callerflow.cpp
@@ -42,15 +42,15 @@
 
 }
 
-FlowEnd flowEndOfReset(RefusalReason reason, FlowState state)
+CallerFlowEnd flowEndOfReset(RefusalReason reason, FlowState state)
 {
     if (state == FlowState::Opening)
-        return FlowEnd::Refused;
+        return CallerFlowEnd::Refused;
     if (reason == RefusalReason::DataCentreOut)
-        return FlowEnd::GivenUp;
+        return CallerFlowEnd::GivenUp;
     if (reason == RefusalReason::UpstreamDraining)
-        return FlowEnd::Drained;
-    return FlowEnd::Broken;
+        return CallerFlowEnd::Drained;
+    return CallerFlowEnd::Broken;
 }
 
 OwnerToken ownerOf(const wire::Packet& packet)
@@ -102,7 +102,7 @@
         m_ackOwed = true;
     }
     if (packet.kind() == wire::PacketKind::Close)
-        finish(FlowEnd::ClosedByPeer);
+        finish(CallerFlowEnd::ClosedByPeer);
 }
 
 // Two copies of one open packet may reach two agents by different balancers before either knows of the other. The first
@@ -134,10 +134,10 @@
 {
     if (m_state == FlowState::Open)
         m_closesOwed.push_back(m_owner);
-    finish(FlowEnd::ClosedHere);
+    finish(CallerFlowEnd::ClosedHere);
 }
 
-void CallerFlow::finish(FlowEnd end)
+void CallerFlow::finish(CallerFlowEnd end)
 {
     if (m_state == FlowState::Ended)
         return;
@@ -162,7 +162,7 @@
 void CallerFlow::takeOpen(std::vector<Bytes>& frames, Millis now)
 {
     if (now - m_startedAt >= m_options.openLimit) {
-        finish(FlowEnd::Unanswered);
+        finish(CallerFlowEnd::Unanswered);
         return;
     }
     if (now < m_openDue)
@@ -189,7 +189,7 @@
 void CallerFlow::takeProbe(std::vector<Bytes>& frames, Millis now)
 {
     if (m_waitingSince && now - *m_waitingSince >= m_options.silenceLimit) {
-        finish(FlowEnd::Silent);
+        finish(CallerFlowEnd::Silent);
         return;
     }
     if (m_probeDue == 0)
--- a/src/libcaller/callerflow.h
+++ b/src/libcaller/callerflow.h
@@ -20,7 +20,7 @@
 };
 
 /// Why a flow ended.
-enum class FlowEnd : std::uint8_t {
+enum class CallerFlowEnd : std::uint8_t {
     None,
     /// Closed by this end, nothing is wrong.
     ClosedHere,
@@ -41,7 +41,7 @@
 };
 
 template <>
-struct EnumNames<FlowEnd> {
+struct EnumNames<CallerFlowEnd> {
     static constexpr std::array<std::string_view, 9> names {
         "none",
         "closedHere",
@@ -56,12 +56,12 @@
 };
 
 /// How a flow in this state ends by a reset with this reason.
-FlowEnd flowEndOfReset(RefusalReason reason, FlowState state);
+CallerFlowEnd flowEndOfReset(RefusalReason reason, FlowState state);
 
 /// Whether an established flow was lost against the promise that it survives.
-constexpr bool isBreak(FlowEnd end)
+constexpr bool isBreak(CallerFlowEnd end)
 {
-    return end == FlowEnd::Broken || end == FlowEnd::Silent;
+    return end == CallerFlowEnd::Broken || end == CallerFlowEnd::Silent;
 }
 
 /// Times in milliseconds.
@@ -110,7 +110,7 @@
     FlowId id() const { return m_options.flow; }
     ServiceAddress service() const { return m_options.service; }
     FlowState state() const { return m_state; }
-    FlowEnd end() const { return m_end; }
+    CallerFlowEnd end() const { return m_end; }
     /// The reason given by the reset that ended the flow.
     RefusalReason lastReason() const { return m_lastReason; }
     /// How long the reset asks to wait before a new flow is opened, in milliseconds.
@@ -122,7 +122,7 @@
 private:
     void handleOpened(const OwnerToken& token);
     void handleReset(const wire::Packet& packet);
-    void finish(FlowEnd end);
+    void finish(CallerFlowEnd end);
     void takeOpen(std::vector<Bytes>& frames, Millis now);
     void takeSegments(std::vector<Bytes>& frames, Millis now);
     void takeProbe(std::vector<Bytes>& frames, Millis now);
@@ -132,7 +132,7 @@
     CallerFlowOptions m_options;
     FlowEndpoint m_endpoint;
     FlowState m_state = FlowState::Opening;
-    FlowEnd m_end = FlowEnd::None;
+    CallerFlowEnd m_end = CallerFlowEnd::None;
     RefusalReason m_lastReason = RefusalReason::None;
     Millis m_retryAfter = 0;
     OwnerToken m_owner;
--- /dev/null
+++ b/tests/caller/testcallprogress.cpp
@@ -0,0 +1,135 @@
+#include "libcaller/callprogress.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace kingcuptrail;
+
+namespace {
+
+constexpr OwnerToken first { .upstream = 1, .incarnation = 1 };
+constexpr OwnerToken second { .upstream = 2, .incarnation = 1 };
+
+/// One call with a full budget.
+struct Story {
+    explicit Story(bool idempotent)
+    {
+        progress.idempotent = idempotent;
+        progress.deadline = 10000;
+        budget.tokens = options.burst;
+    }
+
+    bool retries(const AttemptResult& result, const OwnerToken& owner)
+    {
+        ++progress.tries;
+        last = result;
+        return noteTryEnd(progress, budget, options, result, owner, 100).retry;
+    }
+
+    CallOutcome outcome() const { return outcomeAfter(progress, last); }
+
+    CallProgress progress;
+    RetryBudget budget;
+    RetryOptions options;
+    AttemptResult last;
+};
+
+constexpr AttemptResult refused(Ran ran, RefusalReason reason)
+{
+    return { .ran = ran, .reason = reason };
+}
+
+}
+
+class TestCallProgress : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(TestCallProgress);
+    CPPUNIT_TEST(notRunIsRetriedAndTrue);
+    CPPUNIT_TEST(lostFilingNamesItsEarlierOwner);
+    CPPUNIT_TEST(cutOffUploadHasNotRun);
+    CPPUNIT_TEST(laterNotRunDoesNotSpeakForAnEarlierOwner);
+    CPPUNIT_TEST(begunStreamIsNotBegunAgain);
+    CPPUNIT_TEST(givenUpOutcomes);
+    CPPUNIT_TEST(agentIsGivenLessTime);
+    CPPUNIT_TEST_SUITE_END();
+
+    void notRunIsRetriedAndTrue()
+    {
+        Story filing(false);
+        CPPUNIT_ASSERT(filing.retries(refused(Ran::No, RefusalReason::QueueFull), first));
+        CPPUNIT_ASSERT(filing.progress.earlier.empty());
+        CPPUNIT_ASSERT(filing.outcome() == CallOutcome::RefusedNotRun);
+        CPPUNIT_ASSERT(!filing.retries(refused(Ran::Yes, RefusalReason::AlreadyRan), first));
+        CPPUNIT_ASSERT(filing.outcome() == CallOutcome::RefusedRan);
+    }
+
+    // A contractor's Filing is sent whole, then its flow goes silent. Sent again without a word of the first owner, it
+    // could run twice and book the same trench twice: the new try must name that owner, and each further one too.
+    void lostFilingNamesItsEarlierOwner()
+    {
+        Story filing(false);
+        CPPUNIT_ASSERT(filing.retries(attemptLostWithFlow(RefusalReason::FlowSilent, 0, true), first));
+        CPPUNIT_ASSERT((filing.progress.earlier == std::vector<OwnerToken> { first }));
+        CPPUNIT_ASSERT(filing.retries(attemptLostWithFlow(RefusalReason::OwnerGone, 0, true), second));
+        CPPUNIT_ASSERT((filing.progress.earlier == std::vector<OwnerToken> { first, second }));
+        CPPUNIT_ASSERT(!filing.retries(refused(Ran::Unknown, RefusalReason::EarlierAttemptUnknown), second));
+        CPPUNIT_ASSERT(filing.outcome() == CallOutcome::OutcomeUnknown);
+        Story refusedUnknown(false);
+        CPPUNIT_ASSERT(!refusedUnknown.retries(refused(Ran::Unknown, RefusalReason::UpstreamLost), first));
+    }
+
+    void cutOffUploadHasNotRun()
+    {
+        Story filing(false);
+        CPPUNIT_ASSERT(filing.retries(attemptLostWithFlow(RefusalReason::OwnerGone, 0, false), first));
+        CPPUNIT_ASSERT(filing.progress.earlier.empty());
+        CPPUNIT_ASSERT(filing.outcome() == CallOutcome::RefusedNotRun);
+    }
+
+    // A Filing is lost with its flow, and the retry is refused as not run because that upstream's queue is full. The
+    // first owner may have run it: told "not run", the contractor would file again and pay twice.
+    void laterNotRunDoesNotSpeakForAnEarlierOwner()
+    {
+        Story filing(false);
+        filing.retries(attemptLostWithFlow(RefusalReason::FlowSilent, 0, true), first);
+        filing.retries(refused(Ran::No, RefusalReason::QueueFull), second);
+        CPPUNIT_ASSERT(filing.outcome() == CallOutcome::OutcomeUnknown);
+        CPPUNIT_ASSERT(outcomeGivenUp(filing.progress, true, false) == CallOutcome::OutcomeUnknown);
+    }
+
+    void begunStreamIsNotBegunAgain()
+    {
+        Story feed(true);
+        feed.progress.streamBegan = true;
+        CPPUNIT_ASSERT(!feed.retries(attemptLostWithFlow(RefusalReason::OwnerGone, 0, true), first));
+        CPPUNIT_ASSERT(feed.outcome() == CallOutcome::StreamBroken);
+    }
+
+    void givenUpOutcomes()
+    {
+        struct Row {
+            bool idempotent;
+            bool byDeadline;
+            bool bodySent;
+            CallOutcome outcome;
+        };
+        constexpr Row rows[] {
+            { true, true, true, CallOutcome::DeadlinePassed },
+            { true, true, false, CallOutcome::RefusedNotRun },
+            { true, false, true, CallOutcome::Cancelled },
+            { false, true, true, CallOutcome::OutcomeUnknown },
+            { false, true, false, CallOutcome::RefusedNotRun },
+            { false, false, true, CallOutcome::OutcomeUnknown },
+            { false, false, false, CallOutcome::Cancelled },
+        };
+        for (const Row& row : rows)
+            CPPUNIT_ASSERT(outcomeGivenUp(Story(row.idempotent).progress, row.byDeadline, row.bodySent) == row.outcome);
+    }
+
+    void agentIsGivenLessTime()
+    {
+        CPPUNIT_ASSERT_EQUAL(Millis { 9950 }, agentDeadline(10000));
+        CPPUNIT_ASSERT_EQUAL(Millis { 90 }, agentDeadline(100));
+        CPPUNIT_ASSERT_EQUAL(Millis { 1 }, agentDeadline(-5));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestCallProgress);
--- a/tests/standins/fabric/fabric.cpp
+++ b/tests/standins/fabric/fabric.cpp
@@ -6,6 +6,8 @@
 
     constexpr Millis tickInterval = 50;
     constexpr Millis dialTimeout = 1000;
+    /// Heartbeats a balancer may miss, at the interval that it announces.
+    constexpr Millis missedHeartbeats = 5;
 
     Bytes hello()
     {
@@ -118,6 +120,8 @@
     Balancer& balancer = *m_balancers[index];
     if (frame.body_as_Hello())
         balancer.ready = true;
+    if (const auto* beat = frame.body_as_Heartbeat())
+        balancer.link->setSilenceLimit(std::max<Millis>(m_options.linkSilence, missedHeartbeats * beat->interval()));
     if (frame.body_as_Goodbye()) {
         balancer.link->close(true);
         lose(index);
