--- a/src/libruntime/schemacheck.cpp
+++ b/src/libruntime/schemacheck.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <valijson/adapters/nlohmann_json_adapter.hpp>
 #include <valijson/schema.hpp>
 #include <valijson/schema_parser.hpp>
@@ -70,6 +71,17 @@
         return fault;
     }
 
+    /// The library compares a number of the wrong type all the same; one fault for it is enough.
+    void dropRangeOfWrongTypes(std::vector<Fault>& faults)
+    {
+        std::set<std::string> wrongTypes;
+        for (const Fault& fault : faults) {
+            if (fault.kind == FaultKind::WrongType)
+                wrongTypes.insert(fault.place);
+        }
+        std::erase_if(faults, [&](const Fault& fault) { return fault.kind == FaultKind::OutOfRange && wrongTypes.contains(fault.place); });
+    }
+
 }
 
 void checkAgainstSchema(const nlohmann::json& document, std::string_view schemaText, std::vector<Fault>& faults)
@@ -80,11 +92,14 @@
     valijson::SchemaParser(valijson::SchemaParser::kDraft7).populateSchema(Adapter(schemaDocument), schema);
     valijson::ValidationResults results;
     valijson::Validator(valijson::Validator::kStrongTypes).validate(schema, Adapter(document), &results);
+    std::vector<Fault> found;
     valijson::ValidationResults::Error error;
     while (results.popError(error)) {
         if (!repeatsInnerFault(error.description))
-            faults.push_back(toFault(error));
+            found.push_back(toFault(error));
     }
+    dropRangeOfWrongTypes(found);
+    faults.insert(faults.end(), found.begin(), found.end());
 }
 
 }
--- /dev/null
+++ b/tests/runtime/testsettings.cpp
@@ -0,0 +1,103 @@
+#include "libruntime/settings.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+
+using namespace kingcuptrail;
+using nlohmann::json;
+
+namespace {
+
+struct FaultCase {
+    const char* patch;
+    std::vector<std::pair<FaultKind, const char*>> faults;
+};
+
+}
+
+class TestSettings : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(TestSettings);
+    CPPUNIT_TEST(goodFilesAreRead);
+    CPPUNIT_TEST(everyFaultIsListed);
+    CPPUNIT_TEST(endpointsNeedNumberAndPort);
+    CPPUNIT_TEST_SUITE_END();
+
+    static json balancer()
+    {
+        return json::parse(R"({"role":"balancer","name":"b1","dataCentre":"north","listen":"127.0.0.1:7001",
+            "admin":"127.0.0.1:0","platform":"127.0.0.1:7000","heartbeatMs":400})");
+    }
+
+    static json agent()
+    {
+        json document = balancer();
+        document["role"] = "agent";
+        document["agent"] = json::parse(R"({"upstreamName":"board-1","service":"board","upstream":"127.0.0.1:9001","leaseMs":9000})");
+        return document;
+    }
+
+    void goodFilesAreRead()
+    {
+        std::vector<Fault> faults;
+        const auto settings = parseSettings(agent().dump(), faults);
+        CPPUNIT_ASSERT(settings && faults.empty());
+        CPPUNIT_ASSERT(settings->role == DaemonRole::Agent);
+        CPPUNIT_ASSERT_EQUAL(Millis { 400 }, settings->heartbeat);
+        CPPUNIT_ASSERT_EQUAL(Millis { 2500 }, settings->linkSilence);
+        CPPUNIT_ASSERT_EQUAL(Millis { 9000 }, settings->agent.lease);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t { 9001 }, settings->agent.upstream.port());
+        CPPUNIT_ASSERT(parseSettings(balancer().dump(), faults));
+    }
+
+    void everyFaultIsListed()
+    {
+        using enum FaultKind;
+        const std::vector<FaultCase> cases {
+            { R"({"name":null,"dataCentre":null})", { { MissingField, "/name" }, { MissingField, "/dataCentre" } } },
+            { R"({"colour":"red","agent":{"size":1},"x":2})", { { UnknownField, "/colour" }, { UnknownField, "/agent/size" }, { UnknownField, "/x" } } },
+            { R"({"heartbeatMs":"500","listen":7001})", { { WrongType, "/heartbeatMs" }, { WrongType, "/listen" } } },
+            { R"({"heartbeatMs":1.5})", { { WrongType, "/heartbeatMs" } } },
+            { R"({"heartbeatMs":5,"logLevel":"loud","role":"proxy"})", { { OutOfRange, "/heartbeatMs" }, { OutOfRange, "/logLevel" }, { OutOfRange, "/role" } } },
+            { R"({"agent":{"leaseMs":0,"healthPath":"health","upstreamName":"a b"}})", { { OutOfRange, "/agent/leaseMs" }, { OutOfRange, "/agent/healthPath" }, { OutOfRange, "/agent/upstreamName" } } },
+            { R"({"listen":"host:1","platform":"127.0.0.1:0","agent":{"upstream":"127.0.0.1:70000"}})", { { BadAddress, "/listen" }, { BadAddress, "/platform" }, { BadAddress, "/agent/upstream" } } },
+            { R"({"admin":"127.0.0.1:7001"})", { { OverlappingAddress, "/admin" } } },
+            { R"({"agent":{"upstream":"127.0.0.1:7001"}})", { { OverlappingAddress, "/agent/upstream" } } },
+            { R"({"agent":null})", { { MissingField, "/agent" } } },
+            { R"({"role":"balancer"})", { { Inconsistent, "/agent" } } },
+            { R"({"heartbeatMs":500,"linkSilenceMs":1000})", { { Inconsistent, "/linkSilenceMs" } } },
+            { R"({"agent":{"drainIdleMs":2000,"drainLimitMs":1000}})", { { Inconsistent, "/agent/drainIdleMs" } } },
+        };
+        for (const FaultCase& oneCase : cases) {
+            json document = agent();
+            document.merge_patch(json::parse(oneCase.patch));
+            expectFaults(document.dump(), oneCase.patch, oneCase.faults);
+        }
+        expectFaults("{\"role\":", "truncated", { { NotJson, "" } });
+        expectFaults("[]", "array", { { WrongType, "" } });
+        expectFaults(std::string(70000, ' ') + balancer().dump(), "large", { { OutOfRange, "" } });
+    }
+
+    static void expectFaults(const std::string& text, const std::string& name, const std::vector<std::pair<FaultKind, const char*>>& expected)
+    {
+        std::vector<Fault> faults;
+        CPPUNIT_ASSERT_MESSAGE(name, !parseSettings(text, faults));
+        std::string listed = name + " gave";
+        for (const Fault& fault : faults)
+            listed.append(" ").append(nameOf(fault.kind)).append(" ").append(fault.place);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(listed, expected.size(), faults.size());
+        for (const auto& one : expected) {
+            const auto matches = [&](const Fault& fault) { return fault.kind == one.first && fault.place == one.second; };
+            CPPUNIT_ASSERT_MESSAGE(listed, std::ranges::any_of(faults, matches));
+        }
+    }
+
+    void endpointsNeedNumberAndPort()
+    {
+        for (const char* text : { "127.0.0.1:80", "[::1]:80", "10.0.0.1:0" })
+            CPPUNIT_ASSERT_MESSAGE(text, parseEndpoint(text));
+        for (const char* text : { "", ":", "127.0.0.1", "127.0.0.1:", "127.0.0.1:-1", "127.0.0.1:80x", "127.0.0.1:65536", "::1:80", "[127.0.0.1]:80", "localhost:80" })
+            CPPUNIT_ASSERT_MESSAGE(text, !parseEndpoint(text));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestSettings);
