--- a/src/kingcuptraild/agent/agent.cpp
+++ b/src/kingcuptraild/agent/agent.cpp
@@ -61,7 +61,8 @@
     m_role.config.addListener([this](const Config& current, const Config& previous) { handleConfig(current, previous); });
     m_role.root.add({ .name = "config", .make = [this](FailureHandler) { return std::make_unique<ConfigFollower>(m_role, ConfigFollower::Mode::Once); } });
     m_role.root.add({ .name = "balancers", .make = [this](FailureHandler onFailure) {
-                         return std::make_unique<Listener>(m_role.context, m_role.settings.listen, LinkOptions { .silenceLimit = m_role.settings.linkSilence },
+                         return std::make_unique<Listener>(
+                             m_role.context, m_role.settings.listen, LinkOptions { .silenceLimit = m_role.settings.linkSilence },
                              [this](std::shared_ptr<Link> link) { acceptBalancer(std::move(link)); }, std::move(onFailure));
                      } });
     m_role.root.add({ .name = "announcer", .make = [this](FailureHandler) { return std::make_unique<AnnouncerChild>(*this); } });
--- a/src/kingcuptraild/balancer/balancer.cpp
+++ b/src/kingcuptraild/balancer/balancer.cpp
@@ -1,9 +1,9 @@
 #include "balancer.h"
 
 #include "agentconnection.h"
-#include "libdecision/pacing.h"
 #include "kingcuptraild/listener.h"
 #include "kingcuptraild/watchers.h"
+#include "libdecision/pacing.h"
 #include "libruntime/events.h"
 
 #include <algorithm>
@@ -55,7 +55,8 @@
                          return std::make_unique<PresenceFollower>(m_role, [this](const std::vector<Presence>& presences) { handlePresence(presences); });
                      } });
     m_role.root.add({ .name = "fabric", .make = [this](FailureHandler onFailure) {
-                         return std::make_unique<Listener>(m_role.context, m_role.settings.listen, LinkOptions { .silenceLimit = m_role.settings.linkSilence },
+                         return std::make_unique<Listener>(
+                             m_role.context, m_role.settings.listen, LinkOptions { .silenceLimit = m_role.settings.linkSilence },
                              [this](std::shared_ptr<Link> link) { acceptFabric(std::move(link)); }, std::move(onFailure));
                      } });
 }
--- /dev/null
+++ b/src/libhistory/checkconfig.cpp
@@ -0,0 +1,70 @@
+#include "checks.h"
+
+#include <algorithm>
+
+namespace kingcuptrail {
+
+namespace {
+
+    void checkOrder(const CheckContext& context, const std::string& process, const DaemonRecord& daemon)
+    {
+        const HistoryEvent* newest = nullptr;
+        for (const HistoryEvent* config : daemon.configs) {
+            if (newest && config->version < newest->version)
+                context.report(Promise::ConfigNeverReverts, process + " went back to an older configuration", { newest, config });
+            else
+                newest = config;
+        }
+    }
+
+    /// When the daemon had to have the version: later when it started later, or when the platform was down meanwhile and
+    /// the news could reach nobody.
+    Millis deadlineFor(const CheckContext& context, const DaemonRecord& daemon, const HistoryEvent& accepted)
+    {
+        Millis begin = accepted.at;
+        const bool isKnownBefore = !daemon.configs.empty() && daemon.configs.front()->at <= accepted.at;
+        if (!daemon.starts.empty() && !isKnownBefore)
+            begin = std::max(begin, daemon.starts.front()->at);
+        for (const HistorySpan& span : context.index.platformFaults) {
+            if (span.overlaps(begin, begin + context.options.configBound))
+                begin = std::max(begin, span.until);
+        }
+        return begin + context.options.configBound;
+    }
+
+    bool wasAbsent(const DaemonRecord& daemon, Millis start, Millis end)
+    {
+        return std::ranges::any_of(daemon.absences, [&](const HistorySpan& span) { return span.overlaps(start, end); });
+    }
+
+    bool hadInTime(const DaemonRecord& daemon, ConfigVersion version, Millis deadline)
+    {
+        return std::ranges::any_of(daemon.configs, [&](const HistoryEvent* config) { return config->version >= version && config->at <= deadline; });
+    }
+
+    void checkReach(const CheckContext& context, const HistoryEvent& accepted)
+    {
+        if (accepted.version == 0)
+            return;
+        for (const auto& [process, daemon] : context.index.daemons) {
+            if (daemon.configs.empty() && daemon.starts.empty())
+                continue;
+            const Millis deadline = deadlineFor(context, daemon, accepted);
+            if (deadline > context.index.end || wasAbsent(daemon, accepted.at, deadline))
+                continue;
+            if (!hadInTime(daemon, accepted.version, deadline))
+                context.report(Promise::ConfigNeverReverts, process + " did not have version " + std::to_string(accepted.version) + " in time", { &accepted });
+        }
+    }
+
+}
+
+void checkConfigs(const CheckContext& context)
+{
+    for (const auto& [process, daemon] : context.index.daemons)
+        checkOrder(context, process, daemon);
+    for (const HistoryEvent* accepted : context.index.accepted)
+        checkReach(context, *accepted);
+}
+
+}
--- /dev/null
+++ b/src/libhistory/checkmembership.cpp
@@ -0,0 +1,75 @@
+#include "checks.h"
+
+#include <algorithm>
+
+namespace kingcuptrail {
+
+namespace {
+
+    /// The span that holds a moment later than `settle` after its beginning.
+    const HistorySpan* settledSpanAt(const std::map<std::string, std::vector<HistorySpan>>& spans, const std::string& name, Millis at, Millis settle)
+    {
+        const auto found = spans.find(name);
+        if (found == spans.end())
+            return nullptr;
+        for (const HistorySpan& span : found->second) {
+            if (at > span.from() + settle && at < span.until)
+                return &span;
+        }
+        return nullptr;
+    }
+
+    bool reachesUpstream(const HistoryEvent& event)
+    {
+        return event.kind == HistoryKind::UpstreamWorkBegan || event.kind == HistoryKind::UpstreamPacket;
+    }
+
+    /// Whether a call with this key was under way already when the drain began: its work is not new.
+    bool wasSentBefore(const HistoryIndex& index, const std::string& key, Millis at)
+    {
+        const auto calls = index.callsByKey.find(key);
+        if (calls == index.callsByKey.end())
+            return false;
+        return std::ranges::any_of(calls->second, [at](const CallRecord& call) {
+            return call.sent->at < at && (!call.outcome || call.outcome->at >= at);
+        });
+    }
+
+}
+
+void checkFlows(const CheckContext& context)
+{
+    for (const auto& [id, flow] : context.index.flows) {
+        if (!flow.opened || !flow.ended || flow.ended->kind == HistoryKind::FlowClosed)
+            continue;
+        if (!context.index.isExcused(flow.upstream, flow.opened->at, flow.ended->at))
+            context.report(Promise::FlowSurvives, "flow " + std::to_string(id) + " ended though neither its upstream failed nor its data centre was out", { flow.opened, flow.ended });
+    }
+}
+
+void checkOutages(const CheckContext& context)
+{
+    for (const HistoryEvent& event : context.events) {
+        if (!reachesUpstream(event))
+            continue;
+        if (const HistorySpan* span = settledSpanAt(context.index.outages, event.dataCentre, event.at, context.options.settle))
+            context.report(Promise::OutSilent, "data centre " + event.dataCentre + " was out and got a packet", { span->began, &event });
+    }
+}
+
+void checkLeavers(const CheckContext& context)
+{
+    for (const HistoryEvent& event : context.events) {
+        if (event.kind != HistoryKind::FlowOpened && event.kind != HistoryKind::UpstreamWorkBegan)
+            continue;
+        const std::string upstream = context.index.upstreamOf(event);
+        const HistorySpan* span = settledSpanAt(context.index.drains, upstream, event.at, context.options.settle);
+        if (!span)
+            continue;
+        const bool isOldWork = event.kind == HistoryKind::UpstreamWorkBegan && wasSentBefore(context.index, event.key, span->from());
+        if (!isOldWork)
+            context.report(Promise::LeaverNoNewWork, "leaving upstream " + upstream + " got new work", { span->began, &event });
+    }
+}
+
+}
--- /dev/null
+++ b/src/libhistory/checks.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "checker.h"
+#include "historyindex.h"
+
+namespace kingcuptrail {
+
+/// What every check reads and where it reports.
+struct CheckContext {
+    const std::vector<HistoryEvent>& events;
+    const HistoryIndex& index;
+    const CheckOptions& options;
+    std::vector<Violation>& violations;
+
+    /// Null events are left out.
+    void report(Promise promise, std::string text, std::initializer_list<const HistoryEvent*> shownBy) const;
+};
+
+void checkFlows(const CheckContext& context);
+void checkOutages(const CheckContext& context);
+void checkLeavers(const CheckContext& context);
+
+void checkRouting(const CheckContext& context);
+void checkColdStarts(const CheckContext& context);
+
+void checkAnswers(const CheckContext& context);
+void checkRefusals(const CheckContext& context);
+void checkSingleRuns(const CheckContext& context);
+void checkShutdowns(const CheckContext& context);
+
+void checkConfigs(const CheckContext& context);
+
+}
