--- /dev/null
+++ b/src/libplatform/announcer.cpp
@@ -0,0 +1,328 @@
+#include "announcer.h"
+
+#include "delay.h"
+#include "lease.h"
+#include "randomid.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace kingcuptrail {
+
+namespace {
+
+    using nlohmann::json;
+
+    /// A renewal each third of the lease: two may be lost before the lease lapses.
+    constexpr Millis renewalsPerLease = 3;
+
+    /// A presence object with the name of the process that wrote it, which other readers ignore.
+    struct PresenceRecord {
+        Presence presence;
+        std::string announceId;
+    };
+
+    std::string toJson(const PresenceRecord& record)
+    {
+        json document = json::parse(toJson(record.presence));
+        document["announceId"] = record.announceId;
+        return document.dump();
+    }
+
+    std::optional<PresenceRecord> parseRecord(const std::optional<std::string>& text)
+    {
+        auto presence = text ? parsePresence(*text) : std::nullopt;
+        if (!presence)
+            return std::nullopt;
+        const json document = json::parse(*text, nullptr, false);
+        return PresenceRecord { .presence = std::move(*presence), .announceId = document.value("announceId", std::string()) };
+    }
+
+}
+
+/// One platform call at a time: step() looks at what is known and does the next thing that is missing. A failed call
+/// makes what it touched unknown again, so that the next step reads it back before it writes; a lost answer is settled
+/// by that.
+struct Announcer::Private {
+    Private(asio::io_context& ioContext, const PlatformOptions& platformOptions, Presence wantedPresence, Handlers announcerHandlers)
+        : client(ioContext, platformOptions)
+        , delay(ioContext)
+        , limit(ioContext)
+        , backoff(platformOptions.retryFirst, std::clamp<Millis>(wantedPresence.lease / 6, 1, platformOptions.retryMax))
+        , wanted(std::move(wantedPresence))
+        , handlers(std::move(announcerHandlers))
+        , announceId(makeRandomId())
+    {
+        wanted.token.incarnation = 0;
+    }
+
+    void step();
+    void stepSoon()
+    {
+        delay.start(0, [this] { step(); });
+    }
+    void readLease();
+    void handleLease(const LeaseRecord& lease, ObjectVersion version);
+    void readPresence();
+    void handlePresence(const std::optional<PresenceRecord>& record, ObjectVersion version);
+    void writePresence();
+    void writeLease();
+    void removePresence();
+    void renewLater();
+    void retry(PlatformError error);
+    void succeed();
+    void fence(const OwnerToken& newer);
+    void finishWithdrawal();
+
+    bool isMine(const LeaseRecord& lease) const { return lease.announceId == announceId; }
+
+    PlatformClient client;
+    Delay delay;
+    Delay limit;
+    Backoff backoff;
+    Presence wanted;
+    Handlers handlers;
+    std::string announceId;
+    std::function<void()> onWithdrawn;
+
+    /// Versions of the two objects as last read or written; nothing when they must be read before the next write.
+    std::optional<ObjectVersion> presenceVersion;
+    std::optional<ObjectVersion> leaseVersion;
+    /// What the presence object holds, if it is ours.
+    std::optional<Presence> written;
+    /// The highest incarnation that was given out by anyone, as far as read.
+    Incarnation highest = 0;
+    std::uint64_t renewals = 0;
+    Millis renewalsSinceCheck = 0;
+    bool hasLease = false;
+    bool isRenewalDue = false;
+    /// Whether nothing is to be done until the next renewal.
+    bool isIdle = false;
+    bool isWithdrawing = false;
+    bool isStopped = false;
+    PlatformError lastReason = PlatformError::None;
+};
+
+void Announcer::Private::step()
+{
+    isIdle = false;
+    if (isStopped)
+        return;
+    if (!leaseVersion)
+        readLease();
+    else if (!presenceVersion)
+        readPresence();
+    else if (isWithdrawing && !written)
+        finishWithdrawal();
+    else if (isWithdrawing && hasLease)
+        removePresence();
+    else if (!written || (!isWithdrawing && written->state != wanted.state))
+        writePresence();
+    else if (!hasLease || isRenewalDue)
+        writeLease();
+    else
+        renewLater();
+}
+
+void Announcer::Private::readLease()
+{
+    client.get(leaseKind, wanted.upstream, [this](const std::optional<PlatformObject>& object, PlatformError error) {
+        if (!object && error != PlatformError::NotFound) {
+            retry(error);
+            return;
+        }
+        const auto lease = object && object->value ? parseLease(*object->value) : std::nullopt;
+        handleLease(lease.value_or(LeaseRecord {}), object ? object->version : 0);
+    });
+}
+
+void Announcer::Private::handleLease(const LeaseRecord& lease, ObjectVersion version)
+{
+    leaseVersion = version;
+    highest = std::max(highest, lease.incarnation);
+    hasLease = isMine(lease) && lease.incarnation == wanted.token.incarnation;
+    // Failure: this process was paused for longer than its lease, and another has spoken for the upstream since. It
+    // shows as a lease of a larger incarnation. Going on would give two owners to one upstream's work.
+    if (wanted.token.incarnation != 0 && lease.incarnation > wanted.token.incarnation)
+        fence({ wanted.token.upstream, lease.incarnation });
+    else
+        step();
+}
+
+void Announcer::Private::readPresence()
+{
+    client.get(presenceKind, wanted.upstream, [this](const std::optional<PlatformObject>& object, PlatformError error) {
+        if (!object && error != PlatformError::NotFound) {
+            retry(error);
+            return;
+        }
+        handlePresence(object ? parseRecord(object->value) : std::nullopt, object ? object->version : 0);
+    });
+}
+
+void Announcer::Private::handlePresence(const std::optional<PresenceRecord>& record, ObjectVersion version)
+{
+    presenceVersion = version;
+    renewalsSinceCheck = 0;
+    const bool isOurs = record && record->announceId == announceId;
+    if (record)
+        highest = std::max(highest, record->presence.token.incarnation);
+    if (record && !isOurs && wanted.token.incarnation != 0 && record->presence.token.incarnation >= wanted.token.incarnation) {
+        fence(record->presence.token);
+        return;
+    }
+    const bool isNew = isOurs && wanted.token.incarnation == 0;
+    if (isOurs) {
+        wanted.token.incarnation = record->presence.token.incarnation;
+        written = record->presence;
+    } else {
+        written.reset();
+    }
+    stepSoon();
+    if (isNew && handlers.onAnnounced)
+        handlers.onAnnounced(*written);
+}
+
+// The incarnation is given out here: one above all that were read, under the condition that the object is still what
+// was read. Of two processes that read the same, one fails the condition and reads again. Once given out it is kept: an
+// announcement that somebody deleted is written again as it was, since flows hold its token.
+void Announcer::Private::writePresence()
+{
+    const bool isFirst = wanted.token.incarnation == 0;
+    PresenceRecord record { .presence = wanted, .announceId = announceId };
+    if (isFirst)
+        record.presence.token.incarnation = highest + 1;
+    const std::string value = toJson(record);
+    client.put(presenceKind, wanted.upstream, value, *presenceVersion, [this, isFirst, presence = record.presence](const std::optional<ObjectVersion>& version, PlatformError error) {
+        if (!version) {
+            presenceVersion.reset();
+            leaseVersion.reset();
+            retry(error);
+            return;
+        }
+        presenceVersion = version;
+        wanted.token = presence.token;
+        written = presence;
+        succeed();
+        if (isFirst && handlers.onAnnounced)
+            handlers.onAnnounced(presence);
+    });
+}
+
+void Announcer::Private::writeLease()
+{
+    const LeaseRecord lease { .incarnation = wanted.token.incarnation, .renewals = renewals, .announceId = announceId };
+    client.put(leaseKind, wanted.upstream, toJson(lease), *leaseVersion, [this](const std::optional<ObjectVersion>& version, PlatformError error) {
+        if (!version) {
+            leaseVersion.reset();
+            presenceVersion.reset();
+            retry(error);
+            return;
+        }
+        leaseVersion = version;
+        hasLease = true;
+        isRenewalDue = false;
+        ++renewals;
+        // Once a lease the announcement is read too: nothing else would show that somebody deleted it.
+        if (++renewalsSinceCheck >= renewalsPerLease)
+            presenceVersion.reset();
+        succeed();
+    });
+}
+
+void Announcer::Private::removePresence()
+{
+    client.remove(presenceKind, wanted.upstream, *presenceVersion, [this](const std::optional<ObjectVersion>& version, PlatformError error) {
+        if (version || error == PlatformError::NotFound) {
+            finishWithdrawal();
+            return;
+        }
+        presenceVersion.reset();
+        retry(error);
+    });
+}
+
+void Announcer::Private::renewLater()
+{
+    isIdle = true;
+    delay.start(std::max<Millis>(wanted.lease / renewalsPerLease, 1), [this] {
+        isRenewalDue = true;
+        step();
+    });
+}
+
+void Announcer::Private::retry(PlatformError error)
+{
+    lastReason = error;
+    delay.start(backoff.next(), [this] { step(); });
+}
+
+void Announcer::Private::succeed()
+{
+    lastReason = PlatformError::None;
+    backoff.reset();
+    stepSoon();
+}
+
+void Announcer::Private::fence(const OwnerToken& newer)
+{
+    if (isWithdrawing) {
+        finishWithdrawal();
+        return;
+    }
+    isStopped = true;
+    delay.cancel();
+    if (handlers.onFenced)
+        handlers.onFenced(newer);
+}
+
+void Announcer::Private::finishWithdrawal()
+{
+    isStopped = true;
+    delay.cancel();
+    limit.cancel();
+    client.cancelAll();
+    const auto done = std::move(onWithdrawn);
+    onWithdrawn = nullptr;
+    if (done)
+        done();
+}
+
+Announcer::Announcer(asio::io_context& context, const PlatformOptions& options, Presence wanted, Handlers handlers)
+    : m_d(std::make_unique<Private>(context, options, std::move(wanted), std::move(handlers)))
+{
+    m_d->step();
+}
+
+Announcer::~Announcer() = default;
+
+void Announcer::setState(MemberState state)
+{
+    m_d->wanted.state = state;
+    // A call under way ends in a step of its own; only the wait for the next renewal is cut short.
+    if (m_d->isIdle && m_d->written && m_d->written->state != state)
+        m_d->stepSoon();
+}
+
+void Announcer::withdraw(Millis limit, std::function<void()> done)
+{
+    m_d->onWithdrawn = std::move(done);
+    if (m_d->isStopped) {
+        m_d->delay.start(0, [this] { m_d->finishWithdrawal(); });
+        return;
+    }
+    m_d->isWithdrawing = true;
+    m_d->limit.start(limit, [this] { m_d->finishWithdrawal(); });
+    // Whatever was under way may or may not take effect: both objects are read again first.
+    m_d->client.cancelAll();
+    m_d->presenceVersion.reset();
+    m_d->leaseVersion.reset();
+    m_d->stepSoon();
+}
+
+PlatformError Announcer::lastReason() const
+{
+    return m_d->lastReason;
+}
+
+}
--- a/src/libplatform/config.h
+++ b/src/libplatform/config.h
@@ -69,8 +69,11 @@
     std::string name;
     /// Taken out by operators: gets no packets, and flows that end there are given up.
     bool out = false;
+    /// Whether the file said which; an apply leaves a data centre whose state is not stated as it is, so that a file
+    /// written before an operator took the data centre out does not bring it back.
+    bool outStated = true;
 
-    bool operator==(const DataCentreConfig&) const = default;
+    bool operator==(const DataCentreConfig& other) const { return name == other.name && out == other.out; }
 };
 
 /// A whole configuration, as operators apply it.
@@ -92,6 +95,14 @@
 /// The canonical JSON of a configuration, version included; parseConfig() reads it back.
 std::string toJson(const Config& config);
 
+/// The same configuration with services, data centres and each service's data centres in the order of their names.
+Config normalised(Config config);
+
+/// The canonical JSON of one service, as its immutable object in the platform holds it.
+std::string toJson(const ServiceConfig& service);
+/// Reads a service's object back; nothing when it is not one.
+std::optional<ServiceConfig> parseService(std::string_view json);
+
 /// Parses "127.0.0.1:80"; nothing when it is not an IPv4 address and port.
 std::optional<ServiceAddress> parseServiceAddress(std::string_view text);
 std::string toString(ServiceAddress address);
--- /dev/null
+++ b/src/libplatform/configapply.cpp
@@ -0,0 +1,322 @@
+#include "configapply.h"
+
+#include "configreader.h"
+#include "delay.h"
+#include "manifest.h"
+#include "randomid.h"
+
+#include <algorithm>
+#include <set>
+
+namespace kingcuptrail {
+
+namespace {
+
+    /// How often a reading begins again because the manifest was replaced under it.
+    constexpr unsigned maxFetchRounds = 5;
+
+    std::vector<DataCentreConfig> withState(std::vector<DataCentreConfig> dataCentres, const std::string& name, bool out)
+    {
+        for (DataCentreConfig& dataCentre : dataCentres) {
+            if (dataCentre.name == name)
+                dataCentre.out = out;
+        }
+        return dataCentres;
+    }
+
+}
+
+/// A change goes through: read the manifest, make the next one of it, write missing service objects, write the manifest.
+/// Every failure that leaves the outcome open goes back to the reading.
+struct ConfigApply::Private {
+    Private(asio::io_context& context, const PlatformOptions& options, ApplyOptions changeOptions)
+        : client(context, options)
+        , delay(context)
+        , limit(context)
+        , backoff(options.retryFirst, options.retryMax)
+        , applyOptions(std::move(changeOptions))
+    {
+        if (applyOptions.applyId.empty())
+            applyOptions.applyId = makeRandomId();
+    }
+
+    void start(Handler onDone);
+    void readManifest();
+    void handleManifest(const PlatformObject& object);
+    /// The manifest to write next; nothing when the change has ended instead.
+    std::optional<Manifest> makeNext(const Manifest& present);
+    std::optional<Manifest> makeNextOfConfig(const Manifest& present);
+    std::optional<Manifest> makeNextOfState(const Manifest& present);
+    void writeServices();
+    void writeManifest();
+    void handleTrouble(PlatformError error);
+    void handleLimit();
+    void finish(ApplyError error, ConfigVersion version, bool changed = false);
+
+    PlatformClient client;
+    Delay delay;
+    Delay limit;
+    Backoff backoff;
+    ApplyOptions applyOptions;
+    Handler handler;
+
+    /// What is wanted: a whole configuration, or one data centre's state.
+    std::optional<Config> wanted;
+    std::string dataCentre;
+    bool out = false;
+
+    /// What this change was decided on, as first read.
+    std::optional<Manifest> basis;
+    ObjectVersion basisObject = 0;
+    Manifest next;
+    ObjectVersion presentObject = 0;
+    std::map<std::string, std::string> servicesToWrite;
+    std::set<std::string> servicesWritten;
+    /// Whether a manifest write may have taken effect without an answer.
+    bool isOutcomeOpen = false;
+    PlatformError platformError = PlatformError::None;
+};
+
+void ConfigApply::Private::start(Handler onDone)
+{
+    handler = std::move(onDone);
+    limit.start(applyOptions.limit, [this] { handleLimit(); });
+    readManifest();
+}
+
+void ConfigApply::Private::readManifest()
+{
+    client.get(manifestKind, manifestName, [this](const std::optional<PlatformObject>& object, PlatformError error) {
+        if (object)
+            handleManifest(*object);
+        else if (error == PlatformError::NotFound)
+            handleManifest({ .name = manifestName, .version = 0, .value = toJson(Manifest {}) });
+        else
+            handleTrouble(error);
+    });
+}
+
+// Failure: the answer to the manifest's write was lost after it took effect, and a second write would be refused as a
+// conflict with the first. It shows as this change's id among the manifest's recent applies; it is then accepted, also
+// when others were accepted since.
+void ConfigApply::Private::handleManifest(const PlatformObject& object)
+{
+    const auto present = object.value ? parseManifest(*object.value) : std::nullopt;
+    if (!present) {
+        finish(ApplyError::BadManifest, 0);
+        return;
+    }
+    if (const auto accepted = present->versionOf(applyOptions.applyId)) {
+        finish(ApplyError::None, *accepted, true);
+        return;
+    }
+    if (!basis) {
+        basis = present;
+        basisObject = object.version;
+    }
+    presentObject = object.version;
+    auto made = makeNext(*present);
+    if (!made)
+        return;
+    next = std::move(*made);
+    writeServices();
+}
+
+std::optional<Manifest> ConfigApply::Private::makeNext(const Manifest& present)
+{
+    auto made = wanted ? makeNextOfConfig(present) : makeNextOfState(present);
+    if (!made)
+        return std::nullopt;
+    if (made->services == present.services && made->dataCentres == present.dataCentres && present.version > 0) {
+        finish(ApplyError::None, present.version);
+        return std::nullopt;
+    }
+    if (isAllOut(made->dataCentres)) {
+        finish(ApplyError::AllOut, present.version);
+        return std::nullopt;
+    }
+    return made;
+}
+
+std::optional<Manifest> ConfigApply::Private::makeNextOfConfig(const Manifest& present)
+{
+    if (presentObject != basisObject) {
+        finish(ApplyError::Conflict, present.version);
+        return std::nullopt;
+    }
+    const Config config = normalised(withKeptStates(*wanted, present.dataCentres));
+    const std::set<ManifestService, decltype([](const ManifestService& a, const ManifestService& b) { return a.object < b.object; })> known(present.services.begin(), present.services.end());
+    Manifest made = nextManifest(present, config, applyOptions.applyId);
+    servicesToWrite.clear();
+    for (std::size_t index = 0; index < made.services.size(); ++index) {
+        if (!known.contains(made.services[index]) && !servicesWritten.contains(made.services[index].object))
+            servicesToWrite.emplace(made.services[index].object, toJson(config.services[index]));
+    }
+    return made;
+}
+
+std::optional<Manifest> ConfigApply::Private::makeNextOfState(const Manifest& present)
+{
+    if (present.version == 0) {
+        finish(ApplyError::NoConfig, 0);
+        return std::nullopt;
+    }
+    const DataCentreConfig* now = present.findDataCentre(dataCentre);
+    if (!now) {
+        finish(ApplyError::UnknownDataCentre, present.version);
+        return std::nullopt;
+    }
+    const DataCentreConfig* before = basis->findDataCentre(dataCentre);
+    if (now->out != out && before && before->out != now->out) {
+        finish(ApplyError::Conflict, present.version);
+        return std::nullopt;
+    }
+    Manifest made = nextManifest(present, {}, applyOptions.applyId);
+    made.services = present.services;
+    made.dataCentres = withState(present.dataCentres, dataCentre, out);
+    return made;
+}
+
+// Load: a first apply with thousands of services. Harm: all at once they would take the platform's several hundred
+// writes a second from the leases. Limit: one write under way, so that the platform's own latency paces them.
+void ConfigApply::Private::writeServices()
+{
+    if (servicesToWrite.empty()) {
+        writeManifest();
+        return;
+    }
+    const std::string name = servicesToWrite.begin()->first;
+    client.put(serviceObjectKind, name, servicesToWrite.begin()->second, 0, [this, name](const std::optional<ObjectVersion>& version, PlatformError error) {
+        // The name holds the content's hash: an object that exists already is the same.
+        if (!version && error != PlatformError::Conflict) {
+            handleTrouble(error);
+            return;
+        }
+        servicesWritten.insert(name);
+        servicesToWrite.erase(name);
+        backoff.reset();
+        writeServices();
+    });
+}
+
+void ConfigApply::Private::writeManifest()
+{
+    client.put(manifestKind, manifestName, toJson(next), presentObject, [this](const std::optional<ObjectVersion>& version, PlatformError error) {
+        if (version) {
+            finish(ApplyError::None, next.version, true);
+            return;
+        }
+        if (error == PlatformError::NoAnswer)
+            isOutcomeOpen = true;
+        if (error == PlatformError::Conflict)
+            readManifest();
+        else
+            handleTrouble(error);
+    });
+}
+
+void ConfigApply::Private::handleTrouble(PlatformError error)
+{
+    platformError = error;
+    if (error == PlatformError::Refused) {
+        finish(ApplyError::Refused, 0);
+        return;
+    }
+    delay.start(backoff.next(), [this] { readManifest(); });
+}
+
+void ConfigApply::Private::handleLimit()
+{
+    finish(isOutcomeOpen ? ApplyError::OutcomeUnknown : ApplyError::PlatformUnreachable, 0);
+}
+
+void ConfigApply::Private::finish(ApplyError error, ConfigVersion version, bool changed)
+{
+    delay.cancel();
+    limit.cancel();
+    client.cancelAll();
+    const Handler done = std::move(handler);
+    handler = nullptr;
+    if (done)
+        done({ .error = error, .platformError = platformError, .version = version, .changed = changed });
+}
+
+ConfigApply::ConfigApply(asio::io_context& context, const PlatformOptions& options, ApplyOptions applyOptions)
+    : m_d(std::make_unique<Private>(context, options, std::move(applyOptions)))
+{
+}
+
+ConfigApply::~ConfigApply() = default;
+
+void ConfigApply::apply(Config wanted, Handler handler)
+{
+    m_d->wanted = std::move(wanted);
+    m_d->start(std::move(handler));
+}
+
+void ConfigApply::setOut(std::string dataCentre, bool out, Handler handler)
+{
+    m_d->dataCentre = std::move(dataCentre);
+    m_d->out = out;
+    m_d->start(std::move(handler));
+}
+
+struct ConfigFetch::Private {
+    Private(asio::io_context& context, const PlatformOptions& options, Handler onDone)
+        : client(context, options)
+        , reader(client)
+        , handler(std::move(onDone))
+    {
+    }
+
+    void fetch();
+    void handleManifest(const PlatformObject& object);
+    void finish(std::optional<Config> config, PlatformError error);
+
+    PlatformClient client;
+    ConfigReader reader;
+    Handler handler;
+    unsigned rounds = 0;
+};
+
+void ConfigFetch::Private::fetch()
+{
+    ++rounds;
+    client.get(manifestKind, manifestName, [this](const std::optional<PlatformObject>& object, PlatformError error) {
+        if (object)
+            handleManifest(*object);
+        else
+            finish(std::nullopt, error);
+    });
+}
+
+void ConfigFetch::Private::handleManifest(const PlatformObject& object)
+{
+    auto manifest = object.value ? parseManifest(*object.value) : std::nullopt;
+    if (!manifest) {
+        finish(std::nullopt, PlatformError::BadAnswer);
+        return;
+    }
+    reader.read(std::move(*manifest), [this](std::optional<Config> config, PlatformError error) {
+        if (!config && error == PlatformError::NotFound && rounds < maxFetchRounds)
+            fetch();
+        else
+            finish(std::move(config), error == PlatformError::NotFound ? PlatformError::BadAnswer : error);
+    });
+}
+
+void ConfigFetch::Private::finish(std::optional<Config> config, PlatformError error)
+{
+    const Handler done = std::move(handler);
+    done(std::move(config), error);
+}
+
+ConfigFetch::ConfigFetch(asio::io_context& context, const PlatformOptions& options, Handler handler)
+    : m_d(std::make_unique<Private>(context, options, std::move(handler)))
+{
+    m_d->fetch();
+}
+
+ConfigFetch::~ConfigFetch() = default;
+
+}
--- /dev/null
+++ b/src/libplatform/configreader.cpp
@@ -0,0 +1,101 @@
+#include "configreader.h"
+
+namespace kingcuptrail {
+
+namespace {
+
+    /// Load: a daemon that starts and holds nothing, or a change of many services. Harm: one read for each of two
+    /// thousand services from each of seven hundred daemons would keep the platform busy for minutes. Limit: beyond
+    /// this many the whole kind is listed in one call, which costs more bytes but a constant number of calls.
+    constexpr std::size_t maxSingleReads = 8;
+
+}
+
+ConfigReader::ConfigReader(PlatformClient& client)
+    : m_client(client)
+{
+}
+
+void ConfigReader::read(Manifest manifest, Handler handler)
+{
+    m_manifest = std::move(manifest);
+    m_handler = std::move(handler);
+    if (missingObjects().size() > maxSingleReads)
+        fetchAll();
+    else
+        fetchNext();
+}
+
+void ConfigReader::fetchNext()
+{
+    const auto missing = missingObjects();
+    if (missing.empty()) {
+        finish();
+        return;
+    }
+    const std::string& name = missing.front();
+    m_client.get(serviceObjectKind, name, [this, name](const std::optional<PlatformObject>& object, PlatformError error) {
+        if (!object) {
+            fail(error);
+            return;
+        }
+        hold(*object);
+        if (m_held.contains(name))
+            fetchNext();
+        else
+            fail(PlatformError::BadAnswer);
+    });
+}
+
+void ConfigReader::fetchAll()
+{
+    m_client.list(serviceObjectKind, [this](const std::optional<ObjectList>& list, PlatformError error) {
+        if (!list) {
+            fail(error);
+            return;
+        }
+        for (const PlatformObject& object : list->objects)
+            hold(object);
+        fetchNext();
+    });
+}
+
+void ConfigReader::hold(const PlatformObject& object)
+{
+    if (!object.value)
+        return;
+    if (auto service = parseServiceObject(object.name, *object.value))
+        m_held.insert_or_assign(object.name, std::move(*service));
+}
+
+std::vector<std::string> ConfigReader::missingObjects() const
+{
+    std::vector<std::string> missing;
+    for (const ManifestService& service : m_manifest.services) {
+        if (!m_held.contains(service.object))
+            missing.push_back(service.object);
+    }
+    return missing;
+}
+
+void ConfigReader::finish()
+{
+    Config config { .version = m_manifest.version, .services = {}, .dataCentres = m_manifest.dataCentres };
+    std::map<std::string, ServiceConfig> used;
+    for (const ManifestService& service : m_manifest.services) {
+        const ServiceConfig& held = m_held.at(service.object);
+        config.services.push_back(held);
+        used.emplace(service.object, held);
+    }
+    m_held = std::move(used);
+    const Handler handler = std::move(m_handler);
+    handler(std::move(config), PlatformError::None);
+}
+
+void ConfigReader::fail(PlatformError error)
+{
+    const Handler handler = std::move(m_handler);
+    handler(std::nullopt, error);
+}
+
+}
--- /dev/null
+++ b/src/libplatform/configwatcher.cpp
@@ -0,0 +1,111 @@
+#include "configwatcher.h"
+
+#include "configreader.h"
+#include "delay.h"
+
+namespace kingcuptrail {
+
+struct ConfigWatcher::Private {
+    Private(asio::io_context& context, const PlatformOptions& options, OnConfig handler, bool stopAfterFirst)
+        : client(context, options)
+        , reader(client)
+        , delay(context)
+        , backoff(options.retryFirst, options.retryMax)
+        , onConfig(std::move(handler))
+        , once(stopAfterFirst)
+    {
+    }
+
+    void list();
+    void watch();
+    void handleManifests(const ObjectList& list);
+    void handleConfig(const Config& config);
+    void retry(PlatformError error, void (Private::*step)());
+
+    PlatformClient client;
+    ConfigReader reader;
+    Delay delay;
+    Backoff backoff;
+    OnConfig onConfig;
+    bool once = false;
+    ObjectVersion seen = 0;
+    ConfigVersion reported = 0;
+    PlatformError lastReason = PlatformError::None;
+};
+
+void ConfigWatcher::Private::list()
+{
+    client.list(manifestKind, [this](const std::optional<ObjectList>& list, PlatformError error) {
+        if (list)
+            handleManifests(*list);
+        else
+            retry(error, &Private::list);
+    });
+}
+
+void ConfigWatcher::Private::watch()
+{
+    client.watch(manifestKind, seen, [this](const std::optional<ObjectList>& list, PlatformError error) {
+        if (list)
+            handleManifests(*list);
+        else
+            retry(error, error == PlatformError::Gone ? &Private::list : &Private::watch);
+    });
+}
+
+// Failure: news of an older configuration arrives late, from a read that was slow or from a store that was set back.
+// It shows as a manifest version at or below the one reported; it is passed over, so that no daemon reverts.
+void ConfigWatcher::Private::handleManifests(const ObjectList& list)
+{
+    seen = list.version;
+    std::optional<Manifest> newest;
+    for (const PlatformObject& object : list.objects) {
+        if (object.name == manifestName && object.value)
+            newest = parseManifest(*object.value);
+    }
+    if (!newest || newest->version <= reported) {
+        lastReason = PlatformError::None;
+        backoff.reset();
+        watch();
+        return;
+    }
+    reader.read(std::move(*newest), [this](const std::optional<Config>& config, PlatformError error) {
+        if (config)
+            handleConfig(*config);
+        else
+            retry(error, &Private::list);
+    });
+}
+
+void ConfigWatcher::Private::handleConfig(const Config& config)
+{
+    lastReason = PlatformError::None;
+    backoff.reset();
+    reported = config.version;
+    if (!once)
+        watch();
+    // Last, since the handler may destroy this watcher.
+    const OnConfig handler = onConfig;
+    handler(config);
+}
+
+void ConfigWatcher::Private::retry(PlatformError error, void (Private::*step)())
+{
+    lastReason = error;
+    delay.start(backoff.next(), [this, step] { (this->*step)(); });
+}
+
+ConfigWatcher::ConfigWatcher(asio::io_context& context, const PlatformOptions& options, OnConfig onConfig, bool once)
+    : m_d(std::make_unique<Private>(context, options, std::move(onConfig), once))
+{
+    m_d->list();
+}
+
+ConfigWatcher::~ConfigWatcher() = default;
+
+PlatformError ConfigWatcher::lastReason() const
+{
+    return m_d->lastReason;
+}
+
+}
--- a/src/libplatform/configwatcher.h
+++ b/src/libplatform/configwatcher.h
@@ -25,7 +25,7 @@
 
 private:
     struct Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 
 }
--- /dev/null
+++ b/src/libplatform/manifest.cpp
@@ -0,0 +1,112 @@
+#include "manifest.h"
+
+#include <algorithm>
+#include <array>
+#include <cinttypes>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+namespace kingcuptrail {
+
+using nlohmann::json;
+
+namespace {
+
+    Manifest manifestFromJson(const json& document)
+    {
+        Manifest manifest;
+        manifest.version = document.at("version").get<ConfigVersion>();
+        manifest.applyId = document.at("applyId").get<std::string>();
+        for (const json& service : document.at("services"))
+            manifest.services.push_back({ .name = service.at("name").get<std::string>(), .object = service.at("object").get<std::string>() });
+        for (const json& dataCentre : document.at("dataCentres"))
+            manifest.dataCentres.push_back({ .name = dataCentre.at("name").get<std::string>(), .out = dataCentre.at("out").get<bool>() });
+        for (const json& apply : document.at("recent"))
+            manifest.recent.push_back({ .applyId = apply.at("applyId").get<std::string>(), .version = apply.at("version").get<ConfigVersion>() });
+        return manifest;
+    }
+
+}
+
+const DataCentreConfig* Manifest::findDataCentre(std::string_view name) const
+{
+    const auto found = std::find_if(dataCentres.begin(), dataCentres.end(),
+        [name](const DataCentreConfig& dataCentre) { return dataCentre.name == name; });
+    return found == dataCentres.end() ? nullptr : &*found;
+}
+
+std::optional<ConfigVersion> Manifest::versionOf(std::string_view id) const
+{
+    for (const ManifestApply& apply : recent) {
+        if (apply.applyId == id)
+            return apply.version;
+    }
+    return std::nullopt;
+}
+
+std::optional<Manifest> parseManifest(std::string_view text)
+{
+    const json document = json::parse(text, nullptr, false);
+    if (document.is_discarded())
+        return std::nullopt;
+    try {
+        return manifestFromJson(document);
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+std::string toJson(const Manifest& manifest)
+{
+    json services = json::array();
+    for (const ManifestService& service : manifest.services)
+        services.push_back({ { "name", service.name }, { "object", service.object } });
+    json dataCentres = json::array();
+    for (const DataCentreConfig& dataCentre : manifest.dataCentres)
+        dataCentres.push_back({ { "name", dataCentre.name }, { "out", dataCentre.out } });
+    json recent = json::array();
+    for (const ManifestApply& apply : manifest.recent)
+        recent.push_back({ { "applyId", apply.applyId }, { "version", apply.version } });
+    return json {
+        { "version", manifest.version },
+        { "applyId", manifest.applyId },
+        { "services", services },
+        { "dataCentres", dataCentres },
+        { "recent", recent },
+    }
+        .dump();
+}
+
+Manifest nextManifest(const Manifest& previous, const Config& config, const std::string& applyId)
+{
+    Manifest next;
+    next.version = previous.version + 1;
+    next.applyId = applyId;
+    for (const ServiceConfig& service : config.services)
+        next.services.push_back({ .name = service.name, .object = serviceObjectName(service) });
+    next.dataCentres = config.dataCentres;
+    next.recent = previous.recent;
+    next.recent.push_back({ .applyId = applyId, .version = next.version });
+    if (next.recent.size() > rememberedApplies)
+        next.recent.erase(next.recent.begin());
+    return next;
+}
+
+std::string serviceObjectName(const ServiceConfig& service)
+{
+    const std::string content = toJson(service);
+    std::array<char, 17> digits {};
+    std::snprintf(digits.data(), digits.size(), "%016" PRIx64, static_cast<std::uint64_t>(XXH3_64bits(content.data(), content.size())));
+    return service.name + "-" + digits.data();
+}
+
+std::optional<ServiceConfig> parseServiceObject(const std::string& objectName, std::string_view text)
+{
+    auto service = parseService(text);
+    if (!service || serviceObjectName(*service) != objectName)
+        return std::nullopt;
+    return service;
+}
+
+}
--- a/src/libplatform/platformclient.h
+++ b/src/libplatform/platformclient.h
@@ -64,6 +64,11 @@
     Millis callTimeout = 3000;
     /// How long a watch waits at the platform before it answers empty, in milliseconds.
     Millis watchWait = 20000;
+    /// Name of this process, sent with each call so that the platform's own counts can tell callers apart.
+    std::string client;
+    /// Shortest and longest wait before a watcher or announcer tries again, in milliseconds.
+    Millis retryFirst = 100;
+    Millis retryMax = 3000;
 };
 
 /// Calls of the platform's object API, without retries: those are their callers' decisions. Lives in one io_context's thread.
@@ -93,7 +98,7 @@
 
 private:
     struct Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 
 }
--- /dev/null
+++ b/src/libplatform/presence.cpp
@@ -0,0 +1,47 @@
+#include "presence.h"
+
+#include <nlohmann/json.hpp>
+
+namespace kingcuptrail {
+
+using nlohmann::json;
+
+std::optional<Presence> parsePresence(std::string_view text)
+{
+    const json document = json::parse(text, nullptr, false);
+    if (document.is_discarded())
+        return std::nullopt;
+    try {
+        const auto state = fromName<MemberState>(document.at("state").get<std::string>());
+        if (!state)
+            return std::nullopt;
+        Presence presence;
+        presence.upstream = document.at("upstream").get<std::string>();
+        presence.token = { document.at("id").get<UpstreamId>(), document.at("incarnation").get<Incarnation>() };
+        presence.service = document.at("service").get<std::string>();
+        presence.dataCentre = document.at("dataCentre").get<std::string>();
+        presence.address = document.at("address").get<std::string>();
+        presence.state = *state;
+        presence.lease = document.at("leaseMs").get<Millis>();
+        return presence.token.isSet() && presence.lease > 0 ? std::optional(std::move(presence)) : std::nullopt;
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+std::string toJson(const Presence& presence)
+{
+    return json {
+        { "upstream", presence.upstream },
+        { "id", presence.token.upstream },
+        { "incarnation", presence.token.incarnation },
+        { "service", presence.service },
+        { "dataCentre", presence.dataCentre },
+        { "address", presence.address },
+        { "state", nameOf(presence.state) },
+        { "leaseMs", presence.lease },
+    }
+        .dump();
+}
+
+}
--- /dev/null
+++ b/src/libplatform/presencewatcher.cpp
@@ -0,0 +1,195 @@
+#include "presencewatcher.h"
+
+#include "delay.h"
+#include "lease.h"
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+
+namespace kingcuptrail {
+
+namespace {
+
+    /// Bounds of the time between two looks at the leases, in milliseconds: short leases, as in tests, must not make a
+    /// busy loop, and long ones must not hide a new upstream with a short lease.
+    constexpr Millis minLeaseCheck = 20;
+    constexpr Millis maxLeaseCheck = 7500;
+
+    Millis monotonicNow()
+    {
+        using namespace std::chrono;
+        return duration_cast<milliseconds>(steady_clock::now().time_since_epoch()).count();
+    }
+
+}
+
+struct PresenceWatcher::Private {
+    Private(asio::io_context& context, const PlatformOptions& options, OnPresence handler)
+        : client(context, options)
+        , delay(context)
+        , leaseDelay(context)
+        , backoff(options.retryFirst, options.retryMax)
+        , onPresence(std::move(handler))
+    {
+    }
+
+    void list();
+    void watch();
+    void handleChange(const PlatformObject& object);
+    void retry(PlatformError error, void (Private::*step)());
+    void checkLeasesLater();
+    void checkLeases();
+    void handleLeases(const ObjectList& list);
+    Millis leaseCheckInterval() const;
+    void report();
+
+    PlatformClient client;
+    Delay delay;
+    Delay leaseDelay;
+    Backoff backoff;
+    OnPresence onPresence;
+    std::map<std::string, Presence> announced;
+    std::map<std::string, LeaseView> leases;
+    std::vector<Presence> reported;
+    bool hasReported = false;
+    ObjectVersion seen = 0;
+    /// When the leases were last seen without a failed look since.
+    std::optional<Millis> leasesSeenAt;
+    PlatformError lastReason = PlatformError::None;
+};
+
+void PresenceWatcher::Private::list()
+{
+    client.list(presenceKind, [this](const std::optional<ObjectList>& list, PlatformError error) {
+        if (!list) {
+            retry(error, &Private::list);
+            return;
+        }
+        announced.clear();
+        for (const PlatformObject& object : list->objects)
+            handleChange(object);
+        seen = list->version;
+        lastReason = PlatformError::None;
+        backoff.reset();
+        watch();
+        report();
+    });
+}
+
+void PresenceWatcher::Private::watch()
+{
+    client.watch(presenceKind, seen, [this](const std::optional<ObjectList>& list, PlatformError error) {
+        if (!list) {
+            retry(error, error == PlatformError::Gone ? &Private::list : &Private::watch);
+            return;
+        }
+        for (const PlatformObject& object : list->objects)
+            handleChange(object);
+        seen = list->version;
+        lastReason = PlatformError::None;
+        backoff.reset();
+        watch();
+        report();
+    });
+}
+
+void PresenceWatcher::Private::handleChange(const PlatformObject& object)
+{
+    auto presence = object.value ? parsePresence(*object.value) : std::nullopt;
+    if (!presence || presence->upstream != object.name) {
+        announced.erase(object.name);
+        leases.erase(object.name);
+        return;
+    }
+    const auto known = announced.find(object.name);
+    // A new incarnation has a whole lease ahead of it, whatever the one before left.
+    if (known != announced.end() && known->second.token != presence->token)
+        leases.erase(object.name);
+    announced.insert_or_assign(object.name, std::move(*presence));
+}
+
+void PresenceWatcher::Private::retry(PlatformError error, void (Private::*step)())
+{
+    lastReason = error;
+    delay.start(backoff.next(), [this, step] { (this->*step)(); });
+}
+
+void PresenceWatcher::Private::checkLeasesLater()
+{
+    leaseDelay.start(leaseCheckInterval(), [this] { checkLeases(); });
+}
+
+void PresenceWatcher::Private::checkLeases()
+{
+    client.list(leaseKind, [this](const std::optional<ObjectList>& list, PlatformError error) {
+        checkLeasesLater();
+        if (list) {
+            handleLeases(*list);
+            return;
+        }
+        lastReason = error;
+        leasesSeenAt.reset();
+        for (auto& [name, lease] : leases)
+            noteOutage(lease, announced.contains(name) ? announced.at(name).lease : 0);
+    });
+}
+
+void PresenceWatcher::Private::handleLeases(const ObjectList& list)
+{
+    const Millis now = monotonicNow();
+    const Millis passed = leasesSeenAt ? std::min(now - *leasesSeenAt, 2 * leaseCheckInterval()) : 0;
+    leasesSeenAt = now;
+    std::erase_if(leases, [this](const auto& lease) { return !announced.contains(lease.first); });
+    std::map<std::string, ObjectVersion> versions;
+    for (const PlatformObject& object : list.objects)
+        versions.emplace(object.name, object.version);
+    for (const auto& [name, presence] : announced) {
+        const auto found = versions.find(name);
+        noteLease(leases[name], found == versions.end() ? 0 : found->second, passed);
+    }
+    report();
+}
+
+Millis PresenceWatcher::Private::leaseCheckInterval() const
+{
+    Millis shortest = 2 * maxLeaseCheck;
+    for (const auto& [name, presence] : announced)
+        shortest = std::min(shortest, presence.lease);
+    return std::max(shortest / 2, minLeaseCheck);
+}
+
+void PresenceWatcher::Private::report()
+{
+    std::vector<Presence> current;
+    for (const auto& [name, presence] : announced) {
+        current.push_back(presence);
+        const auto lease = leases.find(name);
+        if (lease != leases.end() && hasLapsed(lease->second, presence.lease))
+            current.back().state = MemberState::Lapsed;
+    }
+    if (hasReported && current == reported)
+        return;
+    hasReported = true;
+    reported = std::move(current);
+    // Last, and with copies, since the handler may destroy this watcher.
+    const OnPresence handler = onPresence;
+    const std::vector<Presence> presences = reported;
+    handler(presences);
+}
+
+PresenceWatcher::PresenceWatcher(asio::io_context& context, const PlatformOptions& options, OnPresence onPresence)
+    : m_d(std::make_unique<Private>(context, options, std::move(onPresence)))
+{
+    m_d->list();
+    m_d->checkLeases();
+}
+
+PresenceWatcher::~PresenceWatcher() = default;
+
+PlatformError PresenceWatcher::lastReason() const
+{
+    return m_d->lastReason;
+}
+
+}
