--- /dev/null
+++ b/tests/daemon/testconfigkeeper.cpp
@@ -0,0 +1,124 @@
+#include "kingcuptraild/configkeeper.h"
+
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+#include <random>
+
+using namespace kingcuptrail;
+
+class TestConfigKeeper : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(TestConfigKeeper);
+    CPPUNIT_TEST(olderConfigurationNeverReturns);
+    CPPUNIT_TEST(deltasBringEveryPeerToTheSameConfiguration);
+    CPPUNIT_TEST(changeCostsWhatChanged);
+    CPPUNIT_TEST(onlyOnePeerIsAskedAtATime);
+    CPPUNIT_TEST_SUITE_END();
+
+    static ServiceConfig service(std::size_t number, std::uint32_t slots)
+    {
+        return {
+            .name = "service-" + std::to_string(number),
+            .address = *parseServiceAddress("10.0." + std::to_string(number / 250) + "." + std::to_string(number % 250 + 1) + ":443"),
+            .dataCentres = { "north" },
+            .slots = slots,
+        };
+    }
+
+    static Config config(ConfigVersion version, std::size_t services)
+    {
+        Config made { .version = version, .services = {}, .dataCentres = { { .name = "north" }, { .name = "south" } } };
+        for (std::size_t number = 0; number < services; ++number)
+            made.services.push_back(service(number, 5));
+        return made;
+    }
+
+    static void sendAll(const ConfigKeeper& from, ConfigKeeper& to)
+    {
+        std::vector<Bytes> frames = from.snapshotFor(to.version());
+        std::reverse(frames.begin(), frames.end());
+        for (const Bytes& bytes : frames) {
+            FrameReader reader;
+            reader.append(bytes);
+            const auto view = reader.next();
+            CPPUNIT_ASSERT(view);
+            to.takeSnapshot(*view->frame->body_as_ConfigSnapshot());
+        }
+    }
+
+    static Config sorted(Config config)
+    {
+        std::sort(config.services.begin(), config.services.end(), [](const auto& left, const auto& right) { return left.name < right.name; });
+        return config;
+    }
+
+    // An operator takes a data centre out; a slow watch then delivers the version before. The data centre would be
+    // served again until the next change.
+    void olderConfigurationNeverReturns()
+    {
+        ConfigKeeper keeper;
+        Config out = config(8, 2);
+        out.dataCentres[1].out = true;
+        CPPUNIT_ASSERT(keeper.offer(out));
+        CPPUNIT_ASSERT(!keeper.offer(config(7, 2)));
+        CPPUNIT_ASSERT(!keeper.offer(config(8, 2)));
+        CPPUNIT_ASSERT(keeper.current().isOut("south"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 1 }, keeper.olderIgnored());
+    }
+
+    // Three processes hear of changes unevenly: one follows the platform, one hears each change from it, one hears
+    // only now and then. Parts arrive in reverse. All must end with the same configuration.
+    void deltasBringEveryPeerToTheSameConfiguration()
+    {
+        std::mt19937 random(11);
+        ConfigKeeper source;
+        ConfigKeeper near;
+        ConfigKeeper far;
+        Config current = config(1, 450);
+        for (ConfigVersion version = 1; version < 60; ++version) {
+            current.version = version;
+            const std::size_t place = random() % current.services.size();
+            if (random() % 4 == 0)
+                current.services.erase(current.services.begin() + static_cast<std::ptrdiff_t>(place));
+            else if (random() % 3 == 0)
+                current.services.push_back(service(1000 + version, 3));
+            else
+                current.services[place].slots = static_cast<std::uint32_t>(random() % 20 + 1);
+            current.dataCentres[1].out = random() % 2;
+            source.offer(current);
+            sendAll(source, near);
+            CPPUNIT_ASSERT(sorted(near.current()) == sorted(current));
+            if (random() % 7 == 0) {
+                sendAll(random() % 2 ? source : near, far);
+                CPPUNIT_ASSERT(sorted(far.current()) == sorted(current));
+            }
+        }
+    }
+
+    void changeCostsWhatChanged()
+    {
+        ConfigKeeper source;
+        Config current = config(1, 1900);
+        source.offer(current);
+        const auto whole = source.snapshotFor(0);
+        CPPUNIT_ASSERT(whole.size() > 1);
+        for (const Bytes& part : whole)
+            CPPUNIT_ASSERT(part.size() < maxFrameBytes);
+        current.version = 2;
+        current.services[7].slots = 9;
+        source.offer(current);
+        const auto change = source.snapshotFor(1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, change.size());
+        CPPUNIT_ASSERT(change[0].size() < 1024);
+        CPPUNIT_ASSERT(source.snapshotFor(2).empty());
+    }
+
+    void onlyOnePeerIsAskedAtATime()
+    {
+        ConfigKeeper keeper;
+        CPPUNIT_ASSERT(keeper.mayFetch(1000));
+        CPPUNIT_ASSERT(!keeper.mayFetch(1200));
+        CPPUNIT_ASSERT(keeper.mayFetch(1600));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestConfigKeeper);
