--- /dev/null
+++ b/bench/kingcuptrail-bench/main.cpp
@@ -0,0 +1,92 @@
+#include "libmodel/experimentfile.h"
+#include "libmodel/simulation.h"
+#include "report.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+ABSL_FLAG(std::string, json, "", "write the results as JSON to this file");
+ABSL_FLAG(std::string, svg, "", "write a plot of the requests answered in each second to this file");
+ABSL_FLAG(std::uint64_t, seed, 0, "use this seed in place of the experiment's; 0 keeps it");
+
+namespace kingcuptrail {
+
+namespace {
+
+    enum class ExitCode : std::uint8_t {
+        Done = 0,
+        BadUsage = 2,
+        BadExperiment = 3,
+        CannotRead = 4,
+        CannotWrite = 5,
+    };
+
+    std::optional<std::string> readFile(const std::string& name)
+    {
+        std::ifstream file(name);
+        if (!file)
+            return std::nullopt;
+        return std::string(std::istreambuf_iterator<char>(file), {});
+    }
+
+    bool writeFile(const std::string& name, const std::string& content)
+    {
+        if (name.empty())
+            return true;
+        std::ofstream file(name);
+        file << content;
+        return file.good();
+    }
+
+    std::vector<PolicyResult> runPolicies(const ExperimentSpec& experiment)
+    {
+        std::vector<PolicyResult> results;
+        for (const PolicyName policy : experiment.policies) {
+            Simulation simulation(experiment, policyOptions(policy));
+            simulation.run();
+            results.push_back({ policy, simulation.metrics() });
+        }
+        return results;
+    }
+
+    ExitCode runExperiment(const std::string& fileName)
+    {
+        const auto text = readFile(fileName);
+        if (!text) {
+            std::cerr << "cannot read " << fileName << '\n';
+            return ExitCode::CannotRead;
+        }
+        std::vector<Fault> faults;
+        auto experiment = parseExperiment(*text, faults);
+        for (const Fault& fault : faults)
+            std::cerr << fileName << ": " << nameOf(fault.kind) << " at " << fault.place << ": " << fault.detail << '\n';
+        if (!experiment)
+            return ExitCode::BadExperiment;
+        if (const std::uint64_t seed = absl::GetFlag(FLAGS_seed))
+            experiment->seed = seed;
+        const auto results = runPolicies(*experiment);
+        std::cout << toTable(*experiment, results);
+        const bool isWritten = writeFile(absl::GetFlag(FLAGS_json), toJson(*experiment, results))
+            && writeFile(absl::GetFlag(FLAGS_svg), toPlot(*experiment, results));
+        return isWritten ? ExitCode::Done : ExitCode::CannotWrite;
+    }
+
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    absl::SetProgramUsageMessage("Runs an experiment over a model of a deployment, in virtual time.\n"
+                                 "  kingcuptrail-bench [--seed=S] [--json=FILE] [--svg=FILE] EXPERIMENT.json");
+    const std::vector<char*> arguments = absl::ParseCommandLine(argc, argv);
+    if (arguments.size() != 2) {
+        std::cerr << absl::ProgramUsageMessage() << '\n';
+        return static_cast<int>(kingcuptrail::ExitCode::BadUsage);
+    }
+    return static_cast<int>(kingcuptrail::runExperiment(arguments[1]));
+}
--- /dev/null
+++ b/bench/libmodel/experimentfile.cpp
@@ -0,0 +1,283 @@
+#include "experimentfile.h"
+
+#include <algorithm>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace kingcuptrail {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr double anyNumber = std::numeric_limits<double>::max();
+
+    /// The bounds of a numeric field; `required` without a default.
+    struct NumberRule {
+        double least = 0;
+        double most = anyNumber;
+        bool required = false;
+    };
+
+    /// Reads the fields of one JSON object and lists what is missing, wrong or unknown.
+    class FieldReader {
+    public:
+        FieldReader(const Json& object, std::string place, std::vector<Fault>& faults)
+            : m_object(object)
+            , m_place(std::move(place))
+            , m_faults(faults)
+        {
+            if (!m_object.is_object())
+                fault(FaultKind::WrongType, "", "an object is needed");
+        }
+
+        template <typename Number>
+        void number(const char* name, Number& value, const NumberRule& rule = {})
+        {
+            const Json* field = find(name, rule.required);
+            if (!field)
+                return;
+            if (!field->is_number()) {
+                fault(FaultKind::WrongType, name, "a number is needed");
+                return;
+            }
+            const double read = field->get<double>();
+            if (read < rule.least || read > rule.most) {
+                fault(FaultKind::OutOfRange, name, "not from " + std::to_string(rule.least) + " to " + std::to_string(rule.most));
+                return;
+            }
+            value = static_cast<Number>(read);
+        }
+
+        void text(const char* name, std::string& value)
+        {
+            const Json* field = find(name, true);
+            if (field && field->is_string())
+                value = field->get<std::string>();
+            else if (field)
+                fault(FaultKind::WrongType, name, "a text is needed");
+        }
+
+        /// Calls `read(element, place)` for each element of a list.
+        template <typename Read>
+        void list(const char* name, bool required, Read read)
+        {
+            const Json* field = find(name, required);
+            if (!field)
+                return;
+            if (!field->is_array()) {
+                fault(FaultKind::WrongType, name, "a list is needed");
+                return;
+            }
+            for (std::size_t index = 0; index < field->size(); ++index)
+                read((*field)[index], placeOf(name) + "/" + std::to_string(index));
+        }
+
+        template <typename Read>
+        void object(const char* name, Read read)
+        {
+            if (const Json* field = find(name, true))
+                read(*field, placeOf(name));
+        }
+
+        /// Lists every field that nobody asked for: a misspelt one would else be passed over in silence.
+        void finish()
+        {
+            if (!m_object.is_object())
+                return;
+            for (const auto& [name, value] : m_object.items()) {
+                if (!m_known.contains(name))
+                    fault(FaultKind::UnknownField, name, "not a field of this object");
+            }
+        }
+
+        void fault(FaultKind kind, const std::string& name, std::string detail)
+        {
+            m_faults.push_back({ .kind = kind, .place = name.empty() ? m_place : placeOf(name), .detail = std::move(detail) });
+        }
+
+    private:
+        const Json* find(const std::string& name, bool required)
+        {
+            m_known.insert(name);
+            if (!m_object.is_object())
+                return nullptr;
+            const auto field = m_object.find(name);
+            if (field != m_object.end())
+                return &*field;
+            if (required)
+                fault(FaultKind::MissingField, name, "must be given");
+            return nullptr;
+        }
+
+        std::string placeOf(const std::string& name) const { return m_place + "/" + name; }
+
+        const Json& m_object;
+        std::string m_place;
+        std::vector<Fault>& m_faults;
+        std::set<std::string> m_known;
+    };
+
+    ServiceSpec readService(const Json& json, const std::string& place, std::vector<Fault>& faults)
+    {
+        ServiceSpec service;
+        FieldReader reader(json, place, faults);
+        reader.text("name", service.name);
+        reader.number("targets", service.targets, { .least = 1, .most = 10000, .required = true });
+        reader.number("slots", service.slots, { .least = 1, .most = 10000, .required = true });
+        reader.number("queueLimit", service.queueLimit, { .least = 0, .most = 100000 });
+        reader.number("flowsPerTarget", service.flowsPerTarget, { .least = 0, .most = 100000, .required = true });
+        reader.number("warmUpMs", service.warmUp);
+        reader.number("coldForMs", service.coldFor);
+        reader.finish();
+        return service;
+    }
+
+    DeploymentSpec readDeployment(const Json& json, const std::string& place, std::vector<Fault>& faults)
+    {
+        DeploymentSpec deployment;
+        FieldReader reader(json, place, faults);
+        reader.list("dataCentres", true, [&](const Json& name, const std::string& namePlace) {
+            if (name.is_string())
+                deployment.dataCentres.push_back(name.get<std::string>());
+            else
+                faults.push_back({ .kind = FaultKind::WrongType, .place = namePlace, .detail = "a text is needed" });
+        });
+        reader.number("betweenDataCentresMs", deployment.betweenDataCentres);
+        reader.number("withinDataCentreMs", deployment.withinDataCentre);
+        reader.number("toCallersMs", deployment.toCallers);
+        reader.number("balancers", deployment.balancers, { .least = 1, .most = 1000, .required = true });
+        reader.number("heartbeatMs", deployment.heartbeat, { .least = 10 });
+        reader.number("linkSilenceMs", deployment.linkSilence, { .least = 10 });
+        reader.number("leaseMs", deployment.lease, { .least = 100 });
+        reader.number("watchDelayMs", deployment.watchDelay);
+        reader.list("services", true, [&](const Json& service, const std::string& servicePlace) {
+            deployment.services.push_back(readService(service, servicePlace, faults));
+        });
+        reader.finish();
+        return deployment;
+    }
+
+    LoadSpec readLoad(const Json& json, const std::string& place, std::vector<Fault>& faults)
+    {
+        LoadSpec load;
+        FieldReader reader(json, place, faults);
+        reader.text("service", load.service);
+        reader.number("utilisation", load.utilisation, { .least = 0, .most = 100, .required = true });
+        reader.number("shortWorkMs", load.shortWork, { .least = 1 });
+        reader.number("longWorkMs", load.longWork, { .least = 1 });
+        reader.number("longShare", load.longShare, { .least = 0, .most = 1 });
+        reader.number("onceShare", load.onceShare, { .least = 0, .most = 1 });
+        reader.number("deadlineMs", load.deadline, { .least = 1 });
+        reader.number("flowLifeMs", load.flowLife);
+        reader.number("flowIntervalMs", load.flowInterval, { .least = 10 });
+        reader.number("callerHosts", load.callerHosts, { .least = 1 });
+        reader.finish();
+        return load;
+    }
+
+    FailureSpec readFailure(const Json& json, const std::string& place, std::vector<Fault>& faults)
+    {
+        FailureSpec failure;
+        FieldReader reader(json, place, faults);
+        reader.number("atMs", failure.at, { .required = true });
+        std::string kind;
+        reader.text("kind", kind);
+        if (const auto known = fromName<FailureKind>(kind))
+            failure.kind = *known;
+        else
+            reader.fault(FaultKind::OutOfRange, "kind", "not a kind of failure");
+        reader.number("target", failure.target);
+        reader.number("peer", failure.peer);
+        reader.number("durationMs", failure.duration);
+        reader.number("value", failure.value);
+        reader.finish();
+        return failure;
+    }
+
+    /// How many things the target of a failure is one of.
+    std::size_t targetLimit(FailureKind kind, const DeploymentSpec& deployment)
+    {
+        switch (kind) {
+        case FailureKind::BalancerKill:
+        case FailureKind::BalancerFreeze:
+        case FailureKind::BalancerJoin:
+        case FailureKind::LinkSilent:
+        case FailureKind::StoreSlow:
+            return deployment.balancers;
+        case FailureKind::DataCentreOut:
+        case FailureKind::DataCentreBack:
+        case FailureKind::OperatorRace:
+            return deployment.dataCentres.size();
+        default:
+            return std::max<std::size_t>(1, targetCount(deployment));
+        }
+    }
+
+    void crossCheck(const ExperimentSpec& experiment, std::vector<Fault>& faults)
+    {
+        const DeploymentSpec& deployment = experiment.deployment;
+        if (deployment.dataCentres.empty())
+            faults.push_back({ .kind = FaultKind::OutOfRange, .place = "/deployment/dataCentres", .detail = "at least one is needed" });
+        if (deployment.services.empty())
+            faults.push_back({ .kind = FaultKind::OutOfRange, .place = "/deployment/services", .detail = "at least one is needed" });
+        std::set<std::string> names;
+        for (std::size_t index = 0; index < deployment.services.size(); ++index) {
+            if (!names.insert(deployment.services[index].name).second)
+                faults.push_back({ .kind = FaultKind::DuplicateName, .place = "/deployment/services/" + std::to_string(index) + "/name", .detail = deployment.services[index].name });
+        }
+        for (std::size_t index = 0; index < experiment.loads.size(); ++index) {
+            if (!names.contains(experiment.loads[index].service))
+                faults.push_back({ .kind = FaultKind::UnknownService, .place = "/loads/" + std::to_string(index) + "/service", .detail = experiment.loads[index].service });
+        }
+        for (std::size_t index = 0; index < experiment.failures.size(); ++index) {
+            const FailureSpec& failure = experiment.failures[index];
+            const std::string place = "/failures/" + std::to_string(index);
+            if (failure.target >= targetLimit(failure.kind, deployment))
+                faults.push_back({ .kind = FaultKind::OutOfRange, .place = place + "/target", .detail = "no such target" });
+            if (failure.kind == FailureKind::LinkSilent && failure.peer >= targetCount(deployment))
+                faults.push_back({ .kind = FaultKind::OutOfRange, .place = place + "/peer", .detail = "no such target" });
+        }
+    }
+
+}
+
+std::optional<ExperimentSpec> parseExperiment(std::string_view json, std::vector<Fault>& faults)
+{
+    const std::size_t faultsBefore = faults.size();
+    const Json root = Json::parse(json, nullptr, false);
+    if (root.is_discarded()) {
+        faults.push_back({ .kind = FaultKind::NotJson, .place = "", .detail = "not JSON" });
+        return std::nullopt;
+    }
+    ExperimentSpec experiment;
+    FieldReader reader(root, "", faults);
+    reader.text("name", experiment.name);
+    reader.number("seed", experiment.seed);
+    reader.number("warmUpMs", experiment.warmUp);
+    reader.number("durationMs", experiment.duration, { .least = 1, .required = true });
+    reader.object("deployment", [&](const Json& value, const std::string& place) {
+        experiment.deployment = readDeployment(value, place, faults);
+    });
+    reader.list("loads", true, [&](const Json& value, const std::string& place) {
+        experiment.loads.push_back(readLoad(value, place, faults));
+    });
+    reader.list("failures", false, [&](const Json& value, const std::string& place) {
+        experiment.failures.push_back(readFailure(value, place, faults));
+    });
+    reader.list("policies", true, [&](const Json& value, const std::string& place) {
+        const auto policy = value.is_string() ? fromName<PolicyName>(value.get<std::string>()) : std::nullopt;
+        if (policy)
+            experiment.policies.push_back(*policy);
+        else
+            faults.push_back({ .kind = FaultKind::OutOfRange, .place = place, .detail = "not a policy" });
+    });
+    reader.finish();
+    crossCheck(experiment, faults);
+    if (faults.size() != faultsBefore)
+        return std::nullopt;
+    return experiment;
+}
+
+}
--- /dev/null
+++ b/bench/libmodel/modelagent.cpp
@@ -0,0 +1,696 @@
+#include "modelagent.h"
+
+#include "libdecision/lease.h"
+
+#include <utility>
+
+namespace kingcuptrail {
+
+namespace {
+
+    constexpr Micros redirectBatchInterval = 50 * microsPerMilli;
+    constexpr Micros announceRetry = 1000 * microsPerMilli;
+    constexpr Micros finalResend = 300 * microsPerMilli;
+    constexpr std::uint32_t finalSends = 10;
+    /// From a withdrawn request until the upstream has confirmed that it stopped.
+    constexpr Micros cancelConfirm = 2 * microsPerMilli;
+    constexpr Micros queryTimeout = 500 * microsPerMilli;
+    /// Flows that say nothing for this many of their intervals are forgotten.
+    constexpr Millis silentIntervals = 4;
+
+    std::string keyText(WorkKey key)
+    {
+        return std::to_string(key);
+    }
+
+    WorkItem itemOf(RequestId id, const ModelRequest& request, Millis deadline, Millis now)
+    {
+        return {
+            .id = id,
+            .workClass = request.isLong ? WorkClass::Long : WorkClass::Short,
+            .deadline = deadline,
+            .queuedAt = now,
+        };
+    }
+
+    RefusalVerdict refusalOf(BeginVerdict verdict)
+    {
+        switch (verdict) {
+        case BeginVerdict::AlreadyRunning:
+            return { .ran = Ran::Yes, .reason = RefusalReason::AlreadyRunning };
+        case BeginVerdict::AlreadyRan:
+            return { .ran = Ran::Yes, .reason = RefusalReason::AlreadyRan };
+        case BeginVerdict::Fenced:
+            return { .ran = Ran::No, .reason = RefusalReason::KeyFenced };
+        case BeginVerdict::Full:
+            return { .ran = Ran::No, .reason = RefusalReason::QueueFull };
+        default:
+            return { .ran = Ran::Unknown, .reason = RefusalReason::EarlierAttemptUnknown };
+        }
+    }
+
+}
+
+ModelAgent::ModelAgent(ModelContext& context, ModelStore& store, ModelUpstream& upstream, std::size_t index)
+    : m_context(context)
+    , m_store(store)
+    , m_upstream(upstream)
+    , m_index(index)
+    , m_service(serviceOf(index, context.experiment.deployment))
+{
+}
+
+const ServiceSpec& ModelAgent::service() const
+{
+    return m_context.experiment.deployment.services[m_service];
+}
+
+AdmissionOptions ModelAgent::admissionOptions() const
+{
+    AdmissionOptions options = m_context.policy.admission;
+    options.slots = service().slots;
+    options.queueLimit = service().queueLimit;
+    options.warmUp = service().warmUp;
+    return options;
+}
+
+void ModelAgent::reset()
+{
+    ++m_life;
+    m_token = {};
+    m_config = {};
+    m_admission = {};
+    m_ledger = {};
+    m_redirects = {};
+    m_flows.clear();
+    m_work.clear();
+    m_redirectsToSend.clear();
+    m_balancers.clear();
+    m_wakeAt.reset();
+    m_isDraining = false;
+    m_mayExit = false;
+    m_wasOut = false;
+}
+
+void ModelAgent::start()
+{
+    reset();
+    run();
+    announce();
+}
+
+void ModelAgent::startSettled(const OwnerToken& token)
+{
+    reset();
+    m_token = token;
+    m_admission.limit.limit = service().slots;
+    m_admission.limit.cold = false;
+    run();
+}
+
+void ModelAgent::run()
+{
+    m_context.network.setAlive(self(), true);
+    m_context.network.attach(self(), [this](Endpoint from, Message message) { receive(from, std::move(message)); });
+    m_context.history.record({ .kind = HistoryKind::ProcessStarted, .actor = m_context.experiment.deployment.balancers + m_index });
+    later(static_cast<Micros>(m_context.random.uniform() * static_cast<double>(toMicros(m_context.experiment.deployment.heartbeat))), [this] { tick(); });
+    later(redirectBatchInterval, [this] { sendRedirects(); });
+    later(toMicros(m_context.experiment.deployment.lease / 3), [this] { renew(); });
+}
+
+void ModelAgent::announce()
+{
+    m_store.announce(m_index, [this, life = m_life](Incarnation incarnation) {
+        if (life == m_life && m_token.incarnation < incarnation)
+            m_token = { .upstream = targetId(m_index), .incarnation = incarnation };
+    });
+    later(announceRetry, [this] {
+        if (!m_token.isSet())
+            announce();
+    });
+}
+
+void ModelAgent::kill()
+{
+    m_context.network.setAlive(self(), false);
+    m_context.history.record({ .kind = HistoryKind::ProcessStopped, .actor = m_context.experiment.deployment.balancers + m_index });
+    reset();
+}
+
+/// Schedules an action of this process: skipped when it has died, put off while it is frozen.
+void ModelAgent::later(Micros delay, EventLoop::Action action)
+{
+    m_context.loop.after(delay, [this, life = m_life, action = std::move(action)] {
+        if (life != m_life)
+            return;
+        if (m_context.network.isFrozen(self()))
+            later(redirectBatchInterval, action);
+        else
+            action();
+    });
+}
+
+void ModelAgent::loseLink(std::size_t balancer)
+{
+    m_balancers.erase(balancer);
+}
+
+bool ModelAgent::isOut() const
+{
+    const std::size_t dataCentre = dataCentreOf(m_index, m_context.experiment.deployment);
+    return dataCentre < m_config.dataCentreOut.size() && m_config.dataCentreOut[dataCentre];
+}
+
+void ModelAgent::receive(Endpoint from, Message message)
+{
+    if (from.kind == EndpointKind::Balancer)
+        m_balancers[from.index] = m_context.loop.nowMillis();
+    if (auto* packet = std::get_if<FlowPacket>(&message)) {
+        m_context.history.record({ .kind = HistoryKind::PacketArrived, .actor = m_index, .flow = packet->flow });
+        receivePacket(from.index, std::move(*packet));
+    } else if (const auto* config = std::get_if<ConfigMessage>(&message)) {
+        takeConfig(*config);
+    } else if (const auto* redirects = std::get_if<RedirectMessage>(&message)) {
+        for (const auto& [flow, owner] : redirects->entries)
+            noteRedirect(m_redirects, {}, flow, owner, m_context.loop.nowMillis());
+        m_context.metrics.redirectsNoted += redirects->entries.size();
+    } else if (const auto* query = std::get_if<LedgerQueryMessage>(&message)) {
+        answerQuery(*query);
+    } else if (const auto* answer = std::get_if<LedgerAnswerMessage>(&message)) {
+        takeLedgerAnswer(*answer);
+    } else if (const auto* heartbeat = std::get_if<HeartbeatMessage>(&message)) {
+        if (nextConfigStep(m_config.version, heartbeat->configVersion) == ConfigStep::Offer && from.kind == EndpointKind::Balancer)
+            toBalancer(from.index, m_config);
+    }
+}
+
+PacketFacts ModelAgent::factsOf(const FlowPacket& packet) const
+{
+    const auto flow = m_flows.find(packet.flow);
+    const bool holds = flow != m_flows.end();
+    return {
+        .isOpen = packet.kind == ModelPacketKind::Open,
+        .hasToken = packet.owner.isSet(),
+        .tokenIsMine = m_token.isSet() && packet.owner == m_token,
+        .tokenIsPredecessor = packet.owner.upstream == m_token.upstream && packet.owner.incarnation < m_token.incarnation,
+        .holdsFlow = holds,
+        .redirectFound = m_context.policy.redirects && findRedirect(m_redirects, {}, packet.flow, m_context.loop.nowMillis()).has_value(),
+        .serviceMatches = holds ? flow->second.service == packet.service : packet.service == m_service,
+        .hops = packet.hops,
+        .draining = m_isDraining && m_context.policy.drainGuard,
+        .dataCentreOut = isOut() && m_context.policy.dataCentreGuard,
+    };
+}
+
+void ModelAgent::receivePacket(std::size_t balancer, FlowPacket packet)
+{
+    if (!m_context.metrics.isWarmingUp)
+        ++m_context.metrics.packets;
+    const PacketVerdict verdict = decidePacket(factsOf(packet), m_context.policy.forwarding);
+    switch (verdict.action) {
+    case PacketAction::Deliver:
+        m_context.history.record({ .kind = HistoryKind::PacketTaken, .actor = m_index, .service = packet.service, .flow = packet.flow });
+        return takePacket(packet);
+    case PacketAction::Open:
+        return openFlow(packet);
+    case PacketAction::ForwardToOwner:
+        if (!packet.owner.isSet()) {
+            ++m_context.metrics.redirectsUsed;
+            packet.owner = *findRedirect(m_redirects, {}, packet.flow, m_context.loop.nowMillis());
+        }
+        return forward(balancer, std::move(packet));
+    case PacketAction::NextInRanking:
+        packet.visited.push_back(targetId(m_index));
+        return forward(balancer, std::move(packet));
+    case PacketAction::ReplyReset:
+        return reply(packet, ModelPacketKind::Reset, verdict.reason);
+    case PacketAction::Drop:
+        return;
+    }
+}
+
+void ModelAgent::forward(std::size_t balancer, FlowPacket packet)
+{
+    if (!m_context.policy.ownerTokens)
+        return reply(packet, ModelPacketKind::Reset, RefusalReason::FlowUnknown);
+    ++packet.hops;
+    if (!m_context.metrics.isWarmingUp)
+        ++m_context.metrics.hops;
+    toBalancer(balancer, std::move(packet));
+}
+
+void ModelAgent::openFlow(const FlowPacket& packet)
+{
+    if (!m_token.isSet())
+        return;
+    const Millis now = m_context.loop.nowMillis();
+    m_flows[packet.flow] = { .service = packet.service, .caller = packet.caller, .heardAt = now };
+    m_context.history.record({ .kind = HistoryKind::FlowOpened, .actor = m_index, .service = packet.service, .flow = packet.flow });
+    if (m_context.policy.redirects && packet.passedOver != 0 && packet.passedOver != m_token.upstream) {
+        RedirectMessage& batch = m_redirectsToSend[packet.passedOver];
+        batch.target = packet.passedOver;
+        batch.entries.emplace_back(packet.flow, m_token);
+    }
+    reply(packet, ModelPacketKind::Opened);
+}
+
+void ModelAgent::takePacket(const FlowPacket& packet)
+{
+    m_flows[packet.flow].heardAt = m_context.loop.nowMillis();
+    switch (packet.kind) {
+    case ModelPacketKind::Open:
+        return reply(packet, ModelPacketKind::Opened);
+    case ModelPacketKind::Data:
+        return reply(packet, ModelPacketKind::DataAck);
+    case ModelPacketKind::Request:
+        return takeRequest(packet);
+    case ModelPacketKind::FinalAck:
+        if (const auto work = m_work.find(packet.request.id); work != m_work.end() && work->second.state == WorkState::Ended)
+            work->second.sends = finalSends;
+        return;
+    case ModelPacketKind::Cancel:
+        return cancel(packet.request.id);
+    case ModelPacketKind::Close:
+        return closeFlow(packet.flow);
+    default:
+        return;
+    }
+}
+
+void ModelAgent::closeFlow(FlowId flow)
+{
+    std::vector<RequestId> pending;
+    for (const auto& [id, work] : m_work) {
+        if (work.flow == flow)
+            pending.push_back(id);
+    }
+    for (const RequestId id : pending)
+        cancel(id);
+    m_flows.erase(flow);
+}
+
+void ModelAgent::resetFlow(FlowId flow, RefusalReason reason)
+{
+    const auto found = m_flows.find(flow);
+    if (found == m_flows.end())
+        return;
+    const FlowPacket packet { .service = found->second.service, .flow = flow, .caller = found->second.caller, .owner = m_token };
+    closeFlow(flow);
+    reply(packet, ModelPacketKind::Reset, reason);
+}
+
+void ModelAgent::reply(const FlowPacket& packet, ModelPacketKind kind, RefusalReason reason)
+{
+    FlowPacket answer {
+        .kind = kind,
+        .service = packet.service,
+        .flow = packet.flow,
+        .caller = packet.caller,
+        .owner = kind == ModelPacketKind::Reset ? packet.owner : m_token,
+        .request = packet.request,
+    };
+    answer.verdict.reason = reason;
+    toCaller(std::move(answer));
+}
+
+void ModelAgent::toCaller(FlowPacket packet)
+{
+    if (const auto balancer = anyBalancer())
+        m_context.network.send(self(), { EndpointKind::Balancer, *balancer }, std::move(packet));
+}
+
+std::optional<std::size_t> ModelAgent::anyBalancer()
+{
+    if (m_balancers.empty())
+        return std::nullopt;
+    auto chosen = m_balancers.begin();
+    std::advance(chosen, static_cast<std::ptrdiff_t>(m_context.random.below(m_balancers.size())));
+    return chosen->first;
+}
+
+void ModelAgent::toBalancer(std::size_t balancer, Message message)
+{
+    if (!std::holds_alternative<FlowPacket>(message) && !m_context.metrics.isWarmingUp)
+        m_context.metrics.controlBytes += encodedBytes(message);
+    m_context.network.send(self(), { EndpointKind::Balancer, balancer }, std::move(message));
+}
+
+void ModelAgent::takeRequest(const FlowPacket& packet)
+{
+    const RequestId id = packet.request.id;
+    if (const auto known = m_work.find(id); known != m_work.end()) {
+        // A duplicate: the first copy is being worked on, or its final answer was lost on the way.
+        return known->second.state == WorkState::Ended ? toCaller(known->second.last) : reply(packet, ModelPacketKind::RequestAck);
+    }
+    reply(packet, ModelPacketKind::RequestAck);
+    const Millis now = m_context.loop.nowMillis();
+    Work& work = m_work[id];
+    work = { .flow = packet.flow, .request = packet.request, .deadline = now + packet.request.deadline };
+    work.last = { .service = packet.service, .flow = packet.flow, .caller = packet.caller, .owner = m_token, .request = packet.request };
+    later(toMicros(packet.request.deadline), [this, id] { timeOut(id); });
+    if (!packet.request.once)
+        return admitWork(id);
+    const BeginVerdict begun = beginWork(m_ledger, m_context.policy.ledger, keyText(packet.request.key), now);
+    if (begun != BeginVerdict::Run)
+        return refuse(work, refusalOf(begun), LedgerState::NeverSeen);
+    work.earlier = startAttempts(packet.request.earlier, m_token);
+    if (decideAttempts(work.earlier, m_context.policy.attempts).decision == AttemptsDecision::Wait)
+        askEarlier(work);
+    decideEarlier(id);
+}
+
+void ModelAgent::askEarlier(Work& work)
+{
+    for (const EarlierAttempt& attempt : work.earlier.attempts) {
+        if (const auto balancer = anyBalancer())
+            toBalancer(*balancer, LedgerQueryMessage { .key = work.request.key, .asker = m_token, .holder = attempt.owner });
+    }
+    later(queryTimeout, [this, id = work.request.id] {
+        const auto found = m_work.find(id);
+        if (found == m_work.end() || found->second.state != WorkState::Asking)
+            return;
+        for (EarlierAttempt& attempt : found->second.earlier.attempts) {
+            if (!attempt.answer)
+                noteUnreachable(found->second.earlier, attempt.owner);
+        }
+        decideEarlier(id);
+    });
+}
+
+void ModelAgent::decideEarlier(RequestId id)
+{
+    const auto found = m_work.find(id);
+    if (found == m_work.end() || found->second.state != WorkState::Asking)
+        return;
+    const AttemptsVerdict verdict = decideAttempts(found->second.earlier, m_context.policy.attempts);
+    if (verdict.decision == AttemptsDecision::Run)
+        admitWork(id);
+    else if (verdict.decision == AttemptsDecision::Refuse)
+        refuse(found->second, verdict.refusal, LedgerState::NotRun);
+}
+
+void ModelAgent::admitWork(RequestId id)
+{
+    Work& work = m_work.at(id);
+    const Millis now = m_context.loop.nowMillis();
+    const AdmitVerdict verdict = admit(m_admission, admissionOptions(), itemOf(id, work.request, work.deadline, now), now);
+    switch (verdict.decision) {
+    case AdmitDecision::Run:
+        return startWork(id);
+    case AdmitDecision::Queue:
+        work.state = WorkState::Queued;
+        return wakeLater();
+    case AdmitDecision::Refuse:
+        return refuse(work, verdict.refusal, LedgerState::NotRun);
+    }
+}
+
+void ModelAgent::startWork(RequestId id)
+{
+    Work& work = m_work.at(id);
+    const Millis now = m_context.loop.nowMillis();
+    work.state = WorkState::Running;
+    work.startedAt = now;
+    const double bearable = m_upstream.bearable();
+    const UpstreamStart started = m_upstream.start(id, work.request.work, [this, id, life = m_life](bool isWhole) { endWork(id, isWhole, life); });
+    if (started == UpstreamStart::Started) {
+        constexpr double thousandths = 1000;
+        m_context.history.record({
+            .kind = HistoryKind::WorkStarted,
+            .actor = m_index,
+            .service = work.last.service,
+            .request = id,
+            .key = work.request.once ? work.request.key : 0,
+            .value = m_upstream.running(),
+            .other = static_cast<std::uint64_t>(bearable * thousandths),
+        });
+        m_context.metrics.noteStart(work.request.once ? work.request.key : 0);
+        m_context.metrics.noteConcurrency(m_upstream.running(), bearable, service().slots, m_upstream.isColdAnnounced());
+        return;
+    }
+    const bool isShed = started == UpstreamStart::Shed;
+    finishWork(m_admission, admissionOptions(), itemOf(id, work.request, 0, 0).workClass, isShed ? WorkOutcome::Shed : WorkOutcome::Failed, 0, now);
+    refuse(work, { .ran = Ran::No, .reason = isShed ? RefusalReason::UpstreamShed : RefusalReason::UpstreamUnreachable, .retryAfter = service().warmUp / 50 }, LedgerState::NotRun);
+    startNext();
+}
+
+void ModelAgent::startNext()
+{
+    const Millis now = m_context.loop.nowMillis();
+    for (const ExpiredItem& expired : takeExpired(m_admission, admissionOptions(), now))
+        refuse(m_work.at(expired.item.id), expired.refusal, LedgerState::NotRun);
+    for (const WorkItem& item : takeRunnable(m_admission, admissionOptions(), now))
+        startWork(item.id);
+    wakeLater();
+}
+
+void ModelAgent::wakeLater()
+{
+    const Millis now = m_context.loop.nowMillis();
+    const auto wake = nextWake(m_admission, now);
+    if (!wake || (m_wakeAt && *m_wakeAt <= *wake && *m_wakeAt > now))
+        return;
+    m_wakeAt = std::max(*wake, now + 1);
+    later(toMicros(*m_wakeAt - now), [this, at = *m_wakeAt] {
+        if (m_wakeAt != at)
+            return;
+        m_wakeAt.reset();
+        startNext();
+    });
+}
+
+void ModelAgent::endWork(RequestId id, bool isWhole, std::uint64_t life)
+{
+    if (life != m_life)
+        return;
+    if (m_context.network.isFrozen(self()))
+        return later(1, [this, id, isWhole, life] { endWork(id, isWhole, life); });
+    Work& work = m_work.at(id);
+    const Millis now = m_context.loop.nowMillis();
+    const WorkClass workClass = itemOf(id, work.request, 0, 0).workClass;
+    finishWork(m_admission, admissionOptions(), workClass, isWhole ? WorkOutcome::Succeeded : WorkOutcome::Failed, now - work.startedAt, now);
+    if (isWhole) {
+        answer(work);
+    } else {
+        const Ran ran = m_context.policy.refusalGuard ? Ran::Unknown : Ran::No;
+        refuse(work, { .ran = ran, .reason = RefusalReason::UpstreamLost }, LedgerState::Unknown);
+    }
+    startNext();
+}
+
+void ModelAgent::timeOut(RequestId id)
+{
+    const auto found = m_work.find(id);
+    if (found == m_work.end() || found->second.state == WorkState::Ended)
+        return;
+    Work& work = found->second;
+    if (work.state == WorkState::Running)
+        return withdrawRunning(work, WorkOutcome::TimedOut, RefusalReason::UpstreamTimeout);
+    cancelQueued(m_admission, id);
+    refuse(work, { .ran = Ran::No, .reason = RefusalReason::DeadlinePassed }, LedgerState::NotRun);
+}
+
+void ModelAgent::cancel(RequestId id)
+{
+    const auto found = m_work.find(id);
+    if (found == m_work.end() || found->second.state == WorkState::Ended)
+        return;
+    Work& work = found->second;
+    if (work.state == WorkState::Running)
+        return withdrawRunning(work, WorkOutcome::Cancelled, RefusalReason::Cancelled);
+    cancelQueued(m_admission, id);
+    refuse(work, { .ran = Ran::No, .reason = RefusalReason::Cancelled }, LedgerState::NotRun);
+}
+
+/// The slot is free only when the upstream has confirmed.
+void ModelAgent::withdrawRunning(Work& work, WorkOutcome outcome, RefusalReason reason)
+{
+    const RequestId id = work.request.id;
+    refuse(work, { .ran = Ran::Unknown, .reason = reason }, LedgerState::Unknown);
+    later(cancelConfirm, [this, id, outcome, startedAt = work.startedAt, workClass = itemOf(id, work.request, 0, 0).workClass] {
+        if (!m_upstream.cancel(id))
+            return;
+        const Millis now = m_context.loop.nowMillis();
+        finishWork(m_admission, admissionOptions(), workClass, outcome, now - startedAt, now);
+        startNext();
+    });
+}
+
+void ModelAgent::answer(Work& work)
+{
+    if (work.request.once)
+        settleWork(m_ledger, m_context.policy.ledger, keyText(work.request.key), LedgerState::Ran, m_context.loop.nowMillis());
+    if (work.state == WorkState::Ended)
+        return;
+    work.state = WorkState::Ended;
+    work.last.kind = ModelPacketKind::Answer;
+    work.last.answerHash = answerHashOf(work.request);
+    if (m_context.random.chance(m_context.network.crossedAnswers())) {
+        FlowPacket crossed = work.last;
+        ++crossed.answerHash;
+        toCaller(std::move(crossed));
+    }
+    sendLast(work.request.id);
+}
+
+/// NeverSeen leaves the ledger as it is: the key belongs to another try.
+void ModelAgent::refuse(Work& work, const RefusalVerdict& verdict, LedgerState outcome)
+{
+    if (work.request.once && outcome != LedgerState::NeverSeen)
+        settleWork(m_ledger, m_context.policy.ledger, keyText(work.request.key), outcome, m_context.loop.nowMillis());
+    if (work.state == WorkState::Ended)
+        return;
+    work.state = WorkState::Ended;
+    work.last.kind = ModelPacketKind::Refusal;
+    work.last.verdict = verdict;
+    if (!m_context.metrics.isWarmingUp)
+        ++m_context.metrics.refusals[static_cast<std::size_t>(verdict.reason)];
+    sendLast(work.request.id);
+}
+
+/// Sends the final answer until it is acknowledged, and forgets the request some time after.
+void ModelAgent::sendLast(RequestId id)
+{
+    const auto found = m_work.find(id);
+    if (found == m_work.end())
+        return;
+    if (found->second.sends >= finalSends) {
+        m_work.erase(found);
+        return;
+    }
+    ++found->second.sends;
+    toCaller(found->second.last);
+    later(finalResend, [this, id] { sendLast(id); });
+}
+
+void ModelAgent::answerQuery(const LedgerQueryMessage& query)
+{
+    if (query.holder != m_token)
+        return;
+    const LedgerState state = queryAndFence(m_ledger, m_context.policy.ledger, keyText(query.key), m_context.loop.nowMillis());
+    if (const auto balancer = anyBalancer())
+        toBalancer(*balancer, LedgerAnswerMessage { .key = query.key, .asker = query.asker, .holder = m_token, .state = static_cast<std::uint8_t>(state) });
+}
+
+void ModelAgent::takeLedgerAnswer(const LedgerAnswerMessage& answer)
+{
+    const auto state = fromNumber<LedgerState>(answer.state);
+    if (!state || answer.asker != m_token)
+        return;
+    std::vector<RequestId> asking;
+    for (auto& [id, work] : m_work) {
+        if (work.state != WorkState::Asking || work.request.key != answer.key)
+            continue;
+        noteAnswer(work.earlier, answer.holder, *state);
+        asking.push_back(id);
+    }
+    for (const RequestId id : asking)
+        decideEarlier(id);
+}
+
+void ModelAgent::takeConfig(const ConfigMessage& config)
+{
+    if (!supersedes(m_config.version, config.version, m_context.policy.configOrder))
+        return;
+    m_config = config;
+    m_context.history.record({ .kind = HistoryKind::ConfigInForce, .actor = m_context.experiment.deployment.balancers + m_index, .value = config.version });
+    if (!m_context.policy.dataCentreGuard)
+        return;
+    const bool isBack = m_wasOut && !isOut();
+    m_wasOut = isOut();
+    if (m_wasOut)
+        leaveDataCentre();
+    if (isBack)
+        restartCold(m_admission, m_context.loop.nowMillis());
+}
+
+void ModelAgent::leaveDataCentre()
+{
+    for (const ExpiredItem& expired : refuseQueue(m_admission, RefusalReason::DataCentreOut, m_context.loop.nowMillis()))
+        refuse(m_work.at(expired.item.id), expired.refusal, LedgerState::NotRun);
+    while (!m_flows.empty())
+        resetFlow(m_flows.begin()->first, RefusalReason::DataCentreOut);
+}
+
+void ModelAgent::drain(bool mayExit)
+{
+    m_isDraining = true;
+    m_mayExit = mayExit;
+    const Millis now = m_context.loop.nowMillis();
+    m_drain = { .startedAt = now, .announced = true, .announcedAt = now };
+    m_store.setDraining(m_index, true);
+}
+
+void ModelAgent::revokeDrain()
+{
+    m_isDraining = false;
+    m_mayExit = false;
+    m_store.setDraining(m_index, false);
+}
+
+void ModelAgent::stepDrain()
+{
+    if (!m_isDraining || !m_mayExit)
+        return;
+    // Written again each time: the first write may have met an outage.
+    m_store.setDraining(m_index, true);
+    std::vector<DrainFlow> flows;
+    std::uint64_t unfinished = 0;
+    for (const auto& [id, work] : m_work)
+        unfinished += work.state != WorkState::Ended ? 1 : 0;
+    for (const auto& [id, flow] : m_flows)
+        flows.push_back({ .idleSince = flow.heardAt, .pending = 1 });
+    const bool mayStop = nextDrainStep(flows, m_drain, {}, m_context.loop.nowMillis()) == DrainStep::Done;
+    if (!mayStop && m_context.policy.drainWaitGuard)
+        return;
+    m_context.history.record({ .kind = HistoryKind::AgentStopped, .actor = m_index, .value = unfinished });
+    m_store.withdraw(m_index);
+    kill();
+    if (onExit)
+        onExit();
+}
+
+void ModelAgent::tick()
+{
+    const Millis now = m_context.loop.nowMillis();
+    const DeploymentSpec& deployment = m_context.experiment.deployment;
+    std::erase_if(m_balancers, [&](const auto& balancer) { return now - balancer.second > deployment.linkSilence; });
+    for (const auto& [balancer, heardAt] : m_balancers) {
+        const HeartbeatMessage heartbeat {
+            .agent = m_token,
+            .configVersion = m_config.version,
+            .openFlows = static_cast<double>(m_flows.size()),
+            .draining = m_isDraining,
+        };
+        toBalancer(balancer, heartbeat);
+    }
+    std::vector<FlowId> silent;
+    for (const auto& [id, flow] : m_flows) {
+        if (now - flow.heardAt > silentIntervals * loadOf(m_service, m_context.experiment).flowInterval)
+            silent.push_back(id);
+    }
+    for (const FlowId flow : silent)
+        closeFlow(flow);
+    expireLedger(m_ledger, m_context.policy.ledger, now);
+    expireRedirects(m_redirects, {}, now);
+    later(toMicros(deployment.heartbeat), [this] { tick(); });
+    stepDrain();
+}
+
+void ModelAgent::renew()
+{
+    if (m_token.isSet())
+        m_store.renew(m_index, m_token);
+    later(toMicros(m_context.experiment.deployment.lease / 3), [this] { renew(); });
+}
+
+void ModelAgent::sendRedirects()
+{
+    for (auto& [target, batch] : std::exchange(m_redirectsToSend, {})) {
+        if (const auto balancer = anyBalancer())
+            toBalancer(*balancer, std::move(batch));
+    }
+    later(redirectBatchInterval, [this] { sendRedirects(); });
+}
+
+}
--- /dev/null
+++ b/bench/libmodel/modelagent.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include "libdecision/admission.h"
+#include "libdecision/attempts.h"
+#include "libdecision/drain.h"
+#include "libdecision/ledger.h"
+#include "libdecision/redirects.h"
+#include "modelcontext.h"
+#include "modelstore.h"
+#include "modelupstream.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace kingcuptrail {
+
+/// The process beside one upstream: owns its flows, admits their requests, and runs each once-only key once. Every
+/// decision is libdecision's; this class only moves packets and time to it and its verdicts back.
+class ModelAgent {
+public:
+    ModelAgent(ModelContext& context, ModelStore& store, ModelUpstream& upstream, std::size_t index);
+
+    /// Starts the process anew and announces it.
+    void start();
+    /// Starts with an announcement that the store already holds and a warmed-up limit, for a run that begins so.
+    void startSettled(const OwnerToken& token);
+    void kill();
+
+    /// Takes no new flow from now on, and exits once `mayExit` and nothing is left.
+    void drain(bool mayExit);
+    /// Takes new flows again.
+    void revokeDrain();
+
+    /// The link to a balancer broke with an error.
+    void loseLink(std::size_t balancer);
+
+    const OwnerToken& token() const { return m_token; }
+    std::size_t openFlows() const { return m_flows.size(); }
+    std::uint32_t busyWork() const { return busy(m_admission); }
+    bool isDraining() const { return m_isDraining; }
+    bool isOut() const;
+    ConfigVersion configVersion() const { return m_config.version; }
+    /// Called when a drained agent has exited.
+    std::function<void()> onExit;
+
+private:
+    struct Flow {
+        std::size_t service = 0;
+        std::size_t caller = 0;
+        Millis heardAt = 0;
+    };
+
+    enum class WorkState : std::uint8_t {
+        Asking,
+        Queued,
+        Running,
+        Ended,
+    };
+
+    /// One try of a request, from its arrival until its final answer is acknowledged.
+    struct Work {
+        FlowId flow = 0;
+        ModelRequest request;
+        Millis deadline = 0;
+        WorkState state = WorkState::Asking;
+        EarlierAttempts earlier;
+        Millis startedAt = 0;
+        FlowPacket last;
+        std::uint32_t sends = 0;
+    };
+
+    void reset();
+    void run();
+    void announce();
+    void later(Micros delay, EventLoop::Action action);
+
+    void receive(Endpoint from, Message message);
+    void receivePacket(std::size_t balancer, FlowPacket packet);
+    PacketFacts factsOf(const FlowPacket& packet) const;
+    void forward(std::size_t balancer, FlowPacket packet);
+    void openFlow(const FlowPacket& packet);
+    void takePacket(const FlowPacket& packet);
+    void closeFlow(FlowId flow);
+    void resetFlow(FlowId flow, RefusalReason reason);
+    void reply(const FlowPacket& packet, ModelPacketKind kind, RefusalReason reason = RefusalReason::None);
+    void toCaller(FlowPacket packet);
+    std::optional<std::size_t> anyBalancer();
+    void toBalancer(std::size_t balancer, Message message);
+
+    void takeRequest(const FlowPacket& packet);
+    void askEarlier(Work& work);
+    void decideEarlier(RequestId id);
+    void admitWork(RequestId id);
+    void startWork(RequestId id);
+    void startNext();
+    void wakeLater();
+    void endWork(RequestId id, bool isWhole, std::uint64_t life);
+    void timeOut(RequestId id);
+    void cancel(RequestId id);
+    void withdrawRunning(Work& work, WorkOutcome outcome, RefusalReason reason);
+    void answer(Work& work);
+    void refuse(Work& work, const RefusalVerdict& verdict, LedgerState outcome);
+    void sendLast(RequestId id);
+    void answerQuery(const LedgerQueryMessage& query);
+    void takeLedgerAnswer(const LedgerAnswerMessage& answer);
+
+    void takeConfig(const ConfigMessage& config);
+    void leaveDataCentre();
+    void tick();
+    void renew();
+    void stepDrain();
+    void sendRedirects();
+    AdmissionOptions admissionOptions() const;
+    Endpoint self() const { return { EndpointKind::Agent, m_index }; }
+    const ServiceSpec& service() const;
+
+    ModelContext& m_context;
+    ModelStore& m_store;
+    ModelUpstream& m_upstream;
+    std::size_t m_index;
+    std::size_t m_service;
+    OwnerToken m_token;
+    ConfigMessage m_config;
+    AdmissionState m_admission;
+    Ledger m_ledger;
+    Redirects m_redirects;
+    std::map<FlowId, Flow> m_flows;
+    std::map<RequestId, Work> m_work;
+    std::map<UpstreamId, RedirectMessage> m_redirectsToSend;
+    /// When each linked balancer was last heard.
+    std::map<std::size_t, Millis> m_balancers;
+    std::optional<Millis> m_wakeAt;
+    DrainProgress m_drain;
+    bool m_isDraining = false;
+    bool m_mayExit = false;
+    bool m_wasOut = false;
+    std::uint64_t m_life = 0;
+};
+
+}
--- /dev/null
+++ b/bench/libmodel/modelbalancer.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "libdecision/lease.h"
+#include "libdecision/routing.h"
+#include "modelcontext.h"
+#include "modelstore.h"
+
+#include <vector>
+
+namespace kingcuptrail {
+
+/// A balancer with its own view of members and configuration, as old as its news. Keeps nothing per flow.
+class ModelBalancer {
+public:
+    ModelBalancer(ModelContext& context, ModelStore& store, std::size_t index);
+
+    /// Starts the process anew, with empty hands.
+    void start();
+    void kill();
+
+    /// The link to an agent broke with an error, as it does when the agent's process dies.
+    void loseLink(std::size_t agent);
+
+    bool isLinked(std::size_t agent) const { return m_members[agent].linked; }
+    ConfigVersion configVersion() const { return m_config.version; }
+
+private:
+    struct Peer {
+        bool isDialing = false;
+        Millis heardAt = 0;
+        bool announced = false;
+        bool draining = false;
+        LeaseView lease;
+    };
+
+    void receive(Endpoint from, Message message);
+    void receivePacket(const Endpoint& from, FlowPacket packet);
+    void receiveHeartbeat(const HeartbeatMessage& heartbeat, std::size_t agent);
+    void route(FlowPacket packet);
+    void routeModulo(FlowPacket packet);
+    void apply(const RouteResult& result, FlowPacket packet, std::size_t firstMember);
+    void noteFirstRanked(FlowPacket& packet, std::size_t chosen) const;
+    void toAgent(std::size_t agent, Message message);
+    void toAnyAgent(FlowPacket packet);
+    void resetFlow(const FlowPacket& packet, RefusalReason reason);
+    void takeTargets(const std::vector<TargetRecord>& targets);
+    void takeConfig(const ConfigMessage& config);
+    void offerConfig(std::size_t agent);
+    void dial(std::size_t agent);
+    void setLinked(std::size_t agent, bool linked);
+    void updateStates();
+    MemberState stateOf(std::size_t agent) const;
+    void rebuild();
+    void tick();
+    void watchLeases();
+    std::span<const Member> serviceMembers(std::size_t service) const;
+    Endpoint self() const { return { EndpointKind::Balancer, m_index }; }
+    void later(Micros delay, EventLoop::Action action);
+
+    ModelContext& m_context;
+    ModelStore& m_store;
+    std::size_t m_index;
+    /// Targets of all services, in order; those of one service stand together.
+    std::vector<Member> m_members;
+    std::vector<Peer> m_peers;
+    std::vector<std::size_t> m_firstOfService;
+    MemberIndex m_memberIndex;
+    ConfigMessage m_config;
+    std::uint64_t m_life = 0;
+};
+
+}
--- /dev/null
+++ b/bench/libmodel/modelcallers.cpp
@@ -0,0 +1,414 @@
+#include "modelcallers.h"
+
+#include <algorithm>
+
+namespace kingcuptrail {
+
+namespace {
+
+    constexpr Micros resendAfter = 200 * microsPerMilli;
+    /// Sends of an unanswered packet before its flow is given up as silent: about 3 s.
+    constexpr std::uint32_t sendsUntilSilent = 15;
+    /// A caller that could not open a flow waits this long.
+    constexpr Micros reopenAfter = 500 * microsPerMilli;
+    /// A piece of work that has no flow to go over looks again after this time.
+    constexpr Micros flowWait = 50 * microsPerMilli;
+    constexpr double millisPerSecond = 1000;
+
+}
+
+ModelCallers::ModelCallers(ModelContext& context, CauseOf causeOf)
+    : m_context(context)
+    , m_causeOf(std::move(causeOf))
+    , m_reachable(context.experiment.deployment.balancers, true)
+{
+    std::size_t budgets = 0;
+    for (std::size_t service = 0; service < context.experiment.deployment.services.size(); ++service) {
+        const ServiceSpec& spec = context.experiment.deployment.services[service];
+        m_firstOfService.push_back(m_callers.size());
+        m_callers.resize(m_callers.size() + spec.targets * spec.flowsPerTarget, Caller { .service = service });
+        budgets = std::max(budgets, loadOf(service, context.experiment).callerHosts);
+    }
+    m_firstOfService.push_back(m_callers.size());
+    m_budgets.resize(budgets);
+    context.network.attach({ EndpointKind::Callers, 0 }, [this](Endpoint, Message message) {
+        if (const auto* packet = std::get_if<FlowPacket>(&message))
+            receive(*packet);
+    });
+}
+
+void ModelCallers::start()
+{
+    // The last fifth of the warm-up is left for load news to settle.
+    const double openWithin = static_cast<double>(toMicros(m_context.experiment.warmUp)) * 0.8;
+    for (std::size_t caller = 0; caller < m_callers.size(); ++caller)
+        m_context.loop.after(static_cast<Micros>(m_context.random.uniform() * openWithin), [this, caller] { openFlow(caller); });
+    for (std::size_t service = 0; service + 1 < m_firstOfService.size(); ++service)
+        m_context.loop.at(static_cast<Micros>(openWithin), [this, service] { offer(service); });
+}
+
+void ModelCallers::setReachable(std::size_t balancer, bool reachable)
+{
+    m_reachable[balancer] = reachable;
+}
+
+void ModelCallers::sendToFabric(FlowPacket packet)
+{
+    std::vector<std::size_t> balancers;
+    for (std::size_t balancer = 0; balancer < m_reachable.size(); ++balancer) {
+        if (m_reachable[balancer])
+            balancers.push_back(balancer);
+    }
+    if (balancers.empty())
+        return;
+    const auto send = [&](FlowPacket sent) {
+        m_context.network.send({ EndpointKind::Callers, 0 }, { EndpointKind::Balancer, balancers[m_context.random.below(balancers.size())] }, std::move(sent));
+    };
+    if (packet.kind == ModelPacketKind::Request && m_context.random.chance(m_strayShare)) {
+        FlowPacket stray = packet;
+        stray.service = (packet.service + 1) % (m_firstOfService.size() - 1);
+        send(std::move(stray));
+    }
+    send(std::move(packet));
+}
+
+FlowPacket ModelCallers::packetOf(std::size_t caller, ModelPacketKind kind) const
+{
+    const Caller& from = m_callers[caller];
+    return { .kind = kind, .service = from.service, .flow = from.flow, .caller = caller, .owner = from.owner };
+}
+
+RetryBudget& ModelCallers::budgetOf(std::size_t caller)
+{
+    return m_budgets[caller % m_budgets.size()];
+}
+
+void ModelCallers::receive(const FlowPacket& packet)
+{
+    Caller& caller = m_callers[packet.caller];
+    const bool isCurrent = caller.flow == packet.flow;
+    switch (packet.kind) {
+    case ModelPacketKind::Opened:
+        return takeOpened(packet);
+    case ModelPacketKind::DataAck:
+        if (isCurrent)
+            caller.isWaitingForAck = false;
+        return;
+    case ModelPacketKind::RequestAck:
+        if (const auto first = m_firstOfTry.find(packet.request.id); first != m_firstOfTry.end())
+            m_pending.at(first->second).isAcknowledged = true;
+        return;
+    case ModelPacketKind::Answer:
+    case ModelPacketKind::Refusal:
+        return takeFinal(packet);
+    case ModelPacketKind::Reset:
+        // A reset that names another owner than the flow's is for an earlier packet of it.
+        if (isCurrent && (packet.owner == caller.owner || !m_context.policy.ownerTokens))
+            loseFlow(packet.caller, packet.verdict.reason, false);
+        return;
+    default:
+        return;
+    }
+}
+
+void ModelCallers::openFlow(std::size_t caller)
+{
+    Caller& opening = m_callers[caller];
+    opening.flow = m_context.random.id();
+    opening.owner = {};
+    opening.isOpen = false;
+    opening.isWaitingForAck = false;
+    sendOpen(caller, ++opening.generation, 0);
+}
+
+void ModelCallers::sendOpen(std::size_t caller, std::uint64_t generation, std::uint32_t sends)
+{
+    Caller& opening = m_callers[caller];
+    if (opening.generation != generation || opening.isOpen)
+        return;
+    if (sends >= sendsUntilSilent)
+        return openFlow(caller);
+    ++m_context.metrics.openTries;
+    sendToFabric(packetOf(caller, ModelPacketKind::Open));
+    m_context.loop.after(resendAfter, [this, caller, generation, sends] { sendOpen(caller, generation, sends + 1); });
+}
+
+void ModelCallers::takeOpened(const FlowPacket& packet)
+{
+    Caller& caller = m_callers[packet.caller];
+    if (caller.flow == packet.flow && caller.isOpen && caller.owner == packet.owner)
+        return;
+    if (caller.flow != packet.flow || caller.isOpen) {
+        // Two agents opened the flow, or it is long over: the one that is not used is told so.
+        if (caller.flow == packet.flow && !m_context.metrics.isWarmingUp)
+            ++m_context.metrics.duplicateOpens;
+        FlowPacket close = packet;
+        close.kind = ModelPacketKind::Close;
+        return sendToFabric(std::move(close));
+    }
+    caller.owner = packet.owner;
+    caller.isOpen = true;
+    if (!m_context.metrics.isWarmingUp)
+        ++m_context.metrics.flowsOpened;
+    const LoadSpec& load = loadOf(caller.service, m_context.experiment);
+    const std::uint64_t generation = caller.generation;
+    const std::size_t index = packet.caller;
+    m_context.loop.after(static_cast<Micros>(m_context.random.uniform() * static_cast<double>(toMicros(load.flowInterval))), [this, index, generation] { ping(index, generation); });
+    if (load.flowLife > 0)
+        m_context.loop.after(static_cast<Micros>(m_context.random.exponential(static_cast<double>(toMicros(load.flowLife)))), [this, index, generation] { closeFlow(index, generation); });
+}
+
+void ModelCallers::closeFlow(std::size_t caller, std::uint64_t generation)
+{
+    Caller& closing = m_callers[caller];
+    if (closing.generation != generation || !closing.isOpen)
+        return;
+    const bool isUsed = std::ranges::any_of(m_pending, [&](const auto& entry) { return entry.second.flow == closing.flow; });
+    if (isUsed) {
+        m_context.loop.after(resendAfter, [this, caller, generation] { closeFlow(caller, generation); });
+        return;
+    }
+    sendToFabric(packetOf(caller, ModelPacketKind::Close));
+    openFlow(caller);
+}
+
+void ModelCallers::ping(std::size_t caller, std::uint64_t generation)
+{
+    if (m_callers[caller].generation != generation || !m_callers[caller].isOpen)
+        return;
+    m_callers[caller].isWaitingForAck = true;
+    sendData(caller, generation, 0);
+    m_context.loop.after(toMicros(loadOf(m_callers[caller].service, m_context.experiment).flowInterval), [this, caller, generation] { ping(caller, generation); });
+}
+
+void ModelCallers::sendData(std::size_t caller, std::uint64_t generation, std::uint32_t sends)
+{
+    const Caller& sending = m_callers[caller];
+    if (sending.generation != generation || !sending.isWaitingForAck)
+        return;
+    if (sends >= sendsUntilSilent)
+        return loseFlow(caller, RefusalReason::FlowSilent, true);
+    sendToFabric(packetOf(caller, ModelPacketKind::Data));
+    m_context.loop.after(resendAfter, [this, caller, generation, sends] { sendData(caller, generation, sends + 1); });
+}
+
+void ModelCallers::loseFlow(std::size_t caller, RefusalReason reason, bool isSilent)
+{
+    Caller& losing = m_callers[caller];
+    if (losing.isOpen) {
+        const BreakCause cause = m_causeOf(losing.owner, reason);
+        m_context.history.record({ .kind = HistoryKind::FlowLost, .service = losing.service, .flow = losing.flow, .key = losing.owner.upstream, .value = static_cast<std::uint64_t>(cause), .other = losing.owner.incarnation });
+        if (!m_context.metrics.isWarmingUp) {
+            ++m_context.metrics.broken[static_cast<std::size_t>(cause)];
+            ++m_context.metrics.second(sinceStart(m_context)).flowsBroken;
+        }
+    }
+    std::vector<RequestId> interrupted;
+    for (const auto& [first, pending] : m_pending) {
+        if (pending.flow == losing.flow && pending.isOnTheWay)
+            interrupted.push_back(first);
+    }
+    const bool wasOpen = losing.isOpen;
+    losing.isOpen = false;
+    losing.flow = 0;
+    const std::uint64_t generation = ++losing.generation;
+    m_context.loop.after(wasOpen ? 0 : reopenAfter, [this, caller, generation] {
+        if (m_callers[caller].generation == generation)
+            openFlow(caller);
+    });
+    for (const RequestId first : interrupted)
+        retryOrEnd(first, { .ran = Ran::Unknown, .reason = reason, .flowSilent = isSilent });
+}
+
+void ModelCallers::offer(std::size_t service)
+{
+    if (!m_isOffering)
+        return;
+    const LoadSpec& load = loadOf(service, m_context.experiment);
+    const ServiceSpec& spec = m_context.experiment.deployment.services[service];
+    const double capacity = static_cast<double>(spec.targets) * spec.slots / meanWork(load);
+    const double rate = capacity * load.utilisation * m_loadFactor;
+    if (rate <= 0)
+        return;
+    makeRequest(service);
+    m_context.loop.after(static_cast<Micros>(m_context.random.exponential(static_cast<double>(microsPerMilli) / rate)), [this, service] { offer(service); });
+}
+
+void ModelCallers::makeRequest(std::size_t service)
+{
+    const LoadSpec& load = loadOf(service, m_context.experiment);
+    RandomSource& random = m_context.random;
+    Pending pending;
+    pending.request.id = random.id();
+    pending.request.key = random.id();
+    pending.request.once = random.chance(load.onceShare);
+    pending.request.isLong = random.chance(load.longShare);
+    const auto mean = static_cast<double>(toMicros(pending.request.isLong ? load.longWork : load.shortWork));
+    // Half of each is the same for all, as the upstream's fixed part of the work is.
+    pending.request.work = static_cast<Micros>(mean / 2 + random.exponential(mean / 2));
+    pending.firstId = pending.request.id;
+    pending.madeAt = m_context.loop.nowMillis();
+    pending.deadline = pending.madeAt + load.deadline * (pending.request.isLong ? load.longWork / load.shortWork : 1);
+    pending.caller = openCaller(service, {}).value_or(m_firstOfService[service]);
+    const RequestId first = pending.firstId;
+    if (!m_context.metrics.isWarmingUp) {
+        ++m_context.metrics.firstTries;
+        ++m_context.metrics.second(sinceStart(m_context)).offered;
+    }
+    noteFirstTry(budgetOf(pending.caller), {});
+    m_context.loop.at(toMicros(pending.deadline), [this, first] { giveUp(first); });
+    m_pending.emplace(first, std::move(pending));
+    sendTry(first);
+}
+
+std::optional<std::size_t> ModelCallers::openCaller(std::size_t service, const OwnerToken& avoided)
+{
+    const std::size_t begin = m_firstOfService[service];
+    const std::size_t count = m_firstOfService[service + 1] - begin;
+    constexpr int draws = 20;
+    for (int draw = 0; draw < draws; ++draw) {
+        const std::size_t caller = begin + m_context.random.below(count);
+        if (m_callers[caller].isOpen && m_callers[caller].owner != avoided)
+            return caller;
+    }
+    return std::nullopt;
+}
+
+void ModelCallers::sendTry(RequestId first)
+{
+    const auto found = m_pending.find(first);
+    if (found == m_pending.end())
+        return;
+    Pending& pending = found->second;
+    const Caller& caller = m_callers[pending.caller];
+    if (!caller.isOpen) {
+        if (const auto other = openCaller(caller.service, {}))
+            pending.caller = *other;
+        m_context.loop.after(flowWait, [this, first] { sendTry(first); });
+        return;
+    }
+    const RequestId tried = pending.tries == 0 ? first : m_context.random.id();
+    ++pending.tries;
+    pending.request.id = tried;
+    pending.flow = caller.flow;
+    pending.sends = 0;
+    pending.isAcknowledged = false;
+    pending.isOnTheWay = true;
+    pending.sentAt = m_context.loop.now();
+    m_firstOfTry[tried] = first;
+    m_context.history.record({ .kind = HistoryKind::RequestMade, .flow = caller.flow, .request = tried, .key = pending.request.key, .other = answerHashOf(pending.request) });
+    resendTry(first, tried);
+}
+
+void ModelCallers::resendTry(RequestId first, RequestId tried)
+{
+    const auto found = m_pending.find(first);
+    if (found == m_pending.end() || found->second.request.id != tried || found->second.isAcknowledged || !found->second.isOnTheWay)
+        return;
+    Pending& pending = found->second;
+    if (m_callers[pending.caller].flow != pending.flow)
+        return;
+    if (++pending.sends > sendsUntilSilent)
+        return loseFlow(pending.caller, RefusalReason::FlowSilent, true);
+    FlowPacket packet = packetOf(pending.caller, ModelPacketKind::Request);
+    packet.request = pending.request;
+    packet.request.deadline = std::max<Millis>(0, pending.deadline - m_context.loop.nowMillis());
+    sendToFabric(std::move(packet));
+    m_context.loop.after(resendAfter, [this, first, tried] { resendTry(first, tried); });
+}
+
+void ModelCallers::takeFinal(const FlowPacket& packet)
+{
+    const auto first = m_firstOfTry.find(packet.request.id);
+    const bool isPending = first != m_firstOfTry.end();
+    const bool isAnswer = packet.kind == ModelPacketKind::Answer;
+    // An answer with another request's content is thrown away; the right one is sent again until acknowledged.
+    if (isPending && isAnswer && m_context.policy.answerGuard && packet.answerHash != answerHashOf(m_pending.at(first->second).request))
+        return;
+    FlowPacket acknowledge = packet;
+    acknowledge.kind = ModelPacketKind::FinalAck;
+    sendToFabric(std::move(acknowledge));
+    if (!isPending)
+        return;
+    Pending& pending = m_pending.at(first->second);
+    if (!isAnswer)
+        return takeRefusal(pending, packet.verdict);
+    if (!m_context.metrics.isWarmingUp)
+        m_context.metrics.answerLatency.add(static_cast<double>(m_context.loop.nowMillis() - pending.madeAt));
+    end(first->second, RequestEnd::Answered, packet.answerHash);
+}
+
+void ModelCallers::takeRefusal(Pending& pending, const RefusalVerdict& verdict)
+{
+    if (verdict.ran == Ran::No && !m_context.metrics.isWarmingUp)
+        m_context.metrics.refusalLatency.add(static_cast<double>(m_context.loop.now() - pending.sentAt) / static_cast<double>(microsPerMilli));
+    const RequestId first = pending.firstId;
+    retryOrEnd(first, { .ran = verdict.ran, .reason = verdict.reason, .retryAfter = verdict.retryAfter });
+}
+
+void ModelCallers::retryOrEnd(RequestId first, const AttemptResult& result)
+{
+    Pending& pending = m_pending.at(first);
+    const RetryFacts facts {
+        .idempotent = !pending.request.once,
+        .tries = pending.tries,
+        .deadline = pending.deadline,
+        .now = m_context.loop.nowMillis(),
+    };
+    const RetryVerdict verdict = decideRetry(budgetOf(pending.caller), {}, facts, result);
+    pending.isOnTheWay = false;
+    m_firstOfTry.erase(pending.request.id);
+    if (!m_context.metrics.isWarmingUp)
+        ++m_context.metrics.retryDecisions[static_cast<std::size_t>(verdict.reason)];
+    if (!verdict.retry) {
+        const std::array<RequestEnd, 3> ends { RequestEnd::RefusedNotRun, RequestEnd::RefusedRan, RequestEnd::Unknown };
+        return end(first, ends[static_cast<std::size_t>(result.ran)], static_cast<std::uint64_t>(result.reason));
+    }
+    if (!m_context.metrics.isWarmingUp)
+        ++m_context.metrics.retries;
+    const Caller& caller = m_callers[pending.caller];
+    const OwnerToken tried = caller.owner;
+    if (verdict.nameEarlier && tried.isSet())
+        pending.request.earlier.push_back(tried);
+    if (verdict.newFlow) {
+        if (const auto other = openCaller(caller.service, tried))
+            pending.caller = *other;
+    }
+    m_context.loop.after(toMicros(verdict.delay), [this, first] { sendTry(first); });
+}
+
+void ModelCallers::giveUp(RequestId first)
+{
+    const auto found = m_pending.find(first);
+    if (found == m_pending.end())
+        return;
+    const Pending& pending = found->second;
+    if (!pending.isOnTheWay) // Between two tries: the last refusal said that nothing ran, or no try was ever sent.
+        return end(first, pending.request.earlier.empty() ? RequestEnd::RefusedNotRun : RequestEnd::Unknown, static_cast<std::uint64_t>(RefusalReason::DeadlinePassed));
+    if (m_callers[pending.caller].flow == pending.flow) {
+        FlowPacket cancel = packetOf(pending.caller, ModelPacketKind::Cancel);
+        cancel.request = pending.request;
+        sendToFabric(std::move(cancel));
+    }
+    end(first, RequestEnd::Unknown, static_cast<std::uint64_t>(RefusalReason::DeadlinePassed));
+}
+
+void ModelCallers::end(RequestId first, RequestEnd how, std::uint64_t detail)
+{
+    const auto found = m_pending.find(first);
+    const OwnerToken& owner = m_callers[found->second.caller].owner;
+    if (how == RequestEnd::Unknown && !m_context.metrics.isWarmingUp)
+        ++m_context.metrics.unknownBy[static_cast<std::size_t>(m_causeOf(owner, static_cast<RefusalReason>(detail)))];
+    m_context.history.record({ .kind = HistoryKind::RequestEnded, .request = found->second.request.id, .key = found->second.request.key, .value = static_cast<std::uint64_t>(how), .other = detail });
+    if (!m_context.metrics.isWarmingUp) {
+        ++m_context.metrics.ended[static_cast<std::size_t>(how)];
+        SecondOfService& second = m_context.metrics.second(sinceStart(m_context));
+        second.answered += how == RequestEnd::Answered ? 1 : 0;
+        second.refused += how == RequestEnd::RefusedNotRun || how == RequestEnd::RefusedRan ? 1 : 0;
+        second.unknown += how == RequestEnd::Unknown ? 1 : 0;
+    }
+    m_firstOfTry.erase(found->second.request.id);
+    m_pending.erase(found);
+}
+
+}
--- /dev/null
+++ b/bench/libmodel/modelcallers.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "libdecision/retry.h"
+#include "modelcontext.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace kingcuptrail {
+
+/// All callers of a run and the fabric in front of the balancers. Each caller holds one flow open and opens another
+/// when it is lost; requests come at a given rate and go over the flow of a caller drawn at random.
+class ModelCallers {
+public:
+    /// Why a flow was lost, by what the model knows of its owner.
+    using CauseOf = std::function<BreakCause(const OwnerToken& owner, RefusalReason reason)>;
+
+    ModelCallers(ModelContext& context, CauseOf causeOf);
+
+    /// Opens all flows within the warm-up and begins to send requests.
+    void start();
+
+    /// Whether the fabric hands packets to a balancer.
+    void setReachable(std::size_t balancer, bool reachable);
+
+    /// Multiplies the load of all services.
+    void setLoadFactor(double factor) { m_loadFactor = factor; }
+    /// The chance that a packet is followed by one that names another service's address.
+    void setStrayShare(double share) { m_strayShare = share; }
+    /// Work begun before now is still followed to its end; no more is begun.
+    void stopOffering() { m_isOffering = false; }
+
+private:
+    struct Caller {
+        std::size_t service = 0;
+        FlowId flow = 0;
+        OwnerToken owner;
+        /// Set from Opened until the flow is lost or closed.
+        bool isOpen = false;
+        bool isWaitingForAck = false;
+        std::uint64_t generation = 0;
+    };
+
+    /// One piece of work until its end, through all its tries.
+    struct Pending {
+        std::size_t caller = 0;
+        FlowId flow = 0;
+        ModelRequest request;
+        RequestId firstId = 0;
+        Millis deadline = 0;
+        Millis madeAt = 0;
+        Micros sentAt = 0;
+        std::uint32_t tries = 0;
+        std::uint32_t sends = 0;
+        bool isAcknowledged = false;
+        bool isOnTheWay = false;
+    };
+
+    void receive(const FlowPacket& packet);
+    void openFlow(std::size_t caller);
+    void sendOpen(std::size_t caller, std::uint64_t generation, std::uint32_t sends);
+    void takeOpened(const FlowPacket& packet);
+    void closeFlow(std::size_t caller, std::uint64_t generation);
+    void ping(std::size_t caller, std::uint64_t generation);
+    void sendData(std::size_t caller, std::uint64_t generation, std::uint32_t sends);
+    void loseFlow(std::size_t caller, RefusalReason reason, bool isSilent);
+
+    void offer(std::size_t service);
+    void makeRequest(std::size_t service);
+    std::optional<std::size_t> openCaller(std::size_t service, const OwnerToken& avoided);
+    void sendTry(RequestId first);
+    void resendTry(RequestId first, RequestId tried);
+    void takeFinal(const FlowPacket& packet);
+    void takeRefusal(Pending& pending, const RefusalVerdict& verdict);
+    void retryOrEnd(RequestId first, const AttemptResult& result);
+    void tryOnNewFlow(RequestId first);
+    void giveUp(RequestId first);
+    void end(RequestId first, RequestEnd how, std::uint64_t detail);
+    void sendToFabric(FlowPacket packet);
+    FlowPacket packetOf(std::size_t caller, ModelPacketKind kind) const;
+    RetryBudget& budgetOf(std::size_t caller);
+
+    ModelContext& m_context;
+    CauseOf m_causeOf;
+    std::vector<Caller> m_callers;
+    /// First caller of each service, and the number of all.
+    std::vector<std::size_t> m_firstOfService;
+    /// Work under way by the id of its first try, and the first try of each later one.
+    std::map<RequestId, Pending> m_pending;
+    std::map<RequestId, RequestId> m_firstOfTry;
+    std::vector<RetryBudget> m_budgets;
+    std::vector<bool> m_reachable;
+    double m_loadFactor = 1;
+    double m_strayShare = 0;
+    bool m_isOffering = true;
+};
+
+}
--- /dev/null
+++ b/bench/libmodel/modelcontext.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "eventloop.h"
+#include "experiment.h"
+#include "history.h"
+#include "metrics.h"
+#include "network.h"
+#include "policy.h"
+#include "randomsource.h"
+
+namespace kingcuptrail {
+
+/// What the parts of one run share.
+struct ModelContext {
+    const ExperimentSpec& experiment;
+    const PolicyOptions& policy;
+    EventLoop& loop;
+    RandomSource& random;
+    Network& network;
+    Metrics& metrics;
+    History& history;
+};
+
+/// Time since measuring began, in milliseconds; negative during the warm-up.
+inline Millis sinceStart(const ModelContext& context)
+{
+    return context.loop.nowMillis() - context.experiment.warmUp;
+}
+
+}
--- /dev/null
+++ b/bench/libmodel/modelstore.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "message.h"
+#include "modelcontext.h"
+
+#include <functional>
+#include <vector>
+
+namespace kingcuptrail {
+
+/// What the store holds about one target.
+struct TargetRecord {
+    OwnerToken token;
+    bool announced = false;
+    bool draining = false;
+    std::uint64_t renewals = 0;
+};
+
+/// How an operator's conditional write ended.
+enum class ApplyResult : std::uint8_t {
+    Accepted,
+    Conflict,
+    /// It may or may not have taken effect.
+    NoAnswer,
+    Unreachable,
+};
+
+/// The platform's object API as far as the model needs it: announcements, leases and one configuration, with outages,
+/// slow watches and answers that are lost after the write took effect.
+class ModelStore {
+public:
+    using OnTargets = std::function<void(const std::vector<TargetRecord>&)>;
+    using OnConfig = std::function<void(const ConfigMessage&)>;
+    using OnAnnounced = std::function<void(Incarnation)>;
+    using OnApplied = std::function<void(ApplyResult)>;
+
+    explicit ModelStore(ModelContext& context);
+
+    /// Watches from now on; the present state is told first. A watcher with the same index replaces the last one.
+    void watch(std::size_t watcher, OnTargets onTargets, OnConfig onConfig);
+
+    /// Announces a target under the next incarnation; nothing is answered while the store is down.
+    void announce(std::size_t target, OnAnnounced onAnnounced);
+    void setDraining(std::size_t target, bool draining);
+    void renew(std::size_t target, const OwnerToken& token);
+    void withdraw(std::size_t target);
+
+    /// Takes a data centre out or back, if the configuration still has the version it is based on.
+    void apply(ConfigVersion basedOn, std::size_t dataCentre, bool out, OnApplied onApplied);
+
+    /// Puts everything in place before the run, without an incarnation ever having been given out.
+    void seed(std::vector<TargetRecord> targets);
+
+    const ConfigMessage& config() const { return m_config; }
+    const std::vector<TargetRecord>& targets() const { return m_targets; }
+    bool answers() const { return m_isUp; }
+
+    void setUp(bool up) { m_isUp = up; }
+    void setLosesAnswers(bool loses) { m_losesAnswers = loses; }
+    /// Makes one watcher's news late, by this factor.
+    void setSlowness(std::size_t watcher, double factor);
+
+private:
+    struct Watcher {
+        OnTargets onTargets;
+        OnConfig onConfig;
+        double slowness = 1;
+        std::uint64_t generation = 0;
+    };
+
+    void tellTargets(std::size_t watcher);
+    void tellConfig(std::size_t watcher);
+    void tellAllTargets();
+    void deliver(std::size_t watcher, std::uint64_t generation, std::function<void(const Watcher&)> news);
+    Micros newsDelay(std::size_t watcher);
+    bool losesThisAnswer();
+
+    ModelContext& m_context;
+    std::vector<TargetRecord> m_targets;
+    ConfigMessage m_config;
+    std::vector<Watcher> m_watchers;
+    bool m_isUp = true;
+    bool m_losesAnswers = false;
+};
+
+}
--- /dev/null
+++ b/bench/libmodel/modelupstream.cpp
@@ -0,0 +1,89 @@
+#include "modelupstream.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace kingcuptrail {
+
+namespace {
+
+    /// How long a shed or refused call takes to be answered costs nothing here; work does.
+    constexpr Micros shortestWork = 100;
+
+}
+
+ModelUpstream::ModelUpstream(EventLoop& loop, const ModelUpstreamOptions& options)
+    : m_loop(loop)
+    , m_options(options)
+    , m_coldSince(loop.now())
+{
+}
+
+UpstreamStart ModelUpstream::start(RequestId request, Micros work, OnDone onDone)
+{
+    if (!m_alive)
+        return UpstreamStart::Unreachable;
+    if (m_shedding || running() >= m_options.slots + m_options.acceptBeyondSlots)
+        return UpstreamStart::Shed;
+    m_running.emplace(request, std::move(onDone));
+    const auto takes = static_cast<Micros>(static_cast<double>(work) * slowdown());
+    m_loop.after(std::max(takes, shortestWork), [this, request, life = m_life] { finish(request, life); });
+    return UpstreamStart::Started;
+}
+
+bool ModelUpstream::cancel(RequestId request)
+{
+    return m_running.erase(request) != 0;
+}
+
+void ModelUpstream::finish(RequestId request, std::uint64_t life)
+{
+    const auto running = m_running.find(request);
+    if (life != m_life || running == m_running.end())
+        return;
+    const OnDone onDone = std::move(running->second);
+    m_running.erase(running);
+    onDone(true);
+}
+
+void ModelUpstream::kill()
+{
+    m_alive = false;
+    ++m_life;
+    const auto lost = std::exchange(m_running, {});
+    for (const auto& [request, onDone] : lost)
+        onDone(false);
+}
+
+void ModelUpstream::restart()
+{
+    m_alive = true;
+    turnCold();
+    m_isColdAnnounced = true;
+}
+
+void ModelUpstream::turnCold()
+{
+    m_isColdAnnounced = false;
+    m_coldSince = m_loop.now();
+}
+
+void ModelUpstream::startWarm()
+{
+    m_coldSince = m_loop.now() - toMicros(m_options.coldFor);
+}
+
+double ModelUpstream::bearable() const
+{
+    const double warmth = m_options.coldFor > 0
+        ? static_cast<double>(m_loop.now() - m_coldSince) / static_cast<double>(toMicros(m_options.coldFor))
+        : 1;
+    return 1 + (m_options.slots - 1) * std::min(1.0, warmth);
+}
+
+double ModelUpstream::slowdown() const
+{
+    return m_slowness * std::max(1.0, running() / bearable());
+}
+
+}
--- /dev/null
+++ b/bench/libmodel/simulation.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "modelagent.h"
+#include "modelbalancer.h"
+#include "modelcallers.h"
+#include "modelcontext.h"
+#include "modelstore.h"
+#include "modelupstream.h"
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace kingcuptrail {
+
+/// One run of an experiment under one policy: builds the processes, brings the failure plan about, and samples what is
+/// measured over time.
+class Simulation {
+public:
+    /// `keepHistory` records every event for the checker.
+    Simulation(const ExperimentSpec& experiment, const PolicyOptions& policy, bool keepHistory = false);
+
+    void run();
+
+    const Metrics& metrics() const { return m_metrics; }
+    const History& history() const { return m_history; }
+    std::uint64_t eventsExecuted() const { return m_loop.executed(); }
+
+private:
+    /// A target that came back, until it holds its share of flows.
+    struct ReturnWatch {
+        std::size_t target = 0;
+        Millis since = 0;
+    };
+
+    void build();
+    void settle();
+    void schedule(const FailureSpec& failure);
+    void begin(const FailureSpec& failure);
+    void end(const FailureSpec& failure);
+    void beginProcessFailure(const FailureSpec& failure);
+    void beginUpstreamFailure(const FailureSpec& failure);
+    void beginChange(const FailureSpec& failure);
+    void beginStoreFailure(const FailureSpec& failure);
+    void beginPacketFault(const FailureSpec& failure, double value);
+
+    void killBalancer(std::size_t balancer);
+    void startBalancer(std::size_t balancer);
+    void freeze(Endpoint endpoint, bool frozen);
+    void killAgent(std::size_t agent);
+    void startAgent(std::size_t agent);
+    void restartHost(std::size_t agent);
+    void drain(std::size_t agent, bool mayExit);
+    void applyOperator(std::size_t dataCentre, bool out);
+    void applyNow(ConfigVersion basedOn, std::size_t dataCentre, bool out);
+
+    BreakCause causeOf(const OwnerToken& owner, RefusalReason reason) const;
+    std::optional<std::size_t> targetOf(const OwnerToken& owner) const;
+    bool isInService(std::size_t target) const;
+    double capacityNow() const;
+    void sampleSecond();
+    void sampleBusy();
+    void watchReturns(std::size_t service, const std::vector<double>& flows, const std::vector<std::size_t>& targets);
+
+    ExperimentSpec m_experiment;
+    PolicyOptions m_policy;
+    EventLoop m_loop;
+    RandomSource m_random;
+    Network m_network;
+    Metrics m_metrics;
+    History m_history;
+    ModelContext m_context;
+    ModelStore m_store;
+    std::vector<std::unique_ptr<ModelUpstream>> m_upstreams;
+    std::vector<std::unique_ptr<ModelAgent>> m_agents;
+    std::vector<std::unique_ptr<ModelBalancer>> m_balancers;
+    std::unique_ptr<ModelCallers> m_callers;
+    /// Busy slots of each target, summed over the samples in which it was in service, and their number.
+    std::vector<double> m_busySum;
+    std::vector<std::uint64_t> m_busySamples;
+    std::vector<ReturnWatch> m_returns;
+};
+
+}
