--- a/src/libdecision/concurrencylimit.cpp
+++ b/src/libdecision/concurrencylimit.cpp
@@ -92,12 +92,17 @@
         limit.pausedUntil = now + std::min(pause, options.longestPause);
     }
 
+    // Load: the first requests after an upstream that refused connections answers again.
+    // Harm: counted from the last refusal, the warm-up is up to a pause ahead of the upstream's own, and its second and
+    // third requests come while it bears one.
+    // Limit: the line begins with the first request that the upstream takes.
     void noteTurnedAway(ConcurrencyLimit& limit, const LimitOptions& options, const LimitSample& sample, Millis now)
     {
         if (sample.outcome == WorkOutcome::Shed)
             learnCeiling(limit, options, sample.busy, now);
         stretchWarmUp(limit);
         startCold(limit, now);
+        limit.coldSince.reset();
         pauseStarts(limit, options, now);
     }
 
@@ -217,12 +222,12 @@
 {
     if (!options.guard)
         return;
-    if (!limit.coldSince)
-        limit.coldSince = now;
     limit.lastCompletion = now;
     if (sample.outcome == WorkOutcome::Shed || sample.outcome == WorkOutcome::Failed)
-        noteTurnedAway(limit, options, sample, now);
-    else if (sample.measured && isSuddenRise(limit, sample.serviceTime))
+        return noteTurnedAway(limit, options, sample, now);
+    if (!limit.coldSince)
+        limit.coldSince = now;
+    if (sample.measured && isSuddenRise(limit, sample.serviceTime))
         noteSlow(limit, now);
     else if (sample.outcome == WorkOutcome::Succeeded)
         noteSuccess(limit, options, sample, now);
