--- a/src/libplatform/schemacheck.cpp
+++ b/src/libplatform/schemacheck.cpp
@@ -116,6 +116,17 @@
         std::vector<Level> m_levels;
     };
 
+    /// The library compares a value of the wrong type with its range all the same; one fault for it is enough.
+    void dropRangeOfWrongTypes(std::vector<Fault>& faults)
+    {
+        std::set<std::string> wrongTypes;
+        for (const Fault& fault : faults) {
+            if (fault.kind == FaultKind::WrongType)
+                wrongTypes.insert(fault.place);
+        }
+        std::erase_if(faults, [&](const Fault& fault) { return fault.kind == FaultKind::OutOfRange && wrongTypes.contains(fault.place); });
+    }
+
 }
 
 std::optional<nlohmann::json> parseChecked(std::string_view json, std::string_view schema, std::vector<Fault>& faults)
@@ -133,10 +144,13 @@
     valijson::ValidationResults results;
     valijson::Validator validator;
     validator.validate(parsedSchema, valijson::adapters::NlohmannJsonAdapter(document), &results);
+    std::vector<Fault> found;
     for (const Error& error : results) {
         if (!isSummary(error))
-            faults.push_back(toFault(error));
+            found.push_back(toFault(error));
     }
+    dropRangeOfWrongTypes(found);
+    faults.insert(faults.end(), found.begin(), found.end());
     if (faults.size() > faultsBefore)
         return std::nullopt;
     return document;
--- a/src/libruntime/settings.cpp
+++ b/src/libruntime/settings.cpp
@@ -1,6 +1,6 @@
 #include "settings.h"
 
-#include "schemacheck.h"
+#include "libplatform/schemacheck.h"
 #include "settingsschema.h"
 
 #include <asio/ip/address.hpp>
@@ -134,17 +134,11 @@
         faults.push_back({ .kind = FaultKind::OutOfRange, .place = "", .detail = "The file is larger than 64 KiB." });
         return std::nullopt;
     }
-    const auto document = json::parse(text, nullptr, false);
-    if (document.is_discarded()) {
-        faults.push_back({ .kind = FaultKind::NotJson, .place = "", .detail = "The file is not JSON." });
-        return std::nullopt;
-    }
     std::vector<Fault> found;
-    checkAgainstSchema(document, settingsSchema(), found);
     std::optional<Settings> settings;
     // Cross-checks read the fields, so they need all of the right type.
-    if (found.empty())
-        settings = SettingsReader(document, found).read();
+    if (const auto document = parseChecked(text, settingsSchema(), found))
+        settings = SettingsReader(*document, found).read();
     if (found.empty())
         return settings;
     faults.insert(faults.end(), found.begin(), found.end());
--- a/tests/runtime/testsettings.cpp
+++ b/tests/runtime/testsettings.cpp
@@ -73,6 +73,7 @@
             expectFaults(document.dump(), oneCase.patch, oneCase.faults);
         }
         expectFaults("{\"role\":", "truncated", { { NotJson, "" } });
+        expectFaults(R"({"role":"agent",)" + balancer().dump().substr(1), "twice", { { DuplicateName, "/role" } });
         expectFaults("[]", "array", { { WrongType, "" } });
         expectFaults(std::string(70000, ' ') + balancer().dump(), "large", { { OutOfRange, "" } });
     }
