--- a/src/libplatform/announcer.cpp
+++ b/src/libplatform/announcer.cpp
@@ -1,7 +1,7 @@
 #include "announcer.h"
 
 #include "delay.h"
-#include "lease.h"
+#include "leaserecord.h"
 #include "randomid.h"
 
 #include <algorithm>
--- a/src/libplatform/lease.cpp
+++ b/src/libplatform/leaserecord.cpp
@@ -1,6 +1,5 @@
-#include "lease.h"
+#include "leaserecord.h"
 
-#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace kingcuptrail {
@@ -28,24 +27,4 @@
     return json { { "incarnation", lease.incarnation }, { "renewals", lease.renewals }, { "announceId", lease.announceId } }.dump();
 }
 
-void noteLease(LeaseView& view, std::uint64_t version, Millis passed)
-{
-    if (view.version == version) {
-        view.unchanged += passed;
-        return;
-    }
-    view.version = version;
-    view.unchanged = 0;
-}
-
-void noteOutage(LeaseView& view, Millis lease)
-{
-    view.unchanged = std::min(view.unchanged, lease / 2);
-}
-
-bool hasLapsed(const LeaseView& view, Millis lease)
-{
-    return view.unchanged >= lease;
-}
-
 }
--- a/src/libplatform/presencewatcher.cpp
+++ b/src/libplatform/presencewatcher.cpp
@@ -1,7 +1,8 @@
 #include "presencewatcher.h"
 
 #include "delay.h"
-#include "lease.h"
+#include "leaserecord.h"
+#include "libdecision/lease.h"
 
 #include <algorithm>
 #include <chrono>
@@ -40,6 +41,7 @@
     void retry(PlatformError error, void (Private::*step)());
     void checkLeasesLater();
     void checkLeases();
+    void countLeaseTime(bool answered);
     void handleLeases(const ObjectList& list);
     Millis leaseCheckInterval() const;
     void report();
@@ -54,8 +56,8 @@
     std::vector<Presence> reported;
     bool hasReported = false;
     ObjectVersion seen = 0;
-    /// When the leases were last seen without a failed look since.
-    std::optional<Millis> leasesSeenAt;
+    /// Whether the last look at the leases was answered.
+    bool lastLookAnswered = false;
     PlatformError lastReason = PlatformError::None;
 };
 
@@ -123,30 +125,42 @@
 void PresenceWatcher::Private::checkLeases()
 {
     client.list(leaseKind, [this](const std::optional<ObjectList>& list, PlatformError error) {
+        countLeaseTime(list.has_value());
         checkLeasesLater();
-        if (list) {
+        if (list)
             handleLeases(*list);
-            return;
-        }
-        lastReason = error;
-        leasesSeenAt.reset();
-        for (auto& [name, lease] : leases)
-            noteOutage(lease, announced.contains(name) ? announced.at(name).lease : 0);
+        else
+            lastReason = error;
     });
 }
 
-void PresenceWatcher::Private::handleLeases(const ObjectList& list)
+// Failure: after an outage every lease looks old, all upstreams lapse at once and no flow can be placed. The time up to
+// a failed look is not counted, and neither is the time from it to the next answer, in which holders could not renew.
+void PresenceWatcher::Private::countLeaseTime(bool answered)
 {
+    const LeaseOptions options { .longestStep = 2 * leaseCheckInterval() };
     const Millis now = monotonicNow();
-    const Millis passed = leasesSeenAt ? std::min(now - *leasesSeenAt, 2 * leaseCheckInterval()) : 0;
-    leasesSeenAt = now;
+    for (auto& [name, lease] : leases)
+        watchTime(lease, options, answered && lastLookAnswered, now);
+    lastLookAnswered = answered;
+}
+
+// The version of the lease object stands for the counter of renewals: each renewal is a write of its own.
+void PresenceWatcher::Private::handleLeases(const ObjectList& list)
+{
     std::erase_if(leases, [this](const auto& lease) { return !announced.contains(lease.first); });
     std::map<std::string, ObjectVersion> versions;
     for (const PlatformObject& object : list.objects)
         versions.emplace(object.name, object.version);
+    const Millis now = monotonicNow();
     for (const auto& [name, presence] : announced) {
         const auto found = versions.find(name);
-        noteLease(leases[name], found == versions.end() ? 0 : found->second, passed);
+        const ObjectVersion version = found == versions.end() ? 0 : found->second;
+        const auto known = leases.find(name);
+        if (known == leases.end())
+            leases.emplace(name, watchLease(presence.lease, version, now));
+        else
+            noteRenewal(known->second, version, now);
     }
     report();
 }
@@ -165,7 +179,7 @@
     for (const auto& [name, presence] : announced) {
         current.push_back(presence);
         const auto lease = leases.find(name);
-        if (lease != leases.end() && hasLapsed(lease->second, presence.lease))
+        if (lease != leases.end() && isLapsed(lease->second))
             current.back().state = MemberState::Lapsed;
     }
     if (hasReported && current == reported)
--- a/src/libplatform/schemacheck.cpp
+++ b/src/libplatform/schemacheck.cpp
@@ -118,15 +118,8 @@
 
 }
 
-std::optional<nlohmann::json> parseChecked(std::string_view json, std::string_view schema, std::vector<Fault>& faults)
+void checkAgainstSchema(const nlohmann::json& document, std::string_view schema, std::vector<Fault>& faults)
 {
-    const std::size_t faultsBefore = faults.size();
-    auto document = nlohmann::json::parse(json, DuplicateFinder(faults), false);
-    if (document.is_discarded()) {
-        faults.resize(faultsBefore);
-        faults.push_back({ .kind = FaultKind::NotJson, .place = "", .detail = "The text is not JSON." });
-        return std::nullopt;
-    }
     const auto schemaDocument = nlohmann::json::parse(schema);
     valijson::Schema parsedSchema;
     valijson::SchemaParser().populateSchema(valijson::adapters::NlohmannJsonAdapter(schemaDocument), parsedSchema);
@@ -137,6 +130,18 @@
         if (!isSummary(error))
             faults.push_back(toFault(error));
     }
+}
+
+std::optional<nlohmann::json> parseChecked(std::string_view json, std::string_view schema, std::vector<Fault>& faults)
+{
+    const std::size_t faultsBefore = faults.size();
+    auto document = nlohmann::json::parse(json, DuplicateFinder(faults), false);
+    if (document.is_discarded()) {
+        faults.resize(faultsBefore);
+        faults.push_back({ .kind = FaultKind::NotJson, .place = "", .detail = "The text is not JSON." });
+        return std::nullopt;
+    }
+    checkAgainstSchema(document, schema, faults);
     if (faults.size() > faultsBefore)
         return std::nullopt;
     return document;
--- a/src/libruntime/settings.cpp
+++ b/src/libruntime/settings.cpp
@@ -1,6 +1,6 @@
 #include "settings.h"
 
-#include "schemacheck.h"
+#include "libplatform/schemacheck.h"
 #include "settingsschema.h"
 
 #include <asio/ip/address.hpp>
