--- a/src/libcaller/caller.cpp
+++ b/src/libcaller/caller.cpp
@@ -133,7 +133,7 @@
     : context(ioContext)
     , options(callerOptions)
     , handlers(std::move(callerHandlers))
-    , random(callerOptions.seed ? callerOptions.seed : std::random_device()())
+    , random(callerOptions.seed ? callerOptions.seed ^ bodyHashOf(callerOptions.name) : std::random_device()())
     , source(random() | 1)
     , link(ioContext, { .fabric = options.fabric, .source = source, .name = options.name }, { .onUp = [] {}, .onPacket = [this](const wire::Packet& packet) { handlePacket(packet); } })
     , timer(ioContext)
--- a/src/libcaller/caller.h
+++ b/src/libcaller/caller.h
@@ -19,7 +19,7 @@
 struct CallerOptions {
     asio::ip::tcp::endpoint fabric;
     std::string name = "caller";
-    /// Seeds flow ids and this caller's source; 0 takes a random one.
+    /// Seeds, with the name, flow ids and this caller's source; 0 takes random ones.
     std::uint64_t seed = 0;
     Millis probeInterval = 2000;
     Millis silenceLimit = 6000;
--- a/tests/caller/testrequestcall.cpp
+++ b/tests/caller/testrequestcall.cpp
@@ -20,7 +20,7 @@
         head.stream = stream;
         head.body_length = body.size();
         head.body_hash = bodyHashOf(body);
-        const Bytes bytes = encodeMessageOf(std::move(head));
+        const Bytes bytes = encodeMessageOf(head);
         assembly.takeHead(*readMessage(bytes)->body_as_AnswerHead());
     }
 
--- /dev/null
+++ b/tests/standins/caller/workload.cpp
@@ -0,0 +1,273 @@
+#include "workload.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace kingcuptrail {
+
+namespace {
+
+    constexpr auto reopenAfter = std::chrono::milliseconds(300);
+    constexpr auto pollInterval = std::chrono::milliseconds(50);
+    /// Time for closes to be written and for the last handlers to run.
+    constexpr auto closingTime = std::chrono::milliseconds(300);
+
+    HistoryKind kindOf(CallOutcome outcome)
+    {
+        switch (outcome) {
+        case CallOutcome::AnswerWhole:
+            return HistoryKind::AnswerWhole;
+        case CallOutcome::RefusedNotRun:
+            return HistoryKind::RefusedNotRun;
+        case CallOutcome::RefusedRan:
+            return HistoryKind::RefusedRan;
+        case CallOutcome::OutcomeUnknown:
+            return HistoryKind::RefusedUnknown;
+        case CallOutcome::StreamBroken:
+            return HistoryKind::AnswerBroken;
+        default:
+            return HistoryKind::CallGaveUp;
+        }
+    }
+
+    template <typename Enum>
+    nlohmann::json countsOf(const EnumCounters<Enum>& counters)
+    {
+        nlohmann::json counts = nlohmann::json::object();
+        for (std::size_t index = 0; index < EnumNames<Enum>::names.size(); ++index) {
+            if (const auto count = counters.count(static_cast<Enum>(index)))
+                counts[std::string(EnumNames<Enum>::names[index])] = count;
+        }
+        return counts;
+    }
+
+    /// Whether the receipt in an answer names this request; an answer of someone else's would name another key.
+    bool isForKey(const std::string& body, const std::string& key)
+    {
+        const auto receipt = nlohmann::json::parse(body, nullptr, false);
+        return receipt.is_object() && receipt.value("key", "") == key;
+    }
+
+}
+
+Workload::Ticker::Ticker(asio::io_context& context, double perSecond, std::size_t limit, std::function<void()> action)
+    : timer(context)
+    , next(std::chrono::steady_clock::now())
+    , distance(static_cast<std::int64_t>(1e9 / perSecond))
+    , left(limit)
+    , act(std::move(action))
+{
+    schedule();
+}
+
+void Workload::Ticker::schedule()
+{
+    if (left == 0)
+        return;
+    next += distance;
+    timer.expires_at(next);
+    timer.async_wait([this](asio::error_code error) {
+        if (error)
+            return;
+        --left;
+        act();
+        schedule();
+    });
+}
+
+Workload::Workload(asio::io_context& context, CallerOptions callerOptions, const WorkloadOptions& options, HistoryWriter* history)
+    : m_context(context)
+    , m_options(options)
+    , m_history(history)
+    , m_name(callerOptions.name)
+    , m_random(options.seed)
+    , m_caller(context, callerOptions,
+          { .onFlowOpened = [this](FlowId flow, const OwnerToken& owner) {
+               ++m_flowsOpened;
+               m_opened[flow] = true;
+               record({ .kind = HistoryKind::FlowOpened, .flow = flow, .service = m_options.serviceName, .upstreamId = owner.upstream }); },
+              .onFlowEnded = [this](FlowId flow, CallerFlowEnd end, RefusalReason reason) { handleFlowEnd(flow, end, reason); } })
+    , m_timer(context)
+{
+    for (std::size_t index = 0; index < options.flows; ++index)
+        holdFlow();
+    for (std::size_t index = 0; index < options.feeds; ++index)
+        startFeed();
+    const double seconds = static_cast<double>(options.duration) / 1000;
+    const auto addTicker = [this](double perSecond, std::size_t limit, std::function<void()> act) {
+        if (perSecond > 0)
+            m_tickers.push_back(std::make_unique<Ticker>(m_context, perSecond, limit, std::move(act)));
+    };
+    addTicker(options.queriesPerSecond, SIZE_MAX, [this] { sendQuery(); });
+    addTicker(static_cast<double>(options.filings + 1) / seconds, options.filings, [this] { sendFiling(); });
+    m_timer.expires_after(std::chrono::milliseconds(options.duration));
+    m_timer.async_wait([this](asio::error_code error) {
+        if (!error)
+            finish();
+    });
+}
+
+void Workload::holdFlow()
+{
+    m_flows.push_back(m_caller.openFlow(m_options.service));
+}
+
+void Workload::startFeed()
+{
+    const FlowId flow = m_caller.openFlow(m_options.service);
+    auto feed = std::make_shared<Feed>(Feed { .key = newKey("feed") });
+    CallSpec spec { .service = m_options.service, .flow = flow, .deadline = m_options.filingDeadline, .request = { .target = "/feed", .key = feed->key, .stream = true } };
+    auto id = std::make_shared<CallId>();
+    *id = call(
+        std::move(spec), [this, feed](std::string_view bytes) { takeFeedBytes(*feed, bytes); },
+        [this, flow, id](const CallResult&) {
+            m_feedCalls.erase(*id);
+            m_caller.closeFlow(flow);
+            auto timer = std::make_shared<asio::steady_timer>(m_context, reopenAfter);
+            timer->async_wait([this, timer](asio::error_code error) {
+                if (!error && !m_finishing)
+                    startFeed();
+            });
+        });
+    m_feedCalls[*id] = true;
+}
+
+void Workload::takeFeedBytes(Feed& feed, std::string_view bytes)
+{
+    feed.partial.append(bytes);
+    for (std::size_t end = feed.partial.find('\n'); end != std::string::npos; end = feed.partial.find('\n')) {
+        ++m_feedItems;
+        record({ .kind = HistoryKind::FeedItem, .key = feed.key, .sequence = std::stoull(feed.partial.substr(feed.partial.find(' '), end)) });
+        feed.partial.erase(0, end + 1);
+    }
+}
+
+void Workload::sendQuery()
+{
+    const FlowId flow = m_flows.empty() ? 0 : m_flows[m_random() % m_flows.size()];
+    const std::string key = newKey("query");
+    call({ .service = m_options.service, .flow = flow, .deadline = m_options.queryDeadline, .request = { .target = "/status?permit=" + key, .key = key } }, {}, {});
+}
+
+void Workload::sendFiling()
+{
+    std::string body(m_options.filingBytes, '\0');
+    std::ranges::generate(body, [this] { return static_cast<char>(m_random()); });
+    const RequestSpec request { .method = "POST", .target = "/filings", .key = newKey("filing"), .body = std::move(body), .idempotent = false, .longWork = true };
+    call({ .service = m_options.service, .deadline = m_options.filingDeadline, .request = request }, {}, {});
+}
+
+CallId Workload::call(CallSpec spec, std::function<void(std::string_view)> onChunk, std::function<void(const CallResult&)> onDone)
+{
+    HistoryEvent event { .kind = HistoryKind::RequestSent, .key = spec.request.key, .flow = spec.flow, .service = m_options.serviceName, .idempotent = spec.request.idempotent };
+    event.bodyHash = bodyHashOf(spec.request.body);
+    record(event);
+    event.bodyHash = 0;
+    ++m_callsUnderWay;
+    return m_caller.call(std::move(spec),
+        { .onDone = [this, event, onDone = std::move(onDone)](const CallResult& result) {
+             --m_callsUnderWay;
+             recordResult(event, result);
+             if (onDone)
+                 onDone(result); },
+            .onChunk = std::move(onChunk) });
+}
+
+void Workload::recordResult(HistoryEvent event, const CallResult& result)
+{
+    m_outcomes.increment(result.outcome);
+    m_finalReasons.increment(result.reason);
+    m_latency.record(static_cast<double>(result.elapsed));
+    event.kind = kindOf(result.outcome);
+    event.reason = result.reason;
+    event.detail = "tries=" + std::to_string(result.tries);
+    if (result.outcome == CallOutcome::AnswerWhole) {
+        event.bodyHash = bodyHashOf(result.body);
+        if (!isForKey(result.body, event.key)) {
+            ++m_answersForeign;
+            event.detail = "status=" + std::to_string(result.status) + " foreign answer: " + result.body;
+        }
+    }
+    record(std::move(event));
+}
+
+void Workload::handleFlowEnd(FlowId flow, CallerFlowEnd end, RefusalReason reason)
+{
+    const bool wasOpen = m_opened.erase(flow) > 0;
+    const auto held = std::ranges::find(m_flows, flow);
+    if (held != m_flows.end()) {
+        m_flows.erase(held);
+        if (!m_finishing)
+            holdFlow();
+    }
+    if (!wasOpen)
+        return;
+    HistoryEvent event { .kind = HistoryKind::FlowBroken, .flow = flow, .reason = reason, .detail = std::string(nameOf(end)) };
+    // An idle flow that a draining upstream lets go carried nothing that could be cut.
+    if (end == CallerFlowEnd::ClosedHere || end == CallerFlowEnd::Drained)
+        event.kind = HistoryKind::FlowClosed;
+    if (end == CallerFlowEnd::GivenUp)
+        event.kind = HistoryKind::FlowGivenUp;
+    record(std::move(event));
+}
+
+void Workload::finish()
+{
+    if (std::exchange(m_finishing, true))
+        return;
+    m_tickers.clear();
+    for (const auto& [id, isOpen] : std::map<CallId, bool>(m_feedCalls))
+        m_caller.cancel(id);
+    awaitCalls();
+}
+
+void Workload::awaitCalls()
+{
+    const bool isDone = m_callsUnderWay == 0;
+    if (isDone)
+        m_caller.shutDown();
+    m_timer.expires_after(isDone ? closingTime : pollInterval);
+    m_timer.async_wait([this, isDone](asio::error_code error) {
+        if (error)
+            return;
+        if (isDone)
+            m_context.stop();
+        else
+            awaitCalls();
+    });
+}
+
+std::string Workload::summary() const
+{
+    const CallerCounters& counters = m_caller.counters();
+    return nlohmann::json {
+        { "flowsOpened", m_flowsOpened },
+        { "calls", counters.calls },
+        { "tries", counters.tries },
+        { "feedItems", m_feedItems },
+        { "foreignAnswers", m_answersForeign },
+        { "lateAnswers", counters.lateAnswers },
+        { "outcomes", countsOf(m_outcomes) },
+        { "finalReasons", countsOf(m_finalReasons) },
+        { "flowEnds", countsOf(counters.flowEnds) },
+        { "refusals", countsOf(counters.refusals) },
+        { "retries", countsOf(counters.retries) },
+        { "answerFaults", countsOf(counters.answerFaults) },
+        { "latencyP50", m_latency.percentile(0.5) },
+        { "latencyP99", m_latency.percentile(0.99) },
+    }
+        .dump();
+}
+
+void Workload::record(HistoryEvent event)
+{
+    if (m_history)
+        m_history->append(std::move(event));
+}
+
+std::string Workload::newKey(std::string_view kind)
+{
+    return m_name + "-" + std::string(kind) + "-" + std::to_string(m_nextKey++);
+}
+
+}
--- /dev/null
+++ b/tests/standins/caller/workload.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "libcaller/caller.h"
+#include "libhistory/history.h"
+
+#include <asio/steady_timer.hpp>
+#include <map>
+#include <random>
+
+namespace kingcuptrail {
+
+/// Times in milliseconds.
+struct WorkloadOptions {
+    ServiceAddress service = 0;
+    std::string serviceName;
+    std::size_t feeds = 0;
+    /// Flows held open for the whole run, over which queries are spread.
+    std::size_t flows = 4;
+    double queriesPerSecond = 0;
+    /// In all, spread evenly over the run.
+    std::size_t filings = 0;
+    std::size_t filingBytes = std::size_t { 2 } * 1024 * 1024;
+    Millis queryDeadline = 3000;
+    Millis filingDeadline = 15000;
+    Millis duration = 10000;
+    std::uint64_t seed = 1;
+};
+
+/// What end users do for a while: hold feeds and flows open, send queries and filings, and write down what they saw.
+class Workload {
+public:
+    Workload(asio::io_context& context, CallerOptions callerOptions, const WorkloadOptions& options, HistoryWriter* history);
+
+    /// Sends nothing new, waits for what is under way, closes everything and stops the context.
+    void finish();
+
+    /// One JSON object.
+    std::string summary() const;
+
+private:
+    struct Feed {
+        std::string key;
+        std::uint64_t lastItem = 0;
+        std::string partial;
+    };
+
+    /// What is done again and again at even distances.
+    struct Ticker {
+        Ticker(asio::io_context& context, double perSecond, std::size_t limit, std::function<void()> act);
+        void schedule();
+
+        asio::steady_timer timer;
+        std::chrono::steady_clock::time_point next;
+        std::chrono::nanoseconds distance;
+        std::size_t left;
+        std::function<void()> act;
+    };
+
+    void holdFlow();
+    void startFeed();
+    void takeFeedBytes(Feed& feed, std::string_view bytes);
+    void sendQuery();
+    void sendFiling();
+    CallId call(CallSpec spec, std::function<void(std::string_view)> onChunk, std::function<void(const CallResult&)> onDone);
+    void recordResult(HistoryEvent event, const CallResult& result);
+    void handleFlowEnd(FlowId flow, CallerFlowEnd end, RefusalReason reason);
+    void awaitCalls();
+    void record(HistoryEvent event);
+    std::string newKey(std::string_view kind);
+
+    asio::io_context& m_context;
+    WorkloadOptions m_options;
+    HistoryWriter* m_history;
+    std::string m_name;
+    std::mt19937_64 m_random;
+    Caller m_caller;
+    std::vector<std::unique_ptr<Ticker>> m_tickers;
+    asio::steady_timer m_timer;
+    std::vector<FlowId> m_flows;
+    std::map<FlowId, bool> m_opened;
+    std::map<CallId, bool> m_feedCalls;
+    std::size_t m_callsUnderWay = 0;
+    std::uint64_t m_nextKey = 1;
+    std::uint64_t m_feedItems = 0;
+    std::uint64_t m_flowsOpened = 0;
+    std::uint64_t m_answersForeign = 0;
+    EnumCounters<CallOutcome> m_outcomes;
+    EnumCounters<RefusalReason> m_finalReasons;
+    LatencyHistogram m_latency;
+    bool m_finishing = false;
+};
+
+}
--- a/tests/standins/fabric/main.cpp
+++ b/tests/standins/fabric/main.cpp
@@ -53,7 +53,7 @@
     asio::io_context context;
     Fabric fabric(context, options);
     fabric.apply({ .duplicate = absl::GetFlag(FLAGS_duplicate), .drop = absl::GetFlag(FLAGS_drop), .delay = absl::GetFlag(FLAGS_delay_ms) });
-    const auto server = listenOrExit(context, endpointOrExit(absl::GetFlag(FLAGS_control)), {}, [&](HttpRequest request, std::shared_ptr<HttpResponder> responder) {
+    const auto server = listenOrExit(context, endpointOrExit(absl::GetFlag(FLAGS_control)), {}, [&](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
         responder->respond(control(fabric, request));
     });
     printListening(fabric.port(), server->localEndpoint().port());
--- a/tests/standins/support/standin.cpp
+++ b/tests/standins/support/standin.cpp
@@ -13,7 +13,7 @@
 namespace {
 
     constexpr int exitUsage = 2;
-    constexpr int exitBind = 3;
+    constexpr int exitCannotOpen = 3;
 
 }
 
@@ -39,7 +39,18 @@
     if (server)
         return server;
     std::cerr << "cannot listen: " << error.message() << "\n";
-    std::exit(exitBind);
+    std::exit(exitCannotOpen);
+}
+
+std::unique_ptr<HistoryWriter> historyOrExit(const std::string& file, const std::string& who)
+{
+    if (file.empty())
+        return nullptr;
+    auto history = HistoryWriter::open(file, who);
+    if (history)
+        return history;
+    std::cerr << "cannot open the history " << file << "\n";
+    std::exit(exitCannotOpen);
 }
 
 void printListening(std::uint16_t port, std::uint16_t controlPort)
--- a/tests/standins/support/standin.h
+++ b/tests/standins/support/standin.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libhistory/history.h"
 #include "libhttp/httpserver.h"
 
 #include <nlohmann/json.hpp>
@@ -18,6 +19,9 @@
 std::unique_ptr<HttpServer> listenOrExit(asio::io_context& context, const asio::ip::tcp::endpoint& endpoint,
     const HttpServerOptions& options, HttpHandler handler);
 
+/// A history that is appended to the file, or none without a file; the program exits with code 3 when it cannot be opened.
+std::unique_ptr<HistoryWriter> historyOrExit(const std::string& file, const std::string& who);
+
 /// Tells who waits for this program that it is ready: "listening PORT", and the control port in a second line.
 void printListening(std::uint16_t port, std::uint16_t controlPort = 0);
 
