--- a/tests/standins/caller/main.cpp
+++ b/tests/standins/caller/main.cpp
@@ -16,7 +16,7 @@
 ABSL_FLAG(std::uint64_t, flows, 4, "flows held open, over which queries are spread");
 ABSL_FLAG(double, queries_per_second, 0, "rate of queries");
 ABSL_FLAG(std::uint64_t, filings, 0, "filings in all, spread over the run");
-ABSL_FLAG(std::uint64_t, filing_bytes, 2 * 1024 * 1024, "size of a filing's body");
+ABSL_FLAG(std::uint64_t, filing_bytes, 2097152, "size of a filing's body");
 ABSL_FLAG(std::int64_t, query_deadline_ms, 3000, "deadline of a query");
 ABSL_FLAG(std::int64_t, filing_deadline_ms, 15000, "deadline of a filing");
 ABSL_FLAG(double, seconds, 10, "length of the run");
--- a/tests/standins/caller/workload.cpp
+++ b/tests/standins/caller/workload.cpp
@@ -75,7 +75,7 @@
     });
 }
 
-Workload::Workload(asio::io_context& context, CallerOptions callerOptions, const WorkloadOptions& options, HistoryWriter* history)
+Workload::Workload(asio::io_context& context, const CallerOptions& callerOptions, const WorkloadOptions& options, HistoryWriter* history)
     : m_context(context)
     , m_options(options)
     , m_history(history)
--- a/tests/standins/caller/workload.h
+++ b/tests/standins/caller/workload.h
@@ -29,7 +29,7 @@
 /// What end users do for a while: hold feeds and flows open, send queries and filings, and write down what they saw.
 class Workload {
 public:
-    Workload(asio::io_context& context, CallerOptions callerOptions, const WorkloadOptions& options, HistoryWriter* history);
+    Workload(asio::io_context& context, const CallerOptions& callerOptions, const WorkloadOptions& options, HistoryWriter* history);
 
     /// Sends nothing new, waits for what is under way, closes everything and stops the context.
     void finish();
