--- /dev/null
+++ b/tests/standins/platform/objectstore.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "libplatform/platformclient.h"
+
+#include <deque>
+#include <map>
+#include <set>
+
+namespace kingcuptrail {
+
+/// What a conditional write came to.
+struct StoreResult {
+    PlatformError error = PlatformError::None;
+    /// The object's version after the write, or the one that the condition failed on; 0 when there is no object.
+    ObjectVersion version = 0;
+};
+
+/// Objects by kind and name, with one version that grows by each change, and enough of the last changes for watches.
+class ObjectStore {
+public:
+    /// `keptChanges` is how many changes of a kind a watch may be behind.
+    explicit ObjectStore(std::size_t keptChanges = 10000)
+        : m_keptChanges(keptChanges)
+    {
+    }
+
+    std::optional<PlatformObject> get(const std::string& kind, const std::string& name) const;
+    ObjectList list(const std::string& kind) const;
+    StoreResult put(const std::string& kind, const std::string& name, std::string value, ObjectVersion ifVersion);
+    StoreResult remove(const std::string& kind, const std::string& name, ObjectVersion ifVersion);
+
+    /// The present state of what changed after `since`; nothing when that is not known any more.
+    std::optional<ObjectList> changesSince(const std::string& kind, ObjectVersion since) const;
+
+    ObjectVersion version() const { return m_version; }
+
+private:
+    struct Change {
+        ObjectVersion version = 0;
+        std::string name;
+    };
+
+    struct Kind {
+        std::map<std::string, PlatformObject> objects;
+        std::deque<Change> changes;
+        /// The last change that is not kept any more.
+        ObjectVersion forgotten = 0;
+    };
+
+    const Kind* findKind(const std::string& kind) const;
+    void note(Kind& kind, const std::string& name);
+
+    std::size_t m_keptChanges;
+    std::map<std::string, Kind> m_kinds;
+    ObjectVersion m_version = 0;
+};
+
+}
