--- a/src/libplatform/schemacheck.cpp
+++ b/src/libplatform/schemacheck.cpp
@@ -129,15 +129,8 @@
 
 }
 
-std::optional<nlohmann::json> parseChecked(std::string_view json, std::string_view schema, std::vector<Fault>& faults)
+void checkAgainstSchema(const nlohmann::json& document, std::string_view schema, std::vector<Fault>& faults)
 {
-    const std::size_t faultsBefore = faults.size();
-    auto document = nlohmann::json::parse(json, DuplicateFinder(faults), false);
-    if (document.is_discarded()) {
-        faults.resize(faultsBefore);
-        faults.push_back({ .kind = FaultKind::NotJson, .place = "", .detail = "The text is not JSON." });
-        return std::nullopt;
-    }
     const auto schemaDocument = nlohmann::json::parse(schema);
     valijson::Schema parsedSchema;
     valijson::SchemaParser().populateSchema(valijson::adapters::NlohmannJsonAdapter(schemaDocument), parsedSchema);
@@ -151,6 +144,18 @@
     }
     dropRangeOfWrongTypes(found);
     faults.insert(faults.end(), found.begin(), found.end());
+}
+
+std::optional<nlohmann::json> parseChecked(std::string_view json, std::string_view schema, std::vector<Fault>& faults)
+{
+    const std::size_t faultsBefore = faults.size();
+    auto document = nlohmann::json::parse(json, DuplicateFinder(faults), false);
+    if (document.is_discarded()) {
+        faults.resize(faultsBefore);
+        faults.push_back({ .kind = FaultKind::NotJson, .place = "", .detail = "The text is not JSON." });
+        return std::nullopt;
+    }
+    checkAgainstSchema(document, schema, faults);
     if (faults.size() > faultsBefore)
         return std::nullopt;
     return document;
