--- a/src/kingcuptraild/balancer/agentconnection.cpp
+++ b/src/kingcuptraild/balancer/agentconnection.cpp
@@ -24,10 +24,11 @@
     return hello;
 }
 
-AgentConnection::AgentConnection(const RoleContext& role, Presence presence, PeerLink::Handlers handlers, FailureHandler onFailure)
+AgentConnection::AgentConnection(const RoleContext& role, Presence presence, PeerLink::Handlers handlers, OnGone onGone, FailureHandler onFailure)
     : m_role(role)
     , m_presence(std::move(presence))
     , m_handlers(std::move(handlers))
+    , m_onGone(std::move(onGone))
     , m_onFailure(std::move(onFailure))
     , m_dialer(role.context, linkOptions(role.settings))
 {
@@ -52,6 +53,8 @@
 void AgentConnection::handleDialed(std::shared_ptr<Link> link, LinkError reason)
 {
     if (!link) {
+        if (reason == LinkError::ConnectRefused)
+            m_onGone();
         m_onFailure(reason == LinkError::None ? ChildFailure::Internal : ChildFailure::ConnectFailed);
         return;
     }
@@ -76,6 +79,9 @@
         logEvent(Event::LinkUp, { { "peer", m_presence.upstream }, { "incarnation", peer.token.incarnation } });
         return std::nullopt;
     }
+    const bool isSuccessor = peer.token.upstream == m_presence.token.upstream && peer.token.incarnation > m_presence.token.incarnation;
+    if (isSuccessor)
+        m_onGone();
     logEvent(Event::LinkRefused, { { "peer", peer.name }, { "expected", m_presence.upstream } });
     return wire::GoodbyeReason::NotExpected;
 }
--- a/src/kingcuptraild/balancer/balancer.cpp
+++ b/src/kingcuptraild/balancer/balancer.cpp
@@ -113,7 +113,8 @@
     return {
         .name = childName(presence.token),
         .make = [this, presence](FailureHandler onFailure) {
-            return std::make_unique<AgentConnection>(m_role, presence, agentHandlers(presence.token), std::move(onFailure));
+            return std::make_unique<AgentConnection>(
+                m_role, presence, agentHandlers(presence.token), [this, presence] { m_members.setGone(presence.token); }, std::move(onFailure));
         },
     };
 }
--- a/src/kingcuptraild/balancer/membertable.cpp
+++ b/src/kingcuptraild/balancer/membertable.cpp
@@ -29,6 +29,7 @@
     if (found == m_entries.end())
         return;
     found->second.link = std::move(link);
+    found->second.isGone = false;
     rebuild();
 }
 
@@ -43,6 +44,15 @@
     rebuild();
 }
 
+void MemberTable::setGone(const OwnerToken& token)
+{
+    const auto found = m_entries.find(token);
+    if (found == m_entries.end())
+        return;
+    found->second.isGone = true;
+    refresh(found->second);
+}
+
 void MemberTable::setReport(const OwnerToken& token, const LoadReport& report)
 {
     const auto found = m_entries.find(token);
@@ -134,6 +144,7 @@
         .token = entry.presence.token,
         .state = stateOf(entry),
         .linked = entry.link && entry.link->isUsable(),
+        .gone = entry.isGone,
         .load = static_cast<double>(entry.report.openFlows) + entry.placedSince,
     };
 }
--- a/src/kingcuptraild/balancer/membertable.h
+++ b/src/kingcuptraild/balancer/membertable.h
@@ -27,6 +27,8 @@
         std::uint32_t placedSince = 0;
         /// Whether the platform's last list has it.
         bool isAnnounced = false;
+        /// Whether its process is known to have ended.
+        bool isGone = false;
     };
 
     /// Takes the platform's list. Entries that are no longer announced stay while their link lives.
@@ -37,6 +39,8 @@
     void linkDown(const OwnerToken& token);
     /// The agent said goodbye: nothing new goes over its link.
     void linkLeaving(const OwnerToken& token);
+    /// The process behind the token is known to have ended.
+    void setGone(const OwnerToken& token);
     void setReport(const OwnerToken& token, const LoadReport& report);
     void notePlaced(const OwnerToken& token);
 
--- a/src/libdecision/member.h
+++ b/src/libdecision/member.h
@@ -28,6 +28,8 @@
     MemberState state = MemberState::Serving;
     /// Whether this balancer's link to the agent is up now.
     bool linked = false;
+    /// Whether its process is known to have ended: its address refuses connections or is held by a successor.
+    bool gone = false;
     /// Open flows by the agent's last news, plus what this balancer has placed there since.
     double load = 0;
 };
--- a/src/libdecision/routing.cpp
+++ b/src/libdecision/routing.cpp
@@ -71,9 +71,9 @@
 // Failure: news of members reaches balancers unevenly, and this one has not heard of a flow's owner, or has lost its link
 // to it. It would show as a feed cut mid-shift if the flow were reset on a stale view. So a token that is not known is
 // passed on through any agent, and dropped when its hops are spent: the endpoints send again, and give the flow up by its
-// silence when the owner is truly gone. A reset is safe in two cases: a newer incarnation of the same upstream is known
-// (incarnations are given out by the platform and only grow, so the owner is fenced), or operators have taken its data
-// centre out.
+// silence when the owner is truly gone. A reset is safe in three cases: a newer incarnation of the same upstream is known
+// (incarnations are given out by the platform and only grow, so the owner is fenced), the owner's host says that nothing
+// listens at its address any more (a living agent never closes its listener), or operators have taken its data centre out.
 RouteResult routeByToken(const MemberIndex& index, std::span<const Member> members, const OwnerToken& token, std::uint8_t hops)
 {
     const MemberLookup lookup = findMember(index, token);
@@ -83,7 +83,7 @@
             return reset(RefusalReason::DataCentreOut);
         if (member.linked)
             return toMember(*lookup.exact);
-        return lookup.successor ? reset(RefusalReason::OwnerGone) : relay(hops, RefusalReason::UpstreamLost);
+        return lookup.successor || member.gone ? reset(RefusalReason::OwnerGone) : relay(hops, RefusalReason::UpstreamLost);
     }
     if (!lookup.successor)
         return relay(hops, RefusalReason::OwnerGone);
--- a/src/libprotocol/link.cpp
+++ b/src/libprotocol/link.cpp
@@ -10,6 +10,13 @@
 
     constexpr auto watchInterval = std::chrono::milliseconds(100);
 
+    LinkError connectReason(const asio::error_code& error)
+    {
+        if (!error)
+            return LinkError::None;
+        return error == asio::error::connection_refused ? LinkError::ConnectRefused : LinkError::ConnectFailed;
+    }
+
     bool hasPassed(steady_clock::time_point since, Millis limit)
     {
         return steady_clock::now() - since > std::chrono::milliseconds(limit);
@@ -236,7 +243,7 @@
             attempt->finish(options, LinkError::ConnectTimeout);
     });
     attempt->socket.async_connect(endpoint, [attempt, options = m_options](asio::error_code error) {
-        attempt->finish(options, error ? LinkError::ConnectFailed : LinkError::None);
+        attempt->finish(options, connectReason(error));
     });
 }
 
--- a/src/libprotocol/link.h
+++ b/src/libprotocol/link.h
@@ -28,11 +28,13 @@
     NotExpected,
     Goodbye,
     ClosedHere,
+    /// The host answered that nothing listens at the address.
+    ConnectRefused,
 };
 
 template <>
 struct EnumNames<LinkError> {
-    static constexpr std::array<std::string_view, 13> names {
+    static constexpr std::array<std::string_view, 14> names {
         "none",
         "connectFailed",
         "connectTimeout",
@@ -46,6 +48,7 @@
         "notExpected",
         "goodbye",
         "closedHere",
+        "connectRefused",
     };
 };
 
