--- a/src/kingcuptraild/agent/agent.cpp
+++ b/src/kingcuptraild/agent/agent.cpp
@@ -53,6 +53,7 @@
               .hasRequests = [this](FlowId flow) { return m_requests.hasRequests(flow); } })
     , m_requests(role.context, role.clock, { .upstream = role.settings.agent.upstream, .service = role.settings.agent.service },
           { .send = [this](FlowId flow, Bytes message) { return m_flows.send(flow, std::move(message)); },
+              .onContact = [this](bool isConnected) { handleContact(isConnected); },
               .askLedger = [this](std::uint64_t query, const OwnerToken& holder, const std::string& key) { askLedger(query, holder, key); } })
     , m_tickTimer(role.context)
     , m_sweepTimer(role.context)
@@ -67,7 +68,9 @@
                      } });
     m_role.root.add({ .name = "announcer", .make = [this](const FailureHandler&) { return std::make_unique<AnnouncerChild>(*this); } });
     m_role.root.add({ .name = "probe", .make = [this](const FailureHandler&) {
-                         return std::make_unique<UpstreamProbe>(m_role, [this](const UpstreamHint& hint) { m_requests.noteHint(hint); });
+                         return std::make_unique<UpstreamProbe>(m_role,
+                             UpstreamProbe::Handlers { .onHint = [this](const UpstreamHint& hint) { m_requests.noteHint(hint); },
+                                 .onContact = [this](bool isConnected) { handleContact(isConnected); } });
                      } });
     startTimers();
 }
@@ -113,6 +116,17 @@
     beatNow();
 }
 
+void Agent::handleContact(bool isConnected)
+{
+    if (!noteContact(m_reachability, {}, isConnected))
+        return;
+    logEvent(m_reachability.isReachable ? Event::UpstreamReachable : Event::UpstreamUnreachable);
+    if (m_reachability.isReachable)
+        m_requests.restartCold();
+    applyState();
+    beatNow();
+}
+
 void Agent::applyState()
 {
     m_flows.setDraining(isLeaving());
@@ -121,7 +135,7 @@
     else if (isLeaving())
         m_requests.setRefuseNew(RefusalReason::UpstreamDraining);
     else
-        m_requests.setRefuseNew(RefusalReason::None);
+        m_requests.setRefuseNew(m_reachability.isReachable ? RefusalReason::None : RefusalReason::UpstreamUnreachable);
 }
 
 void Agent::acceptBalancer(std::shared_ptr<Link> link)
@@ -274,10 +288,16 @@
         .queued = queued(m_requests.admission()),
         .limit = currentLimit(m_requests.admission()),
         .links = static_cast<std::uint32_t>(m_flows.linkCount()),
-        .state = isLeaving() ? MemberState::Draining : MemberState::Serving,
+        .state = state(),
     };
 }
 
+// Balancers place no new flow at an agent that says it drains; one whose upstream is unreachable says the same.
+MemberState Agent::state() const
+{
+    return isLeaving() || !m_reachability.isReachable ? MemberState::Draining : MemberState::Serving;
+}
+
 std::string Agent::statusMembers() const
 {
     const LoadReport load = report();
@@ -287,6 +307,7 @@
         { "service", m_role.settings.agent.service },
         { "state", nameOf(load.state) },
         { "fenced", m_isFenced },
+        { "upstreamReachable", m_reachability.isReachable },
         { "dataCentreOut", m_isOut },
         { "links", m_flows.linkCount() },
         { "openFlows", load.openFlows },
--- a/src/kingcuptraild/agent/agent.h
+++ b/src/kingcuptraild/agent/agent.h
@@ -3,6 +3,7 @@
 #include "flowdesk.h"
 #include "kingcuptraild/role.h"
 #include "kingcuptraild/rolecontext.h"
+#include "libdecision/reachability.h"
 #include "libplatform/announcer.h"
 #include "requestdesk.h"
 
@@ -31,6 +32,7 @@
     void handleFrame(PeerLink& from, const wire::Frame& frame);
     void answerQuery(PeerLink& from, const wire::LedgerQuery& query);
     void askLedger(std::uint64_t query, const OwnerToken& holder, const std::string& key);
+    void handleContact(bool isConnected);
     void applyState();
     void beatNow();
     void startTimers();
@@ -40,6 +42,7 @@
     void finishDrain();
     Presence wantedPresence() const;
     LoadReport report() const;
+    MemberState state() const;
     bool isLeaving() const { return m_isDraining || m_isFenced; }
 
     const RoleContext m_role;
@@ -52,6 +55,7 @@
     DrainProgress m_drainProgress;
     DrainOptions m_drainOptions;
     std::function<void()> m_onDrained;
+    Reachability m_reachability;
     bool m_isDraining = false;
     bool m_isFenced = false;
     bool m_isOut = false;
--- a/src/kingcuptraild/agent/requestdesk.cpp
+++ b/src/kingcuptraild/agent/requestdesk.cpp
@@ -348,6 +348,7 @@
 void RequestDesk::handleDone(const RequestPtr& request, std::optional<HttpResponse> response, const HttpOutcome& outcome)
 {
     request->call = nullptr;
+    m_hooks.onContact(response || outcome.mayHaveReached);
     if (response && isShed(*response)) {
         finishSlot(request, WorkOutcome::Shed);
         refuse(request, { Ran::No, RefusalReason::UpstreamShed, retryAfterOf(*response) });
--- a/src/kingcuptraild/agent/requestdesk.h
+++ b/src/kingcuptraild/agent/requestdesk.h
@@ -49,6 +49,8 @@
     struct Hooks {
         /// Queues a message on a flow; false when the flow has no room, and it is called again by flowHasRoom().
         std::function<bool(FlowId, Bytes)> send;
+        /// Whether a request's connection to the upstream was accepted.
+        std::function<void(bool isConnected)> onContact;
         /// Asks an earlier owner about a key; answered by handleLedgerAnswer().
         std::function<void(std::uint64_t query, const OwnerToken& holder, const std::string& key)> askLedger;
     };
--- a/src/kingcuptraild/agent/upstreamprobe.cpp
+++ b/src/kingcuptraild/agent/upstreamprobe.cpp
@@ -10,6 +10,8 @@
 
     /// Often enough to see a restart within a few requests, seldom enough to cost a cold upstream nothing.
     constexpr Millis probeInterval = 1000;
+    /// While nothing accepts connections a probe costs the upstream nothing, and each interval is time without service.
+    constexpr Millis probeIntervalUnreachable = 200;
     constexpr Millis probeTimeout = 800;
     constexpr int statusOk = 200;
 
@@ -26,9 +28,9 @@
 
 }
 
-UpstreamProbe::UpstreamProbe(const RoleContext& role, OnHint onHint)
+UpstreamProbe::UpstreamProbe(const RoleContext& role, Handlers handlers)
     : m_role(role)
-    , m_onHint(std::move(onHint))
+    , m_handlers(std::move(handlers))
     , m_timer(role.context)
 {
     askHealth();
@@ -40,9 +42,9 @@
         m_call->cancel();
 }
 
-void UpstreamProbe::schedule()
+void UpstreamProbe::schedule(Millis pause)
 {
-    m_timer.expires_after(std::chrono::milliseconds(probeInterval));
+    m_timer.expires_after(std::chrono::milliseconds(pause));
     m_timer.async_wait([this](asio::error_code error) {
         if (!error)
             askHealth();
@@ -53,24 +55,36 @@
 {
     const AgentSettings& agent = m_role.settings.agent;
     m_call = startHttpCall(m_role.context, agent.upstream, { .target = agent.healthPath }, { .timeout = probeTimeout },
-        { .onDone = [this](const std::optional<HttpResponse>& response, const HttpOutcome&) { askLoad(response && response->status == statusOk); } });
+        { .onDone = [this](const std::optional<HttpResponse>& response, const HttpOutcome& outcome) {
+            handleHealth(response && response->status == statusOk, response || outcome.mayHaveReached);
+        } });
 }
 
-void UpstreamProbe::askLoad(bool healthy)
+void UpstreamProbe::handleHealth(bool isHealthy, bool isConnected)
+{
+    m_call = nullptr;
+    m_handlers.onContact(isConnected);
+    if (isConnected)
+        askLoad(isHealthy);
+    else
+        schedule(probeIntervalUnreachable);
+}
+
+void UpstreamProbe::askLoad(bool isHealthy)
 {
     const AgentSettings& agent = m_role.settings.agent;
     m_call = startHttpCall(m_role.context, agent.upstream, { .target = agent.loadPath }, { .timeout = probeTimeout },
-        { .onDone = [this, healthy](const std::optional<HttpResponse>& response, const HttpOutcome&) { report(healthy, busyOf(response)); } });
+        { .onDone = [this, isHealthy](const std::optional<HttpResponse>& response, const HttpOutcome&) { report(isHealthy, busyOf(response)); } });
 }
 
-void UpstreamProbe::report(bool healthy, std::uint32_t busy)
+void UpstreamProbe::report(bool isHealthy, std::uint32_t busy)
 {
     m_call = nullptr;
-    if (healthy != m_wasHealthy)
-        logEvent(Event::UpstreamHealthChanged, { { "healthy", healthy ? "yes" : "no" } });
-    m_wasHealthy = healthy;
-    m_onHint({ .healthy = healthy, .busy = busy, .age = 0 });
-    schedule();
+    if (isHealthy != m_wasHealthy)
+        logEvent(Event::UpstreamHealthChanged, { { "healthy", isHealthy ? "yes" : "no" } });
+    m_wasHealthy = isHealthy;
+    m_handlers.onHint({ .healthy = isHealthy, .busy = busy, .age = 0 });
+    schedule(probeInterval);
 }
 
 }
--- a/src/kingcuptraild/agent/upstreamprobe.h
+++ b/src/kingcuptraild/agent/upstreamprobe.h
@@ -13,19 +13,24 @@
 /// hint for admission and never a verdict.
 class UpstreamProbe : public Supervised {
 public:
-    using OnHint = std::function<void(const UpstreamHint&)>;
+    struct Handlers {
+        std::function<void(const UpstreamHint&)> onHint;
+        /// Whether the upstream accepted a connection. The only part of a probe that is measured and not told.
+        std::function<void(bool isConnected)> onContact;
+    };
 
-    UpstreamProbe(const RoleContext& role, OnHint onHint);
+    UpstreamProbe(const RoleContext& role, Handlers handlers);
     ~UpstreamProbe() override;
 
 private:
-    void schedule();
+    void schedule(Millis pause);
     void askHealth();
-    void askLoad(bool healthy);
-    void report(bool healthy, std::uint32_t busy);
+    void handleHealth(bool isHealthy, bool isConnected);
+    void askLoad(bool isHealthy);
+    void report(bool isHealthy, std::uint32_t busy);
 
     const RoleContext& m_role;
-    OnHint m_onHint;
+    Handlers m_handlers;
     asio::steady_timer m_timer;
     std::shared_ptr<HttpCall> m_call;
     bool m_wasHealthy = true;
--- a/src/libcaller/caller.cpp
+++ b/src/libcaller/caller.cpp
@@ -73,6 +73,13 @@
         }
     }
 
+    /// Whether new requests should go to another owner than the one that refused for this reason. Its flow is kept for what
+    /// it still carries, a feed for example.
+    bool isOwnerUseless(RefusalReason reason)
+    {
+        return reason == RefusalReason::UpstreamDraining || reason == RefusalReason::UpstreamUnreachable;
+    }
+
 }
 
 struct Caller::Private {
@@ -281,7 +288,7 @@
     call.lastRetryAfter = result.retryAfter;
     const Flow* flow = findFlow(call.flow);
     call.lastOwner = flow ? flow->flow.owner() : OwnerToken {};
-    if (flow && result.reason == RefusalReason::UpstreamDraining)
+    if (flow && isOwnerUseless(result.reason))
         flows[call.flow]->isRetiring = true;
     leaveFlow(id, call, false);
     const Millis now = clock.now();
--- /dev/null
+++ b/src/libdecision/reachability.cpp
@@ -0,0 +1,20 @@
+#include "reachability.h"
+
+namespace kingcuptrail {
+
+// Load: one upstream's process is down while the others of its service carry its share.
+// Harm: its agent refuses everything at once, so it looks least loaded and balancers place more and more flows there.
+// Limit: two failures in a row, since one falls into the moment in which a process is replaced; one accepted connection
+// ends it, and the warm-up that follows keeps the upstream from being hit by what was waiting.
+bool noteContact(Reachability& state, const ReachabilityOptions& options, bool isConnected)
+{
+    const bool wasReachable = state.isReachable;
+    state.failuresInRow = isConnected ? 0 : state.failuresInRow + 1;
+    if (isConnected)
+        state.isReachable = true;
+    else if (options.guard && state.failuresInRow >= options.failuresToLose)
+        state.isReachable = false;
+    return wasReachable != state.isReachable;
+}
+
+}
--- a/src/libruntime/events.cpp
+++ b/src/libruntime/events.cpp
@@ -35,6 +35,8 @@
         { Event::UpstreamWarm, EventLevel::Info, "upstreamWarm", "The upstream works at its full slots." },
         { Event::UpstreamHealthChanged, EventLevel::Warning, "upstreamHealthChanged", "The upstream's health endpoint answers differently than before." },
         { Event::Saturated, EventLevel::Warning, "saturated", "Requests are refused because the queue is full or the wait too long." },
+        { Event::UpstreamUnreachable, EventLevel::Warning, "upstreamUnreachable", "The upstream accepts no connection; its agent takes no new work." },
+        { Event::UpstreamReachable, EventLevel::Info, "upstreamReachable", "The upstream accepts connections again; it starts cold." },
         { Event::WrongServicePacket, EventLevel::Error, "wrongServicePacket", "A packet of another service arrived; it was refused before the upstream." },
         { Event::OutcomeUnknown, EventLevel::Error, "outcomeUnknown", "A request may have run, but its answer is lost." },
         { Event::FlowsGivenUp, EventLevel::Warning, "flowsGivenUp", "Flows were given up, because their data centre is out or they were silent." },
--- a/src/libruntime/events.h
+++ b/src/libruntime/events.h
@@ -40,6 +40,8 @@
     UpstreamWarm = 401,
     UpstreamHealthChanged = 402,
     Saturated = 403,
+    UpstreamUnreachable = 404,
+    UpstreamReachable = 405,
     // Safety
     WrongServicePacket = 500,
     OutcomeUnknown = 501,
