--- a/src/kingcuptraild/agent/agent.cpp
+++ b/src/kingcuptraild/agent/agent.cpp
@@ -54,6 +54,7 @@
     , m_requests(role.context, role.clock, { .upstream = role.settings.agent.upstream, .service = role.settings.agent.service },
           { .send = [this](FlowId flow, Bytes message) { return m_flows.send(flow, std::move(message)); },
               .askLedger = [this](std::uint64_t query, const OwnerToken& holder, const std::string& key) { askLedger(query, holder, key); } })
+    , m_listenAt(role.settings.listen)
     , m_tickTimer(role.context)
     , m_sweepTimer(role.context)
     , m_drainOptions { .idleBeforeClose = role.settings.agent.drainIdle, .limit = role.settings.agent.drainLimit }
@@ -61,9 +62,12 @@
     m_role.config.addListener([this](const Config& current, const Config& previous) { handleConfig(current, previous); });
     m_role.root.add({ .name = "config", .make = [this](const FailureHandler&) { return std::make_unique<ConfigFollower>(m_role, ConfigFollower::Mode::Once); } });
     m_role.root.add({ .name = "balancers", .make = [this](const FailureHandler& onFailure) {
-                         return std::make_unique<Listener>(
-                             m_role.context, m_role.settings.listen, LinkOptions { .silenceLimit = m_role.settings.linkSilence },
+                         auto listener = std::make_unique<Listener>(
+                             m_role.context, m_listenAt, LinkOptions { .silenceLimit = m_role.settings.linkSilence },
                              [this](std::shared_ptr<Link> link) { acceptBalancer(std::move(link)); }, onFailure);
+                         // A restarted listener must come back at the address that was announced.
+                         m_listenAt.port(listener->port().value_or(m_listenAt.port()));
+                         return listener;
                      } });
     m_role.root.add({ .name = "announcer", .make = [this](const FailureHandler&) { return std::make_unique<AnnouncerChild>(*this); } });
     m_role.root.add({ .name = "probe", .make = [this](const FailureHandler&) {
@@ -260,7 +264,7 @@
         .token = { upstreamIdOf(agent.upstreamName), 0 },
         .service = agent.service,
         .dataCentre = m_role.settings.dataCentre,
-        .address = m_role.settings.listen.address().to_string() + ":" + std::to_string(m_role.settings.listen.port()),
+        .address = m_listenAt.address().to_string() + ":" + std::to_string(m_listenAt.port()),
         .state = isLeaving() ? MemberState::Draining : MemberState::Serving,
         .lease = agent.lease,
     };
--- a/src/kingcuptraild/agent/agent.h
+++ b/src/kingcuptraild/agent/agent.h
@@ -47,6 +47,8 @@
     RequestDesk m_requests;
     OwnerToken m_token;
     AnnouncerChild* m_announcer = nullptr;
+    /// Where balancers reach this agent; the port is the one that was bound.
+    asio::ip::tcp::endpoint m_listenAt;
     asio::steady_timer m_tickTimer;
     asio::steady_timer m_sweepTimer;
     DrainProgress m_drainProgress;
--- a/src/kingcuptraild/listener.cpp
+++ b/src/kingcuptraild/listener.cpp
@@ -74,6 +74,13 @@
     m_private->accept();
 }
 
+std::optional<std::uint16_t> Listener::port() const
+{
+    asio::error_code error;
+    const auto bound = m_private->acceptor.local_endpoint(error);
+    return error || bound.port() == 0 ? std::nullopt : std::optional(bound.port());
+}
+
 Listener::~Listener()
 {
     m_private->isStopped = true;
--- a/src/kingcuptraild/listener.h
+++ b/src/kingcuptraild/listener.h
@@ -6,6 +6,7 @@
 #include <asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace kingcuptrail {
 
@@ -17,6 +18,9 @@
     Listener(asio::io_context& context, const asio::ip::tcp::endpoint& endpoint, const LinkOptions& options, OnLink onLink, const FailureHandler& onFailure);
     ~Listener() override;
 
+    /// The port that is bound, which the host chose where the settings say 0; nothing when binding failed.
+    std::optional<std::uint16_t> port() const;
+
 private:
     struct Private;
 
