--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -42,7 +42,7 @@
     echo "demo: $*" >&2
     exit 4
 }
-note() { "$build/bench/checkhistory/checkhistory" --who=operator --note="$1" "$work/operator.history"; }
+note() { "$standins/note/standin_note" --history="$work/operator.history" --event="$1"; }
 
 # start NAME PROGRAM ARGUMENTS...: in the background, with its output in files named after it.
 start() {
@@ -200,7 +200,7 @@
 
 say "checking the histories"
 code=0
-"$build/bench/checkhistory/checkhistory" "$work"/*.history > "$work/check.out" || code=$?
+"$build/bench/check/kingcuptrail-check" "$work"/*.history > "$work/check.out" || code=$?
 result="$(cat "$work/check.out")"
 end_all
 echo "$result"
