--- a/src/kingcuptraild/daemon.cpp
+++ b/src/kingcuptraild/daemon.cpp
@@ -48,7 +48,11 @@
 {
 }
 
-Daemon::~Daemon() = default;
+// The children's handlers use the role; a link to an agent, for one, tells the balancer's member table that it ended.
+Daemon::~Daemon()
+{
+    m_root.endAll();
+}
 
 int Daemon::run()
 {
--- a/src/libruntime/supervisor.cpp
+++ b/src/libruntime/supervisor.cpp
@@ -239,6 +239,11 @@
     m_d->destroyLater(std::move(removed->running));
 }
 
+void Supervisor::endAll()
+{
+    m_d->stop();
+}
+
 bool Supervisor::contains(const std::string& name) const
 {
     return m_d->find(name) != nullptr;
--- a/src/libruntime/supervisor.h
+++ b/src/libruntime/supervisor.h
@@ -84,6 +84,9 @@
     void remove(const std::string& name);
     bool contains(const std::string& name) const;
 
+    /// Ends all children, the last one first. For an owner that children call back when they end.
+    void endAll();
+
     /// This supervisor's children and, where they are supervisors, theirs.
     std::vector<ChildStatus> status() const;
 
