--- a/src/libplatform/configapply.cpp
+++ b/src/libplatform/configapply.cpp
@@ -65,9 +65,8 @@
     std::string dataCentre;
     bool out = false;
 
-    /// What this change was decided on, as first read.
-    std::optional<Manifest> basis;
-    ObjectVersion basisObject = 0;
+    /// Version of the manifest's object that this change was decided on, as first read.
+    std::optional<ObjectVersion> basisObject;
     Manifest next;
     ObjectVersion presentObject = 0;
     std::map<std::string, std::string> servicesToWrite;
@@ -110,10 +109,8 @@
         finish(ApplyError::None, *accepted, true);
         return;
     }
-    if (!basis) {
-        basis = present;
+    if (!basisObject)
         basisObject = object.version;
-    }
     presentObject = object.version;
     auto made = makeNext(*present);
     if (!made)
@@ -155,22 +152,18 @@
     return made;
 }
 
+// The race with another operator: the state is set on whatever manifest is there by then, so that his change stays. If
+// he has set the same state meanwhile, makeNext() finds nothing to write.
 std::optional<Manifest> ConfigApply::Private::makeNextOfState(const Manifest& present)
 {
     if (present.version == 0) {
         finish(ApplyError::NoConfig, 0);
         return std::nullopt;
     }
-    const DataCentreConfig* now = present.findDataCentre(dataCentre);
-    if (!now) {
+    if (!present.findDataCentre(dataCentre)) {
         finish(ApplyError::UnknownDataCentre, present.version);
         return std::nullopt;
     }
-    const DataCentreConfig* before = basis->findDataCentre(dataCentre);
-    if (now->out != out && before && before->out != now->out) {
-        finish(ApplyError::Conflict, present.version);
-        return std::nullopt;
-    }
     Manifest made = nextManifest(present, {}, applyOptions.applyId);
     made.services = present.services;
     made.dataCentres = withState(present.dataCentres, dataCentre, out);
--- a/src/libplatform/configapply.h
+++ b/src/libplatform/configapply.h
@@ -75,8 +75,8 @@
     /// Conflict: its operator decided on what is no longer so.
     void apply(Config wanted, Handler handler);
 
-    /// Takes one data centre out or brings it back and leaves the rest as it is, whatever that is by then. Conflict only
-    /// when somebody else has changed the state of the same data centre meanwhile.
+    /// Takes one data centre out or brings it back and leaves the rest as it is, whatever that is by then: a change that
+    /// was accepted meanwhile is kept, and the state is set on top of it.
     void setOut(std::string dataCentre, bool out, Handler handler);
 
 private:
--- /dev/null
+++ b/tests/platform/testconfigapply.cpp
@@ -0,0 +1,275 @@
+#include "libplatform/configwatcher.h"
+#include "libplatform/manifest.h"
+#include "platformfixture.h"
+
+using namespace kingcuptrail;
+
+class TestConfigApply : public PlatformFixture {
+    CPPUNIT_TEST_SUITE(TestConfigApply);
+    CPPUNIT_TEST(unchangedConfigIsNotWritten);
+    CPPUNIT_TEST(lostAnswerIsSettledByReadingBack);
+    CPPUNIT_TEST(lostAnswerIsSettledAfterOthersApplied);
+    CPPUNIT_TEST(loserOfARaceLearnsTheVersion);
+    CPPUNIT_TEST(takeOutSurvivesAnotherChange);
+    CPPUNIT_TEST(sameTakeOutTwiceIsOneChange);
+    CPPUNIT_TEST(applyDoesNotBringBackUnasked);
+    CPPUNIT_TEST(refusalsAreTyped);
+    CPPUNIT_TEST(outageEndsAsUnreachableOrUnknown);
+    CPPUNIT_TEST(watcherFollowsThroughAnOutage);
+    CPPUNIT_TEST(watcherNeverReportsOlder);
+    CPPUNIT_TEST(watcherFetchesOnlyWhatChanged);
+    CPPUNIT_TEST(manyServicesAreListedInOneCall);
+    CPPUNIT_TEST(watchTooFarBehindListsAgain);
+    CPPUNIT_TEST_SUITE_END();
+
+    void assertAccepted(const ApplyReport& report, ConfigVersion version, bool changed = true)
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string("none"), std::string(nameOf(report.error)));
+        CPPUNIT_ASSERT_EQUAL(version, report.version);
+        CPPUNIT_ASSERT_EQUAL(changed, report.changed);
+    }
+
+    void unchangedConfigIsNotWritten()
+    {
+        assertAccepted(apply(makeConfig()), 1);
+        const auto writes = m_server->calls().writes;
+        assertAccepted(apply(makeConfig()), 1, false);
+        assertAccepted(setOut("north", false), 1, false);
+        CPPUNIT_ASSERT_EQUAL(writes, m_server->calls().writes);
+        CPPUNIT_ASSERT(fetch()->services == makeConfig().services);
+    }
+
+    // An operator applies, the platform writes, and the answer is lost. Without the read-back he would hear "conflict"
+    // of his own change, apply again and wonder whose it was. Every write of the apply loses its answer here.
+    void lostAnswerIsSettledByReadingBack()
+    {
+        m_server->setFaults({ .loseAnswers = 2 });
+        const ApplyReport report = apply(makeConfig());
+        assertAccepted(report, 1);
+        CPPUNIT_ASSERT(report.platformError == PlatformError::NoAnswer);
+        CPPUNIT_ASSERT_EQUAL(ConfigVersion { 1 }, fetch()->version);
+    }
+
+    // As before, but another operator's change is accepted before the first reads back: his own is in force below it.
+    void lostAnswerIsSettledAfterOthersApplied()
+    {
+        assertAccepted(apply(makeConfig()), 1);
+        ConfigApply change(m_context, m_options);
+        m_server->setFaults({ .loseAnswers = 1 });
+        std::optional<ApplyReport> report;
+        change.setOut("north", true, [&report](const ApplyReport& done) { report = done; });
+        runUntil(m_context, [this] { return m_server->calls().writes == 3; });
+        const auto object = m_server->store().get(manifestKind, manifestName);
+        Manifest later = *parseManifest(*object->value);
+        later.version += 1;
+        m_server->store().put(manifestKind, manifestName, toJson(later), object->version);
+        runUntil(m_context, [&report] { return report.has_value(); });
+        assertAccepted(*report, 2);
+    }
+
+    // Two operators apply different files at the same moment. One is accepted; the other decided on a configuration that
+    // is no longer so, and must be told what he lost to instead of undoing it unseen.
+    void loserOfARaceLearnsTheVersion()
+    {
+        assertAccepted(apply(makeConfig()), 1);
+        ConfigApply first(m_context, m_options);
+        ConfigApply second(m_context, m_options);
+        std::vector<ApplyReport> reports;
+        first.apply(makeConfig(6), [&reports](const ApplyReport& done) { reports.push_back(done); });
+        second.apply(makeConfig(7), [&reports](const ApplyReport& done) { reports.push_back(done); });
+        runUntil(m_context, [&reports] { return reports.size() == 2; });
+        std::sort(reports.begin(), reports.end(), [](const ApplyReport& a, const ApplyReport& b) { return a.error < b.error; });
+        assertAccepted(reports[0], 2);
+        CPPUNIT_ASSERT(reports[1].error == ApplyError::Conflict);
+        CPPUNIT_ASSERT_EQUAL(ConfigVersion { 2 }, reports[1].version);
+    }
+
+    // A data centre must be taken out now, while another operator's apply is under way. The take-out is about one state
+    // alone; it must not fail for the other change, and must not undo it.
+    void takeOutSurvivesAnotherChange()
+    {
+        assertAccepted(apply(makeConfig()), 1);
+        ConfigApply takeOut(m_context, m_options);
+        ConfigApply other(m_context, m_options);
+        std::vector<ApplyReport> reports;
+        takeOut.setOut("south", true, [&reports](const ApplyReport& done) { reports.push_back(done); });
+        other.setOut("north", true, [&reports](const ApplyReport& done) { reports.push_back(done); });
+        runUntil(m_context, [&reports] { return reports.size() == 2; });
+        // Both at once would leave nothing to serve, and the later one sees that.
+        CPPUNIT_ASSERT(reports[0].error == ApplyError::None && reports[1].error == ApplyError::AllOut);
+        ConfigApply bringBack(m_context, m_options);
+        ConfigApply slots(m_context, m_options);
+        reports.clear();
+        slots.apply(makeConfig(9), [&reports](const ApplyReport& done) { reports.push_back(done); });
+        bringBack.setOut(fetch()->isOut("south") ? "south" : "north", false, [&reports](const ApplyReport& done) { reports.push_back(done); });
+        runUntil(m_context, [&reports] { return reports.size() == 2; });
+        const auto config = fetch();
+        CPPUNIT_ASSERT_EQUAL(9U, config->services.front().slots);
+        CPPUNIT_ASSERT(!config->isOut("south") && !config->isOut("north"));
+    }
+
+    // Two operators on call take the same data centre out at the same moment. Both must hear that it is out, and one
+    // write must do.
+    void sameTakeOutTwiceIsOneChange()
+    {
+        assertAccepted(apply(makeConfig()), 1);
+        ConfigApply first(m_context, m_options);
+        ConfigApply second(m_context, m_options);
+        std::vector<ApplyReport> reports;
+        first.setOut("south", true, [&reports](const ApplyReport& done) { reports.push_back(done); });
+        second.setOut("south", true, [&reports](const ApplyReport& done) { reports.push_back(done); });
+        runUntil(m_context, [&reports] { return reports.size() == 2; });
+        assertAccepted(reports[0], 2, true);
+        assertAccepted(reports[1], 2, false);
+    }
+
+    // An operator takes a data centre out by hand; another applies a file from before, which does not mention it. The
+    // end users of that data centre must not get packets again from an unrelated change.
+    void applyDoesNotBringBackUnasked()
+    {
+        assertAccepted(apply(makeConfig()), 1);
+        assertAccepted(setOut("south", true), 2);
+        Config file = makeConfig(6);
+        for (DataCentreConfig& dataCentre : file.dataCentres)
+            dataCentre.outStated = false;
+        assertAccepted(apply(file), 3);
+        CPPUNIT_ASSERT(fetch()->isOut("south"));
+        file.dataCentres.back().outStated = true;
+        assertAccepted(apply(file), 4);
+        CPPUNIT_ASSERT(!fetch()->isOut("south"));
+    }
+
+    void refusalsAreTyped()
+    {
+        CPPUNIT_ASSERT(setOut("south", true).error == ApplyError::NoConfig);
+        assertAccepted(apply(makeConfig()), 1);
+        CPPUNIT_ASSERT(setOut("east", true).error == ApplyError::UnknownDataCentre);
+        assertAccepted(setOut("south", true), 2);
+        CPPUNIT_ASSERT(setOut("north", true).error == ApplyError::AllOut);
+        Config huge = makeConfig();
+        huge.dataCentres.push_back({ .name = std::string(std::size_t { 1100 } * 1024, 'x') });
+        CPPUNIT_ASSERT(apply(huge).error == ApplyError::Refused);
+        const auto object = m_server->store().get(manifestKind, manifestName);
+        m_server->store().put(manifestKind, manifestName, "{}", object->version);
+        CPPUNIT_ASSERT(apply(makeConfig(6)).error == ApplyError::BadManifest);
+    }
+
+    void outageEndsAsUnreachableOrUnknown()
+    {
+        assertAccepted(apply(makeConfig()), 1);
+        m_server->setFaults({ .down = true, .hang = true });
+        CPPUNIT_ASSERT(apply(makeConfig(6), { .limit = 100 }).error == ApplyError::PlatformUnreachable);
+        m_server->setFaults({ .loseAnswers = 2 });
+        ConfigApply change(m_context, m_options, { .limit = 300 });
+        std::optional<ApplyReport> report;
+        change.apply(makeConfig(7), [&report](const ApplyReport& done) { report = done; });
+        runUntil(m_context, [this] { return countCalls("PUT", "manifest") == 2; });
+        m_server->setFaults({ .down = true });
+        runUntil(m_context, [&report] { return report.has_value(); });
+        CPPUNIT_ASSERT(report->error == ApplyError::OutcomeUnknown);
+    }
+
+    struct Watched {
+        std::vector<Config> seen;
+        ConfigWatcher watcher;
+
+        Watched(asio::io_context& context, const PlatformOptions& options, bool once = false)
+            : watcher(
+                context, options, [this](const Config& config) { seen.push_back(config); }, once)
+        {
+        }
+    };
+
+    // The platform is down when a daemon starts, comes, goes in the middle of a watch and comes back with a newer
+    // configuration. The daemon must hold the last one through the outage and then follow, by itself.
+    void watcherFollowsThroughAnOutage()
+    {
+        m_server->setFaults({ .down = true });
+        Watched watched(m_context, m_options);
+        runUntil(m_context, [&] { return watched.watcher.lastReason() == PlatformError::NoAnswer; });
+        m_server->setFaults({});
+        assertAccepted(apply(makeConfig()), 1);
+        runUntil(m_context, [&] { return watched.seen.size() == 1; });
+        CPPUNIT_ASSERT(watched.seen.back().services == makeConfig().services);
+        runUntil(m_context, [this] { return m_server->calls().waitingWatches == 1; });
+        m_server->setFaults({ .down = true, .hang = true });
+        runUntil(m_context, [&] { return watched.watcher.lastReason() == PlatformError::NoAnswer; });
+        m_server->setFaults({});
+        assertAccepted(setOut("south", true), 2);
+        runUntil(m_context, [&] { return watched.seen.size() == 2; });
+        CPPUNIT_ASSERT(watched.seen.back().isOut("south"));
+    }
+
+    // The store is set back by its keepers, and the watch shows a manifest older than the one in force.
+    void watcherNeverReportsOlder()
+    {
+        assertAccepted(apply(makeConfig()), 1);
+        const std::string old = *m_server->store().get(manifestKind, manifestName)->value;
+        assertAccepted(apply(makeConfig(6)), 2);
+        Watched watched(m_context, m_options);
+        runUntil(m_context, [&] { return watched.seen.size() == 1; });
+        const auto write = [this](const std::string& value) {
+            m_server->store().put(manifestKind, manifestName, value, m_server->store().get(manifestKind, manifestName)->version);
+            m_server->wakeWatches(manifestKind);
+        };
+        const auto reads = countCalls("GET", "/watch/manifest");
+        write(old);
+        runUntil(m_context, [&] { return countCalls("GET", "/watch/manifest") > reads || m_server->calls().waitingWatches == 1; });
+        Manifest newer = *parseManifest(old);
+        newer.version = 3;
+        write(toJson(newer));
+        runUntil(m_context, [&] { return watched.seen.size() == 2; });
+        CPPUNIT_ASSERT_EQUAL(ConfigVersion { 3 }, watched.seen.back().version);
+    }
+
+    void watcherFetchesOnlyWhatChanged()
+    {
+        Config config = makeConfig();
+        config.services.push_back({ .name = "filing", .address = *parseServiceAddress("10.0.0.2:443"), .dataCentres = { "north" } });
+        assertAccepted(apply(config), 1);
+        Watched watched(m_context, m_options);
+        Watched onceOnly(m_context, m_options, true);
+        runUntil(m_context, [&] { return watched.seen.size() == 1 && onceOnly.seen.size() == 1; });
+        const auto before = countCalls("GET", "/objects/serviceconfig/");
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 4 }, before);
+        config.services.back().slots = 2;
+        assertAccepted(apply(config), 2);
+        runUntil(m_context, [&] { return watched.seen.size() == 2; });
+        CPPUNIT_ASSERT_EQUAL(before + 1, countCalls("GET", "/objects/serviceconfig/"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, onceOnly.seen.size());
+        CPPUNIT_ASSERT(watched.seen.back().services == normalised(config).services);
+    }
+
+    void manyServicesAreListedInOneCall()
+    {
+        Config config = makeConfig();
+        for (int index = 0; index < 40; ++index)
+            config.services.push_back({ .name = std::string("s").append(std::to_string(index)), .address = *parseServiceAddress("10.0.1.1:" + std::to_string(index + 1)), .dataCentres = { "north" } });
+        assertAccepted(apply(config), 1);
+        const auto readsBefore = m_server->calls().reads;
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 41 }, fetch()->services.size());
+        CPPUNIT_ASSERT_EQUAL(readsBefore + 2, m_server->calls().reads);
+    }
+
+    // A daemon was stopped for so long that the platform has forgotten the changes since: the watch is refused, and the
+    // whole must be read again.
+    void watchTooFarBehindListsAgain()
+    {
+        m_server->store() = ObjectStore(2);
+        assertAccepted(apply(makeConfig()), 1);
+        Watched watched(m_context, m_options);
+        runUntil(m_context, [&] { return watched.seen.size() == 1; });
+        m_server->setFaults({ .down = true });
+        runUntil(m_context, [&] { return watched.watcher.lastReason() != PlatformError::None; });
+        Manifest manifest = *parseManifest(*m_server->store().get(manifestKind, manifestName)->value);
+        for (int index = 0; index < 4; ++index) {
+            ++manifest.version;
+            m_server->store().put(manifestKind, manifestName, toJson(manifest), m_server->store().get(manifestKind, manifestName)->version);
+        }
+        m_server->setFaults({});
+        runUntil(m_context, [&] { return watched.seen.size() == 2; });
+        CPPUNIT_ASSERT_EQUAL(ConfigVersion { 5 }, watched.seen.back().version);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestConfigApply);
