--- /dev/null
+++ b/src/kingcuptrailctl/forgetcommand.cpp
@@ -0,0 +1,41 @@
+#include "blocking.h"
+#include "commands.h"
+#include "daemons.h"
+
+#include <nlohmann/json.hpp>
+
+namespace kingcuptrail {
+
+namespace {
+
+    struct Call {
+        ObjectVersion version = 0;
+        PlatformError error = PlatformError::NoAnswer;
+    };
+
+}
+
+// The removal is conditional on the entry that was read: a daemon that has entered itself again meanwhile stays.
+CommandResult forgetDaemon(const std::string& name, const CtlOptions& options)
+{
+    asio::io_context context;
+    PlatformClient client(context, platformOptions(options));
+    const auto entry = awaitResult<Call>(context, [&](const std::function<void(Call)>& done) {
+        client.get(daemonKind, name, [done](const std::optional<PlatformObject>& object, PlatformError error) { done({ .version = object ? object->version : 0, .error = error }); });
+    });
+    Call removal = entry;
+    if (entry.error == PlatformError::None) {
+        removal = awaitResult<Call>(context, [&](const std::function<void(Call)>& done) {
+            client.remove(daemonKind, name, entry.version, [done](std::optional<ObjectVersion>, PlatformError error) { done({ .error = error }); });
+        });
+    }
+    if (removal.error == PlatformError::NotFound)
+        return makeResult(ExitCode::UnknownDaemon);
+    if (removal.error == PlatformError::NoAnswer && entry.error == PlatformError::None)
+        return makeResult(ExitCode::OutcomeUnknown);
+    if (removal.error != PlatformError::None)
+        return makeResult(exitCodeOf(removal.error), {}, { { "platformError", nameOf(removal.error) } });
+    return makeResult(ExitCode::Success, name + ": forgotten\n", { { "name", name } });
+}
+
+}
--- /dev/null
+++ b/src/kingcuptrailctl/inforce.cpp
@@ -0,0 +1,74 @@
+#include "inforce.h"
+
+#include <algorithm>
+#include <chrono>
+#include <thread>
+
+namespace kingcuptrail {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+    /// How long one daemon may take to answer, in milliseconds; one that is stopped must not hold up the others long.
+    constexpr Millis askTimeout = 2000;
+
+    /// Load: a wait that lasts, over thousands of daemons. Harm: asking each without a pause loads every host for the
+    /// sake of one operator's prompt. Limits: at first often, since most changes are in force within a second, then
+    /// more slowly; and only those that still lag are asked again.
+    constexpr Millis firstPause = 50;
+    constexpr Millis longestPause = 1000;
+
+    Millis since(steady_clock::time_point start)
+    {
+        return std::chrono::duration_cast<milliseconds>(steady_clock::now() - start).count();
+    }
+
+    bool isInForce(const DaemonAnswer& answer, ConfigVersion version)
+    {
+        return answer.status && answer.status->configVersion >= version;
+    }
+
+    std::vector<DaemonEntry> entriesOf(const std::vector<DaemonAnswer>& answers)
+    {
+        std::vector<DaemonEntry> entries;
+        entries.reserve(answers.size());
+        for (const DaemonAnswer& answer : answers)
+            entries.push_back(answer.entry);
+        return entries;
+    }
+
+}
+
+InForce waitInForce(ConfigVersion version, const CtlOptions& options)
+{
+    const auto start = steady_clock::now();
+    PlatformError reason = PlatformError::None;
+    const auto daemons = findDaemons(options, reason);
+    if (!daemons)
+        return { .isKnown = false };
+    InForce result { .daemons = daemons->size() };
+    std::vector<DaemonEntry> toAsk = *daemons;
+    Millis pause = firstPause;
+    while (true) {
+        const Millis left = std::max<Millis>(options.timeout - since(start), 1);
+        result.lagging = askDaemons(toAsk, std::min(askTimeout, left));
+        std::erase_if(result.lagging, [version](const DaemonAnswer& answer) { return isInForce(answer, version); });
+        result.took = since(start);
+        if (result.lagging.empty() || result.took >= options.timeout)
+            return result;
+        toAsk = entriesOf(result.lagging);
+        std::this_thread::sleep_for(milliseconds(std::min(pause, options.timeout - result.took)));
+        pause = std::min(2 * pause, longestPause);
+    }
+}
+
+std::string lagOf(const DaemonAnswer& answer)
+{
+    if (!answer.status)
+        return std::string(nameOf(answer.error));
+    return "at version " + std::to_string(answer.status->configVersion);
+}
+
+}
--- /dev/null
+++ b/src/kingcuptrailctl/table.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace kingcuptrail {
+
+/// A readable table: columns as wide as their widest cell, two spaces apart.
+class Table {
+public:
+    explicit Table(std::vector<std::string> head);
+
+    void add(std::vector<std::string> row);
+    bool isEmpty() const { return m_rows.size() <= 1; }
+    std::string text() const;
+
+private:
+    std::vector<std::vector<std::string>> m_rows;
+};
+
+}
