--- /dev/null
+++ b/tests/scenarios/runner/luavalue.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+struct lua_State;
+
+namespace kingcuptrail {
+
+/// The value at `index` as JSON: a table with a first element, or an empty one, becomes an array, any other an object.
+nlohmann::json toJsonValue(lua_State* lua, int index);
+
+/// Pushes a value; null becomes nil.
+void pushValue(lua_State* lua, const nlohmann::json& value);
+
+}
--- /dev/null
+++ b/tests/scenarios/runner/relay.cpp
@@ -0,0 +1,167 @@
+#include "relay.h"
+
+#include <array>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+#include <set>
+
+namespace kingcuptrail {
+
+namespace {
+
+    using asio::ip::tcp;
+
+    constexpr std::size_t bufferBytes = std::size_t { 64 } * 1024;
+
+    struct Connection : std::enable_shared_from_this<Connection> {
+        struct End {
+            explicit End(tcp::socket connected)
+                : socket(std::move(connected))
+            {
+            }
+
+            explicit End(asio::io_context& context)
+                : socket(context)
+            {
+            }
+
+            tcp::socket socket;
+            std::array<char, bufferBytes> buffer {};
+        };
+
+        Connection(tcp::socket client, asio::io_context& context)
+            : near(std::move(client))
+            , far(context)
+        {
+        }
+
+        void pass(End& from, End& to)
+        {
+            from.socket.async_read_some(asio::buffer(from.buffer), [self = shared_from_this(), &from, &to](asio::error_code error, std::size_t size) {
+                if (error)
+                    self->end();
+                else if (self->isSilent)
+                    self->pass(from, to);
+                else
+                    self->forward(from, to, size);
+            });
+        }
+
+        void forward(End& from, End& to, std::size_t size)
+        {
+            asio::async_write(to.socket, asio::buffer(from.buffer.data(), size), [self = shared_from_this(), &from, &to](asio::error_code error, std::size_t) {
+                if (error)
+                    self->end();
+                else
+                    self->pass(from, to);
+            });
+        }
+
+        /// One end closed. A silent connection tells the other end nothing of that either.
+        void end()
+        {
+            isEnded = true;
+            if (!isSilent)
+                close(false);
+        }
+
+        void close(bool reset)
+        {
+            asio::error_code ignored;
+            for (End* side : { &near, &far }) {
+                if (reset)
+                    side->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+                side->socket.close(ignored);
+            }
+            isEnded = true;
+        }
+
+        End near;
+        End far;
+        bool isSilent = false;
+        bool isEnded = false;
+    };
+
+}
+
+struct Relay::Private : std::enable_shared_from_this<Private> {
+    Private(asio::io_context& ioContext, std::uint16_t targetPort)
+        : context(ioContext)
+        , acceptor(ioContext, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        , target(asio::ip::address_v4::loopback(), targetPort)
+    {
+    }
+
+    void accept()
+    {
+        acceptor.async_accept([self = shared_from_this()](asio::error_code error, tcp::socket socket) {
+            if (error)
+                return;
+            self->connect(std::make_shared<Connection>(std::move(socket), self->context));
+            self->accept();
+        });
+    }
+
+    void connect(const std::shared_ptr<Connection>& connection)
+    {
+        std::erase_if(connections, [](const auto& known) { return known->isEnded && !known->isSilent; });
+        connections.insert(connection);
+        connection->far.socket.async_connect(target, [connection](asio::error_code error) {
+            if (error) {
+                connection->close(true);
+                return;
+            }
+            asio::error_code ignored;
+            connection->near.socket.set_option(tcp::no_delay(true), ignored);
+            connection->far.socket.set_option(tcp::no_delay(true), ignored);
+            connection->pass(connection->near, connection->far);
+            connection->pass(connection->far, connection->near);
+        });
+    }
+
+    asio::io_context& context;
+    tcp::acceptor acceptor;
+    tcp::endpoint target;
+    std::set<std::shared_ptr<Connection>> connections;
+};
+
+Relay::Relay(asio::io_context& context, std::uint16_t target)
+    : m_d(std::make_shared<Private>(context, target))
+{
+    m_d->accept();
+}
+
+Relay::~Relay()
+{
+    cut();
+    asio::error_code ignored;
+    m_d->acceptor.close(ignored);
+}
+
+std::uint16_t Relay::port() const
+{
+    return m_d->acceptor.local_endpoint().port();
+}
+
+void Relay::silence()
+{
+    for (const auto& connection : m_d->connections)
+        connection->isSilent = true;
+}
+
+void Relay::cut()
+{
+    for (const auto& connection : m_d->connections)
+        connection->close(true);
+    m_d->connections.clear();
+}
+
+std::size_t Relay::connectionCount() const
+{
+    std::size_t count = 0;
+    for (const auto& connection : m_d->connections)
+        count += connection->isEnded ? 0 : 1;
+    return count;
+}
+
+}
--- /dev/null
+++ b/tests/scenarios/verbs.lua
@@ -0,0 +1,252 @@
+-- The verbs of the scenarios, made of the few that the runner offers by perform(name, arguments).
+
+local known = {} -- what was started, by name
+deployment = {}
+
+function now() return perform("now") end
+function pump(ms) perform("pump", { ms = ms }) end
+
+-- Waits until the function yields something true and returns it; fails the scenario after `limit` milliseconds.
+function waitFor(what, limit, condition)
+    local deadline = now() + limit
+    while true do
+        local result = condition()
+        if result then return result end
+        if now() > deadline then error("waited " .. limit .. " ms in vain for " .. what, 2) end
+        pump(20)
+    end
+end
+
+function expect(condition, what)
+    if not condition then error("expected: " .. what, 2) end
+end
+
+local function localAddress(port) return "127.0.0.1:" .. port end
+
+-- Starts a program, or starts one again that was started before under this name.
+function start(spec)
+    if type(spec) == "string" then spec = known[spec] end
+    known[spec.name] = spec
+    perform("spawn", spec)
+end
+
+local function signal(name, which) perform("signal", { name = name, signal = which }) end
+function kill(name) signal(name, "KILL") end
+function freeze(name) signal(name, "STOP") end
+function thaw(name) signal(name, "CONT") end
+function stop(name) signal(name, "TERM") end
+
+function exitCode(name) return perform("exitCode", { name = name }) end
+function waitExit(name, limit)
+    return waitFor("the end of " .. name, limit, function() return exitCode(name) end)
+end
+
+function silence(relay) perform("silence", { id = relay.id }) end
+function cut(relay) perform("cut", { id = relay.id }) end
+
+function status(name)
+    local reply = perform("http", { port = known[name].admin, path = "/status" })
+    return reply and reply.body
+end
+
+-- Faults of the platform: down, hang, delayMs, slowFor, loseAnswers; without any it works again.
+function platform(faults)
+    perform("http", { port = deployment.platform, method = "POST", path = "/faults", body = faults })
+    local isBroken = next(faults) ~= nil
+    perform("record", { event = isBroken and "faultBegan" or "faultEnded", who = "scenario", process = "platform", role = "platform" })
+end
+
+-- An upstream's behaviour: slowFactor, sheds, lies, healthy, cold.
+function upstream(name, behaviour)
+    perform("http", { port = known[name].port, method = "POST", path = "/control", body = behaviour })
+end
+
+function startChange(change)
+    change.platform = deployment.platform
+    return perform("change", change)
+end
+
+function changeResult(id, limit)
+    return waitFor("a change of configuration", limit or 10000, function() return perform("changed", { id = id }) end)
+end
+
+local function acceptChange(change)
+    local result = changeResult(startChange(change))
+    expect(result.outcome == "none", "an accepted change, not " .. result.outcome)
+    return result.version
+end
+
+function apply(config) return acceptChange({ config = config }) end
+function takeOut(dataCentre) return acceptChange({ dataCentre = dataCentre, out = true }) end
+function bringBack(dataCentre) return acceptChange({ dataCentre = dataCentre, out = false }) end
+
+function waitForVersion(version, names, limit)
+    for _, name in ipairs(names) do
+        waitFor(name .. " to have version " .. version, limit or 5000, function()
+            local seen = status(name)
+            return seen and seen.configVersion >= version
+        end)
+    end
+end
+
+-- Starts a caller; see standin_caller --help for what it can be told. Names of flags have underscores.
+function call(spec)
+    local service = deployment.services[spec.service]
+    local args = {
+        "--fabric=" .. localAddress(spec.fabric or deployment.fabric), "--name=" .. spec.name,
+        "--service=" .. service.address, "--service_name=" .. spec.service,
+        "--history=" .. deployment.folder .. "/" .. spec.name .. ".history", "--seed=" .. (spec.seed or 1),
+    }
+    for flag, value in pairs(spec.load) do table.insert(args, "--" .. flag .. "=" .. tostring(value)) end
+    start({ name = spec.name, program = "standin_caller", args = args })
+end
+
+local function lastLine(name)
+    local lines = perform("lines", { name = name })
+    return lines[#lines] or ""
+end
+
+-- Waits until a caller is done; yields its summary.
+function callResult(name, limit)
+    expect(waitExit(name, limit or 40000) == 0, name .. " to end well")
+    local result = perform("parse", { text = lastLine(name) })
+    print(name .. ": " .. lastLine(name))
+    return result
+end
+
+local function eventCount(name, kind)
+    local file = io.open(deployment.folder .. "/" .. name .. ".history")
+    if not file then return 0 end
+    local _, count = file:read("a"):gsub('"event":"' .. kind .. '"', "")
+    file:close()
+    return count
+end
+
+-- Waits until a caller or an upstream has written so many events of a kind in all.
+function waitForEvents(name, kind, count, limit)
+    waitFor(count .. " times " .. kind .. " at " .. name, limit or 15000, function() return eventCount(name, kind) >= count end)
+end
+
+function eventsOf(name, kind) return eventCount(name, kind) end
+
+local function daemonSettings(spec)
+    local settings = {
+        role = spec.role, name = spec.name, dataCentre = spec.dataCentre, listen = localAddress(spec.port),
+        admin = localAddress(spec.admin), platform = localAddress(spec.platform or deployment.platform),
+        heartbeatMs = 200, linkSilenceMs = 2000, agent = spec.agent,
+    }
+    return perform("write", { name = spec.name .. ".json", content = settings })
+end
+
+local function startDaemon(spec)
+    spec.port = perform("port")
+    spec.admin = perform("port")
+    spec.program = "kingcuptraild"
+    spec.args = { "--settings=" .. daemonSettings(spec) }
+    start(spec)
+    table.insert(deployment.daemons, spec.name)
+end
+
+local function startUpstream(name, service, dataCentre, options)
+    local port = perform("port")
+    local args = {
+        "--listen=" .. localAddress(port), "--name=" .. name, "--service=" .. service, "--data_centre=" .. dataCentre,
+        "--history=" .. deployment.folder .. "/" .. name .. ".history", "--slots=" .. options.slots, "--feed_ms=100",
+    }
+    for flag, value in pairs(options.flags or {}) do table.insert(args, "--" .. flag .. "=" .. tostring(value)) end
+    start({ name = name, program = "standin_upstream", port = port, role = "upstream", upstream = name, dataCentre = dataCentre, args = args })
+    startDaemon({
+        name = "agent-" .. name, role = "agent", upstream = name, dataCentre = dataCentre, platform = options.platform,
+        agent = {
+            upstreamName = name, service = service, upstream = localAddress(port),
+            leaseMs = 3000, drainIdleMs = 500, drainLimitMs = 30000,
+        },
+    })
+end
+
+local function isReady()
+    local reply = perform("http", { port = deployment.fabricControl, path = "/status" })
+    if not reply then return false end
+    for _, up in ipairs(reply.body.balancersUp) do
+        if not up then return false end
+    end
+    for _, name in ipairs(deployment.balancers) do
+        local seen = status(name)
+        if not seen or #seen.members < deployment.upstreamCount then return false end
+        for _, member in ipairs(seen.members) do
+            if not member.linked or not member.announced then return false end
+        end
+    end
+    return true
+end
+
+function waitUntilReady(limit) waitFor("every daemon to be linked", limit or 15000, isReady) end
+
+-- The fabric, with balancers at these ports.
+local function startFabric(ports)
+    deployment.fabric = perform("port")
+    deployment.fabricControl = perform("port")
+    local balancers = {}
+    for _, port in ipairs(ports) do table.insert(balancers, localAddress(port)) end
+    start({ name = "fabric", program = "standin_fabric", args = {
+        "--listen=" .. localAddress(deployment.fabric), "--control=" .. localAddress(deployment.fabricControl),
+        "--balancers=" .. table.concat(balancers, ","), "--seed=1",
+    } })
+end
+
+-- A whole deployment: spec.services by name with count, slots and flags of their upstreams, which take turns over the
+-- data centres; spec.relays puts a relay before each balancer. Returns when every daemon is linked.
+function deploy(spec)
+    deployment = {
+        folder = perform("folder"), platform = perform("port"), services = {}, dataCentres = spec.dataCentres or { "north", "south", "east" },
+        daemons = {}, balancers = {}, relays = {}, upstreamCount = 0,
+    }
+    start({ name = "platform", program = "standin_platform", role = "platform", args = { "--listen=" .. localAddress(deployment.platform) } })
+    waitFor("the platform", 5000, function() return perform("http", { port = deployment.platform, path = "/calls" }) end)
+    local config = { services = {}, dataCentres = {} }
+    for _, name in ipairs(deployment.dataCentres) do table.insert(config.dataCentres, { name = name }) end
+    local number = 0
+    for _, service in ipairs(spec.services) do
+        number = number + 1
+        service.address = "10.0.0." .. number .. ":443"
+        deployment.services[service.name] = service
+        table.insert(config.services, {
+            name = service.name, address = service.address, dataCentres = deployment.dataCentres, slots = service.slots, warmUpMs = 500,
+        })
+    end
+    deployment.config = config
+    apply(config)
+    for _, service in ipairs(spec.services) do
+        for index = 1, service.count do
+            local dataCentre = deployment.dataCentres[(index - 1) % #deployment.dataCentres + 1]
+            startUpstream(service.name .. "-" .. index, service.name, dataCentre, service)
+            deployment.upstreamCount = deployment.upstreamCount + 1
+        end
+    end
+    local ports = {}
+    for index = 1, spec.balancers or 3 do
+        local name = "b" .. index
+        startDaemon({ name = name, role = "balancer", dataCentre = deployment.dataCentres[(index - 1) % #deployment.dataCentres + 1] })
+        table.insert(deployment.balancers, name)
+        local port = known[name].port
+        if spec.relays then
+            deployment.relays[name] = perform("relay", { to = port })
+            port = deployment.relays[name].port
+        end
+        table.insert(ports, port)
+    end
+    startFabric(ports)
+    waitUntilReady()
+end
+
+-- Checks the history of the whole run; fails the scenario where a promise was broken.
+function check(options)
+    pump(100)
+    local result = perform("check", options or {})
+    local summary = result.summary
+    print(("flows %d broken %d givenUp %d requests %d whole %d notRun %d unknown %d doubleRuns %d misrouted %d"):format(
+        summary.flows, summary.broken, summary.givenUp, summary.requests, summary.answeredWhole, summary.refusedNotRun,
+        summary.outcomeUnknown, summary.doubleRuns, summary.misrouted))
+    if #result.violations > 0 then error(#result.violations .. " violations\n" .. table.concat(result.violations, "\n"), 2) end
+    return summary
+end
