--- /dev/null
+++ b/tests/scenarios/agentkilled.lua
@@ -0,0 +1,23 @@
+-- An agent dies in the middle of Filings and starts again with an empty ledger. The contractors' callers send what was
+-- cut again, on new flows, to whichever agent takes them. A Filing whose upstream had begun it must not run a second
+-- time; its caller is told that the outcome is unknown. Feeds there are lost, those elsewhere are not.
+deploy { services = { { name = "board", count = 3, slots = 5 }, { name = "filing", count = 3, slots = 5, flags = { filing_ms = 600 } } } }
+call { name = "crews", service = "board", load = { feeds = 6, flows = 6, queries_per_second = 30, seconds = 10 } }
+for number = 1, 3 do
+    call { name = "contractors-" .. number, service = "filing", seed = 10 + number, load = { filings = 25, filing_bytes = 100000, seconds = 9 } }
+end
+waitForEvents("crews", "feedItem", 30)
+for round = 1, 3 do
+    local upstreamName = "filing-" .. round
+    local begun = eventsOf(upstreamName, "upstreamWorkBegan")
+    waitForEvents(upstreamName, "upstreamWorkBegan", begun + 1)
+    kill("agent-" .. upstreamName)
+    start("agent-" .. upstreamName)
+    waitUntilReady()
+end
+kill "agent-board-2"
+start "agent-board-2"
+callResult "crews"
+for number = 1, 3 do callResult("contractors-" .. number) end
+local summary = check()
+expect(summary.doubleRuns == 0, "no Filing to run twice")
--- /dev/null
+++ b/tests/scenarios/datacentreout.lua
@@ -0,0 +1,21 @@
+-- Operators take a data centre out while crews hold feeds and Filings are being uploaded there, and bring it back into
+-- upstreams that start cold. Flows that end there are given up, each with its true outcome; those of the other data
+-- centres do not notice; nothing reaches the one that is out; the cold ones get no more than they bear.
+deploy { services = {
+    { name = "board", count = 6, slots = 5, flags = { cold_for_ms = 1500 } },
+    { name = "filing", count = 3, slots = 5, flags = { filing_ms = 300 } },
+} }
+call { name = "crews", service = "board", load = { feeds = 12, flows = 12, queries_per_second = 60, seconds = 14 } }
+call { name = "contractors", service = "filing", seed = 3, load = { filings = 40, filing_bytes = 1000000, seconds = 13 } }
+waitForEvents("crews", "feedItem", 200)
+waitForEvents("filing-1", "upstreamWorkBegan", 1)
+local out = takeOut "north"
+waitForVersion(out, deployment.daemons)
+waitForEvents("contractors", "requestSent", 25)
+local back = bringBack "north"
+waitForVersion(back, deployment.daemons)
+callResult "crews"
+callResult "contractors"
+local summary = check()
+expect(summary.broken == 0, "no flow to be cut that was not given up")
+expect(summary.givenUp > 0, "flows of the data centre to be given up")
--- /dev/null
+++ b/tests/scenarios/drainanddeath.lua
@@ -0,0 +1,21 @@
+-- An upstream is to be replaced: its agent is told to leave while crews hold feeds there and a Filing is at work. In the
+-- same second a balancer dies, so that the news of the leave reaches the others unevenly. Nothing new may come to the
+-- leaver after a few seconds, and what it had must end whole, before its agent exits by itself.
+deploy { services = { { name = "board", count = 3, slots = 5 }, { name = "filing", count = 2, slots = 5, flags = { filing_ms = 800 } } } }
+call { name = "crews", service = "board", load = { feeds = 9, flows = 9, queries_per_second = 30, seconds = 9 } }
+call { name = "contractors", service = "filing", seed = 2, load = { filings = 30, filing_bytes = 100000, seconds = 9 } }
+waitForEvents("crews", "feedItem", 40)
+waitForEvents("filing-1", "upstreamWorkBegan", 1)
+stop "agent-filing-1"
+stop "agent-board-1"
+kill "b2"
+waitForEvents("contractors", "requestSent", 25)
+start "b2"
+callResult "crews"
+callResult "contractors"
+for _, agent in ipairs { "agent-board-1", "agent-filing-1" } do
+    expect(waitExit(agent, 20000) == 0, agent .. " to leave by itself")
+end
+local summary = check()
+expect(summary.broken == 0 and summary.givenUp == 0, "no flow to be cut")
+expect(summary.outcomeUnknown == 0, "every outcome to be known")
--- a/tests/scenarios/runner/childprocess.cpp
+++ b/tests/scenarios/runner/childprocess.cpp
@@ -62,6 +62,7 @@
     std::vector<std::string> words { program };
     words.insert(words.end(), arguments.begin(), arguments.end());
     std::vector<char*> pointers;
+    pointers.reserve(words.size() + 1);
     for (std::string& word : words)
         pointers.push_back(word.data());
     pointers.push_back(nullptr);
--- a/tests/scenarios/verbs.lua
+++ b/tests/scenarios/verbs.lua
@@ -51,14 +51,17 @@
 
 -- Faults of the platform: down, hang, delayMs, slowFor, loseAnswers; without any it works again.
 function platform(faults)
-    perform("http", { port = deployment.platform, method = "POST", path = "/faults", body = faults })
     local isBroken = next(faults) ~= nil
+    local body = isBroken and faults or { down = false }
+    local reply = perform("http", { port = deployment.platform, method = "POST", path = "/faults", body = body })
+    expect(reply and reply.status == 200, "the platform to take its faults")
     perform("record", { event = isBroken and "faultBegan" or "faultEnded", who = "scenario", process = "platform", role = "platform" })
 end
 
 -- An upstream's behaviour: slowFactor, sheds, lies, healthy, cold.
 function upstream(name, behaviour)
-    perform("http", { port = known[name].port, method = "POST", path = "/control", body = behaviour })
+    local reply = perform("http", { port = known[name].port, method = "POST", path = "/control", body = behaviour })
+    expect(reply and reply.status == 200, name .. " to change its behaviour")
 end
 
 function startChange(change)
@@ -76,6 +79,18 @@
     return result.version
 end
 
+-- The deployment's configuration with another limit of every queue.
+function configWithLimit(limit)
+    local config = { services = {}, dataCentres = deployment.config.dataCentres }
+    for index, service in ipairs(deployment.config.services) do
+        config.services[index] = {
+            name = service.name, address = service.address, dataCentres = service.dataCentres, slots = service.slots,
+            warmUpMs = service.warmUpMs, queueLimit = limit,
+        }
+    end
+    return config
+end
+
 function apply(config) return acceptChange({ config = config }) end
 function takeOut(dataCentre) return acceptChange({ dataCentre = dataCentre, out = true }) end
 function bringBack(dataCentre) return acceptChange({ dataCentre = dataCentre, out = false }) end
@@ -239,14 +254,27 @@
     waitUntilReady()
 end
 
--- Checks the history of the whole run; fails the scenario where a promise was broken.
-function check(options)
+local function checked(options)
     pump(100)
     local result = perform("check", options or {})
     local summary = result.summary
     print(("flows %d broken %d givenUp %d requests %d whole %d notRun %d unknown %d doubleRuns %d misrouted %d"):format(
         summary.flows, summary.broken, summary.givenUp, summary.requests, summary.answeredWhole, summary.refusedNotRun,
         summary.outcomeUnknown, summary.doubleRuns, summary.misrouted))
-    if #result.violations > 0 then error(#result.violations .. " violations\n" .. table.concat(result.violations, "\n"), 2) end
+    return result.violations, summary
+end
+
+-- Checks the history of the whole run; fails the scenario where a promise was broken.
+function check(options)
+    local violations, summary = checked(options)
+    if #violations > 0 then error(#violations .. " violations\n" .. table.concat(violations, "\n"), 2) end
     return summary
 end
+
+-- For runs with a guard switched off: fails the scenario unless this promise was broken and the checker saw it.
+function checkIsBroken(promise, options)
+    for _, violation in ipairs((checked(options))) do
+        if violation:find(promise, 1, true) == 1 then return end
+    end
+    error("the checker did not see " .. promise .. " broken", 2)
+end
