--- /dev/null
+++ b/bench/kingcuptrail-slopes/fakeagents.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "kingcuptraild/configkeeper.h"
+#include "kingcuptraild/listener.h"
+#include "kingcuptraild/peerlink.h"
+#include "libplatform/announcer.h"
+
+#include <memory>
+#include <vector>
+
+namespace kingcuptrail {
+
+/// Many agents in one process, as a balancer sees them: each announces itself under a lease, accepts the balancer's
+/// link, heartbeats and follows the configuration. They own no flow.
+class FakeAgents {
+public:
+    FakeAgents(asio::io_context& context, const PlatformOptions& platform, std::size_t count, std::size_t services);
+
+    /// Agents whose link to the balancer is up.
+    std::size_t linked() const;
+    /// Agents that have this configuration or a newer one in force.
+    std::size_t atVersion(ConfigVersion version) const;
+    /// Bytes over all links so far, both ways.
+    std::uint64_t linkBytes() const;
+
+private:
+    struct FakeAgent {
+        Presence presence;
+        ConfigKeeper config;
+        std::unique_ptr<Listener> listener;
+        std::unique_ptr<Announcer> announcer;
+        std::shared_ptr<PeerLink> link;
+        std::uint64_t bytesBefore = 0;
+    };
+
+    void accept(FakeAgent& agent, std::shared_ptr<Link> link);
+
+    asio::io_context& m_context;
+    std::vector<std::unique_ptr<FakeAgent>> m_agents;
+};
+
+/// The name of a service of the measured configuration.
+std::string fakeServiceName(std::size_t number);
+
+/// A configuration of this many services in one data centre; `slots` is what a change changes.
+Config fakeConfig(std::size_t services, std::uint32_t slots);
+
+}
--- /dev/null
+++ b/bench/kingcuptrail-slopes/fakebalancers.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "kingcuptraild/configkeeper.h"
+#include "kingcuptraild/peerlink.h"
+
+#include <memory>
+#include <vector>
+
+namespace kingcuptrail {
+
+/// Many balancers in one process, as an agent sees them: each dials the agent, heartbeats, and may open flows there.
+class FakeBalancers {
+public:
+    FakeBalancers(asio::io_context& context, const asio::ip::tcp::endpoint& agent, std::size_t count);
+
+    /// Opens flows over the links in turn; the agent answers each.
+    void openFlows(ServiceAddress service, std::size_t count);
+
+    std::size_t linked() const;
+    std::size_t openedFlows() const { return m_opened; }
+    std::uint64_t linkBytes() const;
+
+private:
+    void dial(std::size_t number);
+
+    asio::io_context& m_context;
+    asio::ip::tcp::endpoint m_agent;
+    ConfigKeeper m_config;
+    std::vector<std::unique_ptr<LinkDialer>> m_dialers;
+    std::vector<std::shared_ptr<PeerLink>> m_links;
+    FlowId m_lastFlow = 0;
+    std::size_t m_opened = 0;
+};
+
+}
--- a/src/kingcuptraild/listener.cpp
+++ b/src/kingcuptraild/listener.cpp
@@ -81,6 +81,13 @@
     return error || bound.port() == 0 ? std::nullopt : std::optional(bound.port());
 }
 
+std::uint16_t Listener::localPort() const
+{
+    asio::error_code error;
+    const auto endpoint = m_private->acceptor.local_endpoint(error);
+    return error ? 0 : endpoint.port();
+}
+
 Listener::~Listener()
 {
     m_private->isStopped = true;
--- a/src/kingcuptraild/listener.h
+++ b/src/kingcuptraild/listener.h
@@ -18,6 +18,9 @@
     Listener(asio::io_context& context, const asio::ip::tcp::endpoint& endpoint, const LinkOptions& options, OnLink onLink, const FailureHandler& onFailure);
     ~Listener() override;
 
+    /// The port that is listened on; 0 when the address could not be bound.
+    std::uint16_t localPort() const;
+
     /// The port that is bound, which the host chose where the settings say 0; nothing when binding failed.
     std::optional<std::uint16_t> port() const;
 
--- a/src/kingcuptraild/peerlink.cpp
+++ b/src/kingcuptraild/peerlink.cpp
@@ -135,7 +135,8 @@
 void PeerLink::handleHeartbeat(const wire::Heartbeat& heartbeat)
 {
     m_peerConfigVersion = heartbeat.config_version();
-    m_link->setSilenceLimit(std::max<Millis>(m_ownSilenceLimit, missedHeartbeats * heartbeat.interval()));
+    m_peerInterval = heartbeat.interval();
+    m_link->setSilenceLimit(std::max<Millis>(m_ownSilenceLimit, missedHeartbeats * pause()));
     if (m_handlers.onLoad) {
         m_handlers.onLoad(*this, {
                                      .openFlows = heartbeat.open_flows(),
@@ -177,10 +178,17 @@
     m_link->send(encodeFrameOf(fetch));
 }
 
+// Both sides announce the interval they want, and both keep the longer one. Each side has to bear what the other sends: an agent with few links before a balancer with thousands keeps the
+// balancer's pace, or the balancer's control traffic would grow with the fleet all the same.
+Millis PeerLink::pause() const
+{
+    return std::max(m_handlers.heartbeatInterval(), m_peerInterval);
+}
+
 void PeerLink::scheduleHeartbeat()
 {
     auto self = shared_from_this();
-    m_timer.expires_after(std::chrono::milliseconds(m_handlers.heartbeatInterval()));
+    m_timer.expires_after(std::chrono::milliseconds(pause()));
     m_timer.async_wait([self](asio::error_code error) {
         if (error || !self->isUp())
             return;
--- a/src/kingcuptraild/peerlink.h
+++ b/src/kingcuptraild/peerlink.h
@@ -87,6 +87,7 @@
     void handleConfigFrame(const wire::Frame& frame);
     void reconcileConfig();
     void scheduleHeartbeat();
+    Millis pause() const;
     void refuse(wire::GoodbyeReason reason);
 
     std::shared_ptr<Link> m_link;
@@ -98,6 +99,7 @@
     ConfigVersion m_peerConfigVersion = 0;
     Clock m_clock;
     Millis m_ownSilenceLimit = 0;
+    Millis m_peerInterval = 0;
     bool m_isUp = false;
     bool m_isLeaving = false;
 };
--- a/src/libprotocol/framing.cpp
+++ b/src/libprotocol/framing.cpp
@@ -8,6 +8,9 @@
     constexpr flatbuffers::uoffset_t maxTableDepth = 16;
     constexpr flatbuffers::uoffset_t maxTables = 50000;
 
+    /// A reader that has nothing left gives back a larger buffer; one burst would otherwise cost its link memory for ever.
+    constexpr std::size_t idleCapacity = 4096;
+
 }
 
 Bytes encodeFrame(const wire::FrameT& frame)
@@ -28,7 +31,10 @@
 
 void FrameReader::append(std::span<const std::uint8_t> bytes)
 {
-    if (m_begin > 0) {
+    if (m_begin == m_buffer.size() && m_buffer.capacity() > idleCapacity) {
+        m_buffer = Bytes();
+        m_begin = 0;
+    } else if (m_begin > 0) {
         m_buffer.erase(m_buffer.begin(), m_buffer.begin() + static_cast<std::ptrdiff_t>(m_begin));
         m_begin = 0;
     }
--- a/src/libprotocol/link.cpp
+++ b/src/libprotocol/link.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+    /// Bytes read from a socket at once.
+    constexpr std::size_t readBufferBytes = std::size_t { 64 } * 1024;
+
     constexpr auto watchInterval = std::chrono::milliseconds(100);
 
     LinkError connectReason(const asio::error_code& error)
@@ -40,6 +43,7 @@
     m_handlers = std::move(handlers);
     asio::error_code ignored;
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    m_socket.non_blocking(true, ignored);
     m_startedAt = steady_clock::now();
     m_heardAt = m_startedAt;
     read();
@@ -81,29 +85,34 @@
     shut();
 }
 
+// A balancer may have thousands of links, most of them idle. A read buffer in each would be most of its memory, so a
+// link waits until there is something to read and then reads into a buffer that all links of the thread share.
 void Link::read()
 {
     auto self = shared_from_this();
-    m_socket.async_read_some(asio::buffer(m_input), [self](asio::error_code error, std::size_t count) {
+    m_socket.async_wait(asio::ip::tcp::socket::wait_read, [self](asio::error_code waitError) {
         if (self->m_closed)
             return;
-        if (error) {
+        thread_local std::vector<std::uint8_t> buffer(readBufferBytes);
+        asio::error_code error = waitError;
+        const std::size_t count = error ? 0 : self->m_socket.read_some(asio::buffer(buffer), error);
+        if (error && error != asio::error::would_block) {
             self->fail(LinkError::PeerClosed);
             return;
         }
-        self->handleBytes(count);
+        self->handleBytes({ buffer.data(), count });
         if (!self->m_closed)
             self->read();
     });
 }
 
-void Link::handleBytes(std::size_t count)
+void Link::handleBytes(std::span<const std::uint8_t> bytes)
 {
     m_heardAt = steady_clock::now();
-    m_bytesReceived += count;
+    m_bytesReceived += bytes.size();
     if (!m_reader.hasPartial())
         m_partialSince = m_heardAt;
-    m_reader.append({ m_input.data(), count });
+    m_reader.append(bytes);
     // A handler that closes the link drops m_handlers; the copy keeps what is running alive.
     const auto onFrame = m_handlers.onFrame;
     while (const auto view = m_reader.next()) {
--- a/src/libprotocol/link.h
+++ b/src/libprotocol/link.h
@@ -3,7 +3,6 @@
 #include "framing.h"
 #include "libdecision/ids.h"
 
-#include <array>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
@@ -52,9 +51,6 @@
     };
 };
 
-/// Bytes read from a socket at once.
-constexpr std::size_t readBufferBytes = std::size_t { 64 } * 1024;
-
 struct LinkOptions {
     /// How long the peer may take to send its first frame, in milliseconds.
     Millis handshakeTimeout = 2000;
@@ -104,7 +100,7 @@
 
 private:
     void read();
-    void handleBytes(std::size_t count);
+    void handleBytes(std::span<const std::uint8_t> bytes);
     void write();
     void watch();
     void fail(LinkError reason);
@@ -116,7 +112,6 @@
     LinkOptions m_options;
     Handlers m_handlers;
     FrameReader m_reader;
-    std::array<std::uint8_t, readBufferBytes> m_input {};
     std::deque<Bytes> m_output;
     std::size_t m_outputBytes = 0;
     std::uint64_t m_droppedFrames = 0;
