--- a/src/libdecision/admission.cpp
+++ b/src/libdecision/admission.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
+#include <utility>
 
 namespace kingcuptrail {
 
@@ -41,14 +43,14 @@
     // Load: saturation, where the head of the queue has waited nearly its whole deadline.
     // Harm: a request started with less time left than the upstream needs is cut off halfway; the slot time is lost, and
     // at three times saturation the upstream would be busy with nothing else.
-    // Limit: the mean less two deviations, so that a request with a fair chance still starts. Long work's time depends
+    // Limit: the mean less one deviation, so that a request with a fair chance still starts. Long work's time depends
     // on its size, which this estimate does not know, so for long work only the deadline counts.
     std::array<Millis, 2> leastTimes(const AdmissionState& state)
     {
         const ServiceTime& estimate = state.serviceTime[indexOf(WorkClass::Short)];
         if (estimate.samples < trustedSamples)
             return { 0, 0 };
-        const double least = std::max(0.0, estimate.mean - 2 * estimate.deviation);
+        const double least = std::max(0.0, estimate.mean - estimate.deviation);
         return { static_cast<Millis>(least), 0 };
     }
 
@@ -94,16 +96,38 @@
         return slots > 1 ? slots - std::max<std::uint32_t>(1, slots / 4) : 1;
     }
 
-    bool mayStart(const AdmissionState& state, const AdmissionOptions& options, WorkClass workClass, Millis now)
+    bool isPaused(const AdmissionState& state, const AdmissionOptions& options, Millis now)
+    {
+        return options.coldStartGuard && now < state.limit.pausedUntil;
+    }
+
+    /// Slots in which work of this class may start now.
+    std::uint32_t freeSlots(const AdmissionState& state, const AdmissionOptions& options, WorkClass workClass, Millis now)
     {
-        if (options.coldStartGuard && now < state.limit.pausedUntil)
-            return false;
         const std::uint32_t slots = usableSlots(state, options, now);
-        if (busy(state) >= slots)
-            return false;
+        if (isPaused(state, options, now) || busy(state) >= slots)
+            return 0;
+        const std::uint32_t free = slots - busy(state);
         if (workClass == WorkClass::Short || !options.classGuard || !shortIsPresent(state, now))
-            return true;
-        return state.running[indexOf(WorkClass::Long)] < longSlots(slots);
+            return free;
+        const std::uint32_t running = state.running[indexOf(WorkClass::Long)];
+        const std::uint32_t share = longSlots(slots);
+        return running < share ? std::min(free, share - running) : 0;
+    }
+
+    bool mayStart(const AdmissionState& state, const AdmissionOptions& options, WorkClass workClass, Millis now)
+    {
+        return freeSlots(state, options, workClass, now) > 0;
+    }
+
+    std::optional<WorkClass> turn(const AdmissionState& state, const AdmissionOptions& options, bool shortMay, bool longMay)
+    {
+        const auto& shortLine = lineOf(state.queue, WorkClass::Short);
+        const auto& longLine = lineOf(state.queue, WorkClass::Long);
+        const bool bothWait = shortMay && longMay && !shortLine.empty() && !longLine.empty();
+        if (options.classGuard || !bothWait)
+            return classInTurn(state.queue, shortMay, longMay);
+        return shortLine.front().queuedAt <= longLine.front().queuedAt ? WorkClass::Short : WorkClass::Long;
     }
 
     void start(AdmissionState& state, const AdmissionOptions& options, WorkClass workClass, Millis now)
@@ -117,6 +141,42 @@
         chargeStart(state.queue, workClass, meanTime(state, options, workClass));
     }
 
+    /// Slots that work of this class may count on while it queues.
+    double servingSlots(const AdmissionState& state, const AdmissionOptions& options, WorkClass workClass, Millis now)
+    {
+        const std::uint32_t slots = usableSlots(state, options, now);
+        const std::uint32_t others = state.running[1 - indexOf(workClass)];
+        const double left = slots > others ? slots - others : 0;
+        if (workClass == WorkClass::Short)
+            return std::max(left, 1.0);
+        const double share = slots / (shortWeight + 1);
+        const bool shortWaits = !lineOf(state.queue, WorkClass::Short).empty();
+        return shortWaits ? share : std::max(left, share);
+    }
+
+    /// The wait until long work gives up a slot, when it holds all of them.
+    double waitForLong(const AdmissionState& state, const AdmissionOptions& options, WorkClass workClass, Millis now)
+    {
+        const std::uint32_t running = state.running[indexOf(WorkClass::Long)];
+        if (workClass == WorkClass::Long || running < usableSlots(state, options, now))
+            return 0;
+        return meanTime(state, options, WorkClass::Long) / (running + 1);
+    }
+
+    /// The wait of a request that has `position` others of its class before it.
+    Millis waitAt(const AdmissionState& state, const AdmissionOptions& options, WorkClass workClass, std::size_t position,
+        Millis now)
+    {
+        const std::size_t free = freeSlots(state, options, workClass, now);
+        if (position < free)
+            return 0;
+        const double ahead = static_cast<double>(position - free) + 1;
+        const double slots = servingSlots(state, options, workClass, now);
+        const double work = ahead * meanTime(state, options, workClass) / slots;
+        const Millis pause = isPaused(state, options, now) ? state.limit.pausedUntil - now : 0;
+        return pause + static_cast<Millis>(std::ceil(work + waitForLong(state, options, workClass, now)));
+    }
+
     std::uint64_t mix(std::uint64_t value)
     {
         value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
@@ -161,34 +221,36 @@
 
     // Load: more work than the slots carry, for longer than a burst.
     // Harm: a queue without bound makes every request late: each is answered after its caller has given up.
-    // Limit: the wait that is expected must leave the time of service before the deadline, and stay under a second for
-    // short work (five for long), so that a caller can still be served elsewhere.
+    // Limit: the wait that is expected must leave the time of service and two deviations before the deadline, and stay
+    // under a second for short work (five for long), so that a caller can still be served elsewhere.
     bool waitsTooLong(const AdmissionState& state, const AdmissionOptions& options, const WorkItem& item, Millis now)
     {
         const Millis wait = expectedWait(state, options, item.workClass, now);
         const Millis longest = item.workClass == WorkClass::Short ? options.longestShortWait : options.longestLongWait;
-        const auto service = static_cast<Millis>(meanTime(state, options, item.workClass));
+        const double deviation = state.serviceTime[indexOf(item.workClass)].deviation;
+        const auto service = static_cast<Millis>(meanTime(state, options, item.workClass) + 2 * deviation);
         return wait > longest || now + wait + service > item.deadline;
     }
 
-    /// Slots that work of this class may count on while it queues.
-    double servingSlots(const AdmissionState& state, const AdmissionOptions& options, WorkClass workClass, Millis now)
+    // Load: a full queue before an upstream that has just turned cold, or pauses.
+    // Harm: requests queued for five slots now wait for one; each would be refused only at its deadline, when its caller
+    // can do nothing else with it.
+    // Limit: a request goes as soon as the wait at its place passes its deadline; those that stay are counted, so that
+    // as many stay as can still be served.
+    std::vector<WorkItem> takeHopeless(AdmissionState& state, const AdmissionOptions& options, WorkClass workClass, Millis now)
     {
-        const std::uint32_t slots = usableSlots(state, options, now);
-        const std::uint32_t others = state.running[1 - indexOf(workClass)];
-        const double left = slots > others ? slots - others : 0;
-        if (workClass == WorkClass::Short)
-            return std::max(left, 1.0);
-        return std::max(left, slots / (shortWeight + 1));
-    }
-
-    /// The wait until long work gives up a slot, when it holds all of them.
-    double waitForLong(const AdmissionState& state, const AdmissionOptions& options, WorkClass workClass, Millis now)
-    {
-        const std::uint32_t running = state.running[indexOf(WorkClass::Long)];
-        if (workClass == WorkClass::Long || running < usableSlots(state, options, now))
-            return 0;
-        return meanTime(state, options, WorkClass::Long) / (running + 1);
+        std::vector<WorkItem> hopeless;
+        std::deque<WorkItem> kept;
+        for (const WorkItem& item : lineOf(state.queue, workClass)) {
+            const Millis wait = waitAt(state, options, workClass, kept.size(), now);
+            if (now + wait > item.deadline)
+                hopeless.push_back(item);
+            else
+                kept.push_back(item);
+        }
+        if (!hopeless.empty())
+            lineOf(state.queue, workClass) = std::move(kept);
+        return hopeless;
     }
 
 }
@@ -219,16 +281,16 @@
     while (true) {
         const bool shortMay = !exhausted[0] && mayStart(state, options, WorkClass::Short, now);
         const bool longMay = !exhausted[1] && mayStart(state, options, WorkClass::Long, now);
-        const auto turn = classInTurn(state.queue, shortMay, longMay);
-        if (!turn)
+        const auto next = turn(state, options, shortMay, longMay);
+        if (!next)
             return runnable;
-        const Millis needed = options.queueGuard ? least[indexOf(*turn)] : std::numeric_limits<Millis>::min();
-        const auto item = popStartable(state.queue, *turn, needed, now);
+        const Millis needed = options.queueGuard ? least[indexOf(*next)] : std::numeric_limits<Millis>::min();
+        const auto item = popStartable(state.queue, *next, needed, now);
         if (!item) {
-            exhausted[indexOf(*turn)] = true;
+            exhausted[indexOf(*next)] = true;
             continue;
         }
-        start(state, options, *turn, now);
+        start(state, options, *next, now);
         runnable.push_back(*item);
     }
 }
@@ -238,7 +300,12 @@
     std::vector<ExpiredItem> expired;
     if (!options.queueGuard)
         return expired;
-    for (const WorkItem& item : takeOverdue(state.queue, leastTimes(state), now)) {
+    std::vector<WorkItem> taken = takeOverdue(state.queue, leastTimes(state), now);
+    for (const WorkClass workClass : { WorkClass::Short, WorkClass::Long }) {
+        const auto hopeless = takeHopeless(state, options, workClass, now);
+        taken.insert(taken.end(), hopeless.begin(), hopeless.end());
+    }
+    for (const WorkItem& item : taken) {
         const auto reason = item.deadline <= now ? RefusalReason::DeadlinePassed : RefusalReason::ExpectedWaitTooLong;
         expired.push_back({ item, refuse(state, options, item, reason, now) });
     }
@@ -285,19 +352,22 @@
 std::optional<Millis> nextWake(const AdmissionState& state, Millis now)
 {
     std::optional<Millis> wake;
-    const auto consider = [&](Millis time) { wake = wake ? std::min(*wake, time) : time; };
+    const auto consider = [&](Millis time) {
+        if (time > now)
+            wake = wake ? std::min(*wake, time) : time;
+    };
+    if (queueLength(state.queue) == 0)
+        return wake;
     const auto least = leastTimes(state);
     for (std::size_t index = 0; index < state.queue.lines.size(); ++index) {
         for (const WorkItem& item : state.queue.lines[index])
             consider(item.deadline - least[index]);
     }
-    if (!wake)
-        return wake;
-    for (const Millis change : { state.limit.pausedUntil, state.hintUntil, state.lastShort.value_or(now) + shortPresence }) {
-        if (change > now)
-            consider(change);
-    }
-    return std::max(*wake, now);
+    consider(state.limit.pausedUntil);
+    consider(state.hintUntil);
+    if (state.lastShort)
+        consider(*state.lastShort + shortPresence);
+    return wake;
 }
 
 // Load: a cold upstream whose endpoints know what the agent cannot: that it is not ready, or that work from before the
@@ -322,7 +392,8 @@
 
 void restartCold(AdmissionState& state, Millis now)
 {
-    startCold(state.limit, now);
+    startCold(state.limit);
+    state.limit.pausedUntil = now;
 }
 
 bool isCold(const AdmissionState& state)
@@ -347,14 +418,7 @@
 
 Millis expectedWait(const AdmissionState& state, const AdmissionOptions& options, WorkClass workClass, Millis now)
 {
-    const auto& line = lineOf(state.queue, workClass);
-    if (line.empty() && mayStart(state, options, workClass, now))
-        return 0;
-    const double ahead = static_cast<double>(line.size()) + 1;
-    const double slots = servingSlots(state, options, workClass, now);
-    const double work = ahead * meanTime(state, options, workClass) / slots;
-    const double pause = static_cast<double>(std::max<Millis>(0, state.limit.pausedUntil - now));
-    return static_cast<Millis>(std::ceil(work + waitForLong(state, options, workClass, now) + pause));
+    return waitAt(state, options, workClass, lineOf(state.queue, workClass).size(), now);
 }
 
 }
--- a/src/libdecision/admission.h
+++ b/src/libdecision/admission.h
@@ -84,7 +84,8 @@
     RefusalVerdict refusal;
 };
 
-/// Removes the queued requests that cannot be answered within their deadline any more.
+/// Removes the queued requests that cannot be answered within their deadline any more, so that each is refused as soon
+/// as that is known.
 std::vector<ExpiredItem> takeExpired(AdmissionState&, const AdmissionOptions&, Millis now);
 
 /// Takes note of the end of a running request: frees its slot and moves the limit. A cancelled or timed-out request
@@ -97,8 +98,8 @@
 /// Refuses everything queued, as not run: the agent drains, its data centre is out, or its upstream is lost.
 std::vector<ExpiredItem> refuseQueue(AdmissionState&, RefusalReason, Millis now);
 
-/// When takeRunnable() or takeExpired() may next have something without a request ending first; nothing while the
-/// queue is empty.
+/// When takeRunnable() or takeExpired() may next have something without a request ending first, always after `now`;
+/// nothing while the queue is empty. To be called after both of them.
 std::optional<Millis> nextWake(const AdmissionState&, Millis now);
 
 /// Takes note of what the upstream's endpoints say. A hint only ever makes admission more careful, only during a
--- a/src/libdecision/attempts.cpp
+++ b/src/libdecision/attempts.cpp
@@ -39,7 +39,7 @@
         case LedgerState::Fenced:
             return { AttemptsDecision::Run, {} };
         case LedgerState::Running:
-            return refuse(Ran::Yes, RefusalReason::AlreadyRunning);
+            return refuse(Ran::Unknown, RefusalReason::AlreadyRunning);
         case LedgerState::Ran:
             return refuse(Ran::Yes, RefusalReason::AlreadyRan);
         case LedgerState::Unknown:
--- a/src/libdecision/concurrencylimit.cpp
+++ b/src/libdecision/concurrencylimit.cpp
@@ -11,20 +11,20 @@
     constexpr std::uint32_t trustedSamples = 8;
     /// Weight of one sample once the baseline is settled: it follows a lasting change within some 50 requests.
     constexpr double baselineWeight = 0.02;
-    constexpr double recentWeight = 0.2;
     /// A rise is sudden beyond 3 means and 4 deviations: with exponential service times, one request in 400.
     constexpr double riseMeans = 3;
     constexpr double riseDeviations = 4;
+    /// While a known upstream is proved anew, less counts as a rise: being wrong only costs a few more successes.
+    constexpr double provingMeans = 1.5;
+    constexpr double provingDeviations = 2;
+    constexpr double provingStep = 0.5;
     /// Below this a rise is the noise of scheduling, in milliseconds.
     constexpr double leastRise = 10;
     /// Slow requests in a row that make the upstream cold: by chance, less than one in ten million.
     constexpr std::uint32_t slowUntilCold = 3;
-    /// Steady overload: the last few requests take this many times the baseline.
-    constexpr double overloadRatio = 2;
-    constexpr double overloadCut = 0.8;
     constexpr double slowCut = 0.7;
     constexpr std::uint32_t longestStretch = 4;
-    /// A concurrency that was shed twice is left alone for this many warm-ups.
+    /// A limit at which work was shed twice is left alone for this many warm-ups.
     constexpr Millis ceilingWarmUps = 10;
     /// Keeps a sum such as 0.7 + 0.3 from missing a whole slot by rounding.
     constexpr double rounding = 1e-6;
@@ -57,23 +57,28 @@
 
     void stretchWarmUp(ConcurrencyLimit& limit)
     {
-        if (limit.cold && limit.limit > 1)
+        if (limit.cold && !limit.proving && limit.limit > 1)
             limit.stretch = std::min(limit.stretch * 2, longestStretch);
     }
 
+    void keepAt(ConcurrencyLimit& limit, const LimitOptions& options, std::uint32_t level, Millis now)
+    {
+        limit.ceiling = level;
+        limit.ceilingUntil = now + ceilingWarmUps * options.warmUp;
+    }
+
     // Load: an upstream that bears less than its configured slots.
     // Harm: it sheds at full concurrency, warms up again, sheds again: half of what it bears is lost for good.
-    // Limit: only the same concurrency shed twice counts, since once may be a cold start; after ten warm-ups it is
+    // Limit: only the same limit shed at twice counts, since once may be a cold start; after ten warm-ups it is
     // tried again, since the upstream may have been mended.
-    void learnCeiling(ConcurrencyLimit& limit, const LimitOptions& options, std::uint32_t busy, Millis now)
+    void learnCeiling(ConcurrencyLimit& limit, const LimitOptions& options, Millis now)
     {
-        if (limit.limit < 2 || busy < 2)
+        const std::uint32_t allowed = allowedConcurrency(limit, options);
+        if (allowed < 2)
             return;
-        if (limit.shedAt == busy) {
-            limit.ceiling = busy - 1;
-            limit.ceilingUntil = now + ceilingWarmUps * options.warmUp;
-        }
-        limit.shedAt = busy;
+        if (limit.shedAt == allowed)
+            keepAt(limit, options, allowed - 1, now);
+        limit.shedAt = allowed;
     }
 
     // Load: an upstream that refuses connections or sheds at a concurrency of one.
@@ -95,9 +100,9 @@
     void noteTurnedAway(ConcurrencyLimit& limit, const LimitOptions& options, const LimitSample& sample, Millis now)
     {
         if (sample.outcome == WorkOutcome::Shed)
-            learnCeiling(limit, options, sample.busy, now);
+            learnCeiling(limit, options, now);
         stretchWarmUp(limit);
-        startCold(limit, now);
+        startCold(limit);
         pauseStarts(limit, options, now);
     }
 
@@ -105,111 +110,104 @@
     // Harm: with all slots in use it falls over before the first failure shows.
     // Limit: the first slow request cuts the limit, so that what ends is not replaced while it is in doubt; three in
     // a row make it cold. One slow request alone is an ordinary outlier and costs a round of growth.
-    void noteSlow(ConcurrencyLimit& limit, Millis now)
+    void noteSlow(ConcurrencyLimit& limit)
     {
         if (++limit.slowInRow >= slowUntilCold) {
             stretchWarmUp(limit);
-            startCold(limit, now);
+            startCold(limit);
             return;
         }
         limit.limit = std::max(1.0, limit.limit * slowCut);
-        limit.sinceCut = 0;
-    }
-
-    // Load: the upstream's host is shared or its work has become heavier, and every request takes longer.
-    // Harm: more at the same time only lengthens the wait of all; deadlines pass at the upstream and its work is lost.
-    // Limit: the last few requests above twice the baseline cut a fifth, at most once in a round of requests, so that
-    // one rise is not cut twice; the baseline follows, so a lasting change is not held against the upstream for ever.
-    bool cutForOverload(ConcurrencyLimit& limit, const LimitOptions& options)
-    {
-        const double tolerated = overloadRatio * limit.baseline.mean + limit.baseline.deviation;
-        const bool overloaded = hasBaseline(limit) && limit.recent > std::max(tolerated, limit.baseline.mean + leastRise);
-        if (!overloaded || limit.sinceCut < allowedConcurrency(limit, options))
-            return overloaded;
-        limit.limit = std::max(1.0, limit.limit * overloadCut);
-        limit.sinceCut = 0;
-        return true;
     }
 
-    void measure(ConcurrencyLimit& limit, Millis serviceTime)
+    void searchPeak(ConcurrencyLimit& limit, const LimitOptions& options, Millis serviceTime, Millis now)
     {
-        const auto time = static_cast<double>(serviceTime);
-        limit.recent = limit.baseline.samples == 0 ? time : limit.recent + recentWeight * (time - limit.recent);
-        noteServiceTime(limit.baseline, time, baselineWeight);
+        const std::uint32_t level = allowedConcurrency(limit, options);
+        switch (notePeakSample(limit.peak, level, static_cast<double>(serviceTime))) {
+        case PeakAction::Stay:
+            break;
+        case PeakAction::Lower:
+            limit.limit = level - 1;
+            break;
+        case PeakAction::Return:
+            limit.limit = level + 1;
+            break;
+        case PeakAction::ReturnAndKeep:
+            limit.limit = level + 1;
+            keepAt(limit, options, level + 1, now);
+            break;
+        case PeakAction::Keep:
+            keepAt(limit, options, level, now);
+            break;
+        }
     }
 
     void grow(ConcurrencyLimit& limit, const LimitOptions& options, Millis now)
     {
         const double bound = warmUpBound(limit, options, now);
-        limit.limit = std::min(limit.limit + 1 / limit.limit, std::max(bound, limit.limit));
+        const double step = (limit.proving ? provingStep : 1) / limit.limit;
+        limit.limit = std::min(limit.limit + step, std::max(bound, limit.limit));
         if (limit.limit + rounding < highestLimit(limit, options, now))
             return;
         limit.limit = highestLimit(limit, options, now);
         limit.cold = false;
+        limit.proving = false;
         limit.stretch = 1;
     }
 
     void noteSuccess(ConcurrencyLimit& limit, const LimitOptions& options, const LimitSample& sample, Millis now)
     {
+        if (!limit.coldSince)
+            limit.coldSince = now;
         limit.failuresInRow = 0;
         limit.slowInRow = 0;
-        ++limit.sinceCut;
         if (sample.measured)
-            measure(limit, sample.serviceTime);
-        if (cutForOverload(limit, options) || sample.holdGrowth)
-            return;
+            noteServiceTime(limit.baseline, static_cast<double>(sample.serviceTime), baselineWeight);
         const bool limitWasUsed = sample.busy >= allowedConcurrency(limit, options);
-        if (limitWasUsed)
+        if (limitWasUsed && sample.measured)
+            searchPeak(limit, options, sample.serviceTime, now);
+        if (limitWasUsed && !sample.holdGrowth && !limit.peak.onTrial)
             grow(limit, options, now);
     }
 
 }
 
-void noteServiceTime(ServiceTime& estimate, double serviceTime, double leastWeight)
-{
-    ++estimate.samples;
-    const double weight = std::max(1.0 / estimate.samples, leastWeight);
-    if (estimate.samples == 1) {
-        estimate.mean = serviceTime;
-        return;
-    }
-    const double difference = serviceTime - estimate.mean;
-    estimate.mean += weight * difference;
-    estimate.deviation += weight * (std::abs(difference) - estimate.deviation);
-}
-
 bool isSuddenRise(const ConcurrencyLimit& limit, Millis serviceTime)
 {
     if (!hasBaseline(limit))
         return false;
-    const double rise = riseMeans * limit.baseline.mean + riseDeviations * limit.baseline.deviation;
+    const double means = limit.proving ? provingMeans : riseMeans;
+    const double deviations = limit.proving ? provingDeviations : riseDeviations;
+    const double rise = means * limit.baseline.mean + deviations * limit.baseline.deviation;
     return static_cast<double>(serviceTime) > std::max(rise, limit.baseline.mean + leastRise);
 }
 
-void startCold(ConcurrencyLimit& limit, Millis now)
+// Failure: an upstream is down for a while and then starts cold. Counted from the last refused connection, the warm-up
+// would run ahead of the upstream's own by the length of the pause, and put it above what it bears. So its clock starts
+// at the first answer.
+void startCold(ConcurrencyLimit& limit)
 {
     limit.limit = 1;
     limit.cold = true;
-    limit.coldSince = now;
+    limit.proving = false;
+    limit.coldSince = std::nullopt;
     limit.baseline = {};
-    limit.recent = 0;
     limit.slowInRow = 0;
-    limit.sinceCut = 0;
+    limit.peak = {};
     ++limit.coldStarts;
 }
 
 // Load: the first burst after a quiet time.
 // Harm: an upstream that was restarted meanwhile has given no sign, and would get the burst at full concurrency.
-// Limit: one round of successes for each slot proves it in a few service times; the baseline stays, so a cold upstream
+// Limit: two rounds of successes for each slot prove it in some ten service times; the baseline stays, so a cold upstream
 // shows by its first slow request.
 void noteIdleStart(ConcurrencyLimit& limit, const LimitOptions& options, Millis now)
 {
-    if (!limit.coldSince)
-        limit.coldSince = now;
     if (!limit.lastCompletion || now - *limit.lastCompletion < options.idleBeforeProof)
         return;
     limit.limit = 1;
     limit.cold = true;
+    limit.proving = hasBaseline(limit);
     limit.lastCompletion = now;
 }
 
@@ -217,13 +215,11 @@
 {
     if (!options.guard)
         return;
-    if (!limit.coldSince)
-        limit.coldSince = now;
     limit.lastCompletion = now;
     if (sample.outcome == WorkOutcome::Shed || sample.outcome == WorkOutcome::Failed)
         noteTurnedAway(limit, options, sample, now);
     else if (sample.measured && isSuddenRise(limit, sample.serviceTime))
-        noteSlow(limit, now);
+        noteSlow(limit);
     else if (sample.outcome == WorkOutcome::Succeeded)
         noteSuccess(limit, options, sample, now);
 }
--- a/src/libdecision/concurrencylimit.h
+++ b/src/libdecision/concurrencylimit.h
@@ -2,6 +2,7 @@
 
 #include "enumnames.h"
 #include "ids.h"
+#include "peaksearch.h"
 
 #include <optional>
 
@@ -40,38 +41,29 @@
     bool guard = true;
 };
 
-/// The running estimate of a service time: mean and mean absolute deviation, in milliseconds.
-struct ServiceTime {
-    double mean = 0;
-    double deviation = 0;
-    std::uint32_t samples = 0;
-};
-
-/// Takes one measured service time into the estimate: the plain mean at first, then with `leastWeight` for each.
-void noteServiceTime(ServiceTime&, double serviceTime, double leastWeight);
-
 /// How many pieces of work one upstream may have at the same time, as its agent has learned it.
 struct ConcurrencyLimit {
     /// The learned limit; whole slots of it count.
     double limit = 1;
     /// Cold from the start, or from the last sign of a cold upstream, until all slots are reached.
     bool cold = true;
-    /// When the warm-up began; nothing until the limit is first used.
+    /// Cold only because of a long idle time: not bound to the warm-up's clock, and quick to find the upstream cold.
+    bool proving = false;
+    /// When the warm-up began, with the first answer; nothing before.
     std::optional<Millis> coldSince;
     /// The warm-up is stretched by this factor after the upstream shed work while it was warming up.
     std::uint32_t stretch = 1;
     /// Nothing may start before this time.
     Millis pausedUntil = 0;
     std::uint32_t failuresInRow = 0;
-    /// Service time of short work, learned over many requests and over the last few.
+    /// Service time of short work, learned over many requests.
     ServiceTime baseline;
-    double recent = 0;
     std::uint32_t slowInRow = 0;
     /// When work last ended here.
     std::optional<Millis> lastCompletion;
-    /// Completions since the limit was last cut, so that one rise cuts once.
-    std::uint32_t sinceCut = 0;
-    /// The concurrency at which the warm upstream last shed, and the limit kept below it until the time given.
+    /// Where the upstream gets most done.
+    PeakSearch peak;
+    /// The limit at which the upstream last shed, and the bound learned from sheds or the peak until the time given.
     std::uint32_t shedAt = 0;
     std::uint32_t ceiling = 0;
     Millis ceilingUntil = 0;
@@ -98,7 +90,7 @@
 void noteIdleStart(ConcurrencyLimit&, const LimitOptions&, Millis now);
 
 /// Begins a warm-up: one slot, and nothing that was learned of the service time stands.
-void startCold(ConcurrencyLimit&, Millis now);
+void startCold(ConcurrencyLimit&);
 
 /// The work that may be at the upstream now: at least 1, at most `slots`.
 std::uint32_t allowedConcurrency(const ConcurrencyLimit&, const LimitOptions&);
--- a/src/libdecision/retry.cpp
+++ b/src/libdecision/retry.cpp
@@ -54,6 +54,17 @@
         return reason == RetryReason::NotRun || reason == RetryReason::IdempotentLost || reason == RetryReason::FlowSilent;
     }
 
+    // Load: one upstream of several is full or slow.
+    // Harm: the time it asks its callers to wait is its own; a caller that keeps to it before going elsewhere misses its
+    // deadline while other upstreams stand idle.
+    // Limit: only the first retry, which the ranking takes elsewhere, goes early; if that is refused too, the load is
+    // everywhere, and the times asked for are kept.
+    Millis waitBefore(const RetryOptions& options, const RetryFacts& facts, const AttemptResult& result, bool newFlow)
+    {
+        const bool mayHurry = newFlow && facts.tries == 1;
+        return mayHurry ? std::min(result.retryAfter, options.firstRetryWait) : result.retryAfter;
+    }
+
 }
 
 void noteFirstTry(RetryBudget& budget, const RetryOptions& options)
@@ -73,7 +84,9 @@
         return giveUp(reason);
     if (facts.tries >= options.maxTries)
         return giveUp(RetryReason::AttemptsSpent);
-    if (facts.now + result.retryAfter + options.leastTimeLeft > facts.deadline)
+    const bool newFlow = result.flowSilent || !flowStays(result.reason);
+    const Millis delay = waitBefore(options, facts, result, newFlow);
+    if (facts.now + delay + options.leastTimeLeft > facts.deadline)
         return giveUp(RetryReason::DeadlineTooNear);
     if (budget.tokens < 1)
         return giveUp(RetryReason::BudgetEmpty);
@@ -81,8 +94,8 @@
     return {
         .retry = true,
         .reason = reason,
-        .delay = result.retryAfter,
-        .newFlow = result.flowSilent || !flowStays(result.reason),
+        .delay = delay,
+        .newFlow = newFlow,
         .nameEarlier = !facts.idempotent,
     };
 }
--- a/src/libdecision/retry.h
+++ b/src/libdecision/retry.h
@@ -45,6 +45,8 @@
     double burst = 5;
     /// Tries of one request at most, the first included.
     std::uint32_t maxTries = 4;
+    /// The longest wait before the first retry on a new flow, in milliseconds.
+    Millis firstRetryWait = 20;
     /// Time a retry needs to be worth it, in milliseconds.
     Millis leastTimeLeft = 20;
 };
--- /dev/null
+++ b/tests/decision/testadmission.cpp
@@ -0,0 +1,299 @@
+#include "loadharness.h"
+
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace kingcuptrail;
+
+namespace {
+
+constexpr Millis warmAt = 14000;
+constexpr double capacity = 250;
+
+/// A run that first warms its upstreams at 70 % load, and counts from then on.
+LoadRun warmRun(std::vector<UpstreamModel> upstreams = { {} })
+{
+    LoadRun run { .upstreams = std::move(upstreams), .countFrom = warmAt };
+    const double rate = 0.7 * capacity * static_cast<double>(run.upstreams.size());
+    run.arrivals.push_back({ .shortPerSecond = rate, .until = warmAt });
+    return run;
+}
+
+double useOfSlots(const UpstreamSeen& seen, const LoadRun& run, Millis span)
+{
+    return seen.usefulSlotTime / static_cast<double>(span * run.options.slots);
+}
+
+void assertRefusedTruly(const Outcomes& outcomes)
+{
+    CPPUNIT_ASSERT_EQUAL(0U, outcomes.untrueRefusals);
+    CPPUNIT_ASSERT_EQUAL(outcomes.offered, outcomes.servedInTime + outcomes.servedLate + outcomes.refused + outcomes.failed);
+}
+
+WorkItem makeItem(std::uint64_t id, Millis now, Millis deadline = 500, WorkClass workClass = WorkClass::Short)
+{
+    return { .id = id, .workClass = workClass, .deadline = now + deadline, .queuedAt = now };
+}
+
+}
+
+class TestAdmission : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(TestAdmission);
+    CPPUNIT_TEST(saturationKeepsGoodputAndRefusesAtOnce);
+    CPPUNIT_TEST(burstIsServedOverItsReturns);
+    CPPUNIT_TEST(uploadsAndQueriesLeaveRoomForEachOther);
+    CPPUNIT_TEST(slowUpstreamAndSkewedDemandStayLocal);
+    CPPUNIT_TEST(coldUpstreamGetsNoMoreThanItBears);
+    CPPUNIT_TEST(upstreamThatTurnsColdIsFoundAtOnce);
+    CPPUNIT_TEST(upstreamThatTurnedColdWhileIdleIsProvedFirst);
+    CPPUNIT_TEST(lyingEndpointNeitherOpensNorClosesTheGate);
+    CPPUNIT_TEST(upstreamThatBearsLessThanItsSlotsFindsItsPeak);
+    CPPUNIT_TEST(hintsOfOtherWorkAreHeededWhileCold);
+    CPPUNIT_TEST(queuedWorkIsTakenBackTruly);
+    CPPUNIT_TEST(deadUpstreamIsNotHammered);
+    CPPUNIT_TEST_SUITE_END();
+
+    // All crews ask at once, three times what an upstream can answer. With a queue without bound every answer comes after
+    // its caller gave up; with the guard each caller hears within 50 ms that it must come back, or is answered in time.
+    void saturationKeepsGoodputAndRefusesAtOnce()
+    {
+        for (const std::uint32_t seed : { 1U, 2U, 3U }) {
+            LoadRun run = warmRun();
+            run.seed = seed;
+            run.arrivals.push_back({ .shortPerSecond = 3 * capacity, .from = warmAt, .until = warmAt + 20000 });
+            const LoadResult guarded = runLoad(run);
+            const Outcomes& outcomes = guarded.outcomes.at(WorkClass::Short);
+            assertRefusedTruly(outcomes);
+            CPPUNIT_ASSERT(useOfSlots(guarded.upstreams[0], run, 20000) >= 0.9);
+            CPPUNIT_ASSERT(outcomes.servedInTime >= 0.9 * capacity * 20);
+            CPPUNIT_ASSERT(outcomes.share(outcomes.servedLate) < 0.005);
+            CPPUNIT_ASSERT(percentile(outcomes.refusedAfter, 0.99) <= 50);
+
+            run.options.queueGuard = false;
+            const Outcomes unbounded = runLoad(run).outcomes.at(WorkClass::Short);
+            CPPUNIT_ASSERT(unbounded.servedInTime < 0.1 * capacity * 20);
+        }
+    }
+
+    // A hundred crews refresh in the same millisecond. What does not fit the queue is told to come back at times spread by
+    // its id, and all are answered within two seconds.
+    void burstIsServedOverItsReturns()
+    {
+        LoadRun run = warmRun();
+        run.burst = 100;
+        run.burstAt = warmAt + 1000;
+        run.burstDeadline = 2000;
+        run.callersRetry = true;
+        run.retry = { .ratio = 1, .burst = 1000, .maxTries = 20 };
+        const LoadResult result = runLoad(run);
+        CPPUNIT_ASSERT_EQUAL(100U, result.outcomes.at(WorkClass::Short).servedInTime);
+        CPPUNIT_ASSERT(result.largestReturn < 50);
+    }
+
+    // Uploads arrive faster than the slots carry. Without the classes kept apart they hold every slot and queries miss
+    // their deadlines; with queries always first, uploads would wait for ever.
+    void uploadsAndQueriesLeaveRoomForEachOther()
+    {
+        LoadRun run = warmRun();
+        run.arrivals.push_back({ .shortPerSecond = 60, .longPerSecond = 8, .from = warmAt, .until = warmAt + 50000 });
+        const LoadResult guarded = runLoad(run);
+        const Outcomes& queries = guarded.outcomes.at(WorkClass::Short);
+        const Outcomes& uploads = guarded.outcomes.at(WorkClass::Long);
+        assertRefusedTruly(uploads);
+        CPPUNIT_ASSERT(queries.share(queries.servedInTime) >= 0.99);
+        CPPUNIT_ASSERT(uploads.servedInTime >= 150);
+        CPPUNIT_ASSERT_EQUAL(0U, uploads.servedLate);
+        run.options.classGuard = false;
+        const Outcomes mixed = runLoad(run).outcomes.at(WorkClass::Short);
+        CPPUNIT_ASSERT(mixed.share(mixed.servedInTime) < 0.5);
+
+        LoadRun both = warmRun();
+        both.arrivals.push_back({ .shortPerSecond = 400, .longPerSecond = 8, .from = warmAt, .until = warmAt + 50000 });
+        const LoadResult shared = runLoad(both);
+        CPPUNIT_ASSERT(shared.outcomes.at(WorkClass::Long).servedInTime >= 0.2 * 5 * 50);
+        CPPUNIT_ASSERT(shared.outcomes.at(WorkClass::Short).servedInTime >= 0.6 * capacity * 50);
+        CPPUNIT_ASSERT_EQUAL(0U, shared.outcomes.at(WorkClass::Long).servedLate);
+    }
+
+    // One of three upstreams answers four times slower, or one gets most of the demand. It refuses what it cannot serve
+    // and works at capacity; the other two do not notice, and retries stay within a tenth of the first tries.
+    void slowUpstreamAndSkewedDemandStayLocal()
+    {
+        LoadRun slow = warmRun({ {}, { .shortTime = 80 }, {} });
+        slow.arrivals[0].shortPerSecond = 420;
+        slow.arrivals[0].until = 40000;
+        LoadRun skewed = warmRun({ {}, {}, {} });
+        skewed.arrivals.push_back({ .shortPerSecond = 450, .from = warmAt, .until = 40000, .shares = { 0.8, 0.1, 0.1 } });
+        for (LoadRun* run : { &slow, &skewed }) {
+            run->callersRetry = true;
+            const LoadResult result = runLoad(*run);
+            const Outcomes& outcomes = result.outcomes.at(WorkClass::Short);
+            const std::size_t hot = run == &slow ? 1 : 0;
+            CPPUNIT_ASSERT(useOfSlots(result.upstreams[hot], *run, 40000 - warmAt) >= 0.9);
+            CPPUNIT_ASSERT(outcomes.share(outcomes.servedInTime) >= 0.86);
+            CPPUNIT_ASSERT(outcomes.share(outcomes.servedLate) < 0.01);
+            CPPUNIT_ASSERT(percentile(outcomes.refusedAfter, 0.99) <= 50);
+            CPPUNIT_ASSERT(result.retries <= 0.1 * result.firstTries + run->retry.burst);
+            assertRefusedTruly(outcomes);
+        }
+    }
+
+    // A data centre comes back and its upstreams start cold under 80 % load. Given all slots at once they fall over again
+    // and again; with the warm-up none ever has more than it bears.
+    void coldUpstreamGetsNoMoreThanItBears()
+    {
+        for (const Overload overload : { Overload::Slows, Overload::Sheds, Overload::FallsOver }) {
+            LoadRun run { .upstreams = { { .overload = overload, .coldAt = { 0 } } } };
+            run.arrivals.push_back({ .shortPerSecond = 200, .until = 25000 });
+            const LoadResult guarded = runLoad(run);
+            const Outcomes& outcomes = guarded.outcomes.at(WorkClass::Short);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), guarded.upstreams[0].aboveAt.size());
+            CPPUNIT_ASSERT(!isCold(guarded.upstreams[0].state));
+            CPPUNIT_ASSERT(outcomes.share(outcomes.servedInTime) >= 0.75);
+            assertRefusedTruly(outcomes);
+            run.options.coldStartGuard = false;
+            const UpstreamSeen harmed = runLoad(run).upstreams[0];
+            CPPUNIT_ASSERT(overload == Overload::FallsOver ? harmed.fellOver > 10 : harmed.aboveAt.size() > 500);
+        }
+    }
+
+    // An upstream at 70 % load turns cold without a word. Its first slow answers, sheds or broken connections give it
+    // away: nothing starts above what it bears later than 100 ms after the turn.
+    void upstreamThatTurnsColdIsFoundAtOnce()
+    {
+        constexpr Millis turn = 20000;
+        for (const Overload overload : { Overload::Slows, Overload::Sheds, Overload::FallsOver }) {
+            LoadRun run { .upstreams = { { .overload = overload, .coldAt = { turn } } }, .countFrom = turn };
+            run.arrivals.push_back({ .shortPerSecond = 0.7 * capacity, .until = 45000 });
+            const LoadResult guarded = runLoad(run);
+            const UpstreamSeen& seen = guarded.upstreams[0];
+            CPPUNIT_ASSERT(seen.aboveAt.size() <= run.options.slots);
+            CPPUNIT_ASSERT(std::all_of(seen.aboveAt.begin(), seen.aboveAt.end(), [](Millis at) { return at <= turn + 100; }));
+            CPPUNIT_ASSERT(!isCold(seen.state));
+            const Outcomes& outcomes = guarded.outcomes.at(WorkClass::Short);
+            CPPUNIT_ASSERT(outcomes.share(outcomes.servedInTime) >= 0.75);
+            run.options.coldStartGuard = false;
+            const UpstreamSeen harmed = runLoad(run).upstreams[0];
+            CPPUNIT_ASSERT(overload == Overload::FallsOver ? harmed.fellOver > 10 : harmed.aboveAt.size() > 500);
+        }
+    }
+
+    // Nobody asks for 45 s, the upstream is restarted meanwhile, and then a burst comes. It must not get the burst at the
+    // concurrency it once had.
+    void upstreamThatTurnedColdWhileIdleIsProvedFirst()
+    {
+        for (const Overload overload : { Overload::Slows, Overload::Sheds, Overload::FallsOver }) {
+            LoadRun run = warmRun({ { .overload = overload, .coldAt = { 59900 } } });
+            run.burst = 20;
+            run.burstAt = 59990;
+            run.arrivals.push_back({ .shortPerSecond = 0.8 * capacity, .from = 60000, .until = 80000 });
+            CPPUNIT_ASSERT(runLoad(run).upstreams[0].aboveAt.size() <= 1);
+            run.options.coldStartGuard = false;
+            const UpstreamSeen harmed = runLoad(run).upstreams[0];
+            CPPUNIT_ASSERT(harmed.fellOver > 10 || harmed.aboveAt.size() > 500);
+        }
+    }
+
+    // A health endpoint says "fine, idle" for a cold upstream, or "ill, full" for ever for a good one. The first opens
+    // nothing; the second costs one more warm-up and no request after it.
+    void lyingEndpointNeitherOpensNorClosesTheGate()
+    {
+        const auto run = [](UpstreamHint hint, std::vector<Millis> coldAt, Millis countFrom) {
+            LoadRun load { .upstreams = { { .coldAt = std::move(coldAt) } }, .countFrom = countFrom };
+            load.upstreams[0].hint = [hint](Millis, std::uint32_t) { return hint; };
+            load.arrivals.push_back({ .shortPerSecond = 0.7 * capacity, .until = 45000 });
+            return runLoad(load);
+        };
+        const LoadResult rosy = run({ .healthy = true, .busy = 0, .age = 0 }, { 0 }, 0);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), rosy.upstreams[0].aboveAt.size());
+        const LoadResult gloomy = run({ .healthy = false, .busy = 9, .age = 0 }, {}, 22000);
+        const Outcomes& outcomes = gloomy.outcomes.at(WorkClass::Short);
+        CPPUNIT_ASSERT(outcomes.share(outcomes.servedInTime) >= 0.99);
+        CPPUNIT_ASSERT_EQUAL(5U, currentLimit(gloomy.upstreams[0].state));
+    }
+
+    // An upstream bears three or four of its five slots. Found by its sheds, or by the throughput it loses, the limit
+    // settles there instead of being tried and cut for ever, and stays at five for one that is evenly slow.
+    void upstreamThatBearsLessThanItsSlotsFindsItsPeak()
+    {
+        LoadRun sheds { .upstreams = { { .bears = 4, .overload = Overload::Sheds } }, .countFrom = 45000 };
+        sheds.arrivals.push_back({ .shortPerSecond = 0.7 * capacity, .until = 145000 });
+        const LoadResult shed = runLoad(sheds);
+        CPPUNIT_ASSERT(shed.upstreams[0].aboveAt.size() <= 4);
+        CPPUNIT_ASSERT(shed.outcomes.at(WorkClass::Short).servedInTime >= 0.94 * 0.7 * capacity * 100);
+
+        LoadRun slows { .upstreams = { { .bears = 3 } }, .countFrom = 20000 };
+        slows.arrivals.push_back({ .shortPerSecond = 2 * capacity, .until = 60000 });
+        const LoadResult peak = runLoad(slows);
+        CPPUNIT_ASSERT_EQUAL(3U, currentLimit(peak.upstreams[0].state));
+        CPPUNIT_ASSERT(peak.upstreams[0].servedInTime >= 0.9 * 150 * 40);
+        slows.options.coldStartGuard = false;
+        CPPUNIT_ASSERT(runLoad(slows).upstreams[0].servedInTime < 0.7 * 150 * 40);
+
+        LoadRun even { .upstreams = { { .shortTime = 80 } } };
+        even.arrivals.push_back({ .shortPerSecond = capacity, .until = 60000 });
+        CPPUNIT_ASSERT_EQUAL(5U, currentLimit(runLoad(even).upstreams[0].state));
+    }
+
+    // The agent was restarted and knows nothing; work it no longer knows of still runs at the upstream.
+    void hintsOfOtherWorkAreHeededWhileCold()
+    {
+        const AdmissionOptions options { .slots = 4, .warmUp = 100 };
+        AdmissionState state;
+        Millis now = 0;
+        for (; currentLimit(state) < 3; now += 10) {
+            while (admit(state, options, makeItem(1, now), now).decision == AdmitDecision::Run) { }
+            takeExpired(state, options, now + 1000);
+            while (busy(state) > 0)
+                finishWork(state, options, WorkClass::Short, WorkOutcome::Succeeded, 10, now + 10);
+        }
+        noteHint(state, options, { .healthy = true, .busy = 2, .age = 0 }, now);
+        CPPUNIT_ASSERT(admit(state, options, makeItem(1, now), now).decision == AdmitDecision::Run);
+        CPPUNIT_ASSERT(admit(state, options, makeItem(2, now), now).decision == AdmitDecision::Queue);
+        noteHint(state, options, { .healthy = true, .busy = 1, .age = 0 }, now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), takeRunnable(state, options, now).size());
+    }
+
+    // Queued work that is withdrawn, drained away or too late has not run, and says so.
+    void queuedWorkIsTakenBackTruly()
+    {
+        const AdmissionOptions options { .slots = 1, .queueLimit = 4 };
+        AdmissionState state;
+        CPPUNIT_ASSERT(admit(state, options, makeItem(1, 0, 0), 0).refusal.reason == RefusalReason::DeadlinePassed);
+        CPPUNIT_ASSERT(admit(state, options, makeItem(2, 0), 0).decision == AdmitDecision::Run);
+        for (std::uint64_t id = 3; id < 6; ++id)
+            CPPUNIT_ASSERT(admit(state, options, makeItem(id, 0, 500 + static_cast<Millis>(id)), 0).decision == AdmitDecision::Queue);
+        CPPUNIT_ASSERT(admit(state, options, makeItem(6, 0), 0).refusal.reason == RefusalReason::QueueFull);
+        CPPUNIT_ASSERT(cancelQueued(state, 4) && !cancelQueued(state, 4));
+        CPPUNIT_ASSERT_EQUAL(Millis(503), *nextWake(state, 0));
+        const auto expired = takeExpired(state, options, 503);
+        CPPUNIT_ASSERT(expired.size() == 2 && expired[0].refusal.reason == RefusalReason::DeadlinePassed);
+        CPPUNIT_ASSERT(expired[1].refusal.reason == RefusalReason::ExpectedWaitTooLong && expired[1].refusal.ran == Ran::No);
+        CPPUNIT_ASSERT(admit(state, options, makeItem(7, 503), 503).decision == AdmitDecision::Queue);
+        const auto refused = refuseQueue(state, RefusalReason::UpstreamDraining, 503);
+        CPPUNIT_ASSERT(refused.size() == 1 && refused[0].refusal.ran == Ran::No && refused[0].refusal.retryAfter >= 50);
+        CPPUNIT_ASSERT(!nextWake(state, 503) && busy(state) == 1 && queued(state) == 0);
+    }
+
+    // The upstream's process is gone and refuses every connection. Work waits out a pause that doubles to a second, in
+    // place of being spent on it one by one.
+    void deadUpstreamIsNotHammered()
+    {
+        const AdmissionOptions options { .slots = 5 };
+        AdmissionState state;
+        std::uint32_t starts = 0;
+        for (Millis now = 0; now < 10000; ++now) {
+            takeExpired(state, options, now);
+            std::size_t started = admit(state, options, makeItem(1, now, 3000), now).decision == AdmitDecision::Run ? 1 : 0;
+            started += takeRunnable(state, options, now).size();
+            for (std::size_t count = 0; count < started; ++count)
+                finishWork(state, options, WorkClass::Short, WorkOutcome::Failed, 0, now);
+            starts += started;
+        }
+        CPPUNIT_ASSERT(starts >= 9 && starts < 20);
+        restartCold(state, 10000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), takeRunnable(state, options, 10000).size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestAdmission);
