--- /dev/null
+++ b/tests/decision/testproperties.cpp
@@ -0,0 +1,362 @@
+#include "libdecision/admission.h"
+#include "libdecision/attempts.h"
+#include "libdecision/configorder.h"
+#include "libdecision/redirects.h"
+#include "libdecision/routing.h"
+
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace kingcuptrail;
+
+namespace {
+
+/// One step of a history: what happens, to whom, and how much time has passed.
+struct Step {
+    unsigned kind = 0;
+    unsigned subject = 0;
+    unsigned other = 0;
+    Millis passed = 0;
+};
+
+using History = std::vector<Step>;
+
+void showValue(const Step& step, std::ostream& stream)
+{
+    stream << "{" << step.kind << ", " << step.subject << ", " << step.other << ", " << step.passed << "}";
+}
+
+/// Whether the property holds for every generated history; a counterexample is shrunk and printed.
+template <typename Property>
+bool holds(const char* name, unsigned kinds, unsigned subjects, Property property)
+{
+    return rc::check(name, [&] {
+        const auto step = rc::gen::construct<Step>(rc::gen::inRange(0U, kinds), rc::gen::inRange(0U, subjects),
+            rc::gen::inRange(0U, subjects), rc::gen::inRange<Millis>(0, 400));
+        property(*rc::gen::scale(4, rc::gen::container<History>(step)));
+    });
+}
+
+/// One key, sent to three owners: every packet may come late, twice, or after its successor.
+struct KeyWorld {
+    struct Attempt {
+        std::size_t owner = 0;
+        EarlierAttempts earlier;
+        enum { Asking,
+            Running,
+            Ended } phase
+            = Asking;
+    };
+
+    LedgerOptions options;
+    std::array<Ledger, 3> ledgers;
+    std::vector<OwnerToken> named;
+    std::vector<std::vector<OwnerToken>> sent;
+    std::vector<Attempt> attempts;
+    std::uint32_t runs = 0;
+    Millis now = 0;
+
+    static OwnerToken tokenOf(std::size_t owner) { return { owner + 1, 1 }; }
+
+    /// The caller gives the last flow up and sends the key to another owner, naming all earlier ones.
+    void sendOnNewFlow(std::size_t owner)
+    {
+        sent.push_back(named);
+        sent.back().push_back(tokenOf(owner));
+        named.push_back(tokenOf(owner));
+    }
+
+    /// A packet that was sent arrives, perhaps for the second time.
+    void arrive(std::size_t which)
+    {
+        if (sent.empty())
+            return;
+        const auto& packet = sent[which % sent.size()];
+        const std::size_t owner = packet.back().upstream - 1;
+        if (beginWork(ledgers[owner], options, "key", now) != BeginVerdict::Run)
+            return;
+        attempts.push_back({ .owner = owner, .earlier = startAttempts(std::span(packet).first(packet.size() - 1), packet.back()) });
+        proceed(attempts.back());
+    }
+
+    void proceed(Attempt& attempt)
+    {
+        const AttemptsDecision decision = decideAttempts(attempt.earlier, { .guard = options.guard }).decision;
+        if (decision == AttemptsDecision::Run)
+            attempt.phase = Attempt::Running;
+        else if (decision == AttemptsDecision::Refuse)
+            end(attempt, LedgerState::NotRun);
+        runs += decision == AttemptsDecision::Run ? 1 : 0;
+    }
+
+    void end(Attempt& attempt, LedgerState outcome)
+    {
+        settleWork(ledgers[attempt.owner], options, "key", outcome, now);
+        attempt.phase = Attempt::Ended;
+    }
+
+    /// One earlier owner answers one attempt that asks, or cannot be reached.
+    void answer(std::size_t which, std::size_t owner, bool reachable)
+    {
+        if (attempts.empty())
+            return;
+        Attempt& attempt = attempts[which % attempts.size()];
+        if (attempt.phase != Attempt::Asking)
+            return;
+        if (reachable)
+            noteAnswer(attempt.earlier, tokenOf(owner), queryAndFence(ledgers[owner], options, "key", now));
+        else
+            noteUnreachable(attempt.earlier, tokenOf(owner));
+        proceed(attempt);
+    }
+
+    /// A running attempt ends; one that the upstream shed has not run.
+    void finish(std::size_t which, unsigned outcome)
+    {
+        if (attempts.empty())
+            return;
+        Attempt& attempt = attempts[which % attempts.size()];
+        if (attempt.phase != Attempt::Running)
+            return;
+        const std::array outcomes { LedgerState::Ran, LedgerState::NotRun, LedgerState::Unknown };
+        end(attempt, outcomes[outcome % 3]);
+        runs -= outcome % 3 == 1 ? 1 : 0;
+    }
+
+    void take(const Step& step)
+    {
+        now += step.passed;
+        switch (step.kind) {
+        case 0:
+            return sendOnNewFlow(step.subject % 3);
+        case 1:
+            return arrive(step.subject);
+        case 2:
+            return answer(step.subject, step.other % 3, step.passed % 8 != 0);
+        default:
+            return finish(step.subject, step.other);
+        }
+    }
+};
+
+}
+
+class TestProperties : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(TestProperties);
+    CPPUNIT_TEST(keyRunsAtMostOnceWhateverArrives);
+    CPPUNIT_TEST(redirectsFollowTheirModel);
+    CPPUNIT_TEST(configurationNeverRevertsAndSpreads);
+    CPPUNIT_TEST(limitStaysInItsBounds);
+    CPPUNIT_TEST(admissionLosesNothing);
+    CPPUNIT_TEST(indexFindsWhatASearchFinds);
+    CPPUNIT_TEST_SUITE_END();
+
+    // A Filing is sent on up to several flows, each naming the owners before it; packets come late, twice and out of order,
+    // answers are lost, owners shed. It must not run twice, and does so without the guard.
+    void keyRunsAtMostOnceWhateverArrives()
+    {
+        CPPUNIT_ASSERT(holds("a key runs at most once", 4, 12, [](const History& history) {
+            KeyWorld world;
+            for (const Step& step : history) {
+                world.take(step);
+                RC_ASSERT(world.runs <= 1);
+            }
+        }));
+        KeyWorld unguarded { .options = { .guard = false } };
+        for (const Step& step : { Step { 0, 0 }, Step { 1, 0 }, Step { 0, 1 }, Step { 1, 1 } })
+            unguarded.take(step);
+        CPPUNIT_ASSERT_EQUAL(2U, unguarded.runs);
+    }
+
+    void redirectsFollowTheirModel()
+    {
+        CPPUNIT_ASSERT(holds("redirects follow their model", 5, 12, [](const History& history) {
+            const RedirectOptions options { .maxEntries = 6, .keepFor = 2000 };
+            Redirects redirects;
+            std::vector<std::pair<FlowId, RedirectEntry>> model;
+            Millis now = 0;
+            const auto find = [&](FlowId flow) {
+                return std::find_if(model.begin(), model.end(), [flow](const auto& entry) { return entry.first == flow; });
+            };
+            for (const Step& step : history) {
+                now += step.passed;
+                const FlowId flow = step.subject;
+                const OwnerToken owner { step.other % 3 + 1, static_cast<Incarnation>(step.other / 3 + 1) };
+                if (step.kind <= 1) {
+                    noteRedirect(redirects, options, flow, owner, now);
+                    const auto held = find(flow);
+                    const bool isOld = held != model.end() && held->second.owner.upstream == owner.upstream
+                        && held->second.owner.incarnation > owner.incarnation;
+                    if (!isOld) {
+                        if (held != model.end())
+                            model.erase(held);
+                        model.push_back({ flow, { .owner = owner, .notedAt = now } });
+                    }
+                    if (model.size() > options.maxEntries)
+                        model.erase(model.begin());
+                } else if (step.kind == 2) {
+                    forgetFlow(redirects, flow);
+                    std::erase_if(model, [&](const auto& entry) { return entry.first == flow; });
+                } else if (step.kind == 3) {
+                    const auto gone = std::erase_if(model, [&](const auto& entry) { return entry.second.owner == owner; });
+                    RC_ASSERT(forgetOwner(redirects, owner) == gone);
+                } else {
+                    const auto old = std::erase_if(model, [&](const auto& entry) { return now - entry.second.notedAt > options.keepFor; });
+                    RC_ASSERT(expireRedirects(redirects, options, now) == old);
+                }
+                RC_ASSERT((redirects.entries.size() == model.size() && redirects.order.size() == model.size()));
+                for (FlowId candidate = 0; candidate < 12; ++candidate) {
+                    const auto held = find(candidate);
+                    const bool valid = held != model.end() && now - held->second.notedAt <= options.keepFor;
+                    const auto found = findRedirect(redirects, options, candidate, now);
+                    RC_ASSERT((found.has_value() == valid && (!valid || *found == held->second.owner)));
+                }
+            }
+        }));
+    }
+
+    // News of versions reaches six daemons in any order, late and twice; they also tell each other. None ever goes back,
+    // and after one round of heartbeats around the ring in both directions all hold the newest.
+    void configurationNeverRevertsAndSpreads()
+    {
+        CPPUNIT_ASSERT(holds("configuration never reverts", 2, 6, [](const History& history) {
+            std::array<ConfigVersion, 6> held {};
+            const auto take = [&](std::size_t daemon, ConfigVersion offered) {
+                const ConfigVersion before = held[daemon];
+                if (supersedes(before, offered))
+                    held[daemon] = offered;
+                RC_ASSERT((held[daemon] >= before && held[daemon] >= offered));
+            };
+            const auto meet = [&](std::size_t one, std::size_t two) {
+                const ConfigStep step = nextConfigStep(held[one], held[two]);
+                if (step == ConfigStep::Fetch)
+                    take(one, held[two]);
+                else if (step == ConfigStep::Offer)
+                    take(two, held[one]);
+                RC_ASSERT(held[one] == held[two]);
+            };
+            for (const Step& step : history) {
+                if (step.kind == 0)
+                    take(step.subject, static_cast<ConfigVersion>(step.passed));
+                else
+                    meet(step.subject, step.other);
+            }
+            const ConfigVersion newest = *std::max_element(held.begin(), held.end());
+            for (std::size_t daemon = 0; daemon + 1 < held.size(); ++daemon)
+                meet(daemon, daemon + 1);
+            for (std::size_t daemon = held.size() - 1; daemon > 0; --daemon)
+                meet(daemon - 1, daemon);
+            RC_ASSERT(std::all_of(held.begin(), held.end(), [&](ConfigVersion version) { return version == newest; }));
+        }));
+        CPPUNIT_ASSERT(supersedes(7, 6, { .guard = false }));
+    }
+
+    // Whatever ends how, the limit is between one and the slots, one after a shed or a failure, and never ahead of the
+    // straight line of its warm-up.
+    void limitStaysInItsBounds()
+    {
+        CPPUNIT_ASSERT(holds("the limit stays in its bounds", 12, 9, [](const History& history) {
+            const LimitOptions options { .slots = 8, .warmUp = 3000 };
+            ConcurrencyLimit limit;
+            Millis firstAnswer = -1;
+            bool wasWarm = false;
+            Millis now = 0;
+            for (const Step& step : history) {
+                now += step.passed;
+                const auto outcome = fromNumber<WorkOutcome>(step.kind).value_or(WorkOutcome::Succeeded);
+                const Millis time = step.kind == 11 ? 900 : 20 + static_cast<Millis>(step.other);
+                const auto coldStarts = limit.coldStarts;
+                noteCompletion(limit, options, { .outcome = outcome, .serviceTime = time, .busy = step.subject }, now);
+                const std::uint32_t allowed = allowedConcurrency(limit, options);
+                RC_ASSERT((allowed >= 1 && allowed <= options.slots));
+                const bool turnedAway = outcome == WorkOutcome::Shed || outcome == WorkOutcome::Failed;
+                if (turnedAway)
+                    RC_ASSERT((allowed == 1 && limit.cold && limit.coldStarts == coldStarts + 1));
+                if (limit.coldStarts != coldStarts) {
+                    firstAnswer = -1;
+                    wasWarm = false;
+                } else if (firstAnswer < 0 && outcome == WorkOutcome::Succeeded) {
+                    firstAnswer = now;
+                }
+                wasWarm = wasWarm || !limit.cold;
+                const double line = firstAnswer >= 0 ? 1 + 7.0 * static_cast<double>(now - firstAnswer) / 3000 : 1;
+                RC_ASSERT((wasWarm || limit.limit <= line + 1e-6));
+            }
+        }));
+    }
+
+    // Requests arrive, start, end, are withdrawn and expire in any order. Each gets exactly one end, none starts after its
+    // deadline, and neither the slots nor the queue are ever exceeded.
+    void admissionLosesNothing()
+    {
+        CPPUNIT_ASSERT(holds("admission loses nothing", 8, 8, [](const History& history) {
+            const AdmissionOptions options { .slots = 4, .queueLimit = 6, .warmUp = 1000 };
+            AdmissionState state;
+            std::map<std::uint64_t, WorkItem> waiting;
+            std::vector<WorkItem> running;
+            std::uint64_t lastId = 0;
+            Millis now = 0;
+            for (const Step& step : history) {
+                now += step.passed / 8;
+                const auto workClass = step.other % 2 == 0 ? WorkClass::Short : WorkClass::Long;
+                const WorkItem item { .id = lastId + 1, .workClass = workClass, .deadline = now + step.passed, .queuedAt = now };
+                if (step.kind < 4) {
+                    ++lastId;
+                    const AdmitVerdict verdict = admit(state, options, item, now);
+                    if (verdict.decision == AdmitDecision::Run)
+                        running.push_back(item);
+                    else if (verdict.decision == AdmitDecision::Queue)
+                        waiting[item.id] = item;
+                    else
+                        RC_ASSERT((verdict.refusal.ran == Ran::No && verdict.refusal.retryAfter >= 50));
+                } else if (step.kind == 4) {
+                    RC_ASSERT(cancelQueued(state, lastId) == (waiting.erase(lastId) == 1));
+                } else if (step.kind < 7 && !running.empty()) {
+                    const auto outcome = fromNumber<WorkOutcome>(step.other % 8).value_or(WorkOutcome::Succeeded);
+                    finishWork(state, options, running.back().workClass, outcome, step.passed, now);
+                    running.pop_back();
+                }
+                for (const ExpiredItem& expired : takeExpired(state, options, now))
+                    RC_ASSERT((waiting.erase(expired.item.id) == 1 && expired.refusal.ran == Ran::No));
+                for (const WorkItem& started : takeRunnable(state, options, now)) {
+                    RC_ASSERT((waiting.erase(started.id) == 1 && started.deadline > now));
+                    running.push_back(started);
+                }
+                RC_ASSERT((busy(state) == running.size() && busy(state) <= options.slots));
+                RC_ASSERT((queued(state) == waiting.size() && queued(state) <= options.queueLimit));
+                const auto wake = nextWake(state, now);
+                RC_ASSERT((wake.has_value() == !waiting.empty() && (!wake || *wake > now)));
+            }
+        }));
+    }
+
+    void indexFindsWhatASearchFinds()
+    {
+        CPPUNIT_ASSERT(holds("the index finds what a search finds", 1, 10, [](const History& history) {
+            std::set<std::pair<UpstreamId, Incarnation>> tokens;
+            for (const Step& step : history)
+                tokens.insert({ step.subject + 1, step.other + 1 });
+            std::vector<Member> members;
+            members.reserve(tokens.size());
+            for (const auto& [upstream, incarnation] : tokens)
+                members.push_back({ .token = { upstream, incarnation } });
+            const MemberIndex index = buildMemberIndex(members);
+            for (unsigned number = 0; number < 121; ++number) {
+                const OwnerToken token { number / 11 + 1, number % 11 + 1 };
+                OwnerToken newest = token;
+                for (const auto& [upstream, incarnation] : tokens)
+                    newest.incarnation = upstream == token.upstream ? std::max(newest.incarnation, incarnation) : newest.incarnation;
+                const bool succeeded = newest.incarnation != token.incarnation;
+                const MemberLookup lookup = findMember(index, token);
+                RC_ASSERT(lookup.exact.has_value() == tokens.contains({ token.upstream, token.incarnation }));
+                RC_ASSERT((!lookup.exact || members[*lookup.exact].token == token));
+                RC_ASSERT(lookup.successor.has_value() == succeeded);
+                RC_ASSERT((!succeeded || members[*lookup.successor].token == newest));
+            }
+        }));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestProperties);
--- /dev/null
+++ b/tests/decision/testwork.cpp
@@ -0,0 +1,239 @@
+#include "libdecision/attempts.h"
+#include "libdecision/drain.h"
+#include "libdecision/lease.h"
+#include "libdecision/ledger.h"
+#include "libdecision/pacing.h"
+#include "libdecision/retry.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace kingcuptrail;
+
+class TestWork : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(TestWork);
+    CPPUNIT_TEST(keyRunsOnce);
+    CPPUNIT_TEST(askedKeyNeverRunsLater);
+    CPPUNIT_TEST(fullLedgerRefusesRatherThanForgets);
+    CPPUNIT_TEST(earlierAttemptsDecide);
+    CPPUNIT_TEST(retryOnlyWhatIsSafe);
+    CPPUNIT_TEST(outageCannotBecomeARetryStorm);
+    CPPUNIT_TEST(leaseCountsOnlyWatchedTime);
+    CPPUNIT_TEST(heartbeatsStayInTheirBudget);
+    CPPUNIT_TEST(leavingCutsNoRequest);
+    CPPUNIT_TEST_SUITE_END();
+
+    const LedgerOptions m_options { .maxEntries = 4, .keepFor = 1000 };
+
+    // The same Filing arrives twice over two balancers, and once more after each outcome.
+    void keyRunsOnce()
+    {
+        const struct {
+            LedgerState outcome;
+            BeginVerdict again;
+        } rows[] = {
+            { LedgerState::Ran, BeginVerdict::AlreadyRan },
+            { LedgerState::Unknown, BeginVerdict::OutcomeUnknown },
+            { LedgerState::NotRun, BeginVerdict::Run },
+        };
+        for (const auto& row : rows) {
+            Ledger ledger;
+            CPPUNIT_ASSERT(beginWork(ledger, m_options, "filing", 0) == BeginVerdict::Run);
+            CPPUNIT_ASSERT(beginWork(ledger, m_options, "filing", 1) == BeginVerdict::AlreadyRunning);
+            settleWork(ledger, m_options, "filing", row.outcome, 2);
+            CPPUNIT_ASSERT(beginWork(ledger, m_options, "filing", 3) == row.again);
+            const LedgerOptions off { .guard = false };
+            CPPUNIT_ASSERT(beginWork(ledger, off, "filing", 4) == BeginVerdict::Run);
+        }
+        Ledger ledger;
+        beginWork(ledger, m_options, "filing", 0);
+        settleWork(ledger, m_options, "filing", LedgerState::Unknown, 1);
+        settleWork(ledger, m_options, "filing", LedgerState::NotRun, 2);
+        CPPUNIT_ASSERT(beginWork(ledger, m_options, "filing", 3) == BeginVerdict::OutcomeUnknown);
+        settleWork(ledger, m_options, "filing", LedgerState::Ran, 4);
+        CPPUNIT_ASSERT(beginWork(ledger, m_options, "filing", 5) == BeginVerdict::AlreadyRan);
+    }
+
+    // A Filing's flow goes silent, its caller sends it on a new flow, and the new owner asks the old one. Then the first
+    // packet arrives late.
+    void askedKeyNeverRunsLater()
+    {
+        Ledger ledger;
+        CPPUNIT_ASSERT(queryAndFence(ledger, m_options, "late", 0) == LedgerState::NeverSeen);
+        CPPUNIT_ASSERT(beginWork(ledger, m_options, "late", 1) == BeginVerdict::Fenced);
+        CPPUNIT_ASSERT(queryAndFence(ledger, m_options, "late", 2) == LedgerState::Fenced);
+
+        beginWork(ledger, m_options, "refused", 0);
+        settleWork(ledger, m_options, "refused", LedgerState::NotRun, 1);
+        CPPUNIT_ASSERT(queryAndFence(ledger, m_options, "refused", 2) == LedgerState::NotRun);
+        CPPUNIT_ASSERT(beginWork(ledger, m_options, "refused", 3) == BeginVerdict::Fenced);
+
+        beginWork(ledger, m_options, "queued", 0);
+        CPPUNIT_ASSERT(queryAndFence(ledger, m_options, "queued", 1) == LedgerState::Running);
+        settleWork(ledger, m_options, "queued", LedgerState::NotRun, 2);
+        CPPUNIT_ASSERT(beginWork(ledger, m_options, "queued", 3) == BeginVerdict::Fenced);
+    }
+
+    // More keys come than the ledger holds. Forgetting one would let it run twice.
+    void fullLedgerRefusesRatherThanForgets()
+    {
+        Ledger ledger;
+        for (const char* key : { "a", "b", "c", "d" })
+            beginWork(ledger, m_options, key, 0);
+        settleWork(ledger, m_options, "a", LedgerState::Ran, 10);
+        CPPUNIT_ASSERT(beginWork(ledger, m_options, "e", 1010) == BeginVerdict::Full);
+        CPPUNIT_ASSERT(queryAndFence(ledger, m_options, "f", 1010) == LedgerState::Unknown);
+        CPPUNIT_ASSERT(beginWork(ledger, m_options, "a", 1010) == BeginVerdict::AlreadyRan);
+        CPPUNIT_ASSERT(beginWork(ledger, m_options, "e", 1011) == BeginVerdict::Run);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), expireLedger(ledger, m_options, 1000000));
+        CPPUNIT_ASSERT(beginWork(ledger, m_options, "b", 1000000) == BeginVerdict::AlreadyRunning);
+    }
+
+    void earlierAttemptsDecide()
+    {
+        const OwnerToken mine { 9, 1 };
+        const std::vector<OwnerToken> owners { { 1, 1 }, mine, { 2, 1 }, { 1, 1 }, {} };
+        using State = LedgerState;
+        const struct {
+            std::optional<LedgerState> first, second;
+            AttemptsDecision decision;
+            Ran ran = Ran::Unknown;
+            RefusalReason reason = RefusalReason::None;
+        } rows[] = {
+            { {}, {}, AttemptsDecision::Wait },
+            { State::NeverSeen, {}, AttemptsDecision::Wait },
+            { State::NeverSeen, State::NotRun, AttemptsDecision::Run },
+            { State::Fenced, State::Fenced, AttemptsDecision::Run },
+            { {}, State::Ran, AttemptsDecision::Refuse, Ran::Yes, RefusalReason::AlreadyRan },
+            { State::Unknown, State::Ran, AttemptsDecision::Refuse, Ran::Yes, RefusalReason::AlreadyRan },
+            { State::Running, State::NeverSeen, AttemptsDecision::Refuse, Ran::Unknown, RefusalReason::AlreadyRunning },
+            { State::Unknown, {}, AttemptsDecision::Refuse, Ran::Unknown, RefusalReason::EarlierAttemptUnknown },
+        };
+        for (const auto& row : rows) {
+            EarlierAttempts earlier = startAttempts(owners, mine);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), earlier.attempts.size());
+            if (row.first)
+                noteAnswer(earlier, { 1, 1 }, *row.first);
+            if (row.second)
+                noteAnswer(earlier, { 2, 1 }, *row.second);
+            const AttemptsVerdict verdict = decideAttempts(earlier);
+            CPPUNIT_ASSERT(verdict.decision == row.decision && verdict.refusal.reason == row.reason && verdict.refusal.ran == row.ran);
+            CPPUNIT_ASSERT(decideAttempts(earlier, { .guard = false }).decision == AttemptsDecision::Run);
+        }
+        EarlierAttempts earlier = startAttempts(owners, mine);
+        noteUnreachable(earlier, { 1, 1 });
+        noteAnswer(earlier, { 1, 1 }, State::NeverSeen);
+        noteAnswer(earlier, { 2, 1 }, State::NeverSeen);
+        CPPUNIT_ASSERT(decideAttempts(earlier).refusal.reason == RefusalReason::EarlierAttemptUnknown);
+        std::vector<OwnerToken> many;
+        for (UpstreamId upstream = 1; upstream <= maxEarlierAttempts + 1; ++upstream)
+            many.push_back({ upstream, 1 });
+        CPPUNIT_ASSERT(decideAttempts(startAttempts(many, { 99, 1 })).decision == AttemptsDecision::Refuse);
+        CPPUNIT_ASSERT(decideAttempts(startAttempts({}, mine)).decision == AttemptsDecision::Run);
+    }
+
+    void retryOnlyWhatIsSafe()
+    {
+        const RetryFacts filing { .idempotent = false, .tries = 1, .deadline = 1000, .now = 0 };
+        const RetryFacts query { .idempotent = true, .tries = 1, .deadline = 1000, .now = 0 };
+        const RetryFacts fourth { .idempotent = true, .tries = 4, .deadline = 1000, .now = 0 };
+        const RetryFacts late { .idempotent = true, .tries = 2, .deadline = 1000, .now = 900 };
+        const struct {
+            RetryFacts facts;
+            AttemptResult result;
+            RetryReason reason;
+            Millis delay = 0;
+            bool retry = false, newFlow = false, nameEarlier = false;
+        } rows[] = {
+            { filing, { Ran::No, RefusalReason::QueueFull, 100 }, RetryReason::NotRun, 20, true, true, true },
+            { filing, { Ran::No, RefusalReason::BodyCorrupt, 100 }, RetryReason::NotRun, 100, true, false, true },
+            { filing, { Ran::Unknown, RefusalReason::UpstreamLost }, RetryReason::MayHaveRun },
+            { filing, { Ran::Yes, RefusalReason::UpstreamTimeout }, RetryReason::MayHaveRun },
+            { filing, { Ran::Unknown, RefusalReason::None, 0, true }, RetryReason::FlowSilent, 0, true, true, true },
+            { filing, { Ran::Unknown, RefusalReason::EarlierAttemptUnknown, 0, true }, RetryReason::Final },
+            { query, { Ran::Unknown, RefusalReason::UpstreamLost }, RetryReason::IdempotentLost, 0, true, true, false },
+            { query, { Ran::No, RefusalReason::DeadlinePassed }, RetryReason::Final },
+            { fourth, { Ran::No, RefusalReason::QueueFull }, RetryReason::AttemptsSpent },
+            { late, { Ran::No, RefusalReason::QueueFull, 90 }, RetryReason::DeadlineTooNear },
+        };
+        for (const auto& row : rows) {
+            RetryBudget budget { .tokens = 2 };
+            const RetryVerdict verdict = decideRetry(budget, {}, row.facts, row.result);
+            CPPUNIT_ASSERT_EQUAL(nameOf(row.reason), nameOf(verdict.reason));
+            CPPUNIT_ASSERT(verdict.retry == row.retry && verdict.newFlow == row.newFlow && verdict.nameEarlier == row.nameEarlier);
+            CPPUNIT_ASSERT_EQUAL(row.delay, verdict.delay);
+            CPPUNIT_ASSERT_EQUAL(row.retry ? 1.0 : 2.0, budget.tokens);
+        }
+    }
+
+    // Every first try fails for a while. Retries stay at a tenth of them, and the budget's burst.
+    void outageCannotBecomeARetryStorm()
+    {
+        RetryBudget budget;
+        const RetryFacts facts { .idempotent = true, .tries = 1, .deadline = 1000, .now = 0 };
+        std::uint32_t retries = 0;
+        for (int tries = 0; tries < 10000; ++tries) {
+            noteFirstTry(budget, {});
+            retries += decideRetry(budget, {}, facts, { Ran::No, RefusalReason::UpstreamUnreachable }).retry ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(retries >= 990 && retries <= 1005);
+        CPPUNIT_ASSERT(decideRetry(budget, {}, facts, { Ran::No, RefusalReason::QueueFull }).reason == RetryReason::BudgetEmpty);
+    }
+
+    // The platform is down for an hour, or the observer itself is stopped: no lease lapses for that. A holder that stops
+    // renewing while the platform answers does, and a newer incarnation fences it.
+    void leaseCountsOnlyWatchedTime()
+    {
+        LeaseView view = watchLease(10000, 5, 0);
+        Millis now = 0;
+        for (; now < 3600000; now += 500)
+            watchTime(view, {}, false, now);
+        CPPUNIT_ASSERT(!isLapsed(view));
+        now += 60000;
+        watchTime(view, {}, true, now);
+        CPPUNIT_ASSERT(!isLapsed(view));
+        noteRenewal(view, 5, now);
+        CPPUNIT_ASSERT(view.unrenewed > 0);
+        noteRenewal(view, 6, now);
+        for (const Millis end = now + 9500; now < end; now += 500)
+            watchTime(view, {}, true, now);
+        CPPUNIT_ASSERT(!isLapsed(view));
+        watchTime(view, {}, true, now += 500);
+        watchTime(view, {}, true, now += 500);
+        CPPUNIT_ASSERT(isLapsed(view));
+        CPPUNIT_ASSERT(mayTakeNewWork(3, std::nullopt) && mayTakeNewWork(3, 3) && mayTakeNewWork(3, 2) && !mayTakeNewWork(3, 4));
+    }
+
+    void heartbeatsStayInTheirBudget()
+    {
+        const PacingOptions options;
+        for (const std::size_t links : { 0U, 1U, 10U, 50U, 700U, 4500U }) {
+            const Millis interval = heartbeatInterval(links, options);
+            CPPUNIT_ASSERT(interval >= options.baseInterval);
+            CPPUNIT_ASSERT(links * options.bytesPerHeartbeat * 1000 <= options.budgetBytesPerSecond * static_cast<std::uint64_t>(interval));
+            CPPUNIT_ASSERT(silenceLimit(interval, options) > 3 * interval);
+        }
+    }
+
+    // An upstream leaves while a feed is open and a query is on its way. Neither is cut; idle flows are closed once the
+    // balancers know.
+    void leavingCutsNoRequest()
+    {
+        const DrainOptions options { .announceGrace = 3000, .idleBeforeClose = 1000, .limit = 60000 };
+        const DrainProgress announced { .startedAt = 0, .announced = true, .announcedAt = 100 };
+        const DrainFlow feed { .idleSince = 0, .pending = 1 };
+        const DrainFlow idle { .idleSince = 0 };
+        const DrainFlow justUsed { .idleSince = 4900 };
+        CPPUNIT_ASSERT(drainFlow(idle, { .startedAt = 0 }, options, 50000) == DrainFlowStep::Keep);
+        CPPUNIT_ASSERT(drainFlow(idle, announced, options, 3099) == DrainFlowStep::Keep);
+        CPPUNIT_ASSERT(drainFlow(idle, announced, options, 5000) == DrainFlowStep::CloseIdle);
+        CPPUNIT_ASSERT(drainFlow(justUsed, announced, options, 5000) == DrainFlowStep::Keep);
+        CPPUNIT_ASSERT(drainFlow(feed, announced, options, 50000) == DrainFlowStep::Keep);
+        CPPUNIT_ASSERT(nextDrainStep({}, announced, options, 1000) == DrainStep::Wait);
+        CPPUNIT_ASSERT(nextDrainStep({}, announced, options, 3100) == DrainStep::Done);
+        CPPUNIT_ASSERT(nextDrainStep(std::span(&feed, 1), announced, options, 59999) == DrainStep::Wait);
+        CPPUNIT_ASSERT(nextDrainStep(std::span(&feed, 1), announced, options, 60000) == DrainStep::LimitReached);
+        CPPUNIT_ASSERT(nextDrainStep(std::span(&feed, 1), announced, {}, 9000000) == DrainStep::Wait);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestWork);
