--- a/src/kingcuptrailctl/explanations.cpp
+++ b/src/kingcuptrailctl/explanations.cpp
@@ -54,6 +54,7 @@
         { "The peer is not who was expected at this address.", "An address was given to another process: check the settings and presence of both." },
         { "The peer said goodbye.", nothing },
         { "The link was closed from this side.", nothing },
+        { "The peer's host is up and nothing listens at the address.", "The peer has ended: expected after a kill or a stop. Start it again, or forget it." },
     } };
 
     constexpr Table<PlatformError> platforms { {
