--- a/src/libplatform/configapply.cpp
+++ b/src/libplatform/configapply.cpp
@@ -4,6 +4,7 @@
 #include "delay.h"
 #include "manifest.h"
 #include "randomid.h"
+#include "serviceobjects.h"
 
 #include <algorithm>
 #include <set>
@@ -31,6 +32,7 @@
 struct ConfigApply::Private {
     Private(asio::io_context& context, const PlatformOptions& options, ApplyOptions changeOptions)
         : client(context, options)
+        , objects(client)
         , delay(context)
         , limit(context)
         , backoff(options.retryFirst, options.retryMax)
@@ -48,12 +50,15 @@
     std::optional<Manifest> makeNextOfConfig(const Manifest& present);
     std::optional<Manifest> makeNextOfState(const Manifest& present);
     void writeServices();
+    void noteRemovable();
     void writeManifest();
+    void handleAccepted(ConfigVersion version);
     void handleTrouble(PlatformError error);
     void handleLimit();
     void finish(ApplyError error, ConfigVersion version, bool changed = false);
 
     PlatformClient client;
+    ServiceObjects objects;
     Delay delay;
     Delay limit;
     Backoff backoff;
@@ -70,7 +75,8 @@
     Manifest next;
     ObjectVersion presentObject = 0;
     std::map<std::string, std::string> servicesToWrite;
-    std::set<std::string> servicesWritten;
+    /// Set once the manifest is written and only clearing away is left.
+    std::optional<ConfigVersion> accepted;
     /// Whether a manifest write may have taken effect without an answer.
     bool isOutcomeOpen = false;
     PlatformError platformError = PlatformError::None;
@@ -105,8 +111,8 @@
         finish(ApplyError::BadManifest, 0);
         return;
     }
-    if (const auto accepted = present->versionOf(applyOptions.applyId)) {
-        finish(ApplyError::None, *accepted, true);
+    if (const auto version = present->versionOf(applyOptions.applyId)) {
+        handleAccepted(*version);
         return;
     }
     if (!basisObject)
@@ -146,7 +152,7 @@
     Manifest made = nextManifest(present, config, applyOptions.applyId);
     servicesToWrite.clear();
     for (std::size_t index = 0; index < made.services.size(); ++index) {
-        if (!known.contains(made.services[index]) && !servicesWritten.contains(made.services[index].object))
+        if (!known.contains(made.services[index]))
             servicesToWrite.emplace(made.services[index].object, toJson(config.services[index]));
     }
     return made;
@@ -164,31 +170,28 @@
         finish(ApplyError::UnknownDataCentre, present.version);
         return std::nullopt;
     }
-    Manifest made = nextManifest(present, {}, applyOptions.applyId);
-    made.services = present.services;
-    made.dataCentres = withState(present.dataCentres, dataCentre, out);
-    return made;
+    return nextManifest(present, present.services, withState(present.dataCentres, dataCentre, out), applyOptions.applyId);
 }
 
-// Load: a first apply with thousands of services. Harm: all at once they would take the platform's several hundred
-// writes a second from the leases. Limit: one write under way, so that the platform's own latency paces them.
 void ConfigApply::Private::writeServices()
 {
-    if (servicesToWrite.empty()) {
-        writeManifest();
-        return;
-    }
-    const std::string name = servicesToWrite.begin()->first;
-    client.put(serviceObjectKind, name, servicesToWrite.begin()->second, 0, [this, name](const std::optional<ObjectVersion>& version, PlatformError error) {
-        // The name holds the content's hash: an object that exists already is the same.
-        if (!version && error != PlatformError::Conflict) {
+    objects.write(std::move(servicesToWrite), [this](PlatformError error) {
+        if (error == PlatformError::None)
+            noteRemovable();
+        else
+            handleTrouble(error);
+    });
+}
+
+/// An urgent change of one data centre's state clears nothing away.
+void ConfigApply::Private::noteRemovable()
+{
+    auto removable = wanted ? takeRemovable(next) : std::vector<std::string> {};
+    objects.noteVersions(std::move(removable), [this](PlatformError error) {
+        if (error == PlatformError::None)
+            writeManifest();
+        else
             handleTrouble(error);
-            return;
-        }
-        servicesWritten.insert(name);
-        servicesToWrite.erase(name);
-        backoff.reset();
-        writeServices();
     });
 }
 
@@ -196,7 +199,7 @@
 {
     client.put(manifestKind, manifestName, toJson(next), presentObject, [this](const std::optional<ObjectVersion>& version, PlatformError error) {
         if (version) {
-            finish(ApplyError::None, next.version, true);
+            handleAccepted(next.version);
             return;
         }
         if (error == PlatformError::NoAnswer)
@@ -208,6 +211,12 @@
     });
 }
 
+void ConfigApply::Private::handleAccepted(ConfigVersion version)
+{
+    accepted = version;
+    objects.removeNoted([this](PlatformError) { finish(ApplyError::None, *accepted, true); });
+}
+
 void ConfigApply::Private::handleTrouble(PlatformError error)
 {
     platformError = error;
@@ -220,7 +229,10 @@
 
 void ConfigApply::Private::handleLimit()
 {
-    finish(isOutcomeOpen ? ApplyError::OutcomeUnknown : ApplyError::PlatformUnreachable, 0);
+    if (accepted)
+        finish(ApplyError::None, *accepted, true);
+    else
+        finish(isOutcomeOpen ? ApplyError::OutcomeUnknown : ApplyError::PlatformUnreachable, 0);
 }
 
 void ConfigApply::Private::finish(ApplyError error, ConfigVersion version, bool changed)
--- a/src/libplatform/manifest.cpp
+++ b/src/libplatform/manifest.cpp
@@ -5,6 +5,7 @@
 #include <cinttypes>
 #include <cstdio>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <xxhash.h>
 
 namespace kingcuptrail {
@@ -24,9 +25,37 @@
             manifest.dataCentres.push_back({ .name = dataCentre.at("name").get<std::string>(), .out = dataCentre.at("out").get<bool>() });
         for (const json& apply : document.at("recent"))
             manifest.recent.push_back({ .applyId = apply.at("applyId").get<std::string>(), .version = apply.at("version").get<ConfigVersion>() });
+        for (const json& retired : document.value("retired", json::array()))
+            manifest.retired.push_back({ .object = retired.at("object").get<std::string>(), .since = retired.at("since").get<ConfigVersion>() });
         return manifest;
     }
 
+    std::set<std::string_view> objectsOf(const Manifest& manifest)
+    {
+        std::set<std::string_view> objects;
+        for (const ManifestService& service : manifest.services)
+            objects.insert(service.object);
+        return objects;
+    }
+
+    /// What was retired before and is not named again, and what `previous` named and `next` does not.
+    std::vector<ManifestRetired> retiredAfter(const Manifest& previous, const Manifest& next)
+    {
+        const auto named = objectsOf(next);
+        std::vector<ManifestRetired> retired;
+        for (const ManifestRetired& before : previous.retired) {
+            if (!named.contains(before.object))
+                retired.push_back(before);
+        }
+        for (const ManifestService& service : previous.services) {
+            if (!named.contains(service.object))
+                retired.push_back({ .object = service.object, .since = next.version });
+        }
+        if (retired.size() > rememberedRetired)
+            retired.erase(retired.begin(), retired.end() - rememberedRetired);
+        return retired;
+    }
+
 }
 
 const DataCentreConfig* Manifest::findDataCentre(std::string_view name) const
@@ -68,31 +97,53 @@
     json recent = json::array();
     for (const ManifestApply& apply : manifest.recent)
         recent.push_back({ { "applyId", apply.applyId }, { "version", apply.version } });
+    json retired = json::array();
+    for (const ManifestRetired& one : manifest.retired)
+        retired.push_back({ { "object", one.object }, { "since", one.since } });
     return json {
         { "version", manifest.version },
         { "applyId", manifest.applyId },
         { "services", services },
         { "dataCentres", dataCentres },
         { "recent", recent },
+        { "retired", retired },
     }
         .dump();
 }
 
 Manifest nextManifest(const Manifest& previous, const Config& config, const std::string& applyId)
+{
+    std::vector<ManifestService> services;
+    services.reserve(config.services.size());
+    for (const ServiceConfig& service : config.services)
+        services.push_back({ .name = service.name, .object = serviceObjectName(service) });
+    return nextManifest(previous, std::move(services), config.dataCentres, applyId);
+}
+
+Manifest nextManifest(const Manifest& previous, std::vector<ManifestService> services, std::vector<DataCentreConfig> dataCentres, const std::string& applyId)
 {
     Manifest next;
     next.version = previous.version + 1;
     next.applyId = applyId;
-    for (const ServiceConfig& service : config.services)
-        next.services.push_back({ .name = service.name, .object = serviceObjectName(service) });
-    next.dataCentres = config.dataCentres;
+    next.services = std::move(services);
+    next.dataCentres = std::move(dataCentres);
     next.recent = previous.recent;
     next.recent.push_back({ .applyId = applyId, .version = next.version });
     if (next.recent.size() > rememberedApplies)
         next.recent.erase(next.recent.begin());
+    next.retired = retiredAfter(previous, next);
     return next;
 }
 
+std::vector<std::string> takeRemovable(Manifest& next)
+{
+    std::vector<std::string> removable;
+    while (removable.size() < removedAtOnce && removable.size() < next.retired.size() && next.retired[removable.size()].since + keptManifests <= next.version)
+        removable.push_back(next.retired[removable.size()].object);
+    next.retired.erase(next.retired.begin(), next.retired.begin() + static_cast<std::ptrdiff_t>(removable.size()));
+    return removable;
+}
+
 std::string serviceObjectName(const ServiceConfig& service)
 {
     const std::string content = toJson(service);
--- a/tests/platform/testconfigapply.cpp
+++ b/tests/platform/testconfigapply.cpp
@@ -15,6 +15,8 @@
     CPPUNIT_TEST(applyDoesNotBringBackUnasked);
     CPPUNIT_TEST(refusalsAreTyped);
     CPPUNIT_TEST(outageEndsAsUnreachableOrUnknown);
+    CPPUNIT_TEST(oldServiceObjectsAreRemoved);
+    CPPUNIT_TEST(removalSparesWhatAnotherApplyNamesAgain);
     CPPUNIT_TEST(watcherFollowsThroughAnOutage);
     CPPUNIT_TEST(watcherNeverReportsOlder);
     CPPUNIT_TEST(watcherFetchesOnlyWhatChanged);
@@ -159,16 +161,52 @@
         assertAccepted(apply(makeConfig()), 1);
         m_server->setFaults({ .down = true, .hang = true });
         CPPUNIT_ASSERT(apply(makeConfig(6), { .limit = 100 }).error == ApplyError::PlatformUnreachable);
-        m_server->setFaults({ .loseAnswers = 2 });
+        m_server->setFaults({ .loseAnswers = 1 });
         ConfigApply change(m_context, m_options, { .limit = 300 });
         std::optional<ApplyReport> report;
-        change.apply(makeConfig(7), [&report](const ApplyReport& done) { report = done; });
+        change.setOut("south", true, [&report](const ApplyReport& done) { report = done; });
         runUntil(m_context, [this] { return countCalls("PUT", "manifest") == 2; });
         m_server->setFaults({ .down = true });
         runUntil(m_context, [&report] { return report.has_value(); });
         CPPUNIT_ASSERT(report->error == ApplyError::OutcomeUnknown);
     }
 
+    std::size_t serviceObjects() { return m_server->store().list(serviceObjectKind).objects.size(); }
+
+    // Thousands of changes a day leave as many old objects. Kept for ever, the listing that a new daemon needs would
+    // one day be too large to read.
+    void oldServiceObjectsAreRemoved()
+    {
+        for (std::uint32_t slots = 1; slots <= 30; ++slots) {
+            assertAccepted(apply(makeConfig(slots)), slots);
+            CPPUNIT_ASSERT(serviceObjects() <= keptManifests + 1);
+        }
+        CPPUNIT_ASSERT_EQUAL(30U, fetch()->services.front().slots);
+    }
+
+    // One apply is about to remove an old object when another brings just that content back. Removed all the same, the
+    // accepted configuration could not be read by any daemon.
+    void removalSparesWhatAnotherApplyNamesAgain()
+    {
+        for (std::uint32_t slots = 1; slots <= keptManifests + 1; ++slots)
+            apply(makeConfig(slots));
+        const std::string object = "/objects/serviceconfig/" + serviceObjectName(makeConfig(1).services.front());
+        PlatformOptions options = m_options;
+        options.client = "slow";
+        options.callTimeout = 5000;
+        ConfigApply slow(m_context, options);
+        std::optional<ApplyReport> report;
+        const auto manifests = countCalls("PUT", "manifest");
+        slow.apply(makeConfig(keptManifests + 2), [&report](const ApplyReport& done) { report = done; });
+        runUntil(m_context, [&] { return countCalls("PUT", "manifest") > manifests; });
+        m_server->setFaults({ .delay = 1000, .slowFor = "slow" });
+        assertAccepted(apply(makeConfig(1)), keptManifests + 3);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, countCalls("DELETE", object));
+        runUntil(m_context, [&report] { return report.has_value(); });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, countCalls("DELETE", object));
+        CPPUNIT_ASSERT_EQUAL(1U, fetch()->services.front().slots);
+    }
+
     struct Watched {
         std::vector<Config> seen;
         ConfigWatcher watcher;
--- a/tests/platform/testmembership.cpp
+++ b/tests/platform/testmembership.cpp
@@ -14,7 +14,8 @@
     CPPUNIT_TEST(pausedAnnouncerIsFenced);
     CPPUNIT_TEST(racingAnnouncersGetDifferentIncarnations);
     CPPUNIT_TEST(deletedAnnouncementIsWrittenAgain);
-    CPPUNIT_TEST(leaseLapsesOnlyWhileThePlatformAnswers);
+    CPPUNIT_TEST(leaseOutlastsAnOutage);
+    CPPUNIT_TEST(leaseOfALostHolderLapses);
     CPPUNIT_TEST(withdrawalGivesUpInAnOutage);
     CPPUNIT_TEST_SUITE_END();
 
@@ -124,24 +125,30 @@
         }
     }
 
-    // An agent is stopped for longer than its lease (here: the platform is slow for it alone), and another is started in
-    // its place. When the first goes on it must hear that it is not the owner any more.
+    // An agent is stopped for longer than its lease (here: the platform is down for it alone), and another is started in
+    // its place, and perhaps withdrawn again. When the first goes on it must hear that it is not the owner any more,
+    // and must not announce what an old incarnation holds.
     void pausedAnnouncerIsFenced()
     {
-        PlatformOptions options = m_options;
-        options.client = "paused";
-        Announced paused(m_context, options, wanted());
-        awaitAnnounced(paused);
-        m_server->setFaults({ .delay = 1000, .slowFor = "paused" });
-        Announced later(m_context, m_options, wanted());
-        awaitAnnounced(later);
-        awaitRenewals(2);
-        m_server->setFaults({});
-        runUntil(m_context, [&] { return paused.newer.has_value(); });
-        CPPUNIT_ASSERT(*paused.newer == later.announced.front().token);
-        CPPUNIT_ASSERT(!later.newer);
-        const auto object = m_server->store().get(presenceKind, "board-1");
-        CPPUNIT_ASSERT(parsePresence(*object->value)->token == later.announced.front().token);
+        for (const bool laterLeaves : { false, true }) {
+            PlatformOptions options = m_options;
+            options.client = "paused";
+            Announced paused(m_context, options, wanted());
+            awaitAnnounced(paused);
+            m_server->setFaults({ .down = true, .downFor = "paused" });
+            Announced later(m_context, m_options, wanted());
+            awaitAnnounced(later);
+            awaitRenewals(2);
+            if (laterLeaves)
+                withdraw(later);
+            m_server->setFaults({});
+            runUntil(m_context, [&] { return paused.newer.has_value(); });
+            CPPUNIT_ASSERT(*paused.newer == later.announced.front().token);
+            CPPUNIT_ASSERT(!later.newer);
+            const auto object = m_server->store().get(presenceKind, "board-1");
+            CPPUNIT_ASSERT_EQUAL(laterLeaves, !object.has_value());
+            CPPUNIT_ASSERT(!object || parsePresence(*object->value)->token == later.announced.front().token);
+        }
     }
 
     void racingAnnouncersGetDifferentIncarnations()
@@ -170,25 +177,40 @@
         CPPUNIT_ASSERT(!announced.newer);
     }
 
-    // The platform is down for many leases, and nobody can renew. If each lease then looked lapsed, no upstream at all
-    // would get a new flow. When a holder really is gone while the platform answers, it must lapse.
-    void leaseLapsesOnlyWhileThePlatformAnswers()
+    // The platform is down for longer than the lease, and nobody can renew. If each lease then looked lapsed, no upstream
+    // at all would get a new flow. The watcher is the first to get an answer again, and the holder has not renewed yet.
+    void leaseOutlastsAnOutage()
     {
+        constexpr Millis lease = 1000;
+        PlatformOptions options = m_options;
+        options.client = "holder";
         Watched watched(m_context, m_options);
-        auto announced = std::make_unique<Announced>(m_context, m_options, wanted(200));
+        const Announced announced(m_context, options, wanted(lease));
         runUntil(m_context, [&] { return watched.isOnly(MemberState::Serving); });
-        awaitRenewals(2);
+        awaitRenewals(1);
         m_server->setFaults({ .down = true });
         runUntil(m_context, [&] { return watched.watcher.lastReason() != PlatformError::None; });
-        m_context.run_for(std::chrono::milliseconds(600));
-        CPPUNIT_ASSERT(watched.isOnly(MemberState::Serving));
+        m_context.run_for(std::chrono::milliseconds(2 * lease));
         const unsigned reports = watched.reports;
+        const auto looks = countCalls("GET", "/objects/lease\"");
+        m_server->setFaults({ .down = true, .downFor = "holder" });
+        runUntil(m_context, [&] { return countCalls("GET", "/objects/lease\"") > looks; });
         m_server->setFaults({});
-        awaitRenewals(4);
+        awaitRenewals(2);
+        CPPUNIT_ASSERT(watched.isOnly(MemberState::Serving));
         CPPUNIT_ASSERT_EQUAL(reports, watched.reports);
+    }
+
+    // A holder is gone for good while the platform answers: its upstream must get no new flow. When another speaks for
+    // the upstream, it must.
+    void leaseOfALostHolderLapses()
+    {
+        Watched watched(m_context, m_options);
+        auto announced = std::make_unique<Announced>(m_context, m_options, wanted(200));
+        runUntil(m_context, [&] { return watched.isOnly(MemberState::Serving); });
         announced.reset();
         runUntil(m_context, [&] { return watched.isOnly(MemberState::Lapsed); });
-        Announced later(m_context, m_options, wanted(200));
+        const Announced later(m_context, m_options, wanted(200));
         runUntil(m_context, [&] { return watched.isOnly(MemberState::Serving); });
         CPPUNIT_ASSERT(watched.now.front().token == later.announced.front().token);
     }
--- a/tests/standins/platform/platformserver.cpp
+++ b/tests/standins/platform/platformserver.cpp
@@ -87,7 +87,7 @@
 {
     m_faults = faults;
     m_hanging.clear();
-    if (faults.down)
+    if (faults.down && faults.downFor.empty())
         dropWatches();
 }
 
@@ -100,13 +100,16 @@
         call->parts.push_back(percentDecode(path.substr(0, end)));
         path.remove_prefix(std::min(end + 1, path.size()));
     }
+    const std::string client(headerValue(call->request.headers, "X-Client"));
+    const bool isDown = m_faults.down && (m_faults.downFor.empty() || m_faults.downFor == client);
+    const bool isSlow = m_faults.delay > 0 && (m_faults.slowFor.empty() || m_faults.slowFor == client);
     if (call->parts.size() == 1)
         handleControl(*call);
-    else if (m_faults.down && m_faults.hang)
+    else if (isDown && m_faults.hang)
         m_hanging.push_back(responder);
-    else if (m_faults.down)
+    else if (isDown)
         responder->abort();
-    else if (m_faults.delay > 0 && (m_faults.slowFor.empty() || m_faults.slowFor == headerValue(call->request.headers, "X-Client")))
+    else if (isSlow)
         handleLater(std::move(call));
     else
         perform(*call);
@@ -128,6 +131,7 @@
     setFaults({
         .down = wanted.value("down", false),
         .hang = wanted.value("hang", false),
+        .downFor = wanted.value("downFor", std::string()),
         .delay = wanted.value("delayMs", Millis { 0 }),
         .slowFor = wanted.value("slowFor", std::string()),
         .loseAnswers = wanted.value("loseAnswers", 0U),
--- a/tests/standins/platform/platformserver.h
+++ b/tests/standins/platform/platformserver.h
@@ -11,9 +11,11 @@
 
 /// What is wrong with the stand-in for the moment.
 struct PlatformFaults {
-    /// Closes each connection without an answer, or with `hang` leaves it without one.
+    /// Closes each connection without an answer, or with `hang` leaves it without one; for the calls of the client
+    /// `downFor` alone when that is set.
     bool down = false;
     bool hang = false;
+    std::string downFor;
     /// Wait before a call takes effect, in milliseconds; for the calls of `slowFor` alone when that is set.
     Millis delay = 0;
     std::string slowFor;
