--- a/src/kingcuptraild/daemon.h
+++ b/src/kingcuptraild/daemon.h
@@ -34,9 +34,10 @@
     Clock m_clock;
     PlatformOptions m_platform;
     ConfigKeeper m_config;
+    /// Outlives the tree: a link that is destroyed with it tells the role that it is gone.
+    std::unique_ptr<Role> m_role;
     Supervisor m_root;
     RoleContext m_roleContext;
-    std::unique_ptr<Role> m_role;
     bool m_isStopping = false;
     int m_exitCode = 0;
 };
--- a/tests/scenarios/datacentreout.lua
+++ b/tests/scenarios/datacentreout.lua
@@ -1,9 +1,9 @@
--- Operators take a data centre out while crews hold feeds and Filings are being uploaded there, and bring it back into
--- upstreams that start cold. Flows that end there are given up, each with its true outcome; those of the other data
+-- Operators take a data centre out while crews hold feeds and Filings are being uploaded there, restart its upstreams, and
+-- bring it back while these are cold. Flows that end there are given up, each with its true outcome; those of the other data
 -- centres do not notice; nothing reaches the one that is out; the cold ones get no more than they bear.
 deploy { services = {
-    { name = "board", count = 6, slots = 5, flags = { cold_for_ms = 1500 } },
-    { name = "filing", count = 3, slots = 5, flags = { filing_ms = 300 } },
+    { name = "board", count = 6, slots = 5, warmUpMs = 4000, flags = { cold_for_ms = 2000 } },
+    { name = "filing", count = 3, slots = 5, warmUpMs = 4000, flags = { filing_ms = 300, cold_for_ms = 2000 } },
 } }
 call { name = "crews", service = "board", load = { feeds = 12, flows = 12, queries_per_second = 60, seconds = 14 } }
 call { name = "contractors", service = "filing", seed = 3, load = { filings = 40, filing_bytes = 1000000, seconds = 13 } }
@@ -12,6 +12,10 @@
 local out = takeOut "north"
 waitForVersion(out, deployment.daemons)
 waitForEvents("contractors", "requestSent", 25)
+for _, name in ipairs { "board-1", "board-4", "filing-1" } do
+    kill(name)
+    start(name)
+end
 local back = bringBack "north"
 waitForVersion(back, deployment.daemons)
 callResult "crews"
--- a/tests/scenarios/drainanddeath.lua
+++ b/tests/scenarios/drainanddeath.lua
@@ -13,9 +13,8 @@
 start "b2"
 callResult "crews"
 callResult "contractors"
-for _, agent in ipairs { "agent-board-1", "agent-filing-1" } do
-    expect(waitExit(agent, 20000) == 0, agent .. " to leave by itself")
-end
+waitLeft "agent-board-1"
+waitLeft "agent-filing-1"
 local summary = check()
 expect(summary.broken == 0 and summary.givenUp == 0, "no flow to be cut")
 expect(summary.outcomeUnknown == 0, "every outcome to be known")
--- a/tests/scenarios/runner/relay.cpp
+++ b/tests/scenarios/runner/relay.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <set>
 
@@ -11,6 +12,7 @@
 
     using asio::ip::tcp;
 
+    constexpr auto holdInterval = std::chrono::milliseconds(20);
     constexpr std::size_t bufferBytes = std::size_t { 64 } * 1024;
 
     struct Connection : std::enable_shared_from_this<Connection> {
@@ -29,14 +31,19 @@
             std::array<char, bufferBytes> buffer {};
         };
 
-        Connection(tcp::socket client, asio::io_context& context)
+        Connection(tcp::socket client, asio::io_context& context, std::shared_ptr<const bool> held)
             : near(std::move(client))
             , far(context)
+            , isHeld(std::move(held))
         {
         }
 
         void pass(End& from, End& to)
         {
+            if (*isHeld) {
+                wait(from, to);
+                return;
+            }
             from.socket.async_read_some(asio::buffer(from.buffer), [self = shared_from_this(), &from, &to](asio::error_code error, std::size_t size) {
                 if (error)
                     self->end();
@@ -47,6 +54,15 @@
             });
         }
 
+        void wait(End& from, End& to)
+        {
+            const auto timer = std::make_shared<asio::steady_timer>(from.socket.get_executor(), holdInterval);
+            timer->async_wait([self = shared_from_this(), timer, &from, &to](asio::error_code) {
+                if (!self->isEnded)
+                    self->pass(from, to);
+            });
+        }
+
         void forward(End& from, End& to, std::size_t size)
         {
             asio::async_write(to.socket, asio::buffer(from.buffer.data(), size), [self = shared_from_this(), &from, &to](asio::error_code error, std::size_t) {
@@ -78,6 +94,7 @@
 
         End near;
         End far;
+        std::shared_ptr<const bool> isHeld;
         bool isSilent = false;
         bool isEnded = false;
     };
@@ -97,7 +114,7 @@
         acceptor.async_accept([self = shared_from_this()](asio::error_code error, tcp::socket socket) {
             if (error)
                 return;
-            self->connect(std::make_shared<Connection>(std::move(socket), self->context));
+            self->connect(std::make_shared<Connection>(std::move(socket), self->context, self->isHeld));
             self->accept();
         });
     }
@@ -122,6 +139,7 @@
     asio::io_context& context;
     tcp::acceptor acceptor;
     tcp::endpoint target;
+    std::shared_ptr<bool> isHeld = std::make_shared<bool>(false);
     std::set<std::shared_ptr<Connection>> connections;
 };
 
@@ -156,6 +174,11 @@
     m_d->connections.clear();
 }
 
+void Relay::hold(bool isHeld)
+{
+    *m_d->isHeld = isHeld;
+}
+
 std::size_t Relay::connectionCount() const
 {
     std::size_t count = 0;
--- a/tests/scenarios/runner/relay.h
+++ b/tests/scenarios/runner/relay.h
@@ -22,6 +22,9 @@
     /// Resets the connections open now; new ones work.
     void cut();
 
+    /// While held, nothing passes in either direction, on any connection; afterwards all of it does.
+    void hold(bool isHeld);
+
     std::size_t connectionCount() const;
 
 private:
--- a/tests/scenarios/runner/scenario.cpp
+++ b/tests/scenarios/runner/scenario.cpp
@@ -182,6 +182,12 @@
         return true;
     }
 
+    json hold(const json& arguments)
+    {
+        relays.at(arguments.at("id"))->hold(arguments.at("held"));
+        return true;
+    }
+
     json connections(const json& arguments) { return relays.at(arguments.at("id"))->connectionCount(); }
 
     /// Starts a change of configuration: a whole `config`, or `dataCentre` with `out`.
@@ -309,6 +315,7 @@
         { "relay", &Private::relay },
         { "silence", &Private::silence },
         { "cut", &Private::cut },
+        { "hold", &Private::hold },
         { "connections", &Private::connections },
         { "change", &Private::change },
         { "changed", &Private::changed },
--- a/tests/scenarios/verbs.lua
+++ b/tests/scenarios/verbs.lua
@@ -44,6 +44,15 @@
 function silence(relay) perform("silence", { id = relay.id }) end
 function cut(relay) perform("cut", { id = relay.id }) end
 
+-- Holds back everything that passes a relay, until told to let it go.
+function hold(relay, held) perform("hold", { id = relay.id, held = held }) end
+
+-- Faults of the fabric: duplicate, drop (parts of the packets), delayMs (a random delay up to it).
+function fabric(faults)
+    local reply = perform("http", { port = deployment.fabricControl, method = "POST", path = "/faults", body = faults })
+    expect(reply and reply.status == 200, "the fabric to take its faults")
+end
+
 function status(name)
     local reply = perform("http", { port = known[name].admin, path = "/status" })
     return reply and reply.body
@@ -121,6 +130,12 @@
     return lines[#lines] or ""
 end
 
+-- Waits until a daemon that was told to stop has left by itself and well.
+function waitLeft(name, limit)
+    local code = waitExit(name, limit or 20000)
+    expect(code == 0, name .. " to leave with exit code 0, not " .. code)
+end
+
 -- Waits until a caller is done; yields its summary.
 function callResult(name, limit)
     expect(waitExit(name, limit or 40000) == 0, name .. " to end well")
@@ -210,7 +225,8 @@
 end
 
 -- A whole deployment: spec.services by name with count, slots and flags of their upstreams, which take turns over the
--- data centres; spec.relays puts a relay before each balancer. Returns when every daemon is linked.
+-- data centres; spec.relays puts a relay before each balancer, spec.slowPlatform names the balancer that gets one before
+-- the platform. Returns when every daemon is linked.
 function deploy(spec)
     deployment = {
         folder = perform("folder"), platform = perform("port"), services = {}, dataCentres = spec.dataCentres or { "north", "south", "east" },
@@ -226,7 +242,8 @@
         service.address = "10.0.0." .. number .. ":443"
         deployment.services[service.name] = service
         table.insert(config.services, {
-            name = service.name, address = service.address, dataCentres = deployment.dataCentres, slots = service.slots, warmUpMs = 500,
+            name = service.name, address = service.address, dataCentres = deployment.dataCentres, slots = service.slots,
+            warmUpMs = service.warmUpMs or 500,
         })
     end
     deployment.config = config
@@ -241,7 +258,12 @@
     local ports = {}
     for index = 1, spec.balancers or 3 do
         local name = "b" .. index
-        startDaemon({ name = name, role = "balancer", dataCentre = deployment.dataCentres[(index - 1) % #deployment.dataCentres + 1] })
+        local relay = spec.slowPlatform == name and perform("relay", { to = deployment.platform })
+        deployment.relays.platform = relay or deployment.relays.platform
+        startDaemon({
+            name = name, role = "balancer", platform = relay and relay.port,
+            dataCentre = deployment.dataCentres[(index - 1) % #deployment.dataCentres + 1],
+        })
         table.insert(deployment.balancers, name)
         local port = known[name].port
         if spec.relays then
