--- /dev/null
+++ b/tests/scenarios/chaos.lua
@@ -0,0 +1,96 @@
+-- An ordinary bad quarter of an hour in twenty seconds: balancers, agents with their upstreams, and platform with operators
+-- each have their own run of failures, which meet as the seed has it. At every moment one balancer works. Whatever
+-- meets, end users may lose what was at a failed or taken out upstream and nothing else, and each promise holds.
+math.randomseed(seed)
+local runFor = 16000
+deploy { relays = true, services = {
+    { name = "board", count = 6, slots = 5, warmUpMs = 3000, flags = { cold_for_ms = 1000 } },
+    { name = "filing", count = 3, slots = 5, warmUpMs = 3000, flags = { cold_for_ms = 1000, filing_ms = 300 } },
+} }
+call { name = "crews", service = "board", seed = seed, load = { feeds = 12, flows = 12, queries_per_second = 60, seconds = runFor / 1000 + 2 } }
+for number = 1, 2 do
+    call { name = "contractors-" .. number, service = "filing", seed = 100 * seed + number, load = {
+        filings = 30, filing_bytes = 200000, seconds = runFor / 1000 + 1 } }
+end
+
+local function sleep(from, to)
+    local wakeAt = now() + math.random(from, to)
+    while now() < wakeAt do coroutine.yield() end
+end
+
+-- Goes on at the next turn after the condition holds; a condition that does not come is left to the checks at the end.
+local function await(condition)
+    local deadline = now() + 10000
+    while not condition() and now() < deadline do coroutine.yield() end
+end
+
+local function pick(list) return list[math.random(#list)] end
+local function isUp(name) return function() return status(name) ~= nil end end
+
+local function upstreamNames()
+    local names = {}
+    for _, service in ipairs { "board", "filing" } do
+        for index = 1, deployment.services[service].count do table.insert(names, service .. "-" .. index) end
+    end
+    return names
+end
+
+local balancerFailures = {
+    function(name) kill(name) sleep(200, 1500) start(name) end,
+    function(name) freeze(name) sleep(500, 3500) thaw(name) end,
+    function(name) stop(name) await(function() return exitCode(name) end) start(name) end,
+    function(name) silence(deployment.relays[name]) sleep(2500, 3500) end,
+    function(name) cut(deployment.relays[name]) end,
+}
+
+local upstreamFailures = {
+    function(name) kill("agent-" .. name) sleep(100, 1500) start("agent-" .. name) await(isUp("agent-" .. name)) end,
+    function(name) freeze("agent-" .. name) sleep(300, 5000) thaw("agent-" .. name) end,
+    function(name) kill(name) sleep(0, 500) start(name) end,
+}
+
+local platformFailures = {
+    function() platform { down = true } sleep(500, 4000) platform {} end,
+    function() platform { down = true, hang = true } sleep(500, 4000) platform {} end,
+    function() platform { delayMs = 300 } sleep(500, 3000) platform {} end,
+    function()
+        local dataCentre = pick(deployment.dataCentres)
+        for _, out in ipairs { true, false } do
+            local id
+            -- An operator tries again until it is accepted.
+            await(function()
+                id = id or startChange { dataCentre = dataCentre, out = out }
+                local result = perform("changed", { id = id })
+                if result and result.outcome ~= "none" then id = nil end
+                return result and result.outcome == "none"
+            end)
+            sleep(1500, 5000)
+        end
+    end,
+}
+
+local function track(failures, name)
+    return coroutine.create(function()
+        while true do
+            sleep(100, 1200)
+            pick(failures)(name())
+        end
+    end)
+end
+
+local tracks = {
+    track(balancerFailures, function() return pick(deployment.balancers) end),
+    track(upstreamFailures, function() return pick(upstreamNames()) end),
+    track(platformFailures, function() end),
+}
+local endAt = now() + runFor
+while now() < endAt do
+    for _, one in ipairs(tracks) do
+        local ok, message = coroutine.resume(one)
+        if not ok then error(message) end
+    end
+    pump(20)
+end
+callResult "crews"
+for number = 1, 2 do callResult("contractors-" .. number) end
+expect(check().doubleRuns == 0, "no Filing to run twice")
--- a/tests/scenarios/runner/main.cpp
+++ b/tests/scenarios/runner/main.cpp
@@ -11,6 +11,8 @@
 
 ABSL_FLAG(std::string, folder, "", "where histories, settings and logs go; a temporary one, removed after a pass, when empty");
 
+ABSL_FLAG(int, seed, 1, "the global `seed` of the script");
+
 using namespace kingcuptrail;
 
 namespace {
@@ -51,6 +53,8 @@
     lua_pushlightuserdata(lua, &scenario);
     lua_pushcclosure(lua, perform, 1);
     lua_setglobal(lua, "perform");
+    lua_pushinteger(lua, absl::GetFlag(FLAGS_seed));
+    lua_setglobal(lua, "seed");
     lua_pushcfunction(lua, explain);
     const bool passed = luaL_loadfile(lua, SCENARIO_FOLDER "/verbs.lua") == LUA_OK && lua_pcall(lua, 0, 0, 1) == LUA_OK
         && luaL_loadfile(lua, script.c_str()) == LUA_OK && lua_pcall(lua, 0, 0, 1) == LUA_OK;
