--- a/src/kingcuptraild/balancer/balancer.cpp
+++ b/src/kingcuptraild/balancer/balancer.cpp
@@ -92,6 +92,7 @@
 
 void Balancer::handlePresence(const std::vector<Presence>& presences)
 {
+    m_hasHeardPresences = true;
     m_members.setPresences(presences);
     reconcileConnections();
 }
@@ -145,6 +146,8 @@
                 return wire::GoodbyeReason::ShuttingDown;
             if (isOwnDataCentreOut())
                 return wire::GoodbyeReason::DataCentreOut;
+            if (!knowsTheWay())
+                return wire::GoodbyeReason::NotExpected;
             return std::nullopt;
         },
         .onUp = [this](PeerLink& peer) {
@@ -344,6 +347,14 @@
     });
 }
 
+// A balancer that starts while the platform is down knows no service and no agent. Were it to join, the fabric would
+// spray its share of all packets over it: they would vanish, and flows would be reset as of an unknown service. The
+// fabric tries again soon, and the other balancers take every packet until then.
+bool Balancer::knowsTheWay() const
+{
+    return m_role.config.version() != 0 && m_hasHeardPresences;
+}
+
 Millis Balancer::heartbeatPause() const
 {
     return heartbeatInterval(m_members.linkedCount() + m_fabrics.size(), { .baseInterval = m_role.settings.heartbeat });
--- a/src/kingcuptraild/balancer/balancer.h
+++ b/src/kingcuptraild/balancer/balancer.h
@@ -72,6 +72,7 @@
     void forwardToUpstream(UpstreamId upstream, std::span<const std::uint8_t> raw);
 
     bool isOwnDataCentreOut() const;
+    bool knowsTheWay() const;
     void leaveFabric(wire::GoodbyeReason reason);
     void finishLeaving(std::function<void()> done);
     Millis heartbeatPause() const;
@@ -85,6 +86,7 @@
     PlaceOptions m_placeOptions;
     EnumCounters<PacketRoute> m_routes;
     EnumCounters<RefusalReason> m_resets;
+    bool m_hasHeardPresences = false;
     bool m_isLeaving = false;
 };
 
--- a/tests/scenarios/chaos.lua
+++ b/tests/scenarios/chaos.lua
@@ -7,10 +7,10 @@
     { name = "board", count = 6, slots = 5, warmUpMs = 3000, flags = { cold_for_ms = 1000 } },
     { name = "filing", count = 3, slots = 5, warmUpMs = 3000, flags = { cold_for_ms = 1000, filing_ms = 300 } },
 } }
-call { name = "crews", service = "board", seed = seed, load = { feeds = 12, flows = 12, queries_per_second = 60, seconds = runFor / 1000 + 2 } }
+call { name = "crews", service = "board", seed = seed, load = { feeds = 12, flows = 12, queries_per_second = 60, seconds = runFor / 1000 + 4 } }
 for number = 1, 2 do
     call { name = "contractors-" .. number, service = "filing", seed = 100 * seed + number, load = {
-        filings = 30, filing_bytes = 200000, seconds = runFor / 1000 + 1 } }
+        filings = 30, filing_bytes = 200000, seconds = runFor / 1000 + 4 } }
 end
 
 local function sleep(from, to)
@@ -69,11 +69,13 @@
     end,
 }
 
+local endAt = now() + runFor
+
 local function track(failures, name)
     return coroutine.create(function()
-        while true do
-            sleep(100, 1200)
+        while now() < endAt do
             pick(failures)(name())
+            sleep(100, 1200)
         end
     end)
 end
@@ -83,11 +85,11 @@
     track(upstreamFailures, function() return pick(upstreamNames()) end),
     track(platformFailures, function() end),
 }
-local endAt = now() + runFor
-while now() < endAt do
-    for _, one in ipairs(tracks) do
-        local ok, message = coroutine.resume(one)
+while #tracks > 0 do
+    for index = #tracks, 1, -1 do
+        local ok, message = coroutine.resume(tracks[index])
         if not ok then error(message) end
+        if coroutine.status(tracks[index]) == "dead" then table.remove(tracks, index) end
     end
     pump(20)
 end
--- a/tests/scenarios/platformdown.lua
+++ b/tests/scenarios/platformdown.lua
@@ -1,6 +1,6 @@
 -- The platform's store goes down for longer than any lease. Feeds and Filings must go on, since no daemon needs it to
--- carry a packet. Meanwhile a balancer is replaced and knows nothing: it must join by its peers or when the store is
--- back, and must not lose what is handed to it. An older configuration must not return.
+-- carry a packet. Meanwhile a balancer is replaced and knows nothing: until it does it must take no packet, or it would
+-- lose what is handed to it, and it must join when the store is back. An older configuration must not return.
 deploy { services = { { name = "board", count = 3, slots = 5 }, { name = "filing", count = 2, slots = 5 } } }
 call { name = "crews", service = "board", load = { feeds = 6, flows = 6, queries_per_second = 30, seconds = 12 } }
 call { name = "contractors", service = "filing", seed = 4, load = { filings = 24, filing_bytes = 200000, seconds = 12 } }
@@ -12,6 +12,7 @@
 kill "b3"
 start "b3"
 waitForEvents("contractors", "requestSent", 17)
+expect(status("b3") and not balancersUp()[3], "a balancer that knows nobody to get no packets")
 platform {}
 waitUntilReady()
 waitForVersion(version, deployment.balancers)
--- a/tests/scenarios/verbs.lua
+++ b/tests/scenarios/verbs.lua
@@ -194,11 +194,16 @@
     })
 end
 
-local function isReady()
+-- For each balancer whether the fabric gives it packets.
+function balancersUp()
     local reply = perform("http", { port = deployment.fabricControl, path = "/status" })
-    if not reply then return false end
-    for _, up in ipairs(reply.body.balancersUp) do
-        if not up then return false end
+    return reply and reply.body.balancersUp or {}
+end
+
+local function isReady()
+    local up = balancersUp()
+    for index = 1, #deployment.balancers do
+        if not up[index] then return false end
     end
     for _, name in ipairs(deployment.balancers) do
         local seen = status(name)
