--- a/src/libcaller/caller.cpp
+++ b/src/libcaller/caller.cpp
@@ -93,6 +93,7 @@
     void finish(CallId id, CallOutcome outcome);
     void scheduleCall(CallId id, const Call& call);
 
+    void handleLinkUp();
     void handlePacket(const wire::Packet& packet);
     void handleMessage(const wire::Message& message);
     template <typename Body, typename Take>
@@ -135,7 +136,7 @@
     , handlers(std::move(callerHandlers))
     , random(callerOptions.seed ? callerOptions.seed ^ bodyHashOf(callerOptions.name) : std::random_device()())
     , source(random() | 1)
-    , link(ioContext, { .fabric = options.fabric, .source = source, .name = options.name }, { .onUp = [] {}, .onPacket = [this](const wire::Packet& packet) { handlePacket(packet); } })
+    , link(ioContext, { .fabric = options.fabric, .source = source, .name = options.name }, { .onUp = [this] { handleLinkUp(); }, .onPacket = [this](const wire::Packet& packet) { handlePacket(packet); } })
     , timer(ioContext)
 {
 }
@@ -332,6 +333,16 @@
         asio::post(context, [onDone = std::move(call.handlers.onDone), result = std::move(result)]() mutable { onDone(std::move(result)); });
 }
 
+void Caller::Private::handleLinkUp()
+{
+    const Millis now = clock.now();
+    for (const auto& [id, flow] : flows) {
+        flow->flow.handlePathUp(now);
+        flowWakes.set(id, flow->flow.nextDue());
+    }
+    arm();
+}
+
 void Caller::Private::handlePacket(const wire::Packet& packet)
 {
     Flow* flow = findFlow(packet.flow());
--- a/src/libcaller/callerflow.cpp
+++ b/src/libcaller/callerflow.cpp
@@ -130,6 +130,12 @@
     return m_state != FlowState::Ended && m_endpoint.send(std::move(payload));
 }
 
+void CallerFlow::handlePathUp(Millis now)
+{
+    m_openDue = now;
+    m_openResend = m_options.openResend;
+}
+
 void CallerFlow::close()
 {
     if (m_state == FlowState::Open)
--- a/src/libcaller/callerflow.h
+++ b/src/libcaller/callerflow.h
@@ -104,6 +104,9 @@
     /// When takeDue() must be called at the latest, if nothing else happens; nothing once the flow has ended.
     std::optional<Millis> nextDue() const;
 
+    /// Says that the path has come back: an open packet that was lost with it is repeated at once.
+    void handlePathUp(Millis now);
+
     /// Ends the flow; its owner is told by the frames of the next takeDue().
     void close();
 
--- a/tests/standins/caller/workload.cpp
+++ b/tests/standins/caller/workload.cpp
@@ -177,7 +177,8 @@
 {
     m_outcomes.increment(result.outcome);
     m_finalReasons.increment(result.reason);
-    m_latency.record(static_cast<double>(result.elapsed));
+    if (result.outcome == CallOutcome::AnswerWhole)
+        m_latency.record(static_cast<double>(result.elapsed));
     event.kind = kindOf(result.outcome);
     event.reason = result.reason;
     event.detail = "tries=" + std::to_string(result.tries);
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -20,7 +20,7 @@
     trap - EXIT INT TERM
     local name tries
     for name in "${!pids[@]}"; do kill -TERM "${pids[$name]}" 2> /dev/null || true; done
-    for tries in $(seq 30); do
+    for tries in $(seq 60); do
         any_running || break
         sleep 0.1
     done
@@ -128,7 +128,8 @@
     balancers+="${balancers:+,}127.0.0.1:${balancer_ports[$index]}"
     start_balancer $index "${data_centres[$((index - 1))]}"
 done
-start fabric "$standins/fabric/standin_fabric" --balancers="$balancers" --seed=7
+start fabric "$standins/fabric/standin_fabric" --balancers="$balancers" --seed=7 \
+    --duplicate=0.01 --drop=0.001 --delay_ms=2
 fabric_port="$(port_of fabric)"
 
 cat > "$work/config.json" << 'EOF'
