--- a/src/kingcuptraild/adminendpoint.cpp
+++ b/src/kingcuptraild/adminendpoint.cpp
@@ -25,6 +25,11 @@
         onFailure(ChildFailure::BindFailed);
 }
 
+std::optional<asio::ip::tcp::endpoint> AdminEndpoint::localEndpoint() const
+{
+    return m_server ? std::optional(m_server->localEndpoint()) : std::nullopt;
+}
+
 HttpResponse AdminEndpoint::answer(const HttpRequest& request) const
 {
     if (request.method != "GET")
--- a/src/kingcuptraild/adminendpoint.h
+++ b/src/kingcuptraild/adminendpoint.h
@@ -4,6 +4,7 @@
 #include "libruntime/supervisor.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace kingcuptrail {
@@ -18,6 +19,9 @@
 
     AdminEndpoint(asio::io_context& context, const asio::ip::tcp::endpoint& endpoint, Sources sources, const FailureHandler& onFailure);
 
+    /// Where it answers; nothing when binding failed.
+    std::optional<asio::ip::tcp::endpoint> localEndpoint() const;
+
 private:
     HttpResponse answer(const HttpRequest& request) const;
 
--- a/src/kingcuptraild/daemon.cpp
+++ b/src/kingcuptraild/daemon.cpp
@@ -58,10 +58,7 @@
 {
     logEvent(Event::DaemonStarted, { { "role", nameOf(m_settings.role) }, { "dataCentre", m_settings.dataCentre }, { "pid", static_cast<std::uint64_t>(getpid()) } });
     m_role = makeRole(m_roleContext);
-    m_root.add({ .name = "admin", .make = [this](const FailureHandler& onFailure) {
-                    return std::make_unique<AdminEndpoint>(m_context, m_settings.admin,
-                        AdminEndpoint::Sources { .status = [this] { return status(); }, .metrics = [this] { return metrics(); } }, onFailure);
-                } });
+    m_root.add({ .name = "admin", .make = [this](const FailureHandler& onFailure) { return makeAdminEndpoint(onFailure); } });
     m_root.add({ .name = "registration", .make = [this](const FailureHandler&) { return std::make_unique<Registration>(m_roleContext); } });
     waitForSignal();
     m_context.run();
@@ -69,6 +66,15 @@
     return m_exitCode;
 }
 
+std::unique_ptr<AdminEndpoint> Daemon::makeAdminEndpoint(const FailureHandler& onFailure)
+{
+    AdminEndpoint::Sources sources { .status = [this] { return status(); }, .metrics = [this] { return metrics(); } };
+    auto endpoint = std::make_unique<AdminEndpoint>(m_context, m_settings.admin, std::move(sources), onFailure);
+    // With port 0 the host chooses: the registration must name that port, and a restarted endpoint come back at it.
+    m_settings.admin = endpoint->localEndpoint().value_or(m_settings.admin);
+    return endpoint;
+}
+
 void Daemon::waitForSignal()
 {
     m_signals.async_wait([this](asio::error_code error, int) {
--- a/src/kingcuptraild/daemon.h
+++ b/src/kingcuptraild/daemon.h
@@ -10,6 +10,8 @@
 
 namespace kingcuptrail {
 
+class AdminEndpoint;
+
 /// One daemon process: the root of the supervisor tree, its role, its administration endpoint and its signals.
 class Daemon {
 public:
@@ -23,6 +25,7 @@
     int run();
 
 private:
+    std::unique_ptr<AdminEndpoint> makeAdminEndpoint(const FailureHandler& onFailure);
     void waitForSignal();
     void stop(int exitCode);
     std::string status() const;
