--- a/src/libcaller/caller.cpp
+++ b/src/libcaller/caller.cpp
@@ -35,6 +35,8 @@
         /// When the next try starts; nothing while one is under way.
         std::optional<Millis> retryAt;
         bool retryOnNewFlow = false;
+        /// Whether the flow of the try under way was found suspect; decided on once.
+        bool sawSuspect = false;
         RefusalReason lastReason = RefusalReason::None;
         Millis lastRetryAfter = 0;
         OwnerToken lastOwner;
@@ -95,6 +97,8 @@
     void startTry(CallId id, Call& call);
     FlowId flowForTry(Call& call);
     void endTry(CallId id, Call& call, const AttemptResult& result);
+    bool tryAgain(CallId id, Call& call, const AttemptResult& result, bool tellUpstream);
+    void leaveSuspect(Flow& flow);
     void leaveFlow(CallId id, Call& call, bool tellUpstream);
     void giveUp(CallId id, bool byDeadline);
     void finish(CallId id, CallOutcome outcome);
@@ -110,6 +114,7 @@
 
     void pump(Flow& flow);
     void queueMessages(Flow& flow);
+    void sendDue(Flow& flow);
     void handleFlowEnd(Flow& flow);
     void arm();
     void handleDue();
@@ -192,8 +197,12 @@
 {
     auto& shared = sharedFlows[service];
     std::erase_if(shared, [this](FlowId id) {
-        const Flow* flow = findFlow(id);
-        return !flow || flow->isRetiring || flow->flow.state() == FlowState::Ended;
+        Flow* flow = findFlow(id);
+        if (!flow || flow->flow.state() == FlowState::Ended)
+            return true;
+        flow->isRetiring = flow->isRetiring || flow->flow.isSuspect();
+        retireIfUnused(*flow);
+        return flow->isRetiring;
     });
     if (shared.size() >= std::max<std::size_t>(options.sharedFlows, 1))
         return shared[nextShared++ % shared.size()];
@@ -221,9 +230,9 @@
 FlowId Caller::Private::flowForTry(Call& call)
 {
     call.ownsFlow = false;
-    const auto isUsable = [this](FlowId id) {
+    const auto isUsable = [&](FlowId id) {
         const Flow* flow = findFlow(id);
-        return flow && !flow->isRetiring && flow->flow.state() != FlowState::Ended;
+        return flow && !flow->isRetiring && flow->flow.state() != FlowState::Ended && !(call.progress.idempotent && flow->flow.isSuspect());
     };
     if (call.retryOnNewFlow) {
         call.ownsFlow = true;
@@ -237,6 +246,7 @@
 void Caller::Private::startTry(CallId id, Call& call)
 {
     call.retryAt.reset();
+    call.sawSuspect = false;
     call.flow = flowForTry(call);
     call.requestId = nextRequest++;
     const Millis left = call.progress.deadline - clock.now();
@@ -287,22 +297,44 @@
     counters.refusals.increment(result.reason);
     call.lastReason = result.reason;
     call.lastRetryAfter = result.retryAfter;
-    const Flow* flow = findFlow(call.flow);
+    Flow* flow = findFlow(call.flow);
     call.lastOwner = flow ? flow->flow.owner() : OwnerToken {};
-    if (flow && isOwnerUseless(result.reason))
-        flows[call.flow]->isRetiring = true;
+    if (flow && result.reason == RefusalReason::UpstreamDraining)
+        flow->isRetiring = true;
+    if (tryAgain(id, call, result, false))
+        return;
     leaveFlow(id, call, false);
+    finish(id, outcomeAfter(call.progress, result));
+}
+
+bool Caller::Private::tryAgain(CallId id, Call& call, const AttemptResult& result, bool tellUpstream)
+{
     const Millis now = clock.now();
     const RetryVerdict verdict = noteTryEnd(call.progress, budget, options.retry, result, call.lastOwner, now);
     counters.retries.increment(verdict.reason);
-    if (!verdict.retry) {
-        finish(id, outcomeAfter(call.progress, result));
-        return;
-    }
+    if (!verdict.retry)
+        return false;
+    leaveFlow(id, call, tellUpstream);
     call.retryAt = now + verdict.delay;
     call.retryOnNewFlow = verdict.newFlow;
     call.sender.reset();
     scheduleCall(id, call);
+    return true;
+}
+
+// Load: a few flows that have gone silent while new ones work.
+// Harm: a query that waits until its flow is given up misses its deadline; one tried elsewhere at once, at every late
+// packet, would double the load of a system that is merely slow.
+// Limit: idempotent requests with an ordinary answer only, after more silence than the resends over the other balancers
+// need, and out of the retry budget. Without a retry the call goes on waiting.
+void Caller::Private::leaveSuspect(Flow& flow)
+{
+    for (const CallId id : std::set<CallId>(flow.calls)) {
+        Call& call = calls[id];
+        if (!call.progress.idempotent || call.request->stream || std::exchange(call.sawSuspect, true))
+            continue;
+        tryAgain(id, call, attemptLostWithFlow(RefusalReason::FlowSilent, 0, true), true);
+    }
 }
 
 // The end user gets the result now, not when the flow or the upstream has got round to it: whatever arrives later finds
@@ -446,17 +478,27 @@
     }
 }
 
-void Caller::Private::pump(Flow& flow)
+void Caller::Private::sendDue(Flow& flow)
 {
-    const FlowId id = flow.flow.id();
     // Nothing is queued before an owner is known, so a flow that nobody took has carried nothing.
-    if (flow.flow.state() == FlowState::Open) {
-        if (!std::exchange(flow.wasOpen, true) && handlers.onFlowOpened)
-            asio::post(context, [onFlowOpened = handlers.onFlowOpened, id, owner = flow.flow.owner()] { onFlowOpened(id, owner); });
+    if (flow.flow.state() == FlowState::Open)
         queueMessages(flow);
-    }
     for (Bytes& frame : flow.flow.takeDue(clock.now()))
         link.send(std::move(frame));
+}
+
+void Caller::Private::pump(Flow& flow)
+{
+    const FlowId id = flow.flow.id();
+    if (flow.flow.state() == FlowState::Open && !std::exchange(flow.wasOpen, true)) {
+        if (handlers.onFlowOpened)
+            asio::post(context, [onFlowOpened = handlers.onFlowOpened, id, owner = flow.flow.owner()] { onFlowOpened(id, owner); });
+    }
+    sendDue(flow);
+    if (flow.flow.isSuspect()) {
+        leaveSuspect(flow);
+        sendDue(flow);
+    }
     flowWakes.set(id, flow.flow.nextDue());
     if (flow.flow.state() == FlowState::Ended)
         handleFlowEnd(flow);
--- a/src/libcaller/callerflow.cpp
+++ b/src/libcaller/callerflow.cpp
@@ -93,6 +93,7 @@
     if (!isOwners)
         return;
     m_waitingSince.reset();
+    m_isSuspect = false;
     m_probeDue = now + m_options.probeInterval;
     m_endpoint.acknowledge(packet.acknowledged(), now);
     if (m_endpoint.unacknowledged() > 0)
@@ -194,7 +195,8 @@
 // shows only as missing answers: an idle flow must ask for them, and one that gets none is given up after a while.
 void CallerFlow::takeProbe(std::vector<Bytes>& frames, Millis now)
 {
-    if (m_waitingSince && now - *m_waitingSince >= m_options.silenceLimit) {
+    m_isSuspect = m_waitingSince && now - *m_waitingSince >= m_options.suspectAfter;
+    if (m_isSuspect && now - *m_waitingSince >= m_options.silenceLimit) {
         finish(CallerFlowEnd::Silent);
         return;
     }
@@ -227,7 +229,7 @@
     if (const auto segment = m_endpoint.nextDue())
         due = std::min(due, *segment);
     if (m_waitingSince)
-        due = std::min(due, *m_waitingSince + m_options.silenceLimit);
+        due = std::min(due, *m_waitingSince + (m_isSuspect ? m_options.silenceLimit : m_options.suspectAfter));
     return due;
 }
 
--- a/src/libcaller/callerflow.h
+++ b/src/libcaller/callerflow.h
@@ -75,6 +75,8 @@
     /// How long nothing may be heard after something was sent that asks for an answer. Must be longer than the system
     /// needs to notice and replace a dead link, so that only a flow nobody knows any more is given up.
     Millis silenceLimit = 6000;
+    /// The same, after which the flow is suspect: it goes on, but short work is better tried elsewhere.
+    Millis suspectAfter = 1500;
     /// How long open packets may stay unanswered.
     Millis openLimit = 6000;
     /// Wait before the first repetition of an open packet; doubled each time up to the longest.
@@ -114,6 +116,8 @@
     ServiceAddress service() const { return m_options.service; }
     FlowState state() const { return m_state; }
     CallerFlowEnd end() const { return m_end; }
+    /// Whether an answer of any kind has been missing for long, as of the last takeDue().
+    bool isSuspect() const { return m_isSuspect; }
     /// The reason given by the reset that ended the flow.
     RefusalReason lastReason() const { return m_lastReason; }
     /// How long the reset asks to wait before a new flow is opened, in milliseconds.
@@ -147,6 +151,7 @@
     Millis m_probeDue = 0;
     /// Since when an answer of any kind is missing.
     std::optional<Millis> m_waitingSince;
+    bool m_isSuspect = false;
 };
 
 /// The frame that tells the sender of `packet` that this flow is not wanted here any more.
--- a/tests/caller/testcaller.cpp
+++ b/tests/caller/testcaller.cpp
@@ -59,6 +59,8 @@
 
     void packet(FlowId id, wire::PacketKind kind, wire::PacketT packet = {})
     {
+        if (id == silent)
+            return;
         packet.kind = kind;
         packet.flow = id;
         packet.source = flows[id].source;
@@ -77,6 +79,8 @@
 
     std::map<FlowId, Flow> flows;
     std::vector<FlowId> closed;
+    /// A flow that hears and says nothing any more.
+    FlowId silent = 0;
     std::function<void(FlowId, const wire::Message&)> script;
 
 private:
@@ -137,6 +141,7 @@
     CPPUNIT_TEST(lostFilingIsSentAgainWithItsEarlierOwner);
     CPPUNIT_TEST(refusedRequestGoesToAnotherFlow);
     CPPUNIT_TEST(queryDoesNotWaitBehindAnUpload);
+    CPPUNIT_TEST(queryLeavesASilentFlow);
     CPPUNIT_TEST(deadlineEndsACall);
     CPPUNIT_TEST_SUITE_END();
 
@@ -291,6 +296,24 @@
         CPPUNIT_ASSERT(uploadedBeforeQuery < size / 2);
     }
 
+    // Something between the two ends has lost track of a crew's flow while new ones work. Its query must not wait until
+    // the flow is given up, which takes longer than the query's deadline.
+    void queryLeavesASilentFlow()
+    {
+        m_agent->script = [&](FlowId flow, const wire::Message& message) {
+            const auto* head = message.body_as_RequestHead();
+            if (head && m_agent->silent == 0)
+                m_agent->silent = flow;
+            else if (head)
+                m_agent->answer(flow, head->request(), "open");
+        };
+        call({ .key = "query" });
+        await([this] { return m_results.contains("query"); });
+        CPPUNIT_ASSERT_EQUAL(std::string("open"), m_results["query"].body);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t { 2 }, m_results["query"].tries);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 0 }, m_caller->counters().flowEnds.count(CallerFlowEnd::Silent));
+    }
+
     void deadlineEndsACall()
     {
         m_agent->script = [](FlowId, const wire::Message&) {};
--- a/tests/standins/caller/main.cpp
+++ b/tests/standins/caller/main.cpp
@@ -42,6 +42,8 @@
         .seed = absl::GetFlag(FLAGS_seed),
         .probeInterval = absl::GetFlag(FLAGS_probe_ms),
         .silenceLimit = absl::GetFlag(FLAGS_silence_ms),
+        // It stands for many end users, each of whom has a retry budget of their own.
+        .retry = { .burst = RetryOptions().burst * static_cast<double>(1 + absl::GetFlag(FLAGS_feeds) + absl::GetFlag(FLAGS_flows)) },
         .nameEarlierOwners = absl::GetFlag(FLAGS_name_earlier_owners),
     };
     const WorkloadOptions options {
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -156,7 +156,7 @@
         --service_name="$service" --seed="$seed" --seconds=$load_seconds --history="$work/$name.history" "$@"
 }
 start_caller caller-crews board 10.0.0.1:443 11 --feeds=70 --flows=70 --queries_per_second=100
-start_caller caller-contractors intake 10.0.0.2:443 12 --flows=30 --filings=40 --filing_bytes=2097152
+start_caller caller-contractors intake 10.0.0.2:443 12 --flows=30 --filings=120 --filing_bytes=2097152
 
 watch 4
 say "killing balancer-2"
