--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -20,7 +20,7 @@
     trap - EXIT INT TERM
     local name tries
     for name in "${!pids[@]}"; do kill -TERM "${pids[$name]}" 2> /dev/null || true; done
-    for tries in $(seq 30); do
+    for tries in $(seq 60); do
         any_running || break
         sleep 0.1
     done
@@ -128,7 +128,8 @@
     balancers+="${balancers:+,}127.0.0.1:${balancer_ports[$index]}"
     start_balancer $index "${data_centres[$((index - 1))]}"
 done
-start fabric "$standins/fabric/standin_fabric" --balancers="$balancers" --seed=7
+start fabric "$standins/fabric/standin_fabric" --balancers="$balancers" --seed=7 \
+    --duplicate=0.01 --drop=0.001 --delay_ms=2
 fabric_port="$(port_of fabric)"
 
 cat > "$work/config.json" << 'EOF'
@@ -155,7 +156,7 @@
         --service_name="$service" --seed="$seed" --seconds=$load_seconds --history="$work/$name.history" "$@"
 }
 start_caller caller-crews board 10.0.0.1:443 11 --feeds=70 --flows=70 --queries_per_second=100
-start_caller caller-contractors intake 10.0.0.2:443 12 --flows=30 --filings=40 --filing_bytes=2097152
+start_caller caller-contractors intake 10.0.0.2:443 12 --flows=30 --filings=120 --filing_bytes=2097152
 
 watch 4
 say "killing balancer-2"
