--- a/src/kingcuptraild/agent/agent.cpp
+++ b/src/kingcuptraild/agent/agent.cpp
@@ -273,12 +273,13 @@
 Presence Agent::wantedPresence() const
 {
     const AgentSettings& agent = m_role.settings.agent;
+    const asio::ip::tcp::endpoint reachedAt = agent.announce.value_or(m_listenAt);
     return {
         .upstream = agent.upstreamName,
         .token = { upstreamIdOf(agent.upstreamName), 0 },
         .service = agent.service,
         .dataCentre = m_role.settings.dataCentre,
-        .address = m_listenAt.address().to_string() + ":" + std::to_string(m_listenAt.port()),
+        .address = reachedAt.address().to_string() + ":" + std::to_string(reachedAt.port()),
         .state = isLeaving() ? MemberState::Draining : MemberState::Serving,
         .lease = agent.lease,
     };
--- a/src/libruntime/settings.cpp
+++ b/src/libruntime/settings.cpp
@@ -93,6 +93,8 @@
             readMillis(object, "drainLimitMs", agent.drainLimit);
             readMillis(object, "flowSilenceMs", agent.flowSilence);
             agent.upstream = readEndpoint(object, "/agent", "upstream", PortRule::MustBeSet);
+            if (object.contains("announce"))
+                agent.announce = readEndpoint(object, "/agent", "announce", PortRule::MustBeSet);
             return agent;
         }
 
@@ -112,6 +114,8 @@
                 return;
             checkOverlap("/agent/upstream", settings.agent.upstream, "/listen", settings.listen);
             checkOverlap("/agent/upstream", settings.agent.upstream, "/admin", settings.admin);
+            if (settings.agent.announce)
+                checkOverlap("/agent/announce", *settings.agent.announce, "/agent/upstream", settings.agent.upstream);
             if (settings.agent.drainIdle > settings.agent.drainLimit)
                 addFault(FaultKind::Inconsistent, "/agent/drainIdleMs", "Must not be larger than drainLimitMs.");
         }
--- a/src/libruntime/settings.h
+++ b/src/libruntime/settings.h
@@ -25,6 +25,8 @@
     std::string upstreamName;
     std::string service;
     asio::ip::tcp::endpoint upstream;
+    /// Where balancers reach this agent when that is not where it listens, behind an address translation for example.
+    std::optional<asio::ip::tcp::endpoint> announce;
     std::string healthPath = "/health";
     std::string loadPath = "/load";
     /// How long the announcement holds without a renewal.
--- a/src/libruntime/settingsschema.cpp
+++ b/src/libruntime/settingsschema.cpp
@@ -29,6 +29,7 @@
             "upstreamName": { "type": "string", "minLength": 1, "maxLength": 64, "pattern": "^[A-Za-z0-9][A-Za-z0-9._-]*$" },
             "service": { "type": "string", "minLength": 1, "maxLength": 64 },
             "upstream": { "type": "string" },
+            "announce": { "type": "string" },
             "healthPath": { "type": "string", "pattern": "^/" },
             "loadPath": { "type": "string", "pattern": "^/" },
             "leaseMs": { "type": "integer", "minimum": 500, "maximum": 300000 },
--- a/tests/runtime/testsettings.cpp
+++ b/tests/runtime/testsettings.cpp
@@ -32,7 +32,7 @@
     {
         json document = balancer();
         document["role"] = "agent";
-        document["agent"] = json::parse(R"({"upstreamName":"board-1","service":"board","upstream":"127.0.0.1:9001","leaseMs":9000})");
+        document["agent"] = json::parse(R"({"upstreamName":"board-1","service":"board","upstream":"127.0.0.1:9001","leaseMs":9000,"announce":"10.1.2.3:80"})");
         return document;
     }
 
@@ -46,6 +46,7 @@
         CPPUNIT_ASSERT_EQUAL(Millis { 2500 }, settings->linkSilence);
         CPPUNIT_ASSERT_EQUAL(Millis { 9000 }, settings->agent.lease);
         CPPUNIT_ASSERT_EQUAL(std::uint16_t { 9001 }, settings->agent.upstream.port());
+        CPPUNIT_ASSERT_EQUAL(std::string("10.1.2.3"), settings->agent.announce->address().to_string());
         CPPUNIT_ASSERT(parseSettings(balancer().dump(), faults));
     }
 
@@ -62,6 +63,8 @@
             { R"({"listen":"host:1","platform":"127.0.0.1:0","agent":{"upstream":"127.0.0.1:70000"}})", { { BadAddress, "/listen" }, { BadAddress, "/platform" }, { BadAddress, "/agent/upstream" } } },
             { R"({"admin":"127.0.0.1:7001"})", { { OverlappingAddress, "/admin" } } },
             { R"({"agent":{"upstream":"127.0.0.1:7001"}})", { { OverlappingAddress, "/agent/upstream" } } },
+            { R"({"agent":{"announce":"127.0.0.1:0"}})", { { BadAddress, "/agent/announce" } } },
+            { R"({"agent":{"announce":"127.0.0.1:9001"}})", { { OverlappingAddress, "/agent/announce" } } },
             { R"({"agent":null})", { { MissingField, "/agent" } } },
             { R"({"role":"balancer"})", { { Inconsistent, "/agent" } } },
             { R"({"heartbeatMs":500,"linkSilenceMs":1000})", { { Inconsistent, "/linkSilenceMs" } } },
--- a/tests/scenarios/chaos.lua
+++ b/tests/scenarios/chaos.lua
@@ -4,8 +4,8 @@
 math.randomseed(seed)
 local runFor = 16000
 deploy { relays = true, services = {
-    { name = "board", count = 6, slots = 5, warmUpMs = 3000, flags = { cold_for_ms = 1000 } },
-    { name = "filing", count = 3, slots = 5, warmUpMs = 3000, flags = { cold_for_ms = 1000, filing_ms = 300 } },
+    { name = "board", count = 6, slots = 5, relays = true, warmUpMs = 3000, flags = { cold_for_ms = 1000 } },
+    { name = "filing", count = 3, slots = 5, relays = true, warmUpMs = 3000, flags = { cold_for_ms = 1000, filing_ms = 300 } },
 } }
 call { name = "crews", service = "board", seed = seed, load = { feeds = 12, flows = 12, queries_per_second = 60, seconds = runFor / 1000 + 4 } }
 for number = 1, 2 do
@@ -13,6 +13,9 @@
         filings = 30, filing_bytes = 200000, seconds = runFor / 1000 + 4 } }
 end
 
+-- Every second seed has a fabric that treats packets badly as well.
+if seed % 2 == 0 then fabric { duplicate = 0.05, drop = 0.02, delayMs = 10 } end
+
 local function sleep(from, to)
     local wakeAt = now() + math.random(from, to)
     while now() < wakeAt do coroutine.yield() end
@@ -47,6 +50,8 @@
     function(name) kill("agent-" .. name) sleep(100, 1500) start("agent-" .. name) await(isUp("agent-" .. name)) end,
     function(name) freeze("agent-" .. name) sleep(300, 5000) thaw("agent-" .. name) end,
     function(name) kill(name) sleep(0, 500) start(name) end,
+    function(name) silence(deployment.relays[name]) sleep(2500, 4000) end,
+    function(name) cut(deployment.relays[name]) end,
 }
 
 local platformFailures = {
--- a/tests/scenarios/verbs.lua
+++ b/tests/scenarios/verbs.lua
@@ -182,7 +182,7 @@
 end
 
 local function startDaemon(spec)
-    spec.port = perform("port")
+    spec.port = spec.port or perform("port")
     spec.admin = perform("port")
     spec.program = "kingcuptraild"
     spec.args = { "--settings=" .. daemonSettings(spec) }
@@ -198,10 +198,14 @@
     }
     for flag, value in pairs(options.flags or {}) do table.insert(args, "--" .. flag .. "=" .. tostring(value)) end
     start({ name = name, program = "standin_upstream", port = port, role = "upstream", upstream = name, dataCentre = dataCentre, args = args })
+    local agentPort = perform("port")
+    local relay = options.relays and perform("relay", { to = agentPort })
+    deployment.relays[name] = relay or nil
     startDaemon({
-        name = "agent-" .. name, role = "agent", upstream = name, dataCentre = dataCentre, platform = options.platform,
+        name = "agent-" .. name, role = "agent", upstream = name, dataCentre = dataCentre, port = agentPort,
         agent = {
             upstreamName = name, service = service, upstream = localAddress(port),
+            announce = relay and localAddress(relay.port) or nil,
             leaseMs = 3000, drainIdleMs = 500, drainLimitMs = 30000,
         },
     })
@@ -243,7 +247,7 @@
 end
 
 -- A whole deployment: spec.services by name with count, slots and flags of their upstreams, which take turns over the
--- data centres; spec.relays puts a relay before each balancer, spec.slowPlatform names the balancer that gets one before
+-- data centres; spec.relays puts a relay before each balancer, a service's before each of its agents, spec.slowPlatform names the balancer that gets one before
 -- the platform. Returns when every daemon is linked.
 function deploy(spec)
     deployment = {
