--- a/src/libhistory/checker.cpp
+++ b/src/libhistory/checker.cpp
@@ -74,7 +74,7 @@
 
 CheckResult checkHistory(const std::vector<HistoryEvent>& events, const CheckOptions& options)
 {
-    const HistoryIndex index(events);
+    const HistoryIndex index(events, options.notice);
     CheckResult result;
     const CheckContext context { .events = events, .index = index, .options = options, .violations = result.violations };
     for (const auto check : { checkFlows, checkRouting, checkColdStarts, checkOutages, checkAnswers, checkRefusals, checkSingleRuns, checkLeavers, checkShutdowns, checkConfigs })
--- a/src/libhistory/checker.h
+++ b/src/libhistory/checker.h
@@ -50,6 +50,8 @@
     Millis settle = 3000;
     /// Within which an accepted configuration must be in force on every daemon.
     Millis configBound = 5000;
+    /// How long after a failure a flow or request that it cut may still end by it: the longest silence limit and some.
+    Millis notice = 10000;
     /// How long an agent may take to notice that its upstream turned cold without warning (a fault named at it).
     Millis coldDetect = 1000;
 };
--- a/src/libhistory/historyindex.cpp
+++ b/src/libhistory/historyindex.cpp
@@ -71,7 +71,8 @@
     return event.process.empty() ? event.who : event.process;
 }
 
-HistoryIndex::HistoryIndex(const std::vector<HistoryEvent>& events)
+HistoryIndex::HistoryIndex(const std::vector<HistoryEvent>& events, Millis failureNotice)
+    : notice(failureNotice)
 {
     learnNames(events);
     for (const HistoryEvent& event : events)
@@ -241,6 +242,7 @@
 
 bool HistoryIndex::isExcused(const std::string& upstream, Millis start, Millis until) const
 {
+    start = std::max(start, until - notice);
     if (anyOverlap(failures, upstream, start, until))
         return true;
     const auto dataCentre = dataCentreOfUpstream.find(upstream);
@@ -249,7 +251,7 @@
 
 bool HistoryIndex::anyFailure(Millis start, Millis until) const
 {
-    return anyOverlap(allFailures, start, until);
+    return anyOverlap(allFailures, std::max(start, until - notice), until);
 }
 
 bool HistoryIndex::isIdempotent(const std::string& key) const
--- a/src/libhistory/historyindex.h
+++ b/src/libhistory/historyindex.h
@@ -48,12 +48,14 @@
 
 /// The events of one history by subject. Keeps pointers into the events, which must outlive it.
 struct HistoryIndex {
-    explicit HistoryIndex(const std::vector<HistoryEvent>& events);
+    /// `failureNotice` is CheckOptions::notice.
+    HistoryIndex(const std::vector<HistoryEvent>& events, Millis failureNotice);
 
-    /// Whether an upstream, its agent or its data centre failed or was out at any time from `start` to `end`.
+    /// Whether what lived from `start` to `end` may have ended because its upstream, its agent or its data centre failed or
+    /// was out. A failure long before the end is no excuse: what survived it did not end by it.
     bool isExcused(const std::string& upstream, Millis start, Millis end) const;
 
-    /// Whether any process was killed or frozen or any fault was on at any time from `start` to `end`.
+    /// The same of any process killed or frozen and any other fault.
     bool anyFailure(Millis start, Millis end) const;
 
     bool isIdempotent(const std::string& key) const;
@@ -61,6 +63,7 @@
     /// The name for an event that may carry only the id.
     std::string upstreamOf(const HistoryEvent& event) const;
 
+    Millis notice;
     Millis end = 0;
     std::map<std::string, std::vector<CallRecord>> callsByKey;
     std::map<std::string, std::vector<WorkRecord>> worksByKey;
