--- a/src/libdecision/admission.cpp
+++ b/src/libdecision/admission.cpp
@@ -320,9 +320,9 @@
     state.hintUntil = asksForCare ? std::min(now + hintHold, state.hintsEnd) : 0;
 }
 
-void restartCold(AdmissionState& state, Millis now)
+void restartCold(AdmissionState& state, Millis)
 {
-    startCold(state.limit, now);
+    startCold(state.limit);
 }
 
 bool isCold(const AdmissionState& state)
--- a/src/libdecision/concurrencylimit.cpp
+++ b/src/libdecision/concurrencylimit.cpp
@@ -92,17 +92,12 @@
         limit.pausedUntil = now + std::min(pause, options.longestPause);
     }
 
-    // Load: the first requests after an upstream that refused connections answers again.
-    // Harm: counted from the last refusal, the warm-up is up to a pause ahead of the upstream's own, and its second and
-    // third requests come while it bears one.
-    // Limit: the line begins with the first request that the upstream takes.
     void noteTurnedAway(ConcurrencyLimit& limit, const LimitOptions& options, const LimitSample& sample, Millis now)
     {
         if (sample.outcome == WorkOutcome::Shed)
             learnCeiling(limit, options, sample.busy, now);
         stretchWarmUp(limit);
-        startCold(limit, now);
-        limit.coldSince.reset();
+        startCold(limit);
         pauseStarts(limit, options, now);
     }
 
@@ -110,11 +105,11 @@
     // Harm: with all slots in use it falls over before the first failure shows.
     // Limit: the first slow request cuts the limit, so that what ends is not replaced while it is in doubt; three in
     // a row make it cold. One slow request alone is an ordinary outlier and costs a round of growth.
-    void noteSlow(ConcurrencyLimit& limit, Millis now)
+    void noteSlow(ConcurrencyLimit& limit)
     {
         if (++limit.slowInRow >= slowUntilCold) {
             stretchWarmUp(limit);
-            startCold(limit, now);
+            startCold(limit);
             return;
         }
         limit.limit = std::max(1.0, limit.limit * slowCut);
@@ -191,11 +186,15 @@
     return static_cast<double>(serviceTime) > std::max(rise, limit.baseline.mean + leastRise);
 }
 
-void startCold(ConcurrencyLimit& limit, Millis now)
+// Load: the first requests after an upstream that refused connections, or whose data centre was out, answers again.
+// Harm: counted from the last refusal or from the news of the return, the warm-up is ahead of the upstream's own by as
+// long as it still takes to start, and its second and third requests come while it bears one.
+// Limit: the line begins with the first request that the upstream takes.
+void startCold(ConcurrencyLimit& limit)
 {
     limit.limit = 1;
     limit.cold = true;
-    limit.coldSince = now;
+    limit.coldSince.reset();
     limit.baseline = {};
     limit.recent = 0;
     limit.slowInRow = 0;
@@ -228,7 +227,7 @@
     if (!limit.coldSince)
         limit.coldSince = now;
     if (sample.measured && isSuddenRise(limit, sample.serviceTime))
-        noteSlow(limit, now);
+        noteSlow(limit);
     else if (sample.outcome == WorkOutcome::Succeeded)
         noteSuccess(limit, options, sample, now);
 }
--- a/src/libdecision/concurrencylimit.h
+++ b/src/libdecision/concurrencylimit.h
@@ -98,7 +98,7 @@
 void noteIdleStart(ConcurrencyLimit&, const LimitOptions&, Millis now);
 
 /// Begins a warm-up: one slot, and nothing that was learned of the service time stands.
-void startCold(ConcurrencyLimit&, Millis now);
+void startCold(ConcurrencyLimit&);
 
 /// The work that may be at the upstream now: at least 1, at most `slots`.
 std::uint32_t allowedConcurrency(const ConcurrencyLimit&, const LimitOptions&);
