--- a/src/libdecision/configorder.cpp
+++ b/src/libdecision/configorder.cpp
@@ -1,5 +1,7 @@
 #include "configorder.h"
 
+#include <algorithm>
+
 namespace kingcuptrail {
 
 // Failure: a slow watch or a peer that was cut off delivers an older configuration after a newer one. It would show as a
@@ -12,6 +14,14 @@
     return offered > held;
 }
 
+// Failure: a data centre comes back, its agents open flows, and a balancer that has not heard of the return resets them
+// as given up: a feed cut by a planned change. Heartbeats name each balancer's version, so the agent waits for those it
+// is linked to; one that stands still is no longer linked after a while, and reads its news first when it goes on.
+bool mayReturn(ConfigVersion back, std::span<const ConfigVersion> balancers, const ConfigOrderOptions& options)
+{
+    return !options.returnGuard || std::ranges::all_of(balancers, [back](ConfigVersion version) { return version >= back; });
+}
+
 ConfigStep nextConfigStep(ConfigVersion mine, ConfigVersion theirs)
 {
     if (theirs > mine)
--- a/src/libdecision/drain.cpp
+++ b/src/libdecision/drain.cpp
@@ -9,6 +9,13 @@
         return progress.announced && now - progress.announcedAt >= options.announceGrace;
     }
 
+    // Failure: the one packet that tells a caller of its idle flow's end is lost with a balancer, and the agent exits at once.
+    // The caller's next packet would meet the successor, which can only say that the owner is gone: a broken flow.
+    bool callersWereTold(const DrainProgress& progress, const DrainOptions& options, Millis now)
+    {
+        return progress.lastClosedAt == 0 || now - progress.lastClosedAt >= options.closeGrace;
+    }
+
 }
 
 // Load: an upstream leaves with some 2,000 flows, most of them idle between two queries.
@@ -25,7 +32,7 @@
 
 DrainStep nextDrainStep(std::span<const DrainFlow> flows, const DrainProgress& progress, const DrainOptions& options, Millis now)
 {
-    if (flows.empty() && newsIsOut(progress, options, now))
+    if (flows.empty() && newsIsOut(progress, options, now) && callersWereTold(progress, options, now))
         return DrainStep::Done;
     if (options.limit > 0 && now - progress.startedAt >= options.limit)
         return DrainStep::LimitReached;
--- a/src/libdecision/drain.h
+++ b/src/libdecision/drain.h
@@ -12,6 +12,8 @@
     Millis announceGrace = 3000;
     /// A flow without a pending request for this long is closed, in milliseconds.
     Millis idleBeforeClose = 1000;
+    /// The agent stays this long after its last flow has ended, to tell callers that have not heard of it, in milliseconds.
+    Millis closeGrace = 2000;
     /// How long the shutdown may take, in milliseconds; 0 is without limit. Feeds last a shift.
     Millis limit = 0;
 };
@@ -29,6 +31,8 @@
     /// Whether the platform or every linked balancer has taken the news that this agent leaves, and when.
     bool announced = false;
     Millis announcedAt = 0;
+    /// When a flow last ended here; 0 while none has.
+    Millis lastClosedAt = 0;
 };
 
 enum class DrainFlowStep : std::uint8_t {
--- a/src/libdecision/forwarding.cpp
+++ b/src/libdecision/forwarding.cpp
@@ -21,6 +21,8 @@
     // Failure: an address has moved from one service to another, a balancer has not heard of it yet, and its packets
     // arrive at the old service's upstreams. It would show as a Filing among telemetry. Only the agent can know, since
     // only it knows which service its upstream belongs to; a held flow keeps the address it was opened with.
+    // Such a packet of a held flow is dropped, not reset: the flow itself is in order, and one stray packet must not end
+    // a feed.
     bool serviceIsRight(const PacketFacts& facts, const ForwardingOptions& options)
     {
         return facts.serviceMatches || !options.serviceGuard;
@@ -31,7 +33,7 @@
         if (facts.dataCentreOut)
             return reset(RefusalReason::DataCentreOut);
         if (!serviceIsRight(facts, options))
-            return reset(RefusalReason::WrongService);
+            return { PacketAction::Drop, RefusalReason::WrongService };
         return { PacketAction::Deliver, RefusalReason::None };
     }
 
@@ -40,7 +42,7 @@
     PacketVerdict decideOwned(const PacketFacts& facts)
     {
         if (facts.tokenIsMine)
-            return reset(facts.dataCentreOut ? RefusalReason::DataCentreOut : RefusalReason::FlowUnknown);
+            return reset(facts.dataCentreOut ? RefusalReason::DataCentreOut : facts.endedFor.value_or(RefusalReason::FlowUnknown));
         if (facts.tokenIsPredecessor)
             return reset(facts.dataCentreOut ? RefusalReason::DataCentreOut : RefusalReason::OwnerGone);
         return passOn(facts, PacketAction::ForwardToOwner);
@@ -49,6 +51,8 @@
     PacketVerdict decideOpen(const PacketFacts& facts, const ForwardingOptions& options)
     {
         const bool mayPassOn = facts.hops < maxHops;
+        if (facts.endedFor)
+            return reset(*facts.endedFor);
         if (facts.dataCentreOut)
             return mayPassOn ? passOn(facts, PacketAction::NextInRanking) : reset(RefusalReason::DataCentreOut);
         if (!serviceIsRight(facts, options))
--- a/src/libdecision/forwarding.h
+++ b/src/libdecision/forwarding.h
@@ -2,6 +2,8 @@
 
 #include "refusal.h"
 
+#include <optional>
+
 namespace kingcuptrail {
 
 /// Times a packet may be passed on. A flow's holder is its first or second choice, or one redirect away; each uneven
@@ -32,6 +34,8 @@
     /// The token names an older incarnation of this agent's upstream.
     bool tokenIsPredecessor = false;
     bool holdsFlow = false;
+    /// The flow was held here and has ended a short while ago, for this reason.
+    std::optional<RefusalReason> endedFor;
     bool redirectFound = false;
     /// For a flow held here: the packet's address is the one recorded at open. Otherwise: it is an address configured
     /// for this agent's service.
--- /dev/null
+++ b/tests/decision/testguards.cpp
@@ -0,0 +1,97 @@
+#include "libdecision/closedflows.h"
+#include "libdecision/concurrencylimit.h"
+#include "libdecision/configorder.h"
+#include "libdecision/drain.h"
+#include "libdecision/forwarding.h"
+#include "libdecision/pausewatch.h"
+
+#include <array>
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace kingcuptrail;
+
+class TestGuards : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(TestGuards);
+    CPPUNIT_TEST(endedFlowIsNotOpenedAgain);
+    CPPUNIT_TEST(strayPacketDoesNotEndAFlow);
+    CPPUNIT_TEST(packetsAreHeldAfterAPause);
+    CPPUNIT_TEST(returnWaitsForTheLinkedBalancers);
+    CPPUNIT_TEST(leaverStaysUntilCallersWereTold);
+    CPPUNIT_TEST(warmUpBeginsWithTheFirstRequestTaken);
+    CPPUNIT_TEST_SUITE_END();
+
+    // A caller is told "not run" and closes its flow. A balancer that stood still meanwhile sends the flow's open and
+    // request again; the agent must not open it and run the request.
+    void endedFlowIsNotOpenedAgain()
+    {
+        ClosedFlows closed;
+        const ClosedFlowOptions options { .keepFor = 1000, .maxEntries = 2 };
+        noteClosed(closed, options, 7, RefusalReason::UpstreamDraining, 0);
+        PacketFacts late { .isOpen = true, .endedFor = closedReason(closed, 7), .serviceMatches = true };
+        CPPUNIT_ASSERT(decidePacket(late).action == PacketAction::ReplyReset);
+        CPPUNIT_ASSERT(decidePacket(late).reason == RefusalReason::UpstreamDraining);
+        late.endedFor.reset();
+        CPPUNIT_ASSERT(decidePacket(late).action == PacketAction::Open);
+        noteClosed(closed, options, 8, RefusalReason::FlowUnknown, 10);
+        noteClosed(closed, options, 9, RefusalReason::FlowUnknown, 20);
+        CPPUNIT_ASSERT(!closedReason(closed, 7));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, expireClosed(closed, options, 1015));
+        CPPUNIT_ASSERT(!closedReason(closed, 8) && closedReason(closed, 9));
+    }
+
+    // A feed's flow is in order, and one packet with its flow id and another service's address arrives. The feed must go on.
+    void strayPacketDoesNotEndAFlow()
+    {
+        const PacketFacts stray { .hasToken = true, .tokenIsMine = true, .holdsFlow = true, .serviceMatches = false };
+        CPPUNIT_ASSERT(decidePacket(stray).action == PacketAction::Drop);
+        CPPUNIT_ASSERT(decidePacket(stray).reason == RefusalReason::WrongService);
+    }
+
+    // An agent is stopped, its data centre taken out, and it goes on: packets wait on its links before the news.
+    void packetsAreHeldAfterAPause()
+    {
+        PauseWatch watch;
+        const PauseOptions options { .longestGap = 1000, .hold = 300 };
+        noteRunning(watch, options, 0);
+        noteRunning(watch, options, 1000);
+        CPPUNIT_ASSERT(!holdsPackets(watch, 1000));
+        noteRunning(watch, options, 6000);
+        CPPUNIT_ASSERT(holdsPackets(watch, 6299));
+        CPPUNIT_ASSERT(!holdsPackets(watch, 6300));
+    }
+
+    // A data centre comes back, and one balancer still has the configuration in which it is out: it would reset new flows.
+    void returnWaitsForTheLinkedBalancers()
+    {
+        CPPUNIT_ASSERT(!mayReturn(5, std::array<ConfigVersion, 2> { 5, 4 }));
+        CPPUNIT_ASSERT(mayReturn(5, std::array<ConfigVersion, 2> { 5, 6 }));
+        CPPUNIT_ASSERT(mayReturn(5, {}));
+    }
+
+    // A leaving agent closes its last idle flow and exits; the packet that says so is lost with a balancer.
+    void leaverStaysUntilCallersWereTold()
+    {
+        const DrainOptions options { .announceGrace = 100, .closeGrace = 2000 };
+        DrainProgress progress { .startedAt = 0, .announced = true, .announcedAt = 0, .lastClosedAt = 500 };
+        CPPUNIT_ASSERT(nextDrainStep({}, progress, options, 2499) == DrainStep::Wait);
+        CPPUNIT_ASSERT(nextDrainStep({}, progress, options, 2500) == DrainStep::Done);
+        progress.lastClosedAt = 0;
+        CPPUNIT_ASSERT(nextDrainStep({}, progress, options, 100) == DrainStep::Done);
+    }
+
+    // An upstream refuses connections until 4 s and then bears one request. The warm-up must not have begun before.
+    void warmUpBeginsWithTheFirstRequestTaken()
+    {
+        const LimitOptions options { .slots = 5, .warmUp = 4000 };
+        ConcurrencyLimit limit;
+        noteCompletion(limit, options, { .outcome = WorkOutcome::Failed }, 3000);
+        for (Millis now = 4000; now < 4900; now += 50)
+            noteCompletion(limit, options, { .outcome = WorkOutcome::Succeeded, .serviceTime = 40, .busy = allowedConcurrency(limit, options) }, now);
+        CPPUNIT_ASSERT_EQUAL(1U, allowedConcurrency(limit, options));
+        for (Millis now = 5000; now < 5100; now += 50)
+            noteCompletion(limit, options, { .outcome = WorkOutcome::Succeeded, .serviceTime = 40, .busy = allowedConcurrency(limit, options) }, now);
+        CPPUNIT_ASSERT_EQUAL(2U, allowedConcurrency(limit, options));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestGuards);
