--- a/bench/libmodel/experiment.cpp
+++ b/bench/libmodel/experiment.cpp
@@ -40,6 +40,22 @@
     return (target + 1) * 0x9e3779b97f4a7c15ULL;
 }
 
+std::string targetName(std::size_t target, const DeploymentSpec& deployment)
+{
+    const std::size_t service = serviceOf(target, deployment);
+    return deployment.services[service].name + "-" + std::to_string(target);
+}
+
+std::string agentName(std::size_t target, const DeploymentSpec& deployment)
+{
+    return "agent-" + targetName(target, deployment);
+}
+
+std::string balancerName(std::size_t balancer)
+{
+    return "balancer-" + std::to_string(balancer);
+}
+
 double meanWork(const LoadSpec& load)
 {
     return static_cast<double>(load.shortWork) * (1 - load.longShare) + static_cast<double>(load.longWork) * load.longShare;
--- a/bench/libmodel/experiment.h
+++ b/bench/libmodel/experiment.h
@@ -58,6 +58,10 @@
     Millis flowLife = 0;
     /// Time between packets of an idle flow.
     Millis flowInterval = 10000;
+    /// Part of the flows that carry a feed; requests go over the others.
+    double feedShare = 0.5;
+    /// Part of the once-only requests that their caller sends a second time, with the same key, while the first runs.
+    double repeatShare = 0;
     /// Hosts that the callers run on; the callers of one host share a retry budget.
     std::size_t callerHosts = 20;
 };
@@ -164,6 +168,11 @@
 /// The stable id of a target.
 UpstreamId targetId(std::size_t target);
 
+/// Names as they stand in histories.
+std::string targetName(std::size_t target, const DeploymentSpec& deployment);
+std::string agentName(std::size_t target, const DeploymentSpec& deployment);
+std::string balancerName(std::size_t balancer);
+
 /// Mean time of one request at a warm target, in milliseconds.
 double meanWork(const LoadSpec& load);
 
--- a/bench/libmodel/experimentfile.cpp
+++ b/bench/libmodel/experimentfile.cpp
@@ -172,6 +172,8 @@
         reader.number("deadlineMs", load.deadline, { .least = 1 });
         reader.number("flowLifeMs", load.flowLife);
         reader.number("flowIntervalMs", load.flowInterval, { .least = 10 });
+        reader.number("feedShare", load.feedShare, { .least = 0, .most = 0.99 });
+        reader.number("repeatShare", load.repeatShare, { .least = 0, .most = 1 });
         reader.number("callerHosts", load.callerHosts, { .least = 1 });
         reader.finish();
         return load;
--- a/bench/libmodel/historyrecorder.cpp
+++ b/bench/libmodel/historyrecorder.cpp
@@ -1,27 +1,24 @@
-#include "history.h"
+#include "historyrecorder.h"
 
-#include <array>
+#include <utility>
 #include <xxhash.h>
 
 namespace kingcuptrail {
 
+void HistoryRecorder::append(HistoryEvent event)
+{
+    event.at = m_loop.nowMillis();
+    if (event.who.empty())
+        event.who = "model";
+    m_events.push_back(std::move(event));
+}
+
 std::uint64_t fingerprint(const std::vector<HistoryEvent>& events)
 {
     std::uint64_t hash = 0;
     for (const HistoryEvent& event : events) {
-        const std::array<std::uint64_t, 10> words {
-            hash,
-            static_cast<std::uint64_t>(event.kind),
-            event.actor,
-            event.service,
-            event.flow,
-            event.request,
-            event.key,
-            event.value,
-            event.other,
-            static_cast<std::uint64_t>(event.at),
-        };
-        hash = XXH3_64bits(words.data(), sizeof(words));
+        const std::string line = toJsonLine(event);
+        hash = XXH3_64bits_withSeed(line.data(), line.size(), hash);
     }
     return hash;
 }
--- a/bench/libmodel/message.h
+++ b/bench/libmodel/message.h
@@ -61,6 +61,8 @@
     std::uint8_t hops = 0;
     std::vector<UpstreamId> visited;
     UpstreamId passedOver = 0;
+    /// Of an open: the flow will carry a feed, which must not be cut by a planned change.
+    bool hasFeed = false;
 };
 
 /// What an agent and a balancer tell each other regularly.
@@ -69,6 +71,8 @@
     ConfigVersion configVersion = 0;
     double openFlows = 0;
     bool draining = false;
+    /// The first message of a new link.
+    bool isHello = false;
 };
 
 /// The configuration as far as the model has one: which data centres are out.
--- a/bench/libmodel/metrics.h
+++ b/bench/libmodel/metrics.h
@@ -94,6 +94,8 @@
     EnumCounts<RetryReason> retryDecisions {};
     std::uint64_t flowsOpened = 0;
     std::uint64_t openTries = 0;
+    /// Idle flows closed by a leaving agent, and opened again elsewhere.
+    std::uint64_t flowsMoved = 0;
     std::uint64_t duplicateOpens = 0;
     std::uint64_t firstTries = 0;
     std::uint64_t retries = 0;
--- a/bench/libmodel/modelagent.h
+++ b/bench/libmodel/modelagent.h
@@ -2,8 +2,10 @@
 
 #include "libdecision/admission.h"
 #include "libdecision/attempts.h"
+#include "libdecision/closedflows.h"
 #include "libdecision/drain.h"
 #include "libdecision/ledger.h"
+#include "libdecision/pausewatch.h"
 #include "libdecision/redirects.h"
 #include "modelcontext.h"
 #include "modelstore.h"
@@ -11,6 +13,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace kingcuptrail {
@@ -43,12 +46,24 @@
     ConfigVersion configVersion() const { return m_config.version; }
     /// Called when a drained agent has exited.
     std::function<void()> onExit;
+    /// Called when it gives up a link that was silent for too long.
+    std::function<void(std::size_t balancer)> onLinkGivenUp;
 
 private:
     struct Flow {
         std::size_t service = 0;
         std::size_t caller = 0;
         Millis heardAt = 0;
+        /// When a request on it last ended.
+        Millis idleSince = 0;
+        bool hasFeed = false;
+        /// Requests that came on it.
+        std::set<RequestId> seen;
+    };
+
+    struct LinkState {
+        Millis heardAt = 0;
+        ConfigVersion configVersion = 0;
     };
 
     enum class WorkState : std::uint8_t {
@@ -77,11 +92,13 @@
 
     void receive(Endpoint from, Message message);
     void receivePacket(std::size_t balancer, FlowPacket packet);
+    void lookForReturn();
+    void noteRuns();
     PacketFacts factsOf(const FlowPacket& packet) const;
     void forward(std::size_t balancer, FlowPacket packet);
     void openFlow(const FlowPacket& packet);
     void takePacket(const FlowPacket& packet);
-    void closeFlow(FlowId flow);
+    void closeFlow(FlowId flow, RefusalReason reason);
     void resetFlow(FlowId flow, RefusalReason reason);
     void reply(const FlowPacket& packet, ModelPacketKind kind, RefusalReason reason = RefusalReason::None);
     void toCaller(FlowPacket packet);
@@ -109,8 +126,13 @@
     void leaveDataCentre();
     void tick();
     void renew();
+    void giveUpSilentLinks();
+    void expire();
     void stepDrain();
     void sendRedirects();
+    HistoryEvent eventOf(HistoryKind kind) const;
+    void noteIdle(FlowId flow);
+    std::uint32_t pendingOf(FlowId flow) const;
     AdmissionOptions admissionOptions() const;
     Endpoint self() const { return { EndpointKind::Agent, m_index }; }
     const ServiceSpec& service() const;
@@ -125,11 +147,15 @@
     AdmissionState m_admission;
     Ledger m_ledger;
     Redirects m_redirects;
+    ClosedFlows m_closedFlows;
+    PauseWatch m_pause;
     std::map<FlowId, Flow> m_flows;
     std::map<RequestId, Work> m_work;
     std::map<UpstreamId, RedirectMessage> m_redirectsToSend;
-    /// When each linked balancer was last heard.
-    std::map<std::size_t, Millis> m_balancers;
+    /// The linked balancers.
+    std::map<std::size_t, LinkState> m_balancers;
+    /// The configuration that brought its data centre back, until the balancers have it; 0 otherwise.
+    ConfigVersion m_returnVersion = 0;
     std::optional<Millis> m_wakeAt;
     DrainProgress m_drain;
     bool m_isDraining = false;
--- a/bench/libmodel/modelbalancer.h
+++ b/bench/libmodel/modelbalancer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libdecision/lease.h"
+#include "libdecision/pausewatch.h"
 #include "libdecision/routing.h"
 #include "modelcontext.h"
 #include "modelstore.h"
@@ -66,6 +67,7 @@
     std::vector<std::size_t> m_firstOfService;
     MemberIndex m_memberIndex;
     ConfigMessage m_config;
+    PauseWatch m_pause;
     std::uint64_t m_life = 0;
 };
 
--- a/bench/libmodel/modelcallers.h
+++ b/bench/libmodel/modelcallers.h
@@ -40,6 +40,7 @@
         /// Set from Opened until the flow is lost or closed.
         bool isOpen = false;
         bool isWaitingForAck = false;
+        bool hasFeed = false;
         std::uint64_t generation = 0;
     };
 
@@ -56,6 +57,8 @@
         std::uint32_t sends = 0;
         bool isAcknowledged = false;
         bool isOnTheWay = false;
+        /// A try ended without its outcome being known.
+        bool mayHaveRun = false;
     };
 
     void receive(const FlowPacket& packet);
@@ -69,6 +72,8 @@
 
     void offer(std::size_t service);
     void makeRequest(std::size_t service);
+    void submit(Pending pending);
+    void repeat(const Pending& pending);
     std::optional<std::size_t> openCaller(std::size_t service, const OwnerToken& avoided);
     void sendTry(RequestId first);
     void resendTry(RequestId first, RequestId tried);
@@ -80,6 +85,7 @@
     void end(RequestId first, RequestEnd how, std::uint64_t detail);
     void sendToFabric(FlowPacket packet);
     FlowPacket packetOf(std::size_t caller, ModelPacketKind kind) const;
+    const std::string& serviceName(std::size_t service) const;
     RetryBudget& budgetOf(std::size_t caller);
 
     ModelContext& m_context;
@@ -90,6 +96,8 @@
     /// Work under way by the id of its first try, and the first try of each later one.
     std::map<RequestId, Pending> m_pending;
     std::map<RequestId, RequestId> m_firstOfTry;
+    /// Owners at which each once-only key was tried; every further try names them.
+    std::map<WorkKey, std::vector<OwnerToken>> m_ownersOfKey;
     std::vector<RetryBudget> m_budgets;
     std::vector<bool> m_reachable;
     double m_loadFactor = 1;
--- a/bench/libmodel/modelcontext.h
+++ b/bench/libmodel/modelcontext.h
@@ -2,7 +2,7 @@
 
 #include "eventloop.h"
 #include "experiment.h"
-#include "history.h"
+#include "historyrecorder.h"
 #include "metrics.h"
 #include "network.h"
 #include "policy.h"
@@ -18,7 +18,7 @@
     RandomSource& random;
     Network& network;
     Metrics& metrics;
-    History& history;
+    HistoryRecorder& history;
 };
 
 /// Time since measuring began, in milliseconds; negative during the warm-up.
--- a/bench/libmodel/modelstore.cpp
+++ b/bench/libmodel/modelstore.cpp
@@ -83,8 +83,13 @@
         return answer(ApplyResult::Conflict);
     ++m_config.version;
     m_config.dataCentreOut[dataCentre] = out;
-    m_context.history.record({ .kind = HistoryKind::ConfigAccepted, .value = m_config.version });
-    m_context.history.record({ .kind = out ? HistoryKind::DataCentreOut : HistoryKind::DataCentreBack, .actor = dataCentre, .value = m_config.version });
+    m_context.history.record([&] {
+        return HistoryEvent {
+            .kind = out ? HistoryKind::OperatorTookOut : HistoryKind::OperatorBroughtBack,
+            .dataCentre = m_context.experiment.deployment.dataCentres[dataCentre],
+            .version = m_config.version,
+        };
+    });
     for (std::size_t watcher = 0; watcher < m_watchers.size(); ++watcher)
         tellConfig(watcher);
     answer(losesThisAnswer() ? ApplyResult::NoAnswer : ApplyResult::Accepted);
--- a/bench/libmodel/policy.cpp
+++ b/bench/libmodel/policy.cpp
@@ -66,6 +66,18 @@
     case GuardOff::ConfigOrder:
         options.configOrder.guard = false;
         break;
+    case GuardOff::ClosedFlows:
+        options.closedFlows.guard = false;
+        break;
+    case GuardOff::Pause:
+        options.pause.guard = false;
+        break;
+    case GuardOff::Return:
+        options.configOrder.returnGuard = false;
+        break;
+    case GuardOff::CloseGrace:
+        options.drain.closeGrace = 0;
+        break;
     }
     return options;
 }
--- /dev/null
+++ b/bench/libmodel/seededhistory.cpp
@@ -0,0 +1,143 @@
+#include "seededhistory.h"
+
+#include "randomsource.h"
+#include "simulation.h"
+
+#include <algorithm>
+
+namespace kingcuptrail {
+
+namespace {
+
+    constexpr Millis duration = 16000;
+    /// The last failure ends this long before the end, so that what must show within seconds can show.
+    constexpr Millis quietEnd = 6000;
+    /// An upstream restarts, and a data centre goes out and comes back, in no less than this.
+    constexpr Millis shortestFailure = 300;
+    constexpr std::size_t fewestFailures = 3;
+    constexpr std::size_t moreFailures = 8;
+
+    constexpr std::array<FailureKind, 21> drawnKinds {
+        FailureKind::BalancerKill,
+        FailureKind::BalancerFreeze,
+        FailureKind::AgentKill,
+        FailureKind::AgentFreeze,
+        FailureKind::UpstreamKill,
+        FailureKind::UpstreamSlow,
+        FailureKind::UpstreamShed,
+        FailureKind::Drain,
+        FailureKind::Restart,
+        FailureKind::Restart,
+        FailureKind::DataCentreOut,
+        FailureKind::DataCentreOut,
+        FailureKind::OperatorRace,
+        FailureKind::LinkSilent,
+        FailureKind::StoreDown,
+        FailureKind::StoreSlow,
+        FailureKind::StoreLosesAnswers,
+        FailureKind::LoadFactor,
+        FailureKind::PacketLoss,
+        FailureKind::PacketDuplication,
+        FailureKind::PacketReorder,
+    };
+
+    DeploymentSpec drawDeployment(RandomSource& random)
+    {
+        const auto slots = static_cast<std::uint32_t>(2 + random.below(3));
+        return {
+            .dataCentres = random.chance(0.5) ? std::vector<std::string> { "north", "south" } : std::vector<std::string> { "north", "centre", "south" },
+            .betweenDataCentres = 1.5,
+            .balancers = 3 + random.below(2),
+            .heartbeat = 200,
+            .linkSilence = 800,
+            .lease = 3000,
+            .services = {
+                { .name = "status", .targets = 4, .slots = slots, .queueLimit = 16, .flowsPerTarget = 5, .warmUp = 2500, .coldFor = 2000 },
+                { .name = "filing", .targets = 3, .slots = slots, .queueLimit = 16, .flowsPerTarget = 5, .warmUp = 2500, .coldFor = 2000 },
+            },
+        };
+    }
+
+    std::vector<LoadSpec> drawLoads(RandomSource& random)
+    {
+        const double utilisation = 0.2 + 0.5 * random.uniform();
+        return {
+            { .service = "status", .utilisation = utilisation, .shortWork = 60, .onceShare = 0.2, .deadline = 4500, .flowLife = 3000, .flowInterval = 700, .feedShare = 0.3, .callerHosts = 3 },
+            { .service = "filing", .utilisation = utilisation, .shortWork = 80, .longWork = 300, .longShare = 0.3, .onceShare = 0.8, .deadline = 4500, .flowLife = 3000, .flowInterval = 700, .feedShare = 0.3, .repeatShare = 0.2, .callerHosts = 3 },
+        };
+    }
+
+    std::size_t drawTarget(FailureKind kind, const DeploymentSpec& deployment, RandomSource& random)
+    {
+        switch (kind) {
+        // The first balancer is never touched: with none left there is nothing to promise.
+        case FailureKind::BalancerKill:
+        case FailureKind::BalancerFreeze:
+        case FailureKind::LinkSilent:
+            return 1 + random.below(deployment.balancers - 1);
+        case FailureKind::StoreSlow:
+            return random.below(deployment.balancers);
+        case FailureKind::DataCentreOut:
+        case FailureKind::OperatorRace:
+            return random.below(deployment.dataCentres.size());
+        default:
+            return random.below(targetCount(deployment));
+        }
+    }
+
+    double drawValue(FailureKind kind, RandomSource& random)
+    {
+        constexpr double packetFault = 0.1;
+        constexpr double slowness = 8;
+        constexpr double newsDelay = 80;
+        switch (kind) {
+        case FailureKind::LoadFactor:
+            return 1 + 4 * random.uniform();
+        case FailureKind::UpstreamSlow:
+            return 1 + slowness * random.uniform();
+        case FailureKind::StoreSlow:
+            return newsDelay * random.uniform();
+        default:
+            return packetFault * random.uniform();
+        }
+    }
+
+    FailureSpec drawFailure(FailureKind kind, const DeploymentSpec& deployment, RandomSource& random)
+    {
+        FailureSpec failure { .kind = kind };
+        failure.at = static_cast<Millis>(random.below(duration - quietEnd - 1000));
+        failure.target = drawTarget(kind, deployment, random);
+        failure.peer = random.below(targetCount(deployment));
+        const bool isForGood = kind == FailureKind::Drain || kind == FailureKind::Restart;
+        const auto longest = static_cast<std::size_t>(duration - quietEnd - failure.at);
+        failure.duration = isForGood ? 0 : shortestFailure + static_cast<Millis>(random.below(longest));
+        failure.value = drawValue(kind, random);
+        return failure;
+    }
+
+}
+
+ExperimentSpec drawExperiment(std::uint64_t seed)
+{
+    RandomSource random(seed);
+    ExperimentSpec experiment { .name = "history", .seed = seed, .warmUp = 1500, .duration = duration };
+    experiment.deployment = drawDeployment(random);
+    experiment.loads = drawLoads(random);
+    const std::size_t failures = fewestFailures + random.below(moreFailures);
+    for (std::size_t failure = 0; failure < failures; ++failure)
+        experiment.failures.push_back(drawFailure(drawnKinds[random.below(drawnKinds.size())], experiment.deployment, random));
+    // Always some: answers that come crossed and packets that name another service's address.
+    experiment.failures.push_back({ .kind = FailureKind::CrossedAnswers, .value = 0.05 });
+    experiment.failures.push_back({ .kind = FailureKind::StrayPackets, .value = 0.05 });
+    return experiment;
+}
+
+SeededHistory runSeededHistory(std::uint64_t seed, GuardOff guard)
+{
+    Simulation simulation(drawExperiment(seed), withoutGuard(guard), true);
+    simulation.run();
+    const auto& events = simulation.history().events();
+    return { .result = checkHistory(events), .events = events };
+}
+
+}
--- a/bench/libmodel/simulation.h
+++ b/bench/libmodel/simulation.h
@@ -23,7 +23,7 @@
     void run();
 
     const Metrics& metrics() const { return m_metrics; }
-    const History& history() const { return m_history; }
+    const HistoryRecorder& history() const { return m_history; }
     std::uint64_t eventsExecuted() const { return m_loop.executed(); }
 
 private:
@@ -58,6 +58,10 @@
     std::optional<std::size_t> targetOf(const OwnerToken& owner) const;
     bool isInService(std::size_t target) const;
     double capacityNow() const;
+    void noteProcess(HistoryKind kind, Endpoint endpoint);
+    void noteFault(HistoryKind kind, std::size_t target);
+    void notePlatform(HistoryKind kind);
+    void noteUpstreamStart(std::size_t target);
     void sampleSecond();
     void sampleBusy();
     void watchReturns(std::size_t service, const std::vector<double>& flows, const std::vector<std::size_t>& targets);
@@ -68,7 +72,7 @@
     RandomSource m_random;
     Network m_network;
     Metrics m_metrics;
-    History m_history;
+    HistoryRecorder m_history;
     ModelContext m_context;
     ModelStore m_store;
     std::vector<std::unique_ptr<ModelUpstream>> m_upstreams;
