--- a/src/kingcuptrailctl/eventexplanations.cpp
+++ b/src/kingcuptrailctl/eventexplanations.cpp
@@ -38,6 +38,8 @@
         { Event::UpstreamWarm, "Nothing." },
         { Event::UpstreamHealthChanged, "Look at the upstream if it stays unhealthy. The endpoint is a hint only and lags." },
         { Event::Saturated, "Add upstreams, or bring a data centre back. Callers were told when to come back." },
+        { Event::UpstreamUnreachable, "Look at the upstream's process. Its requests were refused as not run and go to others." },
+        { Event::UpstreamReachable, "Nothing." },
         { Event::WrongServicePacket, "The upstream was spared. Look for two services on one address, or a balancer on a very old configuration: compare the versions in kingcuptrailctl status." },
         { Event::OutcomeUnknown, "The caller was told so. Where the work is not idempotent, have its owner check by the key whether it ran." },
         { Event::FlowsGivenUp, "Nothing if a data centre was taken out. Otherwise look for a network that loses track of connections." },
--- a/src/kingcuptraild/agent/agent.h
+++ b/src/kingcuptraild/agent/agent.h
@@ -3,6 +3,8 @@
 #include "flowdesk.h"
 #include "kingcuptraild/role.h"
 #include "kingcuptraild/rolecontext.h"
+#include "libdecision/configorder.h"
+#include "libdecision/pausewatch.h"
 #include "libdecision/reachability.h"
 #include "libplatform/announcer.h"
 #include "requestdesk.h"
@@ -33,6 +35,8 @@
     void answerQuery(PeerLink& from, const wire::LedgerQuery& query);
     void askLedger(std::uint64_t query, const OwnerToken& holder, const std::string& key);
     void handleContact(bool isConnected);
+    void considerReturn();
+    bool isHeld();
     void applyState();
     void beatNow();
     void startTimers();
@@ -58,6 +62,9 @@
     DrainOptions m_drainOptions;
     std::function<void()> m_onDrained;
     Reachability m_reachability;
+    PauseWatch m_pause;
+    /// The configuration that brought this data centre back, until every linked balancer has it; otherwise 0.
+    ConfigVersion m_returnVersion = 0;
     bool m_isDraining = false;
     bool m_isFenced = false;
     bool m_isOut = false;
--- a/src/kingcuptraild/agent/requestdesk.cpp
+++ b/src/kingcuptraild/agent/requestdesk.cpp
@@ -97,8 +97,12 @@
 void RequestDesk::setRefuseNew(RefusalReason reason)
 {
     m_refuseNew = reason;
-    if (reason == RefusalReason::None)
-        return;
+    if (reason != RefusalReason::None)
+        refuseWaiting(reason);
+}
+
+void RequestDesk::refuseWaiting(RefusalReason reason)
+{
     for (const ExpiredItem& expired : refuseQueue(m_admission, reason, m_clock.now())) {
         if (const auto found = m_byWork.find(expired.item.id); found != m_byWork.end())
             refuse(RequestPtr(found->second), expired.refusal);
--- a/src/kingcuptraild/agent/requestdesk.h
+++ b/src/kingcuptraild/agent/requestdesk.h
@@ -69,6 +69,8 @@
 
     /// False when the message is not one that a caller may send.
     bool handleMessage(FlowId flow, const wire::Message& message);
+    /// Refuses what waits for a slot, as not run.
+    void refuseWaiting(RefusalReason reason);
     void flowHasRoom(FlowId flow);
     /// The flow is gone: idempotent work is cancelled; a non-idempotent request that runs is left to end, so that its
     /// outcome is known to whoever asks later.
--- a/src/kingcuptraild/balancer/balancer.cpp
+++ b/src/kingcuptraild/balancer/balancer.cpp
@@ -21,6 +21,9 @@
     /// is only relinking is back.
     constexpr Millis noUpstreamRetryAfter = 500;
 
+    /// A fraction of the gap that counts as a pause, in milliseconds.
+    constexpr Millis runningInterval = 200;
+
     /// Balancers that push a change of configuration to one agent.
     constexpr std::uint32_t newsCopies = 3;
 
@@ -45,6 +48,7 @@
     : m_role(role)
     , m_id(upstreamIdOf(role.settings.name))
     , m_leaveTimer(role.context)
+    , m_runningTimer(role.context)
 {
     m_role.config.addListener([this](const Config& current, const Config& previous) { handleConfig(current, previous); });
     m_role.root.add({ .name = "links", .make = [this](const FailureHandler& onFailure) {
@@ -63,6 +67,7 @@
                              m_role.context, m_role.settings.listen, LinkOptions { .silenceLimit = m_role.settings.linkSilence },
                              [this](std::shared_ptr<Link> link) { acceptFabric(std::move(link)); }, onFailure);
                      } });
+    noteRunningRegularly();
 }
 
 void Balancer::handleConfig(const Config& current, const Config& previous)
@@ -165,6 +170,10 @@
 
 void Balancer::handleFabricPacket(const wire::Packet& packet, std::span<const std::uint8_t> raw)
 {
+    if (isHeld()) {
+        m_routes.increment(PacketRoute::Dropped);
+        return;
+    }
     const OwnerToken token = tokenOf(packet);
     if (token.isSet())
         routeOwned(packet, raw, token);
@@ -312,6 +321,25 @@
     sendToCaller(encodeFrameOf(std::move(reset)), PacketRoute::ResetSent);
 }
 
+// Without packets nothing else would show that the process runs, and the first one after a quiet second would look like
+// the end of a pause.
+void Balancer::noteRunningRegularly()
+{
+    noteRunning(m_pause, {}, m_role.clock.now());
+    m_runningTimer.expires_after(std::chrono::milliseconds(runningInterval));
+    m_runningTimer.async_wait([this](asio::error_code error) {
+        if (!error)
+            noteRunningRegularly();
+    });
+}
+
+bool Balancer::isHeld()
+{
+    const Millis now = m_role.clock.now();
+    noteRunning(m_pause, {}, now);
+    return holdsPackets(m_pause, now);
+}
+
 bool Balancer::isOwnDataCentreOut() const
 {
     return m_role.config.current().isOut(m_role.settings.dataCentre);
--- a/src/kingcuptraild/balancer/balancer.h
+++ b/src/kingcuptraild/balancer/balancer.h
@@ -2,6 +2,7 @@
 
 #include "kingcuptraild/role.h"
 #include "kingcuptraild/rolecontext.h"
+#include "libdecision/pausewatch.h"
 #include "libdecision/placing.h"
 #include "libdecision/refusal.h"
 #include "libdecision/routing.h"
@@ -71,6 +72,8 @@
     void sendReset(const wire::Packet& packet, RefusalReason reason);
     void forwardToUpstream(UpstreamId upstream, std::span<const std::uint8_t> raw);
 
+    void noteRunningRegularly();
+    bool isHeld();
     bool isOwnDataCentreOut() const;
     bool knowsTheWay() const;
     void leaveFabric(wire::GoodbyeReason reason);
@@ -83,6 +86,8 @@
     std::vector<std::shared_ptr<PeerLink>> m_fabrics;
     Supervisor* m_links = nullptr;
     asio::steady_timer m_leaveTimer;
+    asio::steady_timer m_runningTimer;
+    PauseWatch m_pause;
     PlaceOptions m_placeOptions;
     EnumCounters<PacketRoute> m_routes;
     EnumCounters<RefusalReason> m_resets;
--- a/src/libprotocol/link.cpp
+++ b/src/libprotocol/link.cpp
@@ -13,6 +13,9 @@
 
     constexpr auto watchInterval = std::chrono::milliseconds(100);
 
+    /// A watch that comes later than this shows that the process stood still.
+    constexpr auto longestWatchGap = std::chrono::milliseconds(1000);
+
     LinkError connectReason(const asio::error_code& error)
     {
         if (!error)
@@ -35,6 +38,7 @@
     , m_heardAt(m_startedAt)
     , m_partialSince(m_startedAt)
     , m_writeSince(m_startedAt)
+    , m_watchedAt(m_startedAt)
 {
 }
 
@@ -46,6 +50,7 @@
     m_socket.non_blocking(true, ignored);
     m_startedAt = steady_clock::now();
     m_heardAt = m_startedAt;
+    m_watchedAt = m_startedAt;
     read();
     watch();
 }
@@ -162,6 +167,7 @@
     m_timer.async_wait([self](asio::error_code error) {
         if (error || self->m_closed)
             return;
+        self->forgiveOwnPause();
         const LinkError reason = self->overdue();
         if (reason != LinkError::None)
             self->fail(reason);
@@ -170,6 +176,20 @@
     });
 }
 
+// Failure: this process stood still, and its timers fire before it has read what waits on its sockets. Every peer would
+// look silent, and every link would be made anew with its news unread. The silence was this process's own, so it is not
+// counted against the peers.
+void Link::forgiveOwnPause()
+{
+    const auto now = steady_clock::now();
+    if (now - m_watchedAt > longestWatchGap) {
+        m_heardAt = now;
+        m_partialSince = now;
+        m_writeSince = now;
+    }
+    m_watchedAt = now;
+}
+
 LinkError Link::overdue() const
 {
     if (!m_heardFrame && hasPassed(m_startedAt, m_options.handshakeTimeout))
