--- a/src/kingcuptraild/agent/agent.cpp
+++ b/src/kingcuptraild/agent/agent.cpp
@@ -264,6 +264,8 @@
 void Agent::sweep()
 {
     m_flows.sweep();
+    if (m_announcer)
+        m_trouble.note(m_announcer->announcer().lastReason());
     considerReturn();
     if (m_isDraining)
         drain();
@@ -347,6 +349,7 @@
         { "service", m_role.settings.agent.service },
         { "state", nameOf(load.state) },
         { "fenced", m_isFenced },
+        { "platformTrouble", nameOf(m_trouble.current()) },
         { "upstreamReachable", m_reachability.isReachable },
         { "dataCentreOut", m_isOut },
         { "links", m_flows.linkCount() },
--- a/src/kingcuptraild/agent/agent.h
+++ b/src/kingcuptraild/agent/agent.h
@@ -3,6 +3,7 @@
 #include "flowdesk.h"
 #include "kingcuptraild/role.h"
 #include "kingcuptraild/rolecontext.h"
+#include "kingcuptraild/troublelog.h"
 #include "libdecision/configorder.h"
 #include "libdecision/pausewatch.h"
 #include "libdecision/reachability.h"
@@ -63,6 +64,7 @@
     std::function<void()> m_onDrained;
     Reachability m_reachability;
     PauseWatch m_pause;
+    TroubleLog m_trouble;
     /// The configuration that brought this data centre back, until every linked balancer has it; otherwise 0.
     ConfigVersion m_returnVersion = 0;
     bool m_isDraining = false;
--- a/src/kingcuptraild/agent/requestdesk.h
+++ b/src/kingcuptraild/agent/requestdesk.h
@@ -116,6 +116,7 @@
     void finishSlot(const RequestPtr& request, WorkOutcome outcome);
     void answer(const RequestPtr& request, int status, const std::string& body);
     void refuse(const RequestPtr& request, const RefusalVerdict& verdict);
+    void noteSaturation(RefusalReason reason);
     void settle(const RequestPtr& request, LedgerState outcome);
     void pump(const RequestPtr& request);
     void cancelAbandoned(const RequestPtr& request);
@@ -139,6 +140,7 @@
     std::uint64_t m_lastWork = 0;
     std::uint64_t m_lastQuery = 0;
     std::size_t m_heldBytes = 0;
+    Millis m_nextSaturationLog = 0;
     RefusalReason m_refuseNew = RefusalReason::None;
     EnumCounters<RefusalReason> m_refusals;
     EnumCounters<RequestEnd> m_ends;
--- a/src/kingcuptraild/balancer/balancer.cpp
+++ b/src/kingcuptraild/balancer/balancer.cpp
@@ -2,7 +2,6 @@
 
 #include "agentconnection.h"
 #include "kingcuptraild/listener.h"
-#include "kingcuptraild/watchers.h"
 #include "libdecision/pacing.h"
 #include "libruntime/events.h"
 
@@ -60,7 +59,9 @@
                          return std::make_unique<ConfigFollower>(m_role, ConfigFollower::Mode::Follow);
                      } });
     m_role.root.add({ .name = "presence", .make = [this](const FailureHandler&) {
-                         return std::make_unique<PresenceFollower>(m_role, [this](const std::vector<Presence>& presences) { handlePresence(presences); });
+                         auto follower = std::make_unique<PresenceFollower>(m_role, [this](const std::vector<Presence>& presences) { handlePresence(presences); });
+                         m_presence = follower.get();
+                         return follower;
                      } });
     m_role.root.add({ .name = "fabric", .make = [this](const FailureHandler& onFailure) {
                          return std::make_unique<Listener>(
@@ -98,10 +99,28 @@
 void Balancer::handlePresence(const std::vector<Presence>& presences)
 {
     m_hasHeardPresences = true;
+    logMembers(presences);
     m_members.setPresences(presences);
     reconcileConnections();
 }
 
+void Balancer::logMembers(const std::vector<Presence>& presences) const
+{
+    for (const Presence& presence : presences) {
+        const auto* known = m_members.find(presence.token);
+        if (!known)
+            logEvent(Event::MemberJoined, { { "upstream", presence.upstream }, { "incarnation", presence.token.incarnation }, { "service", presence.service } });
+        else if (known->presence.state != presence.state)
+            logEvent(Event::MemberChanged, { { "upstream", presence.upstream }, { "state", nameOf(presence.state) } });
+    }
+    for (const OwnerToken& token : m_members.tokens()) {
+        const auto* known = m_members.find(token);
+        const bool isListed = std::any_of(presences.begin(), presences.end(), [&](const Presence& presence) { return presence.token == token; });
+        if (known->isAnnounced && !isListed)
+            logEvent(Event::MemberLeft, { { "upstream", known->presence.upstream }, { "incarnation", token.incarnation } });
+    }
+}
+
 void Balancer::reconcileConnections()
 {
     if (!m_links)
@@ -115,7 +134,6 @@
 
 ChildSpec Balancer::connectionSpec(const Presence& presence)
 {
-    logEvent(Event::MemberJoined, { { "upstream", presence.upstream }, { "incarnation", presence.token.incarnation }, { "service", presence.service } });
     return {
         .name = childName(presence.token),
         .make = [this, presence](FailureHandler onFailure) {
@@ -326,6 +344,8 @@
 void Balancer::noteRunningRegularly()
 {
     noteRunning(m_pause, {}, m_role.clock.now());
+    if (m_presence)
+        m_trouble.note(m_presence->lastReason());
     m_runningTimer.expires_after(std::chrono::milliseconds(runningInterval));
     m_runningTimer.async_wait([this](asio::error_code error) {
         if (!error)
@@ -410,6 +430,7 @@
         { "members", members },
         { "fabrics", m_fabrics.size() },
         { "leaving", m_isLeaving },
+        { "platformTrouble", nameOf(m_trouble.current()) },
         { "dataCentreOut", isOwnDataCentreOut() },
     };
     const std::string text = status.dump();
--- a/src/kingcuptraild/balancer/balancer.h
+++ b/src/kingcuptraild/balancer/balancer.h
@@ -2,6 +2,8 @@
 
 #include "kingcuptraild/role.h"
 #include "kingcuptraild/rolecontext.h"
+#include "kingcuptraild/troublelog.h"
+#include "kingcuptraild/watchers.h"
 #include "libdecision/pausewatch.h"
 #include "libdecision/placing.h"
 #include "libdecision/refusal.h"
@@ -54,6 +56,7 @@
     void handleConfig(const Config& current, const Config& previous);
     void pushNews();
     void handlePresence(const std::vector<Presence>& presences);
+    void logMembers(const std::vector<Presence>& presences) const;
     void reconcileConnections();
     ChildSpec connectionSpec(const Presence& presence);
     PeerLink::Handlers agentHandlers(const OwnerToken& token);
@@ -85,6 +88,8 @@
     MemberTable m_members;
     std::vector<std::shared_ptr<PeerLink>> m_fabrics;
     Supervisor* m_links = nullptr;
+    PresenceFollower* m_presence = nullptr;
+    TroubleLog m_trouble;
     asio::steady_timer m_leaveTimer;
     asio::steady_timer m_runningTimer;
     PauseWatch m_pause;
--- a/src/kingcuptraild/main.cpp
+++ b/src/kingcuptraild/main.cpp
@@ -59,8 +59,11 @@
         return toInt(ExitCode::Usage);
     }
     auto settings = readSettings(path);
-    if (!settings)
+    if (!settings) {
+        if (!absl::GetFlag(FLAGS_check) && startLogging("kingcuptraild", "info"))
+            logEvent(Event::SettingsRefused, { { "file", path } });
         return toInt(ExitCode::SettingsRefused);
+    }
     if (absl::GetFlag(FLAGS_check)) {
         std::cout << path << ": no fault\n";
         return toInt(ExitCode::Success);
--- a/src/kingcuptraild/watchers.h
+++ b/src/kingcuptraild/watchers.h
@@ -33,6 +33,8 @@
     {
     }
 
+    PlatformError lastReason() const { return m_watcher.lastReason(); }
+
 private:
     PresenceWatcher m_watcher;
 };
--- a/tests/histories/testhistories.cpp
+++ b/tests/histories/testhistories.cpp
@@ -45,7 +45,7 @@
     { GuardOff::ClosedFlows, Promise::FlowSurvives, 956 },
     { GuardOff::Pause, Promise::OutSilent, 395 },
     { GuardOff::Return, Promise::FlowSurvives, 37 },
-    { GuardOff::CloseGrace, Promise::FlowSurvives, 2053 },
+    { GuardOff::CloseGrace, Promise::FlowSurvives, 2069 },
 } };
 
 void expectNoViolation(std::uint64_t seed)
