--- a/src/kingcuptraild/agent/flowdesk.cpp
+++ b/src/kingcuptraild/agent/flowdesk.cpp
@@ -56,6 +56,10 @@
 
 void FlowDesk::handlePacket(const std::shared_ptr<PeerLink>& from, const wire::Packet& packet)
 {
+    if (m_hooks.isHeld()) {
+        m_actions.increment(PacketAction::Drop);
+        return;
+    }
     Flow* flow = find(packet.flow());
     const PacketVerdict verdict = decidePacket(factsOf(packet, flow));
     m_actions.increment(verdict.action);
@@ -96,6 +100,7 @@
         .tokenIsMine = token == m_token,
         .tokenIsPredecessor = token.upstream == m_token.upstream && token.incarnation < m_token.incarnation,
         .holdsFlow = flow != nullptr,
+        .endedFor = closedReason(m_closed, packet.flow()),
         .redirectFound = !flow && findRedirect(m_redirects, m_redirectOptions, packet.flow(), m_clock.now()).has_value(),
         .serviceMatches = packet.service() != 0 && packet.service() == (flow ? flow->service : m_service),
         .hops = packet.hops(),
@@ -297,6 +302,8 @@
         reset.reason = static_cast<std::uint8_t>(tellCaller);
         sendOnFlow(*flow, std::move(reset));
     }
+    m_lastClosedAt = m_clock.now();
+    noteClosed(m_closed, m_closedOptions, id, tellCaller == RefusalReason::None ? RefusalReason::FlowUnknown : tellCaller, m_lastClosedAt);
     m_flows.erase(id);
     m_active.erase(id);
     m_hooks.onEnded(id);
@@ -327,10 +334,11 @@
         sendOverAnyLink(encodeFrameOf(std::move(redirects)));
     }
     m_redirectsDue.clear();
+    expireClosed(m_closed, m_closedOptions, now);
     expireRedirects(m_redirects, m_redirectOptions, now);
 }
 
-DrainStep FlowDesk::drainStep(const DrainProgress& progress, const DrainOptions& options)
+DrainStep FlowDesk::drainStep(DrainProgress& progress, const DrainOptions& options)
 {
     const Millis now = m_clock.now();
     std::vector<FlowId> idle;
@@ -345,6 +353,7 @@
     }
     for (const FlowId id : idle)
         endFlow(id, FlowEnd::ClosedDraining, RefusalReason::UpstreamDraining);
+    progress.lastClosedAt = m_lastClosedAt;
     return nextDrainStep(left, progress, options, now);
 }
 
--- a/src/kingcuptraild/agent/flowdesk.h
+++ b/src/kingcuptraild/agent/flowdesk.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kingcuptraild/peerlink.h"
+#include "libdecision/closedflows.h"
 #include "libdecision/drain.h"
 #include "libdecision/forwarding.h"
 #include "libdecision/redirects.h"
@@ -58,6 +59,8 @@
         /// A flow that refused a message has room again.
         std::function<void(FlowId)> onRoom;
         std::function<void(FlowId)> onEnded;
+        /// Whether packets are to be left alone, since this process stood still and has not read its news yet.
+        std::function<bool()> isHeld;
         /// Whether requests of the flow are under way.
         std::function<bool(FlowId)> hasRequests;
     };
@@ -89,7 +92,7 @@
     /// Drops flows that are silent or were never confirmed, and sends collected redirects.
     void sweep();
     /// Closes flows that may be closed while this agent drains, and says whether any is left.
-    DrainStep drainStep(const DrainProgress& progress, const DrainOptions& options);
+    DrainStep drainStep(DrainProgress& progress, const DrainOptions& options);
     /// Ends every flow that is left, for a shutdown that has reached its limit.
     void closeAll(RefusalReason reason);
 
@@ -138,6 +141,9 @@
     std::unordered_set<FlowId> m_active;
     std::vector<std::shared_ptr<PeerLink>> m_links;
     std::size_t m_nextLink = 0;
+    ClosedFlows m_closed;
+    ClosedFlowOptions m_closedOptions;
+    Millis m_lastClosedAt = 0;
     Redirects m_redirects;
     RedirectOptions m_redirectOptions;
     std::unordered_map<UpstreamId, std::vector<FlowId>> m_redirectsDue;
--- a/src/kingcuptraild/balancer/balancer.cpp
+++ b/src/kingcuptraild/balancer/balancer.cpp
@@ -2,7 +2,6 @@
 
 #include "agentconnection.h"
 #include "kingcuptraild/listener.h"
-#include "kingcuptraild/watchers.h"
 #include "libdecision/pacing.h"
 #include "libruntime/events.h"
 
@@ -21,6 +20,9 @@
     /// is only relinking is back.
     constexpr Millis noUpstreamRetryAfter = 500;
 
+    /// A fraction of the gap that counts as a pause, in milliseconds.
+    constexpr Millis runningInterval = 200;
+
     /// Balancers that push a change of configuration to one agent.
     constexpr std::uint32_t newsCopies = 3;
 
@@ -45,6 +47,7 @@
     : m_role(role)
     , m_id(upstreamIdOf(role.settings.name))
     , m_leaveTimer(role.context)
+    , m_runningTimer(role.context)
 {
     m_role.config.addListener([this](const Config& current, const Config& previous) { handleConfig(current, previous); });
     m_role.root.add({ .name = "links", .make = [this](const FailureHandler& onFailure) {
@@ -56,13 +59,16 @@
                          return std::make_unique<ConfigFollower>(m_role, ConfigFollower::Mode::Follow);
                      } });
     m_role.root.add({ .name = "presence", .make = [this](const FailureHandler&) {
-                         return std::make_unique<PresenceFollower>(m_role, [this](const std::vector<Presence>& presences) { handlePresence(presences); });
+                         auto follower = std::make_unique<PresenceFollower>(m_role, [this](const std::vector<Presence>& presences) { handlePresence(presences); });
+                         m_presence = follower.get();
+                         return follower;
                      } });
     m_role.root.add({ .name = "fabric", .make = [this](const FailureHandler& onFailure) {
                          return std::make_unique<Listener>(
                              m_role.context, m_role.settings.listen, LinkOptions { .silenceLimit = m_role.settings.linkSilence },
                              [this](std::shared_ptr<Link> link) { acceptFabric(std::move(link)); }, onFailure);
                      } });
+    noteRunningRegularly();
 }
 
 void Balancer::handleConfig(const Config& current, const Config& previous)
@@ -93,10 +99,28 @@
 void Balancer::handlePresence(const std::vector<Presence>& presences)
 {
     m_hasHeardPresences = true;
+    logMembers(presences);
     m_members.setPresences(presences);
     reconcileConnections();
 }
 
+void Balancer::logMembers(const std::vector<Presence>& presences) const
+{
+    for (const Presence& presence : presences) {
+        const auto* known = m_members.find(presence.token);
+        if (!known)
+            logEvent(Event::MemberJoined, { { "upstream", presence.upstream }, { "incarnation", presence.token.incarnation }, { "service", presence.service } });
+        else if (known->presence.state != presence.state)
+            logEvent(Event::MemberChanged, { { "upstream", presence.upstream }, { "state", nameOf(presence.state) } });
+    }
+    for (const OwnerToken& token : m_members.tokens()) {
+        const auto* known = m_members.find(token);
+        const bool isListed = std::any_of(presences.begin(), presences.end(), [&](const Presence& presence) { return presence.token == token; });
+        if (known->isAnnounced && !isListed)
+            logEvent(Event::MemberLeft, { { "upstream", known->presence.upstream }, { "incarnation", token.incarnation } });
+    }
+}
+
 void Balancer::reconcileConnections()
 {
     if (!m_links)
@@ -110,7 +134,6 @@
 
 ChildSpec Balancer::connectionSpec(const Presence& presence)
 {
-    logEvent(Event::MemberJoined, { { "upstream", presence.upstream }, { "incarnation", presence.token.incarnation }, { "service", presence.service } });
     return {
         .name = childName(presence.token),
         .make = [this, presence](FailureHandler onFailure) {
@@ -165,6 +188,10 @@
 
 void Balancer::handleFabricPacket(const wire::Packet& packet, std::span<const std::uint8_t> raw)
 {
+    if (isHeld()) {
+        m_routes.increment(PacketRoute::Dropped);
+        return;
+    }
     const OwnerToken token = tokenOf(packet);
     if (token.isSet())
         routeOwned(packet, raw, token);
@@ -312,6 +339,27 @@
     sendToCaller(encodeFrameOf(std::move(reset)), PacketRoute::ResetSent);
 }
 
+// Without packets nothing else would show that the process runs, and the first one after a quiet second would look like
+// the end of a pause.
+void Balancer::noteRunningRegularly()
+{
+    noteRunning(m_pause, {}, m_role.clock.now());
+    if (m_presence)
+        m_trouble.note(m_presence->lastReason());
+    m_runningTimer.expires_after(std::chrono::milliseconds(runningInterval));
+    m_runningTimer.async_wait([this](asio::error_code error) {
+        if (!error)
+            noteRunningRegularly();
+    });
+}
+
+bool Balancer::isHeld()
+{
+    const Millis now = m_role.clock.now();
+    noteRunning(m_pause, {}, now);
+    return holdsPackets(m_pause, now);
+}
+
 bool Balancer::isOwnDataCentreOut() const
 {
     return m_role.config.current().isOut(m_role.settings.dataCentre);
@@ -382,6 +430,7 @@
         { "members", members },
         { "fabrics", m_fabrics.size() },
         { "leaving", m_isLeaving },
+        { "platformTrouble", nameOf(m_trouble.current()) },
         { "dataCentreOut", isOwnDataCentreOut() },
     };
     const std::string text = status.dump();
--- a/src/libprotocol/link.h
+++ b/src/libprotocol/link.h
@@ -105,6 +105,7 @@
     void watch();
     void fail(LinkError reason);
     void shut();
+    void forgiveOwnPause();
     LinkError overdue() const;
 
     asio::ip::tcp::socket m_socket;
@@ -121,6 +122,7 @@
     std::chrono::steady_clock::time_point m_heardAt;
     std::chrono::steady_clock::time_point m_partialSince;
     std::chrono::steady_clock::time_point m_writeSince;
+    std::chrono::steady_clock::time_point m_watchedAt;
     bool m_isWriting = false;
     bool m_heardFrame = false;
     bool m_closed = false;
