--- a/src/kingcuptraild/agent/requestdesk.cpp
+++ b/src/kingcuptraild/agent/requestdesk.cpp
@@ -356,6 +356,8 @@
 {
     request->call = nullptr;
     m_hooks.onContact(response || outcome.mayHaveReached);
+    if (request->streamOpen && outcome.error == HttpError::ConnectionLost)
+        noteCutFeed();
     if (response && isShed(*response)) {
         finishSlot(request, WorkOutcome::Shed);
         refuse(request, { Ran::No, RefusalReason::UpstreamShed, retryAfterOf(*response) });
@@ -378,6 +380,20 @@
         refuse(request, { Ran::Unknown, isTimeout ? RefusalReason::UpstreamTimeout : RefusalReason::UpstreamLost, 0 });
 }
 
+// Load: an upstream that is restarted within less than a probe while no request is under way; its crews all come back.
+// Harm: neither a failed request nor a refused connection shows the restart, only feeds that are cut, so that a cold
+// upstream would be given the load of a warm one.
+// Limit: only when no feed is left open. A restart cuts all of them; one that ends badly by itself must not take a warm
+// upstream back to one slot.
+void RequestDesk::noteCutFeed()
+{
+    const bool isAnyOpen = std::ranges::any_of(m_byWork, [](const auto& entry) { return entry.second->streamOpen && entry.second->call; });
+    if (isAnyOpen)
+        return;
+    restartCold();
+    logEvent(Event::UpstreamCold, { { "limit", currentLimit(m_admission) }, { "outcome", nameOf(HttpError::ConnectionLost) } });
+}
+
 void RequestDesk::finishSlot(const RequestPtr& request, WorkOutcome outcome)
 {
     if (!request->holdsSlot)
--- a/src/kingcuptraild/agent/requestdesk.h
+++ b/src/kingcuptraild/agent/requestdesk.h
@@ -113,6 +113,7 @@
     void handleHead(const RequestPtr& request, const HttpResponse& head);
     void handleStreamChunk(const RequestPtr& request, std::string_view chunk);
     void handleDone(const RequestPtr& request, std::optional<HttpResponse> response, const HttpOutcome& outcome);
+    void noteCutFeed();
     void finishSlot(const RequestPtr& request, WorkOutcome outcome);
     void answer(const RequestPtr& request, int status, const std::string& body);
     void refuse(const RequestPtr& request, const RefusalVerdict& verdict);
