--- a/src/libprotocol/link.cpp
+++ b/src/libprotocol/link.cpp
@@ -1,5 +1,6 @@
 #include "link.h"
 
+#include <algorithm>
 #include <asio/write.hpp>
 
 namespace kingcuptrail {
@@ -11,10 +12,13 @@
     /// Bytes read from a socket at once.
     constexpr std::size_t readBufferBytes = std::size_t { 64 } * 1024;
 
-    constexpr auto watchInterval = std::chrono::milliseconds(100);
+    /// Between looks at whether something is overdue: a part of the limit that is nearest, within these bounds.
+    constexpr Millis shortestWatch = 100;
+    constexpr Millis longestWatch = 5000;
+    constexpr Millis watchesPerLimit = 8;
 
-    /// A watch that comes later than this shows that the process stood still.
-    constexpr auto longestWatchGap = std::chrono::milliseconds(1000);
+    /// A look that comes later than it was due by this much shows that the process stood still.
+    constexpr Millis longestWatchDelay = 1000;
 
     LinkError connectReason(const asio::error_code& error)
     {
@@ -163,7 +167,8 @@
 void Link::watch()
 {
     auto self = shared_from_this();
-    m_timer.expires_after(watchInterval);
+    m_watchPause = watchPause();
+    m_timer.expires_after(std::chrono::milliseconds(m_watchPause));
     m_timer.async_wait([self](asio::error_code error) {
         if (error || self->m_closed)
             return;
@@ -176,13 +181,28 @@
     });
 }
 
+// Load: a process with thousands of links, nearly all of them idle.
+// Harm: a look at each of them ten times a second costs more processor time than their heartbeats.
+// Limit: an eighth of the limit in question, so that what is overdue is seen at most that much late.
+Millis Link::watchPause() const
+{
+    const bool isHandshake = !m_heardFrame;
+    const bool isFrameUnderWay = m_isWriting || m_reader.hasPartial();
+    Millis limit = m_options.silenceLimit > 0 ? m_options.silenceLimit : longestWatch * watchesPerLimit;
+    if (isHandshake)
+        limit = std::min(limit, m_options.handshakeTimeout);
+    if (isFrameUnderWay)
+        limit = std::min(limit, m_options.frameTimeout);
+    return std::clamp(limit / watchesPerLimit, shortestWatch, longestWatch);
+}
+
 // Failure: this process stood still, and its timers fire before it has read what waits on its sockets. Every peer would
 // look silent, and every link would be made anew with its news unread. The silence was this process's own, so it is not
 // counted against the peers.
 void Link::forgiveOwnPause()
 {
     const auto now = steady_clock::now();
-    if (now - m_watchedAt > longestWatchGap) {
+    if (hasPassed(m_watchedAt, m_watchPause + longestWatchDelay)) {
         m_heardAt = now;
         m_partialSince = now;
         m_writeSince = now;
--- a/src/libprotocol/link.h
+++ b/src/libprotocol/link.h
@@ -105,6 +105,7 @@
     void watch();
     void fail(LinkError reason);
     void shut();
+    Millis watchPause() const;
     void forgiveOwnPause();
     LinkError overdue() const;
 
@@ -123,6 +124,7 @@
     std::chrono::steady_clock::time_point m_partialSince;
     std::chrono::steady_clock::time_point m_writeSince;
     std::chrono::steady_clock::time_point m_watchedAt;
+    Millis m_watchPause = 0;
     bool m_isWriting = false;
     bool m_heardFrame = false;
     bool m_closed = false;
