--- a/src/libdecision/admission.cpp
+++ b/src/libdecision/admission.cpp
@@ -11,8 +11,6 @@
 
     /// Weight of one sample in the estimates of service time; they follow a change within some 10 requests.
     constexpr double serviceTimeWeight = 0.1;
-    /// Samples before a least service time is believed.
-    constexpr std::uint32_t trustedSamples = 8;
     /// Short work counts as present this long after the last of it, in milliseconds.
     constexpr Millis shortPresence = 5000;
     /// Bounds of what a refused caller is told to wait, in milliseconds.
@@ -40,20 +38,6 @@
         return static_cast<double>(workClass == WorkClass::Short ? options.assumedShortTime : options.assumedLongTime);
     }
 
-    // Load: saturation, where the head of the queue has waited nearly its whole deadline.
-    // Harm: a request started with less time left than the upstream needs is cut off halfway; the slot time is lost, and
-    // at three times saturation the upstream would be busy with nothing else.
-    // Limit: the mean less one deviation, so that a request with a fair chance still starts. Long work's time depends
-    // on its size, which this estimate does not know, so for long work only the deadline counts.
-    std::array<Millis, 2> leastTimes(const AdmissionState& state)
-    {
-        const ServiceTime& estimate = state.serviceTime[indexOf(WorkClass::Short)];
-        if (estimate.samples < trustedSamples)
-            return { 0, 0 };
-        const double least = std::max(0.0, estimate.mean - estimate.deviation);
-        return { static_cast<Millis>(least), 0 };
-    }
-
     bool shortIsPresent(const AdmissionState& state, Millis now)
     {
         if (state.running[indexOf(WorkClass::Short)] > 0 || !lineOf(state.queue, WorkClass::Short).empty())
@@ -61,15 +45,6 @@
         return state.lastShort && now - *state.lastShort < shortPresence;
     }
 
-    // Load: requests at the upstream make no progress, and more arrive while slots are free.
-    // Harm: an upstream that has turned cold tells it only by the end of its slow requests; until then it would get the
-    // free slots' worth on top.
-    // Limit: half of the slots, so that one slow outlier does not hold up all others.
-    bool isStalled(const AdmissionState& state, Millis now)
-    {
-        return state.running[indexOf(WorkClass::Short)] > 0 && isSuddenRise(state.limit, now - state.shortProgress);
-    }
-
     bool hintsHold(const AdmissionState& state, Millis now)
     {
         return state.limit.cold && now < state.hintUntil;
@@ -80,8 +55,6 @@
         std::uint32_t slots = allowedConcurrency(state.limit, limitOptions(options));
         if (!options.coldStartGuard)
             return slots;
-        if (isStalled(state, now))
-            slots = std::max<std::uint32_t>(1, slots / 2);
         if (hintsHold(state, now))
             slots -= std::min(state.hintedBusy, slots - 1);
         return slots;
@@ -134,10 +107,7 @@
     {
         if (busy(state) == 0)
             noteIdleStart(state.limit, limitOptions(options), now);
-        std::uint32_t& running = state.running[indexOf(workClass)];
-        if (workClass == WorkClass::Short && running == 0)
-            state.shortProgress = now;
-        ++running;
+        ++state.running[indexOf(workClass)];
         chargeStart(state.queue, workClass, meanTime(state, options, workClass));
     }
 
@@ -276,7 +246,6 @@
 std::vector<WorkItem> takeRunnable(AdmissionState& state, const AdmissionOptions& options, Millis now)
 {
     std::vector<WorkItem> runnable;
-    const auto least = leastTimes(state);
     std::array<bool, 2> exhausted {};
     while (true) {
         const bool shortMay = !exhausted[0] && mayStart(state, options, WorkClass::Short, now);
@@ -284,8 +253,7 @@
         const auto next = turn(state, options, shortMay, longMay);
         if (!next)
             return runnable;
-        const Millis needed = options.queueGuard ? least[indexOf(*next)] : std::numeric_limits<Millis>::min();
-        const auto item = popStartable(state.queue, *next, needed, now);
+        const auto item = popStartable(state.queue, *next, options.queueGuard ? now : std::numeric_limits<Millis>::min());
         if (!item) {
             exhausted[indexOf(*next)] = true;
             continue;
@@ -300,7 +268,7 @@
     std::vector<ExpiredItem> expired;
     if (!options.queueGuard)
         return expired;
-    std::vector<WorkItem> taken = takeOverdue(state.queue, leastTimes(state), now);
+    std::vector<WorkItem> taken = takeOverdue(state.queue, now);
     for (const WorkClass workClass : { WorkClass::Short, WorkClass::Long }) {
         const auto hopeless = takeHopeless(state, options, workClass, now);
         taken.insert(taken.end(), hopeless.begin(), hopeless.end());
@@ -320,10 +288,8 @@
     if (running == 0)
         return;
     --running;
-    if (workClass == WorkClass::Short) {
+    if (workClass == WorkClass::Short)
         state.lastShort = now;
-        state.shortProgress = now;
-    }
     if (outcome == WorkOutcome::Succeeded)
         noteServiceTime(state.serviceTime[indexOf(workClass)], static_cast<double>(serviceTime), serviceTimeWeight);
     const LimitSample sample {
@@ -358,10 +324,9 @@
     };
     if (queueLength(state.queue) == 0)
         return wake;
-    const auto least = leastTimes(state);
-    for (std::size_t index = 0; index < state.queue.lines.size(); ++index) {
-        for (const WorkItem& item : state.queue.lines[index])
-            consider(item.deadline - least[index]);
+    for (const auto& line : state.queue.lines) {
+        for (const WorkItem& item : line)
+            consider(item.deadline);
     }
     consider(state.limit.pausedUntil);
     consider(state.hintUntil);
--- a/src/libdecision/admission.h
+++ b/src/libdecision/admission.h
@@ -68,8 +68,6 @@
     /// Hints are believed until here in the warm-up with this number.
     Millis hintsEnd = 0;
     std::uint64_t hintsColdStart = 0;
-    /// When short work last ended, or last began at an upstream without any.
-    Millis shortProgress = 0;
 };
 
 /// Decides on a request that arrives. Run counts it as running; Queue keeps it.
--- a/src/libdecision/concurrencylimit.cpp
+++ b/src/libdecision/concurrencylimit.cpp
@@ -55,29 +55,33 @@
         return 1 + (highest - 1) * std::clamp(passed, 0.0, 1.0);
     }
 
+    // Load: an upstream that takes longer to warm up than configured.
+    // Harm: its warm-up is cut short at the same point each time, and it never comes further (with four times the
+    // configured time, it stayed at a fifth of its slots).
+    // Limit: twice the time after each, up to four times, beyond which the configuration is wrong.
     void stretchWarmUp(ConcurrencyLimit& limit)
     {
         if (limit.cold && !limit.proving && limit.limit > 1)
             limit.stretch = std::min(limit.stretch * 2, longestStretch);
     }
 
-    void keepAt(ConcurrencyLimit& limit, const LimitOptions& options, std::uint32_t level, Millis now)
+    void keepAt(ConcurrencyLimit& limit, std::uint32_t level, Millis until)
     {
         limit.ceiling = level;
-        limit.ceilingUntil = now + ceilingWarmUps * options.warmUp;
+        limit.ceilingUntil = until;
     }
 
     // Load: an upstream that bears less than its configured slots.
     // Harm: it sheds at full concurrency, warms up again, sheds again: half of what it bears is lost for good.
-    // Limit: only the same limit shed at twice counts, since once may be a cold start; after ten warm-ups it is
+    // Limit: only the same limit shed at twice while warm counts, since once may be a cold start; after ten warm-ups it is
     // tried again, since the upstream may have been mended.
     void learnCeiling(ConcurrencyLimit& limit, const LimitOptions& options, Millis now)
     {
         const std::uint32_t allowed = allowedConcurrency(limit, options);
-        if (allowed < 2)
+        if (limit.cold || allowed < 2)
             return;
         if (limit.shedAt == allowed)
-            keepAt(limit, options, allowed - 1, now);
+            keepAt(limit, allowed - 1, now + ceilingWarmUps * options.warmUp);
         limit.shedAt = allowed;
     }
 
@@ -120,6 +124,18 @@
         limit.limit = std::max(1.0, limit.limit * slowCut);
     }
 
+    // Load: an upstream whose peak was found while it still warmed up, or while its host was shared.
+    // Harm: kept at the peak of that time, it stays at part of what it bears long afterwards.
+    // Limit: one warm-up the first time; twice as long each time the same peak is found again, up to ten. Beyond a peak
+    // that was found, each level is measured before the next, or growth would pass all of them before one can tell.
+    void keepPeak(ConcurrencyLimit& limit, const LimitOptions& options, std::uint32_t level, Millis now)
+    {
+        const bool isSame = limit.keptLevel == level;
+        limit.keptFor = isSame ? std::min(limit.keptFor * 2, ceilingWarmUps * options.warmUp) : options.warmUp;
+        limit.keptLevel = level;
+        keepAt(limit, level, now + limit.keptFor);
+    }
+
     void searchPeak(ConcurrencyLimit& limit, const LimitOptions& options, Millis serviceTime, Millis now)
     {
         const std::uint32_t level = allowedConcurrency(limit, options);
@@ -134,16 +150,23 @@
             break;
         case PeakAction::ReturnAndKeep:
             limit.limit = level + 1;
-            keepAt(limit, options, level + 1, now);
+            keepPeak(limit, options, level + 1, now);
             break;
         case PeakAction::Keep:
-            keepAt(limit, options, level, now);
+            keepPeak(limit, options, level, now);
             break;
         }
     }
 
+    bool mustMeasureFirst(const ConcurrencyLimit& limit, std::uint32_t level)
+    {
+        return limit.keptLevel > 0 && level > limit.keptLevel && !isMeasuredAt(limit.peak, level);
+    }
+
     void grow(ConcurrencyLimit& limit, const LimitOptions& options, Millis now)
     {
+        if (mustMeasureFirst(limit, allowedConcurrency(limit, options)))
+            return;
         const double bound = warmUpBound(limit, options, now);
         const double step = (limit.proving ? provingStep : 1) / limit.limit;
         limit.limit = std::min(limit.limit + step, std::max(bound, limit.limit));
@@ -194,6 +217,7 @@
     limit.baseline = {};
     limit.slowInRow = 0;
     limit.peak = {};
+    limit.keptLevel = 0;
     ++limit.coldStarts;
 }
 
--- a/src/libdecision/concurrencylimit.h
+++ b/src/libdecision/concurrencylimit.h
@@ -63,6 +63,9 @@
     std::optional<Millis> lastCompletion;
     /// Where the upstream gets most done.
     PeakSearch peak;
+    /// The peak found last, and how long the limit was kept there.
+    std::uint32_t keptLevel = 0;
+    Millis keptFor = 0;
     /// The limit at which the upstream last shed, and the bound learned from sheds or the peak until the time given.
     std::uint32_t shedAt = 0;
     std::uint32_t ceiling = 0;
--- a/src/libdecision/peaksearch.h
+++ b/src/libdecision/peaksearch.h
@@ -9,6 +9,8 @@
     /// The concurrency measured now, and the service time there.
     std::uint32_t level = 0;
     ServiceTime atLevel;
+    /// Requests still to be passed over, since they began at another level.
+    std::uint32_t skip = 0;
     /// Requests per millisecond one level below, when that was left upwards; 0 when not known.
     double below = 0;
     /// A lower level is on trial against the throughput of the one above it.
@@ -34,4 +36,7 @@
 /// Takes the service time of a request that ended while the whole limit, `level`, was in use.
 PeakAction notePeakSample(PeakSearch&, std::uint32_t level, double serviceTime);
 
+/// Whether enough has been measured at this level to compare it.
+bool isMeasuredAt(const PeakSearch&, std::uint32_t level);
+
 }
--- a/src/libdecision/workqueue.cpp
+++ b/src/libdecision/workqueue.cpp
@@ -26,9 +26,9 @@
         own = std::clamp(own, other - queue.largestCharge, other + queue.largestCharge);
     }
 
-    bool isOverdue(const WorkItem& item, Millis leastServiceTime, Millis now)
+    bool isOverdue(const WorkItem& item, Millis now)
     {
-        return item.deadline - now <= leastServiceTime;
+        return item.deadline <= now;
     }
 
 }
@@ -81,11 +81,11 @@
     queue.largestCharge = std::max(queue.largestCharge, charge);
 }
 
-std::optional<WorkItem> popStartable(WorkQueue& queue, WorkClass workClass, Millis leastServiceTime, Millis now)
+std::optional<WorkItem> popStartable(WorkQueue& queue, WorkClass workClass, Millis now)
 {
     auto& line = lineOf(queue, workClass);
     const auto found = std::find_if(line.begin(), line.end(), [&](const WorkItem& item) {
-        return !isOverdue(item, leastServiceTime, now);
+        return !isOverdue(item, now);
     });
     if (found == line.end())
         return std::nullopt;
@@ -94,15 +94,14 @@
     return item;
 }
 
-std::vector<WorkItem> takeOverdue(WorkQueue& queue, const std::array<Millis, 2>& leastServiceTime, Millis now)
+std::vector<WorkItem> takeOverdue(WorkQueue& queue, Millis now)
 {
     std::vector<WorkItem> overdue;
-    for (std::size_t index = 0; index < queue.lines.size(); ++index) {
-        std::erase_if(queue.lines[index], [&](const WorkItem& item) {
-            const bool taken = isOverdue(item, leastServiceTime[index], now);
-            if (taken)
+    for (auto& line : queue.lines) {
+        std::erase_if(line, [&](const WorkItem& item) {
+            if (isOverdue(item, now))
                 overdue.push_back(item);
-            return taken;
+            return isOverdue(item, now);
         });
     }
     return overdue;
--- a/src/libdecision/workqueue.h
+++ b/src/libdecision/workqueue.h
@@ -57,11 +57,11 @@
 /// Call it for work that starts without queueing too.
 void chargeStart(WorkQueue&, WorkClass, double serviceTime);
 
-/// Removes the first request of the class that has more than `leastServiceTime` left; nothing when none has.
-std::optional<WorkItem> popStartable(WorkQueue&, WorkClass, Millis leastServiceTime, Millis now);
+/// Removes the first request of the class whose deadline is after `now`; nothing when there is none.
+std::optional<WorkItem> popStartable(WorkQueue&, WorkClass, Millis now);
 
-/// Removes every request whose time left at `now` is at most the least service time of its class.
-std::vector<WorkItem> takeOverdue(WorkQueue&, const std::array<Millis, 2>& leastServiceTime, Millis now);
+/// Removes every request whose deadline has come.
+std::vector<WorkItem> takeOverdue(WorkQueue&, Millis now);
 
 /// Removes the request with this id; false when it does not wait here.
 bool removeWork(WorkQueue&, std::uint64_t id);
--- a/tests/decision/loadharness.cpp
+++ b/tests/decision/loadharness.cpp
@@ -44,6 +44,8 @@
         {
             if (now < downUntil)
                 return 1;
+            if (now >= model.laterAt)
+                return model.laterBears;
             if (!coldSince)
                 return model.bears;
             const double passed = std::clamp(static_cast<double>(now - *coldSince) / model.warmTime, 0.0, 1.0);
--- a/tests/decision/loadharness.h
+++ b/tests/decision/loadharness.h
@@ -4,6 +4,7 @@
 #include "libdecision/retry.h"
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <random>
 #include <vector>
@@ -27,6 +28,9 @@
     Millis longTime = 1000;
     Overload overload = Overload::Slows;
     Millis warmTime = 10000;
+    /// From this time on it bears only `laterBears`.
+    Millis laterAt = std::numeric_limits<Millis>::max();
+    std::uint32_t laterBears = 0;
     /// Times at which it turns cold; before the first it is warm.
     std::vector<Millis> coldAt;
     /// What its endpoints say every half second, given the time and what it has to do; nothing without it.
--- a/tests/decision/testadmission.cpp
+++ b/tests/decision/testadmission.cpp
@@ -154,6 +154,12 @@
             run.options.coldStartGuard = false;
             const UpstreamSeen harmed = runLoad(run).upstreams[0];
             CPPUNIT_ASSERT(overload == Overload::FallsOver ? harmed.fellOver > 10 : harmed.aboveAt.size() > 500);
+
+            LoadRun slower { .upstreams = { { .overload = overload, .warmTime = 40000, .coldAt = { 0 } } }, .countFrom = 60000 };
+            slower.arrivals.push_back({ .shortPerSecond = 0.7 * capacity, .until = 100000 });
+            const LoadResult late = runLoad(slower);
+            CPPUNIT_ASSERT(overload == Overload::Slows || late.upstreams[0].aboveAt.size() <= 2);
+            CPPUNIT_ASSERT(late.outcomes.at(WorkClass::Short).servedInTime >= 0.9 * 0.7 * capacity * 40);
         }
     }
 
@@ -230,6 +236,13 @@
         slows.options.coldStartGuard = false;
         CPPUNIT_ASSERT(runLoad(slows).upstreams[0].servedInTime < 0.7 * 150 * 40);
 
+        // The host is shared from 20 s on, by the time the limit is five and nothing else is known.
+        LoadRun shared { .upstreams = { { .laterAt = 20000, .laterBears = 3 } }, .countFrom = 30000 };
+        shared.arrivals.push_back({ .shortPerSecond = 2 * capacity, .until = 60000 });
+        const LoadResult moved = runLoad(shared);
+        CPPUNIT_ASSERT_EQUAL(3U, currentLimit(moved.upstreams[0].state));
+        CPPUNIT_ASSERT(moved.upstreams[0].servedInTime >= 0.9 * 116 * 30);
+
         LoadRun even { .upstreams = { { .shortTime = 80 } } };
         even.arrivals.push_back({ .shortPerSecond = capacity, .until = 60000 });
         CPPUNIT_ASSERT_EQUAL(5U, currentLimit(runLoad(even).upstreams[0].state));
@@ -250,6 +263,10 @@
         noteHint(state, options, { .healthy = true, .busy = 2, .age = 0 }, now);
         CPPUNIT_ASSERT(admit(state, options, makeItem(1, now), now).decision == AdmitDecision::Run);
         CPPUNIT_ASSERT(admit(state, options, makeItem(2, now), now).decision == AdmitDecision::Queue);
+        finishWork(state, options, WorkClass::Short, WorkOutcome::Succeeded, 10, now);
+        CPPUNIT_ASSERT_EQUAL(3U, currentLimit(state));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), takeRunnable(state, options, now).size());
+        CPPUNIT_ASSERT(admit(state, options, makeItem(3, now), now).decision == AdmitDecision::Queue);
         noteHint(state, options, { .healthy = true, .busy = 1, .age = 0 }, now);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), takeRunnable(state, options, now).size());
     }
@@ -281,6 +298,10 @@
     {
         const AdmissionOptions options { .slots = 5 };
         AdmissionState state;
+        for (int failure = 0; failure < 5; ++failure)
+            noteCompletion(state.limit, { .slots = 5 }, { .outcome = WorkOutcome::Failed, .busy = 5 }, 0);
+        CPPUNIT_ASSERT_EQUAL(Millis(50), state.limit.pausedUntil);
+        state = {};
         std::uint32_t starts = 0;
         for (Millis now = 0; now < 10000; ++now) {
             takeExpired(state, options, now);
--- a/tests/decision/testproperties.cpp
+++ b/tests/decision/testproperties.cpp
@@ -268,10 +268,12 @@
                 const auto outcome = fromNumber<WorkOutcome>(step.kind).value_or(WorkOutcome::Succeeded);
                 const Millis time = step.kind == 11 ? 900 : 20 + static_cast<Millis>(step.other);
                 const auto coldStarts = limit.coldStarts;
+                const std::uint32_t before = allowedConcurrency(limit, options);
                 noteCompletion(limit, options, { .outcome = outcome, .serviceTime = time, .busy = step.subject }, now);
                 const std::uint32_t allowed = allowedConcurrency(limit, options);
                 RC_ASSERT((allowed >= 1 && allowed <= options.slots));
                 const bool turnedAway = outcome == WorkOutcome::Shed || outcome == WorkOutcome::Failed;
+                RC_ASSERT((allowed <= before || step.subject >= before));
                 if (turnedAway)
                     RC_ASSERT((allowed == 1 && limit.cold && limit.coldStarts == coldStarts + 1));
                 if (limit.coldStarts != coldStarts) {
--- a/tests/decision/testwork.cpp
+++ b/tests/decision/testwork.cpp
@@ -124,6 +124,11 @@
         noteAnswer(earlier, { 1, 1 }, State::NeverSeen);
         noteAnswer(earlier, { 2, 1 }, State::NeverSeen);
         CPPUNIT_ASSERT(decideAttempts(earlier).refusal.reason == RefusalReason::EarlierAttemptUnknown);
+        earlier = startAttempts(owners, mine);
+        noteAnswer(earlier, { 1, 1 }, LedgerState::Ran);
+        noteAnswer(earlier, { 1, 1 }, LedgerState::NeverSeen);
+        noteAnswer(earlier, { 2, 1 }, LedgerState::NeverSeen);
+        CPPUNIT_ASSERT(decideAttempts(earlier).refusal.reason == RefusalReason::AlreadyRan);
         std::vector<OwnerToken> many;
         for (UpstreamId upstream = 1; upstream <= maxEarlierAttempts + 1; ++upstream)
             many.push_back({ upstream, 1 });
