--- a/src/libdecision/peaksearch.cpp
+++ b/src/libdecision/peaksearch.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-    /// Samples before a level's throughput is compared: for service times that vary by half, some 4 % off.
+    /// Samples before a level's throughput is compared: for service times that vary by half, some 4 % off, and few of
+    /// them began at the level before.
     constexpr std::uint32_t samplesPerLevel = 40;
     constexpr double sampleWeight = 0.025;
     /// Throughput below this part of the lower level's is put to trial; the trial itself must win by this factor.
@@ -32,8 +33,6 @@
             search.onTrial = false;
             search.confirmed = false;
         }
-        // What is running now has been slowed or sped by the level left, and so has part of what starts beside it.
-        search.skip = 2 * std::max(level, search.level);
         search.level = level;
         search.atLevel = {};
     }
@@ -65,15 +64,11 @@
 // Harm: at full concurrency it gets less done than at a lower one (six tenths, for one that bears three of five slots
 // and slows by the square of the excess), and every request takes longer.
 // Limit: one level at a time, and only after a trial in fresh figures: work that has become heavier at every level looks
-// the same until a lower level is tried, and must not cost it a slot. A trial costs some 50 requests at one slot less.
+// the same until a lower level is tried, and must not cost it a slot. A trial costs some 40 requests at one slot less.
 PeakAction notePeakSample(PeakSearch& search, std::uint32_t level, double serviceTime)
 {
     if (level != search.level)
         moveTo(search, level);
-    if (search.skip > 0) {
-        --search.skip;
-        return PeakAction::Stay;
-    }
     noteServiceTime(search.atLevel, serviceTime, sampleWeight);
     if (!isMeasured(search))
         return PeakAction::Stay;
--- a/src/libdecision/peaksearch.h
+++ b/src/libdecision/peaksearch.h
@@ -9,8 +9,6 @@
     /// The concurrency measured now, and the service time there.
     std::uint32_t level = 0;
     ServiceTime atLevel;
-    /// Requests still to be passed over, since they began at another level.
-    std::uint32_t skip = 0;
     /// Requests per millisecond one level below, when that was left upwards; 0 when not known.
     double below = 0;
     /// A lower level is on trial against the throughput of the one above it.
--- a/tests/decision/testadmission.cpp
+++ b/tests/decision/testadmission.cpp
@@ -9,6 +9,7 @@
 
 constexpr Millis warmAt = 14000;
 constexpr double capacity = 250;
+constexpr std::array overloads { Overload::Slows, Overload::Sheds, Overload::FallsOver };
 
 /// A run that first warms its upstreams at 70 % load, and counts from then on.
 LoadRun warmRun(std::vector<UpstreamModel> upstreams = { {} })
@@ -19,6 +20,21 @@
     return run;
 }
 
+/// One upstream under a steady load, as a part of its warm capacity.
+LoadRun steadyRun(UpstreamModel upstream, double load, Millis until, Millis countFrom = 0)
+{
+    LoadRun run { .upstreams = { std::move(upstream) }, .countFrom = countFrom };
+    run.arrivals.push_back({ .shortPerSecond = load * capacity, .until = until });
+    return run;
+}
+
+void assertColdStartHarmsWithoutGuard(LoadRun run)
+{
+    run.options.coldStartGuard = false;
+    const UpstreamSeen harmed = runLoad(run).upstreams[0];
+    CPPUNIT_ASSERT(run.upstreams[0].overload == Overload::FallsOver ? harmed.fellOver > 10 : harmed.aboveAt.size() > 500);
+}
+
 double useOfSlots(const UpstreamSeen& seen, const LoadRun& run, Millis span)
 {
     return seen.usefulSlotTime / static_cast<double>(span * run.options.slots);
@@ -113,6 +129,7 @@
         CPPUNIT_ASSERT(shared.outcomes.at(WorkClass::Long).servedInTime >= 0.2 * 5 * 50);
         CPPUNIT_ASSERT(shared.outcomes.at(WorkClass::Short).servedInTime >= 0.6 * capacity * 50);
         CPPUNIT_ASSERT_EQUAL(0U, shared.outcomes.at(WorkClass::Long).servedLate);
+        CPPUNIT_ASSERT(percentile(shared.outcomes.at(WorkClass::Long).servedAfter, 0.99) <= 7500);
     }
 
     // One of three upstreams answers four times slower, or one gets most of the demand. It refuses what it cannot serve
@@ -142,21 +159,18 @@
     // and again; with the warm-up none ever has more than it bears.
     void coldUpstreamGetsNoMoreThanItBears()
     {
-        for (const Overload overload : { Overload::Slows, Overload::Sheds, Overload::FallsOver }) {
-            LoadRun run { .upstreams = { { .overload = overload, .coldAt = { 0 } } } };
-            run.arrivals.push_back({ .shortPerSecond = 200, .until = 25000 });
+        for (const Overload overload : overloads) {
+            const LoadRun run = steadyRun({ .overload = overload, .coldAt = { 0 } }, 0.8, 25000);
             const LoadResult guarded = runLoad(run);
             const Outcomes& outcomes = guarded.outcomes.at(WorkClass::Short);
             CPPUNIT_ASSERT_EQUAL(std::size_t(0), guarded.upstreams[0].aboveAt.size());
             CPPUNIT_ASSERT(!isCold(guarded.upstreams[0].state));
             CPPUNIT_ASSERT(outcomes.share(outcomes.servedInTime) >= 0.75);
             assertRefusedTruly(outcomes);
-            run.options.coldStartGuard = false;
-            const UpstreamSeen harmed = runLoad(run).upstreams[0];
-            CPPUNIT_ASSERT(overload == Overload::FallsOver ? harmed.fellOver > 10 : harmed.aboveAt.size() > 500);
+            assertColdStartHarmsWithoutGuard(run);
 
-            LoadRun slower { .upstreams = { { .overload = overload, .warmTime = 40000, .coldAt = { 0 } } }, .countFrom = 60000 };
-            slower.arrivals.push_back({ .shortPerSecond = 0.7 * capacity, .until = 100000 });
+            // It takes four times as long as configured.
+            const LoadRun slower = steadyRun({ .overload = overload, .warmTime = 40000, .coldAt = { 0 } }, 0.7, 100000, 60000);
             const LoadResult late = runLoad(slower);
             CPPUNIT_ASSERT(overload == Overload::Slows || late.upstreams[0].aboveAt.size() <= 2);
             CPPUNIT_ASSERT(late.outcomes.at(WorkClass::Short).servedInTime >= 0.9 * 0.7 * capacity * 40);
@@ -168,19 +182,16 @@
     void upstreamThatTurnsColdIsFoundAtOnce()
     {
         constexpr Millis turn = 20000;
-        for (const Overload overload : { Overload::Slows, Overload::Sheds, Overload::FallsOver }) {
-            LoadRun run { .upstreams = { { .overload = overload, .coldAt = { turn } } }, .countFrom = turn };
-            run.arrivals.push_back({ .shortPerSecond = 0.7 * capacity, .until = 45000 });
+        for (const Overload overload : overloads) {
+            const LoadRun run = steadyRun({ .overload = overload, .coldAt = { turn } }, 0.7, 45000, turn);
             const LoadResult guarded = runLoad(run);
+            const Outcomes& outcomes = guarded.outcomes.at(WorkClass::Short);
             const UpstreamSeen& seen = guarded.upstreams[0];
             CPPUNIT_ASSERT(seen.aboveAt.size() <= run.options.slots);
             CPPUNIT_ASSERT(std::all_of(seen.aboveAt.begin(), seen.aboveAt.end(), [](Millis at) { return at <= turn + 100; }));
             CPPUNIT_ASSERT(!isCold(seen.state));
-            const Outcomes& outcomes = guarded.outcomes.at(WorkClass::Short);
             CPPUNIT_ASSERT(outcomes.share(outcomes.servedInTime) >= 0.75);
-            run.options.coldStartGuard = false;
-            const UpstreamSeen harmed = runLoad(run).upstreams[0];
-            CPPUNIT_ASSERT(overload == Overload::FallsOver ? harmed.fellOver > 10 : harmed.aboveAt.size() > 500);
+            assertColdStartHarmsWithoutGuard(run);
         }
     }
 
@@ -188,15 +199,16 @@
     // concurrency it once had.
     void upstreamThatTurnedColdWhileIdleIsProvedFirst()
     {
-        for (const Overload overload : { Overload::Slows, Overload::Sheds, Overload::FallsOver }) {
+        for (const Overload overload : overloads) {
             LoadRun run = warmRun({ { .overload = overload, .coldAt = { 59900 } } });
             run.burst = 20;
             run.burstAt = 59990;
             run.arrivals.push_back({ .shortPerSecond = 0.8 * capacity, .from = 60000, .until = 80000 });
-            CPPUNIT_ASSERT(runLoad(run).upstreams[0].aboveAt.size() <= 1);
-            run.options.coldStartGuard = false;
-            const UpstreamSeen harmed = runLoad(run).upstreams[0];
-            CPPUNIT_ASSERT(harmed.fellOver > 10 || harmed.aboveAt.size() > 500);
+            const LoadResult guarded = runLoad(run);
+            const Outcomes& outcomes = guarded.outcomes.at(WorkClass::Short);
+            CPPUNIT_ASSERT(guarded.upstreams[0].aboveAt.size() <= 1);
+            CPPUNIT_ASSERT(outcomes.share(outcomes.servedInTime) >= 0.7);
+            assertColdStartHarmsWithoutGuard(run);
         }
     }
 
@@ -205,10 +217,8 @@
     void lyingEndpointNeitherOpensNorClosesTheGate()
     {
         const auto run = [](UpstreamHint hint, std::vector<Millis> coldAt, Millis countFrom) {
-            LoadRun load { .upstreams = { { .coldAt = std::move(coldAt) } }, .countFrom = countFrom };
-            load.upstreams[0].hint = [hint](Millis, std::uint32_t) { return hint; };
-            load.arrivals.push_back({ .shortPerSecond = 0.7 * capacity, .until = 45000 });
-            return runLoad(load);
+            const auto say = [hint](Millis, std::uint32_t) { return hint; };
+            return runLoad(steadyRun({ .coldAt = std::move(coldAt), .hint = say }, 0.7, 45000, countFrom));
         };
         const LoadResult rosy = run({ .healthy = true, .busy = 0, .age = 0 }, { 0 }, 0);
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), rosy.upstreams[0].aboveAt.size());
@@ -222,14 +232,11 @@
     // settles there instead of being tried and cut for ever, and stays at five for one that is evenly slow.
     void upstreamThatBearsLessThanItsSlotsFindsItsPeak()
     {
-        LoadRun sheds { .upstreams = { { .bears = 4, .overload = Overload::Sheds } }, .countFrom = 45000 };
-        sheds.arrivals.push_back({ .shortPerSecond = 0.7 * capacity, .until = 145000 });
-        const LoadResult shed = runLoad(sheds);
+        const LoadResult shed = runLoad(steadyRun({ .bears = 4, .overload = Overload::Sheds }, 0.7, 145000, 45000));
         CPPUNIT_ASSERT(shed.upstreams[0].aboveAt.size() <= 4);
         CPPUNIT_ASSERT(shed.outcomes.at(WorkClass::Short).servedInTime >= 0.94 * 0.7 * capacity * 100);
 
-        LoadRun slows { .upstreams = { { .bears = 3 } }, .countFrom = 20000 };
-        slows.arrivals.push_back({ .shortPerSecond = 2 * capacity, .until = 60000 });
+        LoadRun slows = steadyRun({ .bears = 3 }, 2, 60000, 20000);
         const LoadResult peak = runLoad(slows);
         CPPUNIT_ASSERT_EQUAL(3U, currentLimit(peak.upstreams[0].state));
         CPPUNIT_ASSERT(peak.upstreams[0].servedInTime >= 0.9 * 150 * 40);
@@ -237,15 +244,12 @@
         CPPUNIT_ASSERT(runLoad(slows).upstreams[0].servedInTime < 0.7 * 150 * 40);
 
         // The host is shared from 20 s on, by the time the limit is five and nothing else is known.
-        LoadRun shared { .upstreams = { { .laterAt = 20000, .laterBears = 3 } }, .countFrom = 30000 };
-        shared.arrivals.push_back({ .shortPerSecond = 2 * capacity, .until = 60000 });
-        const LoadResult moved = runLoad(shared);
+        const LoadResult moved = runLoad(steadyRun({ .laterAt = 20000, .laterBears = 3 }, 2, 60000, 30000));
         CPPUNIT_ASSERT_EQUAL(3U, currentLimit(moved.upstreams[0].state));
         CPPUNIT_ASSERT(moved.upstreams[0].servedInTime >= 0.9 * 116 * 30);
 
-        LoadRun even { .upstreams = { { .shortTime = 80 } } };
-        even.arrivals.push_back({ .shortPerSecond = capacity, .until = 60000 });
-        CPPUNIT_ASSERT_EQUAL(5U, currentLimit(runLoad(even).upstreams[0].state));
+        const LoadResult even = runLoad(steadyRun({ .shortTime = 80 }, 1, 60000));
+        CPPUNIT_ASSERT_EQUAL(5U, currentLimit(even.upstreams[0].state));
     }
 
     // The agent was restarted and knows nothing; work it no longer knows of still runs at the upstream.
@@ -260,13 +264,16 @@
             while (busy(state) > 0)
                 finishWork(state, options, WorkClass::Short, WorkOutcome::Succeeded, 10, now + 10);
         }
-        noteHint(state, options, { .healthy = true, .busy = 2, .age = 0 }, now);
-        CPPUNIT_ASSERT(admit(state, options, makeItem(1, now), now).decision == AdmitDecision::Run);
-        CPPUNIT_ASSERT(admit(state, options, makeItem(2, now), now).decision == AdmitDecision::Queue);
-        finishWork(state, options, WorkClass::Short, WorkOutcome::Succeeded, 10, now);
+        noteHint(state, options, { .healthy = false, .busy = 2, .age = 60000 }, now);
+        for (std::uint64_t id = 1; id <= 3; ++id)
+            CPPUNIT_ASSERT(admit(state, options, makeItem(id, now), now).decision == AdmitDecision::Run);
+        noteHint(state, options, { .healthy = false, .busy = 3, .age = 0 }, now);
+        for (int ended = 0; ended < 3; ++ended)
+            finishWork(state, options, WorkClass::Short, WorkOutcome::Succeeded, 10, now);
         CPPUNIT_ASSERT_EQUAL(3U, currentLimit(state));
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), takeRunnable(state, options, now).size());
-        CPPUNIT_ASSERT(admit(state, options, makeItem(3, now), now).decision == AdmitDecision::Queue);
+        noteHint(state, options, { .healthy = true, .busy = 2, .age = 0 }, now);
+        CPPUNIT_ASSERT(admit(state, options, makeItem(4, now), now).decision == AdmitDecision::Run);
+        CPPUNIT_ASSERT(admit(state, options, makeItem(5, now), now).decision == AdmitDecision::Queue);
         noteHint(state, options, { .healthy = true, .busy = 1, .age = 0 }, now);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), takeRunnable(state, options, now).size());
     }
@@ -281,6 +288,8 @@
         for (std::uint64_t id = 3; id < 6; ++id)
             CPPUNIT_ASSERT(admit(state, options, makeItem(id, 0, 500 + static_cast<Millis>(id)), 0).decision == AdmitDecision::Queue);
         CPPUNIT_ASSERT(admit(state, options, makeItem(6, 0), 0).refusal.reason == RefusalReason::QueueFull);
+        const AdmissionOptions impatient { .slots = 1, .queueLimit = 9, .longestShortWait = 150 };
+        CPPUNIT_ASSERT(admit(state, impatient, makeItem(6, 0, 60000), 0).refusal.reason == RefusalReason::ExpectedWaitTooLong);
         CPPUNIT_ASSERT(cancelQueued(state, 4) && !cancelQueued(state, 4));
         CPPUNIT_ASSERT_EQUAL(Millis(503), *nextWake(state, 0));
         const auto expired = takeExpired(state, options, 503);
--- a/tests/decision/testpackets.cpp
+++ b/tests/decision/testpackets.cpp
@@ -94,9 +94,8 @@
 class TestPackets : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(TestPackets);
     CPPUNIT_TEST(agentServesOnlyItsOwnService);
-    CPPUNIT_TEST(agentOpensOnlyWhatItMayTake);
     CPPUNIT_TEST(agentNeverBreaksAFlowItCannotJudge);
-    CPPUNIT_TEST(agentAnswersOrPassesOnWithinItsHops);
+    CPPUNIT_TEST(agentTakesOnlyWhatItMayAndPassesOnTheRest);
     CPPUNIT_TEST(balancerFollowsTheToken);
     CPPUNIT_TEST(balancerWithAStaleViewBreaksNoFlow);
     CPPUNIT_TEST(unownedPacketsWalkTheRanking);
@@ -117,29 +116,14 @@
         CPPUNIT_ASSERT(misdelivered > 0);
     }
 
-    void agentOpensOnlyWhatItMayTake()
-    {
-        forEveryPacket([](const PacketFacts& facts, const PacketVerdict& verdict) {
-            if (facts.dataCentreOut)
-                CPPUNIT_ASSERT(!servesPacket(verdict));
-            if (verdict.action == PacketAction::Open)
-                CPPUNIT_ASSERT(facts.isOpen && !facts.draining && !facts.holdsFlow && !facts.hasToken && !facts.redirectFound);
-            if (facts.isOpen && facts.draining && !facts.holdsFlow && verdict.action == PacketAction::ReplyReset)
-                CPPUNIT_ASSERT(facts.hops >= maxHops || facts.hasToken || !facts.serviceMatches);
-        });
-    }
-
     // A packet of a living flow reaches an agent that does not hold it. Were it reset there, a feed would be cut mid-shift
     // because one view was behind.
     void agentNeverBreaksAFlowItCannotJudge()
     {
         forEveryPacket([](const PacketFacts& facts, const PacketVerdict& verdict) {
             const bool ofAnother = facts.hasToken && !facts.tokenIsMine && !facts.tokenIsPredecessor;
-            if (ofAnother)
-                CPPUNIT_ASSERT(passesOn(verdict) || verdict.action == PacketAction::Drop);
             const bool unowned = !facts.hasToken && !facts.holdsFlow && !facts.isOpen;
-            if (unowned)
-                CPPUNIT_ASSERT(passesOn(verdict) || verdict.action == PacketAction::Drop);
+            CPPUNIT_ASSERT(!(ofAnother || unowned) || passesOn(verdict) || verdict.action == PacketAction::Drop);
             if (verdict.reason == RefusalReason::FlowUnknown && verdict.action == PacketAction::ReplyReset)
                 CPPUNIT_ASSERT(facts.tokenIsMine && !facts.holdsFlow);
             const bool held = facts.holdsFlow && facts.serviceMatches && !facts.dataCentreOut && (facts.tokenIsMine || !facts.hasToken);
@@ -148,9 +132,14 @@
         });
     }
 
-    void agentAnswersOrPassesOnWithinItsHops()
+    void agentTakesOnlyWhatItMayAndPassesOnTheRest()
     {
         forEveryPacket([](const PacketFacts& facts, const PacketVerdict& verdict) {
+            CPPUNIT_ASSERT(!facts.dataCentreOut || !servesPacket(verdict));
+            const bool isNew = facts.isOpen && !facts.holdsFlow && !facts.hasToken && !facts.redirectFound;
+            CPPUNIT_ASSERT(verdict.action != PacketAction::Open || (isNew && !facts.draining));
+            if (isNew && facts.draining && verdict.action == PacketAction::ReplyReset)
+                CPPUNIT_ASSERT(facts.hops >= maxHops || !facts.serviceMatches);
             CPPUNIT_ASSERT(!passesOn(verdict) || facts.hops < maxHops);
             CPPUNIT_ASSERT(verdict.action != PacketAction::Drop || facts.hops >= maxHops);
             const bool hasReason = verdict.reason != RefusalReason::None;
--- a/tests/decision/testproperties.cpp
+++ b/tests/decision/testproperties.cpp
@@ -175,43 +175,47 @@
         CPPUNIT_ASSERT(holds("redirects follow their model", 5, 12, [](const History& history) {
             const RedirectOptions options { .maxEntries = 6, .keepFor = 2000 };
             Redirects redirects;
-            std::vector<std::pair<FlowId, RedirectEntry>> model;
-            Millis now = 0;
-            const auto find = [&](FlowId flow) {
-                return std::find_if(model.begin(), model.end(), [flow](const auto& entry) { return entry.first == flow; });
+            struct Noted {
+                FlowId flow;
+                OwnerToken owner;
+                Millis at;
             };
+            std::vector<Noted> model;
+            Millis now = 0;
             for (const Step& step : history) {
                 now += step.passed;
                 const FlowId flow = step.subject;
                 const OwnerToken owner { step.other % 3 + 1, static_cast<Incarnation>(step.other / 3 + 1) };
+                const auto ofFlow = [&](const Noted& noted) { return noted.flow == flow; };
                 if (step.kind <= 1) {
                     noteRedirect(redirects, options, flow, owner, now);
-                    const auto held = find(flow);
-                    const bool isOld = held != model.end() && held->second.owner.upstream == owner.upstream
-                        && held->second.owner.incarnation > owner.incarnation;
+                    const bool isOld = std::any_of(model.begin(), model.end(), [&](const Noted& noted) {
+                        return ofFlow(noted) && noted.owner.upstream == owner.upstream && noted.owner.incarnation > owner.incarnation;
+                    });
                     if (!isOld) {
-                        if (held != model.end())
-                            model.erase(held);
-                        model.push_back({ flow, { .owner = owner, .notedAt = now } });
+                        std::erase_if(model, ofFlow);
+                        model.push_back({ flow, owner, now });
                     }
                     if (model.size() > options.maxEntries)
                         model.erase(model.begin());
                 } else if (step.kind == 2) {
                     forgetFlow(redirects, flow);
-                    std::erase_if(model, [&](const auto& entry) { return entry.first == flow; });
+                    std::erase_if(model, ofFlow);
                 } else if (step.kind == 3) {
-                    const auto gone = std::erase_if(model, [&](const auto& entry) { return entry.second.owner == owner; });
+                    const auto gone = std::erase_if(model, [&](const Noted& noted) { return noted.owner == owner; });
                     RC_ASSERT(forgetOwner(redirects, owner) == gone);
                 } else {
-                    const auto old = std::erase_if(model, [&](const auto& entry) { return now - entry.second.notedAt > options.keepFor; });
+                    const auto old = std::erase_if(model, [&](const Noted& noted) { return now - noted.at > options.keepFor; });
                     RC_ASSERT(expireRedirects(redirects, options, now) == old);
                 }
                 RC_ASSERT((redirects.entries.size() == model.size() && redirects.order.size() == model.size()));
-                for (FlowId candidate = 0; candidate < 12; ++candidate) {
-                    const auto held = find(candidate);
-                    const bool valid = held != model.end() && now - held->second.notedAt <= options.keepFor;
-                    const auto found = findRedirect(redirects, options, candidate, now);
-                    RC_ASSERT((found.has_value() == valid && (!valid || *found == held->second.owner)));
+                for (FlowId any = 0; any < 12; ++any) {
+                    std::optional<OwnerToken> expected;
+                    for (const Noted& noted : model) {
+                        if (noted.flow == any && now - noted.at <= options.keepFor)
+                            expected = noted.owner;
+                    }
+                    RC_ASSERT((findRedirect(redirects, options, any, now) == expected));
                 }
             }
         }));
