--- /dev/null
+++ b/src/kingcuptraild/agent/upstreamprobe.cpp
@@ -0,0 +1,90 @@
+#include "upstreamprobe.h"
+
+#include "libruntime/events.h"
+
+#include <nlohmann/json.hpp>
+
+namespace kingcuptrail {
+
+namespace {
+
+    /// Often enough to see a restart within a few requests, seldom enough to cost a cold upstream nothing.
+    constexpr Millis probeInterval = 1000;
+    /// While nothing accepts connections a probe costs the upstream nothing, and each interval is time without service.
+    constexpr Millis probeIntervalUnreachable = 200;
+    constexpr Millis probeTimeout = 800;
+    constexpr int statusOk = 200;
+
+    /// The busy slots an upstream reports as {"busy": N}; 0 when it reports nothing readable.
+    std::uint32_t busyOf(const std::optional<HttpResponse>& response)
+    {
+        if (!response)
+            return 0;
+        const auto document = nlohmann::json::parse(response->body, nullptr, false);
+        if (!document.is_object() || !document.contains("busy") || !document["busy"].is_number_unsigned())
+            return 0;
+        return document["busy"].get<std::uint32_t>();
+    }
+
+}
+
+UpstreamProbe::UpstreamProbe(const RoleContext& role, Handlers handlers)
+    : m_role(role)
+    , m_handlers(std::move(handlers))
+    , m_timer(role.context)
+{
+    askHealth();
+}
+
+UpstreamProbe::~UpstreamProbe()
+{
+    if (m_call)
+        m_call->cancel();
+}
+
+void UpstreamProbe::schedule(Millis pause)
+{
+    m_timer.expires_after(std::chrono::milliseconds(pause));
+    m_timer.async_wait([this](asio::error_code error) {
+        if (!error)
+            askHealth();
+    });
+}
+
+void UpstreamProbe::askHealth()
+{
+    const AgentSettings& agent = m_role.settings.agent;
+    m_call = startHttpCall(m_role.context, agent.upstream, { .target = agent.healthPath }, { .timeout = probeTimeout },
+        { .onDone = [this](const std::optional<HttpResponse>& response, const HttpOutcome& outcome) {
+            handleHealth(response && response->status == statusOk, response || outcome.mayHaveReached);
+        } });
+}
+
+void UpstreamProbe::handleHealth(bool isHealthy, bool isConnected)
+{
+    m_call = nullptr;
+    m_handlers.onContact(isConnected);
+    if (isConnected)
+        askLoad(isHealthy);
+    else
+        schedule(probeIntervalUnreachable);
+}
+
+void UpstreamProbe::askLoad(bool isHealthy)
+{
+    const AgentSettings& agent = m_role.settings.agent;
+    m_call = startHttpCall(m_role.context, agent.upstream, { .target = agent.loadPath }, { .timeout = probeTimeout },
+        { .onDone = [this, isHealthy](const std::optional<HttpResponse>& response, const HttpOutcome&) { report(isHealthy, busyOf(response)); } });
+}
+
+void UpstreamProbe::report(bool isHealthy, std::uint32_t busy)
+{
+    m_call = nullptr;
+    if (isHealthy != m_wasHealthy)
+        logEvent(Event::UpstreamHealthChanged, { { "healthy", isHealthy ? "yes" : "no" } });
+    m_wasHealthy = isHealthy;
+    m_handlers.onHint({ .healthy = isHealthy, .busy = busy, .age = 0 });
+    schedule(probeInterval);
+}
+
+}
--- a/src/libprotocol/link.cpp
+++ b/src/libprotocol/link.cpp
@@ -8,8 +8,21 @@
 
 namespace {
 
+    /// Bytes read from a socket at once.
+    constexpr std::size_t readBufferBytes = std::size_t { 64 } * 1024;
+
     constexpr auto watchInterval = std::chrono::milliseconds(100);
 
+    /// A watch that comes later than this shows that the process stood still.
+    constexpr auto longestWatchGap = std::chrono::milliseconds(1000);
+
+    LinkError connectReason(const asio::error_code& error)
+    {
+        if (!error)
+            return LinkError::None;
+        return error == asio::error::connection_refused ? LinkError::ConnectRefused : LinkError::ConnectFailed;
+    }
+
     bool hasPassed(steady_clock::time_point since, Millis limit)
     {
         return steady_clock::now() - since > std::chrono::milliseconds(limit);
@@ -25,6 +38,7 @@
     , m_heardAt(m_startedAt)
     , m_partialSince(m_startedAt)
     , m_writeSince(m_startedAt)
+    , m_watchedAt(m_startedAt)
 {
 }
 
@@ -33,8 +47,10 @@
     m_handlers = std::move(handlers);
     asio::error_code ignored;
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    m_socket.non_blocking(true, ignored);
     m_startedAt = steady_clock::now();
     m_heardAt = m_startedAt;
+    m_watchedAt = m_startedAt;
     read();
     watch();
 }
@@ -74,34 +90,41 @@
     shut();
 }
 
+// A balancer may have thousands of links, most of them idle. A read buffer in each would be most of its memory, so a
+// link waits until there is something to read and then reads into a buffer that all links of the thread share.
 void Link::read()
 {
     auto self = shared_from_this();
-    m_socket.async_read_some(asio::buffer(m_input), [self](asio::error_code error, std::size_t count) {
+    m_socket.async_wait(asio::ip::tcp::socket::wait_read, [self](asio::error_code waitError) {
         if (self->m_closed)
             return;
-        if (error) {
+        thread_local std::vector<std::uint8_t> buffer(readBufferBytes);
+        asio::error_code error = waitError;
+        const std::size_t count = error ? 0 : self->m_socket.read_some(asio::buffer(buffer), error);
+        if (error && error != asio::error::would_block) {
             self->fail(LinkError::PeerClosed);
             return;
         }
-        self->handleBytes(count);
+        self->handleBytes({ buffer.data(), count });
         if (!self->m_closed)
             self->read();
     });
 }
 
-void Link::handleBytes(std::size_t count)
+void Link::handleBytes(std::span<const std::uint8_t> bytes)
 {
     m_heardAt = steady_clock::now();
-    m_bytesReceived += count;
+    m_bytesReceived += bytes.size();
     if (!m_reader.hasPartial())
         m_partialSince = m_heardAt;
-    m_reader.append({ m_input.data(), count });
+    m_reader.append(bytes);
+    // A handler that closes the link drops m_handlers; the copy keeps what is running alive.
+    const auto onFrame = m_handlers.onFrame;
     while (const auto view = m_reader.next()) {
         m_heardFrame = true;
         m_partialSince = m_heardAt;
         if (m_handlers.onFrame)
-            m_handlers.onFrame(*this, *view->frame, view->raw);
+            onFrame(*this, *view->frame, view->raw);
         if (m_closed)
             return;
     }
@@ -144,6 +167,7 @@
     m_timer.async_wait([self](asio::error_code error) {
         if (error || self->m_closed)
             return;
+        self->forgiveOwnPause();
         const LinkError reason = self->overdue();
         if (reason != LinkError::None)
             self->fail(reason);
@@ -152,6 +176,20 @@
     });
 }
 
+// Failure: this process stood still, and its timers fire before it has read what waits on its sockets. Every peer would
+// look silent, and every link would be made anew with its news unread. The silence was this process's own, so it is not
+// counted against the peers.
+void Link::forgiveOwnPause()
+{
+    const auto now = steady_clock::now();
+    if (now - m_watchedAt > longestWatchGap) {
+        m_heardAt = now;
+        m_partialSince = now;
+        m_writeSince = now;
+    }
+    m_watchedAt = now;
+}
+
 LinkError Link::overdue() const
 {
     if (!m_heardFrame && hasPassed(m_startedAt, m_options.handshakeTimeout))
@@ -234,7 +272,7 @@
             attempt->finish(options, LinkError::ConnectTimeout);
     });
     attempt->socket.async_connect(endpoint, [attempt, options = m_options](asio::error_code error) {
-        attempt->finish(options, error ? LinkError::ConnectFailed : LinkError::None);
+        attempt->finish(options, connectReason(error));
     });
 }
 
--- a/src/libprotocol/link.h
+++ b/src/libprotocol/link.h
@@ -3,7 +3,6 @@
 #include "framing.h"
 #include "libdecision/ids.h"
 
-#include <array>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
@@ -28,11 +27,13 @@
     NotExpected,
     Goodbye,
     ClosedHere,
+    /// The host answered that nothing listens at the address.
+    ConnectRefused,
 };
 
 template <>
 struct EnumNames<LinkError> {
-    static constexpr std::array<std::string_view, 13> names {
+    static constexpr std::array<std::string_view, 14> names {
         "none",
         "connectFailed",
         "connectTimeout",
@@ -46,12 +47,10 @@
         "notExpected",
         "goodbye",
         "closedHere",
+        "connectRefused",
     };
 };
 
-/// Bytes read from a socket at once.
-constexpr std::size_t readBufferBytes = std::size_t { 64 } * 1024;
-
 struct LinkOptions {
     /// How long the peer may take to send its first frame, in milliseconds.
     Millis handshakeTimeout = 2000;
@@ -88,6 +87,11 @@
     /// Ends the link without telling the handlers. What is queued is still written when `flush` is set.
     void close(bool flush = false);
 
+    Millis silenceLimit() const { return m_options.silenceLimit; }
+
+    /// Adapts the limit to a peer that announced slower heartbeats; 0 means no limit.
+    void setSilenceLimit(Millis limit) { m_options.silenceLimit = limit; }
+
     bool isOpen() const { return !m_closed; }
     LinkError lastReason() const { return m_lastReason; }
     std::uint64_t droppedFrames() const { return m_droppedFrames; }
@@ -96,11 +100,12 @@
 
 private:
     void read();
-    void handleBytes(std::size_t count);
+    void handleBytes(std::span<const std::uint8_t> bytes);
     void write();
     void watch();
     void fail(LinkError reason);
     void shut();
+    void forgiveOwnPause();
     LinkError overdue() const;
 
     asio::ip::tcp::socket m_socket;
@@ -108,7 +113,6 @@
     LinkOptions m_options;
     Handlers m_handlers;
     FrameReader m_reader;
-    std::array<std::uint8_t, readBufferBytes> m_input {};
     std::deque<Bytes> m_output;
     std::size_t m_outputBytes = 0;
     std::uint64_t m_droppedFrames = 0;
@@ -118,6 +122,7 @@
     std::chrono::steady_clock::time_point m_heardAt;
     std::chrono::steady_clock::time_point m_partialSince;
     std::chrono::steady_clock::time_point m_writeSince;
+    std::chrono::steady_clock::time_point m_watchedAt;
     bool m_isWriting = false;
     bool m_heardFrame = false;
     bool m_closed = false;
--- a/src/libruntime/events.h
+++ b/src/libruntime/events.h
@@ -40,6 +40,8 @@
     UpstreamWarm = 401,
     UpstreamHealthChanged = 402,
     Saturated = 403,
+    UpstreamUnreachable = 404,
+    UpstreamReachable = 405,
     // Safety
     WrongServicePacket = 500,
     OutcomeUnknown = 501,
@@ -57,6 +59,8 @@
     EventLevel level;
     std::string_view name;
     std::string_view meaning;
+    /// What an operator can do about it.
+    std::string_view action;
 };
 
 /// Every event, in the order of their numbers.
--- a/src/libruntime/supervisor.h
+++ b/src/libruntime/supervisor.h
@@ -84,12 +84,15 @@
     void remove(const std::string& name);
     bool contains(const std::string& name) const;
 
+    /// Ends all children, the last one first. For an owner that children call back when they end.
+    void endAll();
+
     /// This supervisor's children and, where they are supervisors, theirs.
     std::vector<ChildStatus> status() const;
 
 private:
     struct Private;
-    std::shared_ptr<Private> d;
+    std::shared_ptr<Private> m_d;
 };
 
 }
