--- a/src/libplatform/configwatcher.cpp
+++ b/src/libplatform/configwatcher.cpp
@@ -11,6 +11,7 @@
         , reader(client)
         , delay(context)
         , backoff(options.retryFirst, options.retryMax)
+        , watchPause(options.retryFirst)
         , onConfig(std::move(handler))
         , once(stopAfterFirst)
     {
@@ -18,6 +19,7 @@
 
     void list();
     void watch();
+    void watchLater();
     void handleManifests(const ObjectList& list);
     void handleConfig(const Config& config);
     void retry(PlatformError error, void (Private::*step)());
@@ -26,6 +28,7 @@
     ConfigReader reader;
     Delay delay;
     Backoff backoff;
+    Millis watchPause = 0;
     OnConfig onConfig;
     bool once = false;
     ObjectVersion seen = 0;
@@ -43,6 +46,14 @@
     });
 }
 
+// Load: changes that follow one another closely, or a platform that answers watches without waiting. Harm: a call after
+// the other from each daemon of the fleet. Limit: a pause after each answer, short against the seconds in which a change
+// must be in force.
+void ConfigWatcher::Private::watchLater()
+{
+    delay.start(watchPause, [this] { watch(); });
+}
+
 void ConfigWatcher::Private::watch()
 {
     client.watch(manifestKind, seen, [this](const std::optional<ObjectList>& list, PlatformError error) {
@@ -66,7 +77,7 @@
     if (!newest || newest->version <= reported) {
         lastReason = PlatformError::None;
         backoff.reset();
-        watch();
+        watchLater();
         return;
     }
     reader.read(std::move(*newest), [this](const std::optional<Config>& config, PlatformError error) {
@@ -83,7 +94,7 @@
     backoff.reset();
     reported = config.version;
     if (!once)
-        watch();
+        watchLater();
     // Last, since the handler may destroy this watcher.
     const OnConfig handler = onConfig;
     handler(config);
--- a/src/libplatform/platformclient.h
+++ b/src/libplatform/platformclient.h
@@ -66,7 +66,8 @@
     Millis watchWait = 20000;
     /// Name of this process, sent with each call so that the platform's own counts can tell callers apart.
     std::string client;
-    /// Shortest and longest wait before a watcher or announcer tries again, in milliseconds.
+    /// Shortest and longest wait before a watcher or announcer tries again, in milliseconds. The shortest is also the
+    /// pause of a watcher between two watches.
     Millis retryFirst = 100;
     Millis retryMax = 3000;
 };
--- a/src/libplatform/presencewatcher.cpp
+++ b/src/libplatform/presencewatcher.cpp
@@ -31,12 +31,14 @@
         , delay(context)
         , leaseDelay(context)
         , backoff(options.retryFirst, options.retryMax)
+        , watchPause(options.retryFirst)
         , onPresence(std::move(handler))
     {
     }
 
     void list();
     void watch();
+    void watchLater();
     void handleChange(const PlatformObject& object);
     void retry(PlatformError error, void (Private::*step)());
     void checkLeasesLater();
@@ -51,6 +53,7 @@
     Delay delay;
     Delay leaseDelay;
     Backoff backoff;
+    Millis watchPause = 0;
     OnPresence onPresence;
     std::map<std::string, Presence> announced;
     std::map<std::string, LeaseView> leases;
@@ -62,7 +65,9 @@
     bool isChecking = false;
     /// The wait for the next look, in milliseconds.
     Millis checkingAfter = 0;
-    PlatformError lastReason = PlatformError::None;
+    /// The last trouble of either chain of calls; each is cleared by its own success.
+    PlatformError watchReason = PlatformError::None;
+    PlatformError leaseReason = PlatformError::None;
 };
 
 void PresenceWatcher::Private::list()
@@ -76,9 +81,9 @@
         for (const PlatformObject& object : list->objects)
             handleChange(object);
         seen = list->version;
-        lastReason = PlatformError::None;
+        watchReason = PlatformError::None;
         backoff.reset();
-        watch();
+        watchLater();
         checkLeasesSooner();
         report();
     });
@@ -94,14 +99,22 @@
         for (const PlatformObject& object : list->objects)
             handleChange(object);
         seen = list->version;
-        lastReason = PlatformError::None;
+        watchReason = PlatformError::None;
         backoff.reset();
-        watch();
+        watchLater();
         checkLeasesSooner();
         report();
     });
 }
 
+// Load: a rack ends, or a fleet is restarted, and hundreds of announcements change within a second. Harm: each change
+// would wake every watcher by itself. Limit: a pause after each answer, in which changes gather for the next one; the
+// first change is still seen at once.
+void PresenceWatcher::Private::watchLater()
+{
+    delay.start(watchPause, [this] { watch(); });
+}
+
 void PresenceWatcher::Private::handleChange(const PlatformObject& object)
 {
     auto presence = object.value ? parsePresence(*object.value) : std::nullopt;
@@ -119,7 +132,7 @@
 
 void PresenceWatcher::Private::retry(PlatformError error, void (Private::*step)())
 {
-    lastReason = error;
+    watchReason = error;
     delay.start(backoff.next(), [this, step] { (this->*step)(); });
 }
 
@@ -144,10 +157,9 @@
         isChecking = false;
         countLeaseTime(list.has_value());
         checkLeasesLater();
+        leaseReason = error;
         if (list)
             handleLeases(*list);
-        else
-            lastReason = error;
     });
 }
 
@@ -220,7 +232,7 @@
 
 PlatformError PresenceWatcher::lastReason() const
 {
-    return m_d->lastReason;
+    return m_d->watchReason != PlatformError::None ? m_d->watchReason : m_d->leaseReason;
 }
 
 }
--- a/tests/platform/testconfigapply.cpp
+++ b/tests/platform/testconfigapply.cpp
@@ -204,7 +204,9 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, countCalls("DELETE", object));
         runUntil(m_context, [&report] { return report.has_value(); });
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, countCalls("DELETE", object));
-        CPPUNIT_ASSERT_EQUAL(1U, fetch()->services.front().slots);
+        const auto config = fetch();
+        CPPUNIT_ASSERT_MESSAGE("the accepted configuration cannot be read", config.has_value());
+        CPPUNIT_ASSERT_EQUAL(1U, config->services.front().slots);
     }
 
     struct Watched {
--- a/tests/platform/testmembership.cpp
+++ b/tests/platform/testmembership.cpp
@@ -202,15 +202,19 @@
         CPPUNIT_ASSERT_EQUAL(reports, watched.reports);
     }
 
-    // A holder is gone for good while the platform answers: its upstream must get no new flow. When another speaks for
-    // the upstream, it must.
+    // A holder with a short lease is gone for good while the platform answers: its upstream must get no new flow, and that
+    // soon, though the watcher knew of no lease before. When another speaks for the upstream, it must.
     void leaseOfALostHolderLapses()
     {
         Watched watched(m_context, m_options);
         auto announced = std::make_unique<Announced>(m_context, m_options, wanted(200));
         runUntil(m_context, [&] { return watched.isOnly(MemberState::Serving); });
         announced.reset();
+        const auto looks = countCalls("GET", "/objects/lease\"");
+        const auto start = std::chrono::steady_clock::now();
         runUntil(m_context, [&] { return watched.isOnly(MemberState::Lapsed); });
+        CPPUNIT_ASSERT(countCalls("GET", "/objects/lease\"") >= looks + 2);
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - start < std::chrono::seconds(7));
         const Announced later(m_context, m_options, wanted(200));
         runUntil(m_context, [&] { return watched.isOnly(MemberState::Serving); });
         CPPUNIT_ASSERT(watched.now.front().token == later.announced.front().token);
