--- a/src/kingcuptraild/agent/requestdesk.h
+++ b/src/kingcuptraild/agent/requestdesk.h
@@ -69,6 +69,8 @@
 
     /// False when the message is not one that a caller may send.
     bool handleMessage(FlowId flow, const wire::Message& message);
+    /// Refuses what waits for a slot, as not run.
+    void refuseWaiting(RefusalReason reason);
     void flowHasRoom(FlowId flow);
     /// The flow is gone: idempotent work is cancelled; a non-idempotent request that runs is left to end, so that its
     /// outcome is known to whoever asks later.
@@ -114,6 +116,7 @@
     void finishSlot(const RequestPtr& request, WorkOutcome outcome);
     void answer(const RequestPtr& request, int status, const std::string& body);
     void refuse(const RequestPtr& request, const RefusalVerdict& verdict);
+    void noteSaturation(RefusalReason reason);
     void settle(const RequestPtr& request, LedgerState outcome);
     void pump(const RequestPtr& request);
     void cancelAbandoned(const RequestPtr& request);
@@ -137,6 +140,7 @@
     std::uint64_t m_lastWork = 0;
     std::uint64_t m_lastQuery = 0;
     std::size_t m_heldBytes = 0;
+    Millis m_nextSaturationLog = 0;
     RefusalReason m_refuseNew = RefusalReason::None;
     EnumCounters<RefusalReason> m_refusals;
     EnumCounters<RequestEnd> m_ends;
