--- a/src/libcaller/caller.cpp
+++ b/src/libcaller/caller.cpp
@@ -40,6 +40,8 @@
         RefusalReason lastReason = RefusalReason::None;
         Millis lastRetryAfter = 0;
         OwnerToken lastOwner;
+        /// Every owner that a try of this call has met.
+        std::vector<OwnerToken> metOwners;
 
         bool bodySent() const { return sender && sender->isDone(); }
     };
@@ -90,7 +92,10 @@
     FlowId openFlow(ServiceAddress service);
     void closeFlow(Flow& flow);
     void retireIfUnused(Flow& flow);
+    std::vector<FlowId>& usableSharedFlows(ServiceAddress service);
     FlowId sharedFlow(ServiceAddress service);
+    FlowId openSharedFlow(ServiceAddress service);
+    FlowId flowElsewhere(Call& call);
     Flow* findFlow(FlowId id);
 
     CallId startCall(CallSpec spec, CallHandlers handlers);
@@ -193,7 +198,7 @@
     arm();
 }
 
-FlowId Caller::Private::sharedFlow(ServiceAddress service)
+std::vector<FlowId>& Caller::Private::usableSharedFlows(ServiceAddress service)
 {
     auto& shared = sharedFlows[service];
     std::erase_if(shared, [this](FlowId id) {
@@ -204,13 +209,43 @@
         retireIfUnused(*flow);
         return flow->isRetiring;
     });
-    if (shared.size() >= std::max<std::size_t>(options.sharedFlows, 1))
-        return shared[nextShared++ % shared.size()];
+    return shared;
+}
+
+FlowId Caller::Private::openSharedFlow(ServiceAddress service)
+{
     const FlowId id = openFlow(service);
-    shared.push_back(id);
+    sharedFlows[service].push_back(id);
     return id;
 }
 
+FlowId Caller::Private::sharedFlow(ServiceAddress service)
+{
+    const auto& shared = usableSharedFlows(service);
+    if (shared.size() < std::max<std::size_t>(options.sharedFlows, 1))
+        return openSharedFlow(service);
+    return shared[nextShared++ % shared.size()];
+}
+
+// Load: many retries at once, when upstreams are saturated.
+// Harm: a flow opened and closed for each of them costs the balancers and agents more than the request itself.
+// Limit: a shared flow is used when its owner has not met the call yet; one more flow is opened and kept up to the
+// number of shared flows, and only beyond that one for the call alone.
+FlowId Caller::Private::flowElsewhere(Call& call)
+{
+    const auto& shared = usableSharedFlows(call.spec.service);
+    for (std::size_t step = 0; step < shared.size(); ++step) {
+        const FlowId id = shared[nextShared++ % shared.size()];
+        const CallerFlow& flow = flows[id]->flow;
+        if (flow.state() == FlowState::Open && std::ranges::find(call.metOwners, flow.owner()) == call.metOwners.end())
+            return id;
+    }
+    if (shared.size() < options.sharedFlows)
+        return openSharedFlow(call.spec.service);
+    call.ownsFlow = true;
+    return openFlow(call.spec.service);
+}
+
 CallId Caller::Private::startCall(CallSpec spec, CallHandlers callHandlers)
 {
     const CallId id = nextCall++;
@@ -234,10 +269,8 @@
         const Flow* flow = findFlow(id);
         return flow && !flow->isRetiring && flow->flow.state() != FlowState::Ended && !(call.progress.idempotent && flow->flow.isSuspect());
     };
-    if (call.retryOnNewFlow) {
-        call.ownsFlow = true;
-        return openFlow(call.spec.service);
-    }
+    if (call.retryOnNewFlow)
+        return flowElsewhere(call);
     if (call.spec.flow && isUsable(call.spec.flow))
         return call.spec.flow;
     return sharedFlow(call.spec.service);
@@ -310,6 +343,10 @@
 bool Caller::Private::tryAgain(CallId id, Call& call, const AttemptResult& result, bool tellUpstream)
 {
     const Millis now = clock.now();
+    if (const Flow* flow = findFlow(call.flow)) {
+        call.lastOwner = flow->flow.owner();
+        call.metOwners.push_back(call.lastOwner);
+    }
     const RetryVerdict verdict = noteTryEnd(call.progress, budget, options.retry, result, call.lastOwner, now);
     counters.retries.increment(verdict.reason);
     if (!verdict.retry)
