--- a/src/libdecision/peaksearch.cpp
+++ b/src/libdecision/peaksearch.cpp
@@ -6,9 +6,10 @@
 
 namespace {
 
-    /// Samples before a level's throughput is compared: for service times that vary by half, some 6 % off.
-    constexpr std::uint32_t samplesPerLevel = 20;
-    constexpr double sampleWeight = 0.05;
+    /// Samples before a level's throughput is compared: for service times that vary by half, some 4 % off, and few of
+    /// them began at the level before.
+    constexpr std::uint32_t samplesPerLevel = 40;
+    constexpr double sampleWeight = 0.025;
     /// Throughput below this part of the lower level's is put to trial; the trial itself must win by this factor.
     constexpr double suspiciousRatio = 0.9;
     constexpr double winningRatio = 1.05;
@@ -63,7 +64,7 @@
 // Harm: at full concurrency it gets less done than at a lower one (six tenths, for one that bears three of five slots
 // and slows by the square of the excess), and every request takes longer.
 // Limit: one level at a time, and only after a trial in fresh figures: work that has become heavier at every level looks
-// the same until a lower level is tried, and must not cost it a slot. A trial costs some 20 requests at one slot less.
+// the same until a lower level is tried, and must not cost it a slot. A trial costs some 40 requests at one slot less.
 PeakAction notePeakSample(PeakSearch& search, std::uint32_t level, double serviceTime)
 {
     if (level != search.level)
@@ -77,4 +78,9 @@
     return isSuspicious ? tryLower(search) : PeakAction::Stay;
 }
 
+bool isMeasuredAt(const PeakSearch& search, std::uint32_t level)
+{
+    return search.level == level && isMeasured(search);
+}
+
 }
--- a/src/libdecision/peaksearch.h
+++ b/src/libdecision/peaksearch.h
@@ -34,4 +34,7 @@
 /// Takes the service time of a request that ended while the whole limit, `level`, was in use.
 PeakAction notePeakSample(PeakSearch&, std::uint32_t level, double serviceTime);
 
+/// Whether enough has been measured at this level to compare it.
+bool isMeasuredAt(const PeakSearch&, std::uint32_t level);
+
 }
