--- a/src/libprotocol/link.h
+++ b/src/libprotocol/link.h
@@ -3,7 +3,6 @@
 #include "framing.h"
 #include "libdecision/ids.h"
 
-#include <array>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
@@ -28,11 +27,13 @@
     NotExpected,
     Goodbye,
     ClosedHere,
+    /// The host answered that nothing listens at the address.
+    ConnectRefused,
 };
 
 template <>
 struct EnumNames<LinkError> {
-    static constexpr std::array<std::string_view, 13> names {
+    static constexpr std::array<std::string_view, 14> names {
         "none",
         "connectFailed",
         "connectTimeout",
@@ -46,12 +47,10 @@
         "notExpected",
         "goodbye",
         "closedHere",
+        "connectRefused",
     };
 };
 
-/// Bytes read from a socket at once.
-constexpr std::size_t readBufferBytes = std::size_t { 64 } * 1024;
-
 struct LinkOptions {
     /// How long the peer may take to send its first frame, in milliseconds.
     Millis handshakeTimeout = 2000;
@@ -101,7 +100,7 @@
 
 private:
     void read();
-    void handleBytes(std::size_t count);
+    void handleBytes(std::span<const std::uint8_t> bytes);
     void write();
     void watch();
     void fail(LinkError reason);
@@ -113,7 +112,6 @@
     LinkOptions m_options;
     Handlers m_handlers;
     FrameReader m_reader;
-    std::array<std::uint8_t, readBufferBytes> m_input {};
     std::deque<Bytes> m_output;
     std::size_t m_outputBytes = 0;
     std::uint64_t m_droppedFrames = 0;
