--- /dev/null
+++ b/bench/benchmarks/benchbalancer.cpp
@@ -0,0 +1,84 @@
+#include "allocations.h"
+#include "libdecision/placing.h"
+#include "libdecision/ranking.h"
+#include "libdecision/routing.h"
+#include "libmodel/randomsource.h"
+
+#include <benchmark/benchmark.h>
+
+using namespace kingcuptrail;
+
+namespace {
+
+constexpr std::size_t flowCount = 4096;
+
+std::vector<Member> makeMembers(std::size_t count)
+{
+    RandomSource random(count);
+    std::vector<Member> members;
+    for (std::size_t index = 0; index < count; ++index)
+        members.push_back({ .token = { random.id(), 1 }, .state = MemberState::Serving, .linked = true, .load = static_cast<double>(random.below(100)) });
+    return members;
+}
+
+std::vector<FlowId> makeFlows()
+{
+    RandomSource random(1);
+    std::vector<FlowId> flows;
+    for (std::size_t index = 0; index < flowCount; ++index)
+        flows.push_back(random.id());
+    return flows;
+}
+
+/// Runs `decide` over a set of flows and reports the allocations of each decision.
+template <typename Decide>
+void measure(benchmark::State& state, Decide decide)
+{
+    const auto flows = makeFlows();
+    std::size_t index = 0;
+    const std::uint64_t before = allocationCount();
+    for (auto _ : state)
+        decide(flows[index++ % flowCount]);
+    state.counters["allocations"] = benchmark::Counter(static_cast<double>(allocationCount() - before), benchmark::Counter::kAvgIterations);
+}
+
+/// The decision on a packet that carries its owner's token: all but a flow's first packets.
+void routeByTokenOfMembers(benchmark::State& state)
+{
+    const auto members = makeMembers(static_cast<std::size_t>(state.range(0)));
+    const MemberIndex index = buildMemberIndex(members);
+    measure(state, [&](FlowId flow) {
+        benchmark::DoNotOptimize(routeByToken(index, members, members[flow % members.size()].token, 0));
+    });
+}
+BENCHMARK(routeByTokenOfMembers)->Arg(3)->Arg(7)->Arg(20)->Arg(80)->Arg(300)->Arg(4500);
+
+/// The decision on an open: placing among the members of one service.
+void routeOpenAmongMembers(benchmark::State& state)
+{
+    const auto members = makeMembers(static_cast<std::size_t>(state.range(0)));
+    measure(state, [&](FlowId flow) {
+        benchmark::DoNotOptimize(routeUnowned(members, { .flow = flow, .isOpen = true }, {}));
+    });
+}
+BENCHMARK(routeOpenAmongMembers)->Arg(3)->Arg(7)->Arg(20)->Arg(80)->Arg(300);
+
+/// The next step of a packet that is walked down the ranking.
+void nextInRankingOfMembers(benchmark::State& state)
+{
+    const auto members = makeMembers(static_cast<std::size_t>(state.range(0)));
+    const std::array<UpstreamId, 1> visited { members[0].token.upstream };
+    measure(state, [&](FlowId flow) { benchmark::DoNotOptimize(nextInRanking(flow, members, visited)); });
+}
+BENCHMARK(nextInRankingOfMembers)->Arg(3)->Arg(7)->Arg(20)->Arg(80)->Arg(300);
+
+/// What a change of members costs a balancer.
+void rebuildMemberIndex(benchmark::State& state)
+{
+    const auto members = makeMembers(static_cast<std::size_t>(state.range(0)));
+    for (auto _ : state)
+        benchmark::DoNotOptimize(buildMemberIndex(members));
+}
+BENCHMARK(rebuildMemberIndex)->Arg(5)->Arg(20)->Arg(80)->Arg(300)->Arg(4500);
+
+}
--- a/bench/libmodel/experiment.h
+++ b/bench/libmodel/experiment.h
@@ -23,6 +23,8 @@
     Millis warmUp = 5000;
     /// How long a started target really needs until it bears all its slots.
     Millis coldFor = 4000;
+    /// A target dies when it works on more than this many times what it bears; 0 means it only gets slower.
+    double fallOverFactor = 0;
 };
 
 /// The hosts and paths of the modelled deployment.
--- a/bench/libmodel/experimentfile.cpp
+++ b/bench/libmodel/experimentfile.cpp
@@ -130,6 +130,7 @@
         reader.number("flowsPerTarget", service.flowsPerTarget, { .least = 0, .most = 100000, .required = true });
         reader.number("warmUpMs", service.warmUp);
         reader.number("coldForMs", service.coldFor);
+        reader.number("fallOverFactor", service.fallOverFactor);
         reader.finish();
         return service;
     }
--- a/bench/libmodel/metrics.h
+++ b/bench/libmodel/metrics.h
@@ -113,6 +113,8 @@
     double coldExcess = 0;
     /// The same, after an upstream turned cold without a word.
     std::uint64_t suddenColdOverruns = 0;
+    /// Times an upstream fell over under more than it bore.
+    std::uint64_t falls = 0;
     Samples answerLatency;
     /// From sending a try to its refusal as not run.
     Samples refusalLatency;
--- a/bench/libmodel/modelupstream.cpp
+++ b/bench/libmodel/modelupstream.cpp
@@ -28,6 +28,7 @@
     m_running.emplace(request, std::move(onDone));
     const auto takes = static_cast<Micros>(static_cast<double>(work) * slowdown());
     m_loop.after(std::max(takes, shortestWork), [this, request, life = m_life] { finish(request, life); });
+    fallOverIfTooMuch();
     return UpstreamStart::Started;
 }
 
@@ -46,6 +47,19 @@
     onDone(true);
 }
 
+void ModelUpstream::fallOverIfTooMuch()
+{
+    if (m_options.fallOverFactor <= 0 || running() <= bearable() * m_options.fallOverFactor)
+        return;
+    ++m_falls;
+    // Its clients see it after this call has returned.
+    m_loop.after(0, [this] { kill(); });
+    m_loop.after(toMicros(m_options.restartAfter), [this] {
+        if (!m_alive)
+            restart();
+    });
+}
+
 void ModelUpstream::kill()
 {
     m_alive = false;
--- a/bench/libmodel/modelupstream.h
+++ b/bench/libmodel/modelupstream.h
@@ -22,6 +22,9 @@
     Millis coldFor = 4000;
     /// Requests beyond the slots that it still takes; more are shed.
     std::uint32_t acceptBeyondSlots = 8;
+    /// It dies, and starts again after a while, when it works on more than this many times what it bears; 0: never.
+    double fallOverFactor = 0;
+    Millis restartAfter = 2000;
 };
 
 /// An upstream that bears one request when cold and all its slots when warm. Above what it bears, everything running
@@ -51,11 +54,13 @@
 
     bool isAlive() const { return m_alive; }
     std::uint32_t running() const { return static_cast<std::uint32_t>(m_running.size()); }
+    std::uint32_t falls() const { return m_falls; }
     /// Requests it can work on at once now.
     double bearable() const;
 
 private:
     void finish(RequestId request, std::uint64_t life);
+    void fallOverIfTooMuch();
     double slowdown() const;
 
     EventLoop& m_loop;
@@ -63,6 +68,7 @@
     std::map<RequestId, OnDone> m_running;
     Micros m_coldSince = 0;
     std::uint64_t m_life = 0;
+    std::uint32_t m_falls = 0;
     double m_slowness = 1;
     bool m_shedding = false;
     bool m_alive = true;
--- a/bench/libmodel/simulation.cpp
+++ b/bench/libmodel/simulation.cpp
@@ -40,7 +40,7 @@
     const std::size_t targets = targetCount(deployment);
     for (std::size_t target = 0; target < targets; ++target) {
         const ServiceSpec& service = deployment.services[serviceOf(target, deployment)];
-        m_upstreams.push_back(std::make_unique<ModelUpstream>(m_loop, ModelUpstreamOptions { .slots = service.slots, .coldFor = service.coldFor }));
+        m_upstreams.push_back(std::make_unique<ModelUpstream>(m_loop, ModelUpstreamOptions { .slots = service.slots, .coldFor = service.coldFor, .fallOverFactor = service.fallOverFactor }));
         m_agents.push_back(std::make_unique<ModelAgent>(m_context, m_store, *m_upstreams.back(), target));
         m_agents.back()->onLinkGivenUp = [this, target](std::size_t balancer) {
             m_loop.after(resetArrives, [this, target, balancer] { m_balancers[balancer]->loseLink(target); });
@@ -85,6 +85,8 @@
     m_callers->stopOffering();
     // What was offered last still has its deadline to end in.
     m_loop.runUntil(measured + 5 * second);
+    for (const auto& upstream : m_upstreams)
+        m_metrics.falls += upstream->falls();
     for (std::size_t service = 0, first = 0; service < m_experiment.deployment.services.size(); ++service) {
         std::vector<double> means;
         for (const std::size_t end = first + m_experiment.deployment.services[service].targets; first < end; ++first) {
