--- a/src/kingcuptraild/daemon.h
+++ b/src/kingcuptraild/daemon.h
@@ -10,6 +10,8 @@
 
 namespace kingcuptrail {
 
+class AdminEndpoint;
+
 /// One daemon process: the root of the supervisor tree, its role, its administration endpoint and its signals.
 class Daemon {
 public:
@@ -23,6 +25,7 @@
     int run();
 
 private:
+    std::unique_ptr<AdminEndpoint> makeAdminEndpoint(const FailureHandler& onFailure);
     void waitForSignal();
     void stop(int exitCode);
     std::string status() const;
@@ -34,9 +37,10 @@
     Clock m_clock;
     PlatformOptions m_platform;
     ConfigKeeper m_config;
+    /// Outlives the tree: a link that is destroyed with it tells the role that it is gone.
+    std::unique_ptr<Role> m_role;
     Supervisor m_root;
     RoleContext m_roleContext;
-    std::unique_ptr<Role> m_role;
     bool m_isStopping = false;
     int m_exitCode = 0;
 };
