--- a/bench/libmodel/modelagent.cpp
+++ b/bench/libmodel/modelagent.cpp
@@ -201,7 +201,7 @@
         takeConfig(*config);
     } else if (const auto* redirects = std::get_if<RedirectMessage>(&message)) {
         for (const auto& [flow, owner] : redirects->entries)
-            noteRedirect(m_redirects, {}, flow, owner, now);
+            noteRedirect(m_redirects, m_context.policy.redirects, flow, owner, now);
         m_context.metrics.redirectsNoted += redirects->entries.size();
     } else if (const auto* query = std::get_if<LedgerQueryMessage>(&message)) {
         answerQuery(*query);
@@ -225,7 +225,7 @@
         .tokenIsPredecessor = m_token.isSet() && packet.owner.upstream == m_token.upstream && packet.owner.incarnation < m_token.incarnation,
         .holdsFlow = holds,
         .endedFor = closedReason(m_closedFlows, packet.flow),
-        .redirectFound = m_context.policy.redirects && findRedirect(m_redirects, {}, packet.flow, m_context.loop.nowMillis()).has_value(),
+        .redirectFound = findRedirect(m_redirects, m_context.policy.redirects, packet.flow, m_context.loop.nowMillis()).has_value(),
         .serviceMatches = holds ? flow->second.service == packet.service : packet.service == m_service,
         .hops = packet.hops,
         .draining = m_isDraining && m_context.policy.drainGuard,
@@ -253,7 +253,7 @@
     case PacketAction::ForwardToOwner:
         if (!packet.owner.isSet()) {
             ++m_context.metrics.redirectsUsed;
-            packet.owner = *findRedirect(m_redirects, {}, packet.flow, m_context.loop.nowMillis());
+            packet.owner = *findRedirect(m_redirects, m_context.policy.redirects, packet.flow, m_context.loop.nowMillis());
         }
         return forward(balancer, std::move(packet));
     case PacketAction::NextInRanking:
@@ -283,7 +283,7 @@
         return;
     const Millis now = m_context.loop.nowMillis();
     m_flows[packet.flow] = { .service = packet.service, .caller = packet.caller, .heardAt = now, .idleSince = now, .hasFeed = packet.hasFeed };
-    if (m_context.policy.redirects && packet.passedOver != 0 && packet.passedOver != m_token.upstream) {
+    if (m_context.policy.redirects.announce && packet.passedOver != 0 && packet.passedOver != m_token.upstream) {
         RedirectMessage& batch = m_redirectsToSend[packet.passedOver];
         batch.target = packet.passedOver;
         batch.entries.emplace_back(packet.flow, m_token);
@@ -768,7 +768,7 @@
     for (const FlowId flow : silent)
         closeFlow(flow, RefusalReason::FlowSilent);
     expireLedger(m_ledger, m_context.policy.ledger, now);
-    expireRedirects(m_redirects, {}, now);
+    expireRedirects(m_redirects, m_context.policy.redirects, now);
     expireClosed(m_closedFlows, m_context.policy.closedFlows, now);
 }
 
--- a/bench/libmodel/policy.cpp
+++ b/bench/libmodel/policy.cpp
@@ -8,18 +8,16 @@
     switch (name) {
     case PolicyName::Modulo:
         options.ownerTokens = false;
-        options.redirects = false;
         options.placing.secondChoice = false;
         break;
     case PolicyName::Ranking:
-        options.redirects = false;
         options.placing.secondChoice = false;
         break;
     case PolicyName::FixedLimit:
         options.admission.coldStartGuard = false;
         break;
-    case PolicyName::NoRedirects:
-        options.redirects = false;
+    case PolicyName::Redirects:
+        options.redirects.announce = true;
         break;
     case PolicyName::Full:
         break;
--- a/bench/libmodel/policy.h
+++ b/bench/libmodel/policy.h
@@ -10,6 +10,7 @@
 #include "libdecision/ledger.h"
 #include "libdecision/pausewatch.h"
 #include "libdecision/placing.h"
+#include "libdecision/redirects.h"
 
 namespace kingcuptrail {
 
@@ -21,15 +22,15 @@
     Ranking,
     /// Baseline: the slots as the limit, no warm-up.
     FixedLimit,
-    /// Everything but redirects, to tell what they are worth.
-    NoRedirects,
-    /// Everything.
+    /// Full, and agents tell the first-ranked one of the flows that they open.
+    Redirects,
+    /// Everything that the daemons do.
     Full,
 };
 
 template <>
 struct EnumNames<PolicyName> {
-    static constexpr std::array<std::string_view, 5> names { "modulo", "ranking", "fixed-limit", "no-redirects", "full" };
+    static constexpr std::array<std::string_view, 5> names { "modulo", "ranking", "fixed-limit", "redirects", "full" };
 };
 
 /// A guard that a run can be made without, to show that the history checker sees what it prevents.
@@ -77,7 +78,7 @@
 /// What the modelled processes do, as options of the decisions and switches of the wiring around them.
 struct PolicyOptions {
     bool ownerTokens = true;
-    bool redirects = true;
+    RedirectOptions redirects;
     PlaceOptions placing;
     AdmissionOptions admission;
     LedgerOptions ledger;
--- a/src/kingcuptraild/agent/flowdesk.cpp
+++ b/src/kingcuptraild/agent/flowdesk.cpp
@@ -120,7 +120,7 @@
     flow.idleSince = now;
     flow.path = from;
     ++m_opened;
-    if (packet.passed_over() != 0)
+    if (m_redirectOptions.announce && packet.passed_over() != 0)
         m_redirectsDue[packet.passed_over()].push_back(flow.id);
     sendOpened(flow);
 }
--- a/src/libdecision/redirects.h
+++ b/src/libdecision/redirects.h
@@ -9,6 +9,9 @@
 namespace kingcuptrail {
 
 struct RedirectOptions {
+    /// Whether an agent that opens a flow tells the one that the ranking names first. Off: only packets without an owner
+    /// token look for a flow, and they find it by walking the ranking; docs/MEASUREMENTS.md weighs the two.
+    bool announce = false;
     /// Entries held at most; about 150 bytes each. 4,000 cover two targets' flows moving here at once.
     std::size_t maxEntries = 4000;
     /// How long an entry is kept without being renewed, in milliseconds.
