--- a/src/kingcuptraild/agent/flowdesk.cpp
+++ b/src/kingcuptraild/agent/flowdesk.cpp
@@ -56,6 +56,11 @@
 
 void FlowDesk::handlePacket(const std::shared_ptr<PeerLink>& from, const wire::Packet& packet)
 {
+    noteRunning(m_pause, {}, m_clock.now());
+    if (holdsPackets(m_pause, m_clock.now())) {
+        m_actions.increment(PacketAction::Drop);
+        return;
+    }
     Flow* flow = find(packet.flow());
     const PacketVerdict verdict = decidePacket(factsOf(packet, flow));
     m_actions.increment(verdict.action);
@@ -96,6 +101,7 @@
         .tokenIsMine = token == m_token,
         .tokenIsPredecessor = token.upstream == m_token.upstream && token.incarnation < m_token.incarnation,
         .holdsFlow = flow != nullptr,
+        .endedFor = closedReason(m_closedFlows, packet.flow()),
         .redirectFound = !flow && findRedirect(m_redirects, m_redirectOptions, packet.flow(), m_clock.now()).has_value(),
         .serviceMatches = packet.service() != 0 && packet.service() == (flow ? flow->service : m_service),
         .hops = packet.hops(),
@@ -235,6 +241,7 @@
 
 void FlowDesk::tick()
 {
+    noteRunning(m_pause, {}, m_clock.now());
     std::vector<FlowId> active(m_active.begin(), m_active.end());
     for (const FlowId id : active) {
         Flow* flow = find(id);
@@ -298,6 +305,8 @@
         sendOnFlow(*flow, std::move(reset));
     }
     m_flows.erase(id);
+    m_lastClosedAt = m_clock.now();
+    noteClosed(m_closedFlows, {}, id, tellCaller == RefusalReason::None ? RefusalReason::FlowUnknown : tellCaller, m_lastClosedAt);
     m_active.erase(id);
     m_hooks.onEnded(id);
 }
@@ -328,6 +337,7 @@
     }
     m_redirectsDue.clear();
     expireRedirects(m_redirects, m_redirectOptions, now);
+    expireClosed(m_closedFlows, {}, now);
 }
 
 DrainStep FlowDesk::drainStep(const DrainProgress& progress, const DrainOptions& options)
@@ -345,7 +355,9 @@
     }
     for (const FlowId id : idle)
         endFlow(id, FlowEnd::ClosedDraining, RefusalReason::UpstreamDraining);
-    return nextDrainStep(left, progress, options, now);
+    DrainProgress current = progress;
+    current.lastClosedAt = m_lastClosedAt;
+    return nextDrainStep(left, current, options, now);
 }
 
 void FlowDesk::closeAll(RefusalReason reason)
--- a/src/kingcuptraild/agent/flowdesk.h
+++ b/src/kingcuptraild/agent/flowdesk.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "kingcuptraild/peerlink.h"
+#include "libdecision/closedflows.h"
 #include "libdecision/drain.h"
 #include "libdecision/forwarding.h"
+#include "libdecision/pausewatch.h"
 #include "libdecision/redirects.h"
 #include "libdecision/refusal.h"
 #include "libprotocol/flowendpoint.h"
@@ -141,6 +143,9 @@
     Redirects m_redirects;
     RedirectOptions m_redirectOptions;
     std::unordered_map<UpstreamId, std::vector<FlowId>> m_redirectsDue;
+    ClosedFlows m_closedFlows;
+    Millis m_lastClosedAt = 0;
+    PauseWatch m_pause;
     EnumCounters<PacketAction> m_actions;
     EnumCounters<FlowEnd> m_ends;
     EnumCounters<RefusalReason> m_resets;
