--- a/src/kingcuptraild/agent/agent.cpp
+++ b/src/kingcuptraild/agent/agent.cpp
@@ -50,6 +50,7 @@
           { .onMessage = [this](FlowId flow, const wire::Message& message) { return m_requests.handleMessage(flow, message); },
               .onRoom = [this](FlowId flow) { m_requests.flowHasRoom(flow); },
               .onEnded = [this](FlowId flow) { m_requests.flowEnded(flow); },
+              .isHeld = [this] { return isHeld(); },
               .hasRequests = [this](FlowId flow) { return m_requests.hasRequests(flow); } })
     , m_requests(role.context, role.clock, { .upstream = role.settings.agent.upstream, .service = role.settings.agent.service },
           { .send = [this](FlowId flow, Bytes message) { return m_flows.send(flow, std::move(message)); },
@@ -90,18 +91,50 @@
         m_requests.setAdmission({ .slots = service->slots, .queueLimit = service->queueLimit, .warmUp = service->warmUp });
     }
     const bool wasOut = previous.isOut(m_role.settings.dataCentre);
-    m_isOut = current.isOut(m_role.settings.dataCentre);
-    if (wasOut != m_isOut) {
-        logEvent(m_isOut ? Event::DataCentreOut : Event::DataCentreBack, { { "dataCentre", m_role.settings.dataCentre } });
-        m_flows.setDataCentreOut(m_isOut);
-        // Nobody has sent the upstream anything for as long as the data centre was out: its caches and pools are cold.
-        if (!m_isOut)
-            m_requests.restartCold();
-    }
+    const bool isOut = current.isOut(m_role.settings.dataCentre);
+    if (wasOut != isOut)
+        logEvent(isOut ? Event::DataCentreOut : Event::DataCentreBack, { { "dataCentre", m_role.settings.dataCentre } });
+    if (isOut)
+        m_returnVersion = 0;
+    else if (wasOut)
+        m_returnVersion = current.version;
+    if (isOut)
+        m_isOut = true;
+    m_flows.setDataCentreOut(m_isOut);
+    considerReturn();
     applyState();
     beatNow();
 }
 
+void Agent::considerReturn()
+{
+    if (m_returnVersion == 0)
+        return;
+    std::vector<ConfigVersion> versions;
+    for (const auto& link : m_flows.links())
+        versions.push_back(link->peerConfigVersion());
+    if (!mayReturn(m_returnVersion, versions))
+        return;
+    m_returnVersion = 0;
+    m_isOut = false;
+    m_flows.setDataCentreOut(false);
+    // Nobody has sent the upstream anything for as long as the data centre was out: its caches and pools are cold.
+    m_requests.restartCold();
+    applyState();
+}
+
+// What waited for a slot while this process stood still is older than news it has not read: its data centre may be out
+// by now. It has waited for longer than any queue should make it, so it is refused, and its callers go elsewhere.
+bool Agent::isHeld()
+{
+    const Millis now = m_role.clock.now();
+    const Millis heldBefore = m_pause.holdUntil;
+    noteRunning(m_pause, {}, now);
+    if (m_pause.holdUntil != heldBefore)
+        m_requests.refuseWaiting(RefusalReason::ExpectedWaitTooLong);
+    return holdsPackets(m_pause, now);
+}
+
 void Agent::handleAnnounced(const Presence& presence)
 {
     m_token = presence.token;
@@ -154,6 +187,7 @@
             logEvent(Event::LinkUp, { { "peer", peer.peer().name } });
             m_flows.linkUp(peer.shared_from_this()); },
         .onPacket = [this](PeerLink& peer, const wire::Packet& packet, std::span<const std::uint8_t>) { m_flows.handlePacket(peer.shared_from_this(), packet); },
+        .onLoad = [this](PeerLink&, const LoadReport&) { considerReturn(); },
         .onLeaving = [](PeerLink& peer, wire::GoodbyeReason) { logEvent(Event::PeerLeaving, { { "peer", peer.peer().name } }); },
         .onOther = [this](PeerLink& peer, const wire::Frame& frame, std::span<const std::uint8_t>) { handleFrame(peer, frame); },
         .onClosed = [this](PeerLink& peer, LinkError reason) {
@@ -217,6 +251,7 @@
 
 void Agent::tick()
 {
+    isHeld();
     m_flows.tick();
     m_requests.tick();
     m_tickTimer.expires_after(std::chrono::milliseconds(tickInterval));
@@ -229,6 +264,9 @@
 void Agent::sweep()
 {
     m_flows.sweep();
+    if (m_announcer)
+        m_trouble.note(m_announcer->announcer().lastReason());
+    considerReturn();
     if (m_isDraining)
         drain();
     m_sweepTimer.expires_after(std::chrono::milliseconds(sweepInterval));
@@ -311,6 +349,7 @@
         { "service", m_role.settings.agent.service },
         { "state", nameOf(load.state) },
         { "fenced", m_isFenced },
+        { "platformTrouble", nameOf(m_trouble.current()) },
         { "upstreamReachable", m_reachability.isReachable },
         { "dataCentreOut", m_isOut },
         { "links", m_flows.linkCount() },
--- a/src/kingcuptraild/balancer/balancer.h
+++ b/src/kingcuptraild/balancer/balancer.h
@@ -2,6 +2,9 @@
 
 #include "kingcuptraild/role.h"
 #include "kingcuptraild/rolecontext.h"
+#include "kingcuptraild/troublelog.h"
+#include "kingcuptraild/watchers.h"
+#include "libdecision/pausewatch.h"
 #include "libdecision/placing.h"
 #include "libdecision/refusal.h"
 #include "libdecision/routing.h"
@@ -53,6 +56,7 @@
     void handleConfig(const Config& current, const Config& previous);
     void pushNews();
     void handlePresence(const std::vector<Presence>& presences);
+    void logMembers(const std::vector<Presence>& presences) const;
     void reconcileConnections();
     ChildSpec connectionSpec(const Presence& presence);
     PeerLink::Handlers agentHandlers(const OwnerToken& token);
@@ -71,6 +75,8 @@
     void sendReset(const wire::Packet& packet, RefusalReason reason);
     void forwardToUpstream(UpstreamId upstream, std::span<const std::uint8_t> raw);
 
+    void noteRunningRegularly();
+    bool isHeld();
     bool isOwnDataCentreOut() const;
     bool knowsTheWay() const;
     void leaveFabric(wire::GoodbyeReason reason);
@@ -82,7 +88,11 @@
     MemberTable m_members;
     std::vector<std::shared_ptr<PeerLink>> m_fabrics;
     Supervisor* m_links = nullptr;
+    PresenceFollower* m_presence = nullptr;
+    TroubleLog m_trouble;
     asio::steady_timer m_leaveTimer;
+    asio::steady_timer m_runningTimer;
+    PauseWatch m_pause;
     PlaceOptions m_placeOptions;
     EnumCounters<PacketRoute> m_routes;
     EnumCounters<RefusalReason> m_resets;
--- a/src/libdecision/pausewatch.h
+++ b/src/libdecision/pausewatch.h
@@ -7,10 +7,12 @@
 namespace kingcuptrail {
 
 struct PauseOptions {
-    /// A process that has not run for longer than this was paused, in milliseconds. Several of its timer's intervals.
+    /// A process that has not run for longer than this was paused, in milliseconds. Several of its timer's intervals, and
+    /// less than the silence after which peers give its links up.
     Millis longestGap = 1000;
-    /// How long packets are left alone after a pause, in milliseconds: until what waited on every link has been read.
-    Millis hold = 300;
+    /// How long packets are left alone after a pause, in milliseconds: until what waited on every link has been read, and
+    /// links that peers have given up meanwhile are made again and have told the news.
+    Millis hold = 1000;
     /// Test only: off, a pause is not noticed.
     bool guard = true;
 };
--- a/tests/decision/testpackets.cpp
+++ b/tests/decision/testpackets.cpp
@@ -152,7 +152,7 @@
     {
         forEveryPacket([](const PacketFacts& facts, const PacketVerdict& verdict) {
             CPPUNIT_ASSERT(!passesOn(verdict) || facts.hops < maxHops);
-            // A stray packet must not end the flow that it names.
+            // A stray packet for another service must not end the flow held under its number.
             const bool isStray = facts.holdsFlow && verdict.reason == RefusalReason::WrongService;
             CPPUNIT_ASSERT(verdict.action != PacketAction::Drop || facts.hops >= maxHops || isStray);
             const bool hasReason = verdict.reason != RefusalReason::None;
