--- /dev/null
+++ b/src/libcaller/callerflows.cpp
@@ -0,0 +1,205 @@
+#include "callerprivate.h"
+
+#include <algorithm>
+#include <asio/post.hpp>
+
+namespace kingcuptrail {
+
+namespace {
+
+    /// Segments a flow's requests may put ahead of each other. The requests take turns, one message each, so that a
+    /// short query does not wait behind the whole body of an upload.
+    constexpr std::size_t sendAheadSegments = 64;
+
+    RefusalReason reasonOf(const CallerFlow& flow)
+    {
+        switch (flow.end()) {
+        case CallerFlowEnd::Silent:
+        case CallerFlowEnd::Unanswered:
+            return RefusalReason::FlowSilent;
+        case CallerFlowEnd::ClosedHere:
+            return RefusalReason::Cancelled;
+        case CallerFlowEnd::ClosedByPeer:
+            return RefusalReason::OwnerGone;
+        default:
+            return flow.lastReason();
+        }
+    }
+
+}
+
+HeldFlow* Caller::Private::findFlow(FlowId id)
+{
+    const auto found = flows.find(id);
+    return found == flows.end() ? nullptr : found->second.get();
+}
+
+FlowId Caller::Private::openFlow(ServiceAddress service)
+{
+    const FlowId id = random() | 1;
+    const CallerFlowOptions flowOptions {
+        .flow = id,
+        .service = service,
+        .source = source,
+        .probeInterval = options.probeInterval,
+        .silenceLimit = options.silenceLimit,
+        .openLimit = options.openLimit,
+    };
+    HeldFlow& flow = *flows.emplace(id, std::make_unique<HeldFlow>(flowOptions, clock.now())).first->second;
+    ++counters.flowsOpened;
+    pump(flow);
+    return id;
+}
+
+void Caller::Private::closeFlow(HeldFlow& flow)
+{
+    for (const CallId id : std::set<CallId>(flow.calls))
+        giveUp(id, false);
+    flow.flow.close();
+    pump(flow);
+}
+
+void Caller::Private::retireIfUnused(HeldFlow& flow)
+{
+    if (!flow.isRetiring || !flow.calls.empty() || flow.flow.state() == FlowState::Ended)
+        return;
+    flow.flow.close();
+    flowWakes.set(flow.flow.id(), 0);
+    arm();
+}
+
+std::vector<FlowId>& Caller::Private::usableSharedFlows(ServiceAddress service)
+{
+    auto& shared = sharedFlows[service];
+    std::erase_if(shared, [this](FlowId id) {
+        HeldFlow* flow = findFlow(id);
+        if (!flow || flow->flow.state() == FlowState::Ended)
+            return true;
+        flow->isRetiring = flow->isRetiring || flow->flow.isSuspect();
+        retireIfUnused(*flow);
+        return flow->isRetiring;
+    });
+    return shared;
+}
+
+FlowId Caller::Private::openSharedFlow(ServiceAddress service)
+{
+    const FlowId id = openFlow(service);
+    sharedFlows[service].push_back(id);
+    return id;
+}
+
+FlowId Caller::Private::sharedFlow(ServiceAddress service)
+{
+    const auto& shared = usableSharedFlows(service);
+    if (shared.size() < std::max<std::size_t>(options.sharedFlows, 1))
+        return openSharedFlow(service);
+    return shared[nextShared++ % shared.size()];
+}
+
+// Load: a few flows that have gone silent while new ones work.
+// Harm: a query that waits until its flow is given up misses its deadline; one tried elsewhere at once, at every late
+// packet, would double the load of a system that is merely slow.
+// Limit: idempotent requests with an ordinary answer only, after more silence than the resends over the other balancers
+// need, and out of the retry budget. Without a retry the call goes on waiting.
+void Caller::Private::leaveSuspect(HeldFlow& flow)
+{
+    for (const CallId id : std::set<CallId>(flow.calls)) {
+        PendingCall& call = calls[id];
+        if (!call.progress.idempotent || call.request->stream || std::exchange(call.sawSuspect, true))
+            continue;
+        tryAgain(id, call, attemptLostWithFlow(RefusalReason::FlowSilent, 0, true), true);
+    }
+}
+
+void Caller::Private::handleLinkUp()
+{
+    const Millis now = clock.now();
+    for (const auto& [id, flow] : flows) {
+        flow->flow.handlePathUp(now);
+        flowWakes.set(id, flow->flow.nextDue());
+    }
+    arm();
+}
+
+void Caller::Private::handlePacket(const wire::Packet& packet)
+{
+    HeldFlow* flow = findFlow(packet.flow());
+    if (!flow) {
+        // An agent that still holds a flow which has ended here would keep it until it goes silent.
+        const bool isHeld = packet.kind() != wire::PacketKind::Reset && packet.kind() != wire::PacketKind::Close;
+        if (isHeld && ownerOf(packet).isSet())
+            link.send(closeFrameFor(packet));
+        return;
+    }
+    flow->flow.receive(packet, clock.now());
+    while (const auto payload = flow->flow.takeDelivered()) {
+        if (const auto* message = readMessage(*payload))
+            handleMessage(*message);
+        else
+            ++counters.badMessages;
+    }
+    pump(*flow);
+}
+
+void Caller::Private::queueMessages(HeldFlow& flow)
+{
+    while (!flow.cancels.empty() && flow.flow.unacknowledged() < sendAheadSegments) {
+        flow.flow.send(std::move(flow.cancels.front()));
+        flow.cancels.pop_front();
+    }
+    while (!flow.senders.empty() && flow.flow.unacknowledged() < sendAheadSegments) {
+        const CallId id = flow.senders.front();
+        flow.senders.pop_front();
+        RequestSender& sender = *calls[id].sender;
+        if (auto message = sender.next())
+            flow.flow.send(std::move(*message));
+        if (!sender.isDone())
+            flow.senders.push_back(id);
+    }
+}
+
+void Caller::Private::sendDue(HeldFlow& flow)
+{
+    // Nothing is queued before an owner is known, so a flow that nobody took has carried nothing.
+    if (flow.flow.state() == FlowState::Open)
+        queueMessages(flow);
+    for (Bytes& frame : flow.flow.takeDue(clock.now()))
+        link.send(std::move(frame));
+}
+
+void Caller::Private::pump(HeldFlow& flow)
+{
+    const FlowId id = flow.flow.id();
+    if (flow.flow.state() == FlowState::Open && !std::exchange(flow.wasOpen, true)) {
+        if (handlers.onFlowOpened)
+            asio::post(context, [onFlowOpened = handlers.onFlowOpened, id, owner = flow.flow.owner()] { onFlowOpened(id, owner); });
+    }
+    sendDue(flow);
+    if (flow.flow.isSuspect()) {
+        leaveSuspect(flow);
+        sendDue(flow);
+    }
+    flowWakes.set(id, flow.flow.nextDue());
+    if (flow.flow.state() == FlowState::Ended)
+        handleFlowEnd(flow);
+    arm();
+}
+
+void Caller::Private::handleFlowEnd(HeldFlow& flow)
+{
+    const FlowId id = flow.flow.id();
+    const CallerFlowEnd end = flow.flow.end();
+    const RefusalReason reason = reasonOf(flow.flow);
+    counters.flowEnds.increment(end);
+    for (const CallId callId : std::set<CallId>(flow.calls)) {
+        PendingCall& call = calls[callId];
+        endTry(callId, call, attemptLostWithFlow(reason, flow.flow.retryAfter(), call.bodySent()));
+    }
+    flowWakes.set(id, std::nullopt);
+    flows.erase(id);
+    if (handlers.onFlowEnded)
+        asio::post(context, [onFlowEnded = handlers.onFlowEnded, id, end, reason] { onFlowEnded(id, end, reason); });
+}
+
+}
--- /dev/null
+++ b/src/libcaller/callerprivate.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "caller.h"
+#include "fabriclink.h"
+#include "libruntime/clock.h"
+#include "wakequeue.h"
+
+#include <asio/steady_timer.hpp>
+#include <deque>
+#include <random>
+#include <set>
+#include <unordered_map>
+
+namespace kingcuptrail {
+
+/// One call with the try under way.
+struct PendingCall {
+    CallSpec spec;
+    CallHandlers handlers;
+    std::shared_ptr<const RequestSpec> request;
+    CallProgress progress;
+    Millis startedAt = 0;
+    /// Of the try under way: its flow, and whether that was opened for it alone.
+    FlowId flow = 0;
+    bool ownsFlow = false;
+    RequestId requestId = 0;
+    std::optional<RequestSender> sender;
+    std::optional<AnswerAssembly> answer;
+    /// When the next try starts; nothing while one is under way.
+    std::optional<Millis> retryAt;
+    bool retryOnNewFlow = false;
+    /// Whether the flow of the try under way was found suspect; decided on once.
+    bool sawSuspect = false;
+    RefusalReason lastReason = RefusalReason::None;
+    Millis lastRetryAfter = 0;
+    OwnerToken lastOwner;
+    /// Every owner that a try of this call has met.
+    std::vector<OwnerToken> metOwners;
+
+    bool bodySent() const { return sender && sender->isDone(); }
+};
+
+/// One flow with the calls on it.
+struct HeldFlow {
+    explicit HeldFlow(const CallerFlowOptions& options, Millis now)
+        : flow(options, now)
+    {
+    }
+
+    CallerFlow flow;
+    /// Calls whose messages are still to be sent, in turn.
+    std::deque<CallId> senders;
+    std::set<CallId> calls;
+    std::deque<Bytes> cancels;
+    bool wasOpen = false;
+    /// Takes no further call and closes with its last one.
+    bool isRetiring = false;
+};
+
+/// The state of a Caller. callerflows.cpp holds what concerns flows, callercalls.cpp what concerns calls.
+struct Caller::Private {
+    Private(asio::io_context& ioContext, const CallerOptions& callerOptions, CallerHandlers callerHandlers);
+
+    FlowId openFlow(ServiceAddress service);
+    void closeFlow(HeldFlow& flow);
+    void retireIfUnused(HeldFlow& flow);
+    std::vector<FlowId>& usableSharedFlows(ServiceAddress service);
+    FlowId sharedFlow(ServiceAddress service);
+    FlowId openSharedFlow(ServiceAddress service);
+    FlowId flowElsewhere(PendingCall& call);
+    HeldFlow* findFlow(FlowId id);
+
+    CallId startCall(CallSpec spec, CallHandlers handlers);
+    void startTry(CallId id, PendingCall& call);
+    FlowId flowForTry(PendingCall& call);
+    void endTry(CallId id, PendingCall& call, const AttemptResult& result);
+    bool tryAgain(CallId id, PendingCall& call, const AttemptResult& result, bool tellUpstream);
+    void leaveSuspect(HeldFlow& flow);
+    void leaveFlow(CallId id, PendingCall& call, bool tellUpstream);
+    void giveUp(CallId id, bool byDeadline);
+    void finish(CallId id, CallOutcome outcome);
+    void scheduleCall(CallId id, const PendingCall& call);
+
+    void handleLinkUp();
+    void handlePacket(const wire::Packet& packet);
+    void handleMessage(const wire::Message& message);
+    template <typename Body, typename Take>
+    void handleAnswer(const Body* body, Take take);
+    void handleAnswerState(CallId id, PendingCall& call);
+    void deliverChunk(PendingCall& call, std::string_view bytes);
+
+    void pump(HeldFlow& flow);
+    void queueMessages(HeldFlow& flow);
+    void sendDue(HeldFlow& flow);
+    void handleFlowEnd(HeldFlow& flow);
+    void arm();
+    void handleDue();
+
+    asio::io_context& context;
+    CallerOptions options;
+    CallerHandlers handlers;
+    CallerCounters counters;
+    RetryBudget budget;
+    Clock clock;
+    std::mt19937_64 random;
+    std::uint64_t source;
+    FabricLink link;
+    asio::steady_timer timer;
+    WakeQueue<FlowId> flowWakes;
+    WakeQueue<CallId> callWakes;
+    std::optional<Millis> armedFor;
+    std::unordered_map<FlowId, std::unique_ptr<HeldFlow>> flows;
+    std::unordered_map<CallId, PendingCall> calls;
+    std::unordered_map<RequestId, CallId> requests;
+    std::unordered_map<ServiceAddress, std::vector<FlowId>> sharedFlows;
+    std::uint64_t nextCall = 1;
+    std::uint64_t nextRequest = 1;
+    std::size_t nextShared = 0;
+    std::shared_ptr<void> alive = std::make_shared<char>();
+};
+
+}
