--- a/bench/libmodel/modelbalancer.cpp
+++ b/bench/libmodel/modelbalancer.cpp
@@ -50,6 +50,8 @@
     m_peers.assign(targets, {});
     m_config = {};
     m_pause = {};
+    m_placing = m_context.policy.placing;
+    m_placing.newsInterval = m_context.experiment.deployment.heartbeat;
     rebuild();
     m_context.network.setAlive(self(), true);
     m_context.network.attach(self(), [this](Endpoint from, Message message) { receive(from, std::move(message)); });
@@ -133,7 +135,7 @@
         .hops = packet.hops,
         .visited = packet.visited,
     };
-    const RouteResult result = routeUnowned(serviceMembers(packet.service), unowned, m_context.policy.placing);
+    const RouteResult result = routeUnowned(serviceMembers(packet.service), unowned, m_placing);
     const std::size_t firstMember = m_firstOfService[packet.service];
     apply(result, std::move(packet), firstMember);
 }
@@ -329,6 +331,7 @@
     const auto links = static_cast<std::size_t>(std::ranges::count(m_members, true, &Member::linked));
     const PacingOptions pacing { .baseInterval = deployment.heartbeat };
     const Millis interval = heartbeatInterval(links, pacing);
+    m_placing.newsInterval = std::max(interval, deployment.heartbeat);
     const Millis silence = std::max(deployment.linkSilence, silenceLimit(interval, pacing));
     watchLeases();
     for (std::size_t agent = 0; agent < m_members.size(); ++agent) {
--- a/bench/libmodel/modelbalancer.h
+++ b/bench/libmodel/modelbalancer.h
@@ -68,6 +68,7 @@
     MemberIndex m_memberIndex;
     ConfigMessage m_config;
     PauseWatch m_pause;
+    PlaceOptions m_placing;
     std::uint64_t m_life = 0;
 };
 
--- a/bench/libmodel/seededhistory.cpp
+++ b/bench/libmodel/seededhistory.cpp
@@ -111,8 +111,10 @@
         failure.target = drawTarget(kind, deployment, random);
         failure.peer = random.below(targetCount(deployment));
         const bool isForGood = kind == FailureKind::Drain || kind == FailureKind::Restart;
+        // The loser of a race tries again after half a second.
+        const Millis shortest = kind == FailureKind::OperatorRace ? 5 * shortestFailure : shortestFailure;
         const auto longest = static_cast<std::size_t>(duration - quietEnd - failure.at);
-        failure.duration = isForGood ? 0 : shortestFailure + static_cast<Millis>(random.below(longest));
+        failure.duration = isForGood ? 0 : shortest + static_cast<Millis>(random.below(longest));
         failure.value = drawValue(kind, random);
         return failure;
     }
