--- a/src/kingcuptraild/agent/agent.cpp
+++ b/src/kingcuptraild/agent/agent.cpp
@@ -191,6 +191,7 @@
         .onLeaving = [](PeerLink& peer, wire::GoodbyeReason) { logEvent(Event::PeerLeaving, { { "peer", peer.peer().name } }); },
         .onOther = [this](PeerLink& peer, const wire::Frame& frame, std::span<const std::uint8_t>) { handleFrame(peer, frame); },
         .onClosed = [this](PeerLink& peer, LinkError reason) {
+            m_closedLinks.increment(reason);
             logEvent(Event::LinkLost, { { "peer", peer.peer().name }, { "reason", nameOf(reason) } });
             m_flows.linkDown(peer); },
         .reportLoad = [this] { return report(); },
@@ -370,6 +371,7 @@
 {
     m_flows.exposeMetrics(out);
     m_requests.exposeMetrics(out);
+    exposeCounters(out, "kingcuptrail_links_closed_total", "Links that ended, by reason.", m_closedLinks);
 }
 
 }
--- a/src/kingcuptraild/agent/agent.h
+++ b/src/kingcuptraild/agent/agent.h
@@ -63,6 +63,7 @@
     DrainOptions m_drainOptions;
     std::function<void()> m_onDrained;
     Reachability m_reachability;
+    EnumCounters<LinkError> m_closedLinks;
     PauseWatch m_pause;
     TroubleLog m_trouble;
     /// The configuration that brought this data centre back, until every linked balancer has it; otherwise 0.
--- a/src/kingcuptraild/agent/flowdesk.cpp
+++ b/src/kingcuptraild/agent/flowdesk.cpp
@@ -1,5 +1,6 @@
 #include "flowdesk.h"
 
+#include "libplatform/config.h"
 #include "libruntime/events.h"
 
 #include <algorithm>
@@ -65,7 +66,8 @@
     m_actions.increment(verdict.action);
     if (verdict.reason == RefusalReason::WrongService) {
         ++m_wrongService;
-        logEvent(Event::WrongServicePacket, { { "flow", packet.flow() }, { "address", packet.service() } });
+        if (m_wrongServiceLog.isDue(m_clock.now()))
+            logEvent(Event::WrongServicePacket, { { "flow", packet.flow() }, { "address", toString(packet.service()) }, { "leftOut", m_wrongServiceLog.takeLeftOut() } });
     }
     switch (verdict.action) {
     case PacketAction::Deliver:
--- a/src/kingcuptraild/agent/flowdesk.h
+++ b/src/kingcuptraild/agent/flowdesk.h
@@ -7,6 +7,7 @@
 #include "libdecision/redirects.h"
 #include "libdecision/refusal.h"
 #include "libprotocol/flowendpoint.h"
+#include "libruntime/loginterval.h"
 #include "libruntime/metrics.h"
 
 #include <functional>
@@ -152,6 +153,7 @@
     EnumCounters<RefusalReason> m_resets;
     std::uint64_t m_opened = 0;
     std::uint64_t m_wrongService = 0;
+    LogInterval m_wrongServiceLog { 1000 };
     std::uint64_t m_resent = 0;
 };
 
--- a/src/kingcuptraild/agent/requestdesk.cpp
+++ b/src/kingcuptraild/agent/requestdesk.cpp
@@ -23,9 +23,6 @@
     /// Chunks of a stream that may wait for room on a flow before the upstream is no longer read.
     constexpr std::size_t maxStreamOutbox = 64;
 
-    /// Between events that tell of saturation, in milliseconds.
-    constexpr Millis saturationLogInterval = 10000;
-
     /// When a request that found no memory should come back, in milliseconds: about the time of one upload.
     constexpr Millis memoryRetryAfter = 1000;
 
@@ -437,16 +434,12 @@
     pump(request);
 }
 
-// Saturation refuses hundreds of requests a second. One event in a while tells an operator as much, and the counters
-// have the rest.
 void RequestDesk::noteSaturation(RefusalReason reason)
 {
     const bool isSaturated = reason == RefusalReason::QueueFull || reason == RefusalReason::ExpectedWaitTooLong;
-    const Millis now = m_clock.now();
-    if (!isSaturated || now < m_nextSaturationLog)
+    if (!isSaturated || !m_saturationLog.isDue(m_clock.now()))
         return;
-    m_nextSaturationLog = now + saturationLogInterval;
-    logEvent(Event::Saturated, { { "reason", nameOf(reason) }, { "queued", queued(m_admission) }, { "limit", currentLimit(m_admission) } });
+    logEvent(Event::Saturated, { { "leftOut", m_saturationLog.takeLeftOut() }, { "reason", nameOf(reason) }, { "queued", queued(m_admission) }, { "limit", currentLimit(m_admission) } });
 }
 
 void RequestDesk::settle(const RequestPtr& request, LedgerState outcome)
--- a/src/kingcuptraild/agent/requestdesk.h
+++ b/src/kingcuptraild/agent/requestdesk.h
@@ -6,6 +6,7 @@
 #include "libdecision/ledger.h"
 #include "libhttp/httpclient.h"
 #include "libruntime/clock.h"
+#include "libruntime/loginterval.h"
 #include "libruntime/metrics.h"
 
 #include <functional>
@@ -141,7 +142,7 @@
     std::uint64_t m_lastWork = 0;
     std::uint64_t m_lastQuery = 0;
     std::size_t m_heldBytes = 0;
-    Millis m_nextSaturationLog = 0;
+    LogInterval m_saturationLog { 10000 };
     RefusalReason m_refuseNew = RefusalReason::None;
     EnumCounters<RefusalReason> m_refusals;
     EnumCounters<RequestEnd> m_ends;
--- a/src/kingcuptraild/balancer/balancer.cpp
+++ b/src/kingcuptraild/balancer/balancer.cpp
@@ -151,7 +151,8 @@
         .onLoad = [this, token](PeerLink&, const LoadReport& report) { m_members.setReport(token, report); },
         .onLeaving = [this, token](PeerLink&, wire::GoodbyeReason) { m_members.linkLeaving(token); },
         .onOther = [this](PeerLink&, const wire::Frame& frame, std::span<const std::uint8_t> raw) { handleAgentFrame(frame, raw); },
-        .onClosed = [this, token](PeerLink&, LinkError) {
+        .onClosed = [this, token](PeerLink&, LinkError reason) {
+            m_closedLinks.increment(reason);
             m_members.linkDown(token);
             if (!m_members.find(token) && m_links)
                 m_links->remove(childName(token)); },
@@ -178,6 +179,7 @@
             m_fabrics.push_back(peer.shared_from_this()); },
         .onPacket = [this](PeerLink&, const wire::Packet& packet, std::span<const std::uint8_t> raw) { handleFabricPacket(packet, raw); },
         .onClosed = [this](PeerLink& peer, LinkError reason) {
+            m_closedLinks.increment(reason);
             logEvent(Event::LinkLost, { { "peer", peer.peer().name }, { "reason", nameOf(reason) } });
             std::erase_if(m_fabrics, [&](const auto& fabric) { return fabric.get() == &peer; }); },
         .heartbeatInterval = [this] { return heartbeatPause(); },
@@ -442,6 +444,7 @@
 {
     exposeCounters(out, "kingcuptrail_packets_routed_total", "Packets by the way they were routed.", m_routes);
     exposeCounters(out, "kingcuptrail_flow_resets_total", "Flows reset by this balancer, by reason.", m_resets);
+    exposeCounters(out, "kingcuptrail_links_closed_total", "Links that ended, by reason.", m_closedLinks);
     exposeGauge(out, "kingcuptrail_members_linked", "Upstreams whose link is up.", static_cast<double>(m_members.linkedCount()));
 }
 
--- a/src/kingcuptraild/balancer/balancer.h
+++ b/src/kingcuptraild/balancer/balancer.h
@@ -96,6 +96,7 @@
     PlaceOptions m_placeOptions;
     EnumCounters<PacketRoute> m_routes;
     EnumCounters<RefusalReason> m_resets;
+    EnumCounters<LinkError> m_closedLinks;
     bool m_hasHeardPresences = false;
     bool m_isLeaving = false;
 };
--- a/src/kingcuptraild/daemon.cpp
+++ b/src/kingcuptraild/daemon.cpp
@@ -42,7 +42,7 @@
 Daemon::Daemon(Settings settings)
     : m_settings(std::move(settings))
     , m_signals(m_context, SIGTERM, SIGINT)
-    , m_platform { .server = m_settings.platform }
+    , m_platform { .server = m_settings.platform, .client = m_settings.name }
     , m_root(m_context, "root", [this](ChildFailure) { stop(static_cast<int>(ExitCode::GaveUp)); })
     , m_roleContext { m_context, m_settings, m_platform, m_clock, m_config, m_root }
 {
--- /dev/null
+++ b/tests/daemon/testbadinput.cpp
@@ -0,0 +1,207 @@
+#include "kingcuptraild/agent/flowdesk.h"
+#include "kingcuptraild/configkeeper.h"
+#include "kingcuptraild/listener.h"
+#include "kingcuptraild/peerlink.h"
+
+#include <asio/connect.hpp>
+#include <asio/write.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+#include <random>
+
+using namespace kingcuptrail;
+
+namespace {
+
+constexpr Millis testLimit = 8000;
+
+/// A daemon's port with short limits, and one raw client. Tells why the daemon closed the link.
+class Port {
+public:
+    explicit Port(const LinkOptions& options)
+        : m_listener(
+            m_context, { asio::ip::address_v4::loopback(), 0 }, options, [this](std::shared_ptr<Link> link) { accept(std::move(link)); }, [](ChildFailure) {})
+        , m_client(m_context)
+    {
+        m_client.connect({ asio::ip::address_v4::loopback(), m_listener.localPort() });
+    }
+
+    void write(const Bytes& bytes)
+    {
+        asio::error_code ignored;
+        asio::write(m_client, asio::buffer(bytes), ignored);
+    }
+
+    void endClient() { m_client.close(); }
+
+    LinkError closedFor()
+    {
+        const Clock clock;
+        const Millis end = clock.now() + testLimit;
+        while (m_reason == LinkError::None && clock.now() < end) {
+            m_context.run_one_for(std::chrono::milliseconds(testLimit));
+            m_context.restart();
+        }
+        return m_reason;
+    }
+
+private:
+    void accept(std::shared_ptr<Link> link)
+    {
+        m_peer = std::make_shared<PeerLink>(m_context, std::move(link), wire::HelloT(), m_config,
+            PeerLink::Handlers {
+                .onHello = [](const PeerIdentity& peer) { return peer.role == wire::Role::Balancer ? std::nullopt : std::optional(wire::GoodbyeReason::NotExpected); },
+                .onPacket = [](PeerLink&, const wire::Packet&, std::span<const std::uint8_t>) {},
+                .onClosed = [this](PeerLink&, LinkError reason) { m_reason = reason; },
+                .heartbeatInterval = [] { return Millis { 1000 }; },
+            });
+        m_peer->start();
+    }
+
+    asio::io_context m_context;
+    ConfigKeeper m_config;
+    std::shared_ptr<PeerLink> m_peer;
+    Listener m_listener;
+    asio::ip::tcp::socket m_client;
+    LinkError m_reason = LinkError::None;
+};
+
+Bytes hello(wire::Role role, std::uint32_t version = protocolVersion)
+{
+    wire::HelloT body;
+    body.protocol = version;
+    body.role = role;
+    return encodeFrameOf(body);
+}
+
+Bytes cut(Bytes bytes, std::size_t length)
+{
+    bytes.resize(length);
+    return bytes;
+}
+
+Bytes joined(Bytes first, const Bytes& second)
+{
+    first.insert(first.end(), second.begin(), second.end());
+    return first;
+}
+
+}
+
+class TestBadInput : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(TestBadInput);
+    CPPUNIT_TEST(eachKindOfBadPeerIsClosedForItsReason);
+    CPPUNIT_TEST(peerThatGoesAwayIsNoticed);
+    CPPUNIT_TEST(mutatedFramesNeverPassAsPackets);
+    CPPUNIT_TEST(hostilePacketsOpenNothing);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Something that is no peer of ours connects to a daemon's port: a scanner, a wrong program, a peer that hangs in
+    // the middle of a frame. The daemon has to close the link for a reason it can count, and must not wait for ever.
+    void eachKindOfBadPeerIsClosedForItsReason()
+    {
+        const LinkOptions limits { .handshakeTimeout = 300, .silenceLimit = 700, .frameTimeout = 300 };
+        const Bytes good = hello(wire::Role::Balancer);
+        const struct {
+            const char* name;
+            Bytes sent;
+            LinkError reason;
+        } cases[] {
+            { "nothing", {}, LinkError::HandshakeTimeout },
+            { "another protocol", { 'G', 'E', 'T', ' ', '/', ' ', 'H', 'T', 'T', 'P' }, LinkError::FrameTooLarge },
+            { "garbage in a frame", joined({ 16, 0, 0, 0 }, Bytes(16, 0xab)), LinkError::BadFrame },
+            { "empty frame", { 0, 0, 0, 0 }, LinkError::BadFrame },
+            { "oversized frame", { 0, 0, 0, 1 }, LinkError::FrameTooLarge },
+            { "half a hello", cut(good, good.size() / 2), LinkError::HandshakeTimeout },
+            { "half a frame after the hello", joined(good, cut(good, good.size() / 2)), LinkError::SlowFrame },
+            { "silence after the hello", good, LinkError::Silent },
+            { "a role that is not expected", hello(wire::Role::Fabric), LinkError::NotExpected },
+            { "a role that does not exist", hello(static_cast<wire::Role>(77)), LinkError::NotExpected },
+            { "another protocol version", hello(wire::Role::Balancer, protocolVersion + 1), LinkError::NotExpected },
+            { "a frame before the hello", encodeFrameOf(wire::HeartbeatT()), LinkError::NotExpected },
+            { "a second hello", joined(good, good), LinkError::NotExpected },
+        };
+        for (const auto& badPeer : cases) {
+            Port port(limits);
+            port.write(badPeer.sent);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(badPeer.name, std::string(nameOf(badPeer.reason)), std::string(nameOf(port.closedFor())));
+        }
+    }
+
+    void peerThatGoesAwayIsNoticed()
+    {
+        Port port({});
+        port.write(hello(wire::Role::Balancer));
+        port.endClient();
+        CPPUNIT_ASSERT_EQUAL(std::string("peerClosed"), std::string(nameOf(port.closedFor())));
+    }
+
+    // Bits flip on the way, or a peer of another build sends something alike. Whatever the verifier lets through must be
+    // safe to read to its last field.
+    void mutatedFramesNeverPassAsPackets()
+    {
+        std::mt19937 random(20261202);
+        wire::PacketT packet;
+        packet.flow = 7;
+        packet.visited = { 1, 2, 3 };
+        packet.payload = encodeMessageOf(wire::RequestHeadT());
+        const Bytes whole = encodeFrameOf(packet);
+        std::size_t read = 0;
+        for (int round = 0; round < 20000; ++round) {
+            Bytes bytes = whole;
+            for (std::uint32_t flips = 1 + random() % 6; flips > 0; --flips)
+                bytes[random() % bytes.size()] = static_cast<std::uint8_t>(random());
+            FrameReader reader;
+            reader.append(bytes);
+            const auto view = reader.next();
+            if (!view)
+                continue;
+            const std::unique_ptr<wire::FrameT> unpacked(view->frame->UnPack());
+            const auto* taken = unpacked->body.AsPacket();
+            if (taken && !taken->payload.empty() && readMessage(taken->payload))
+                ++read;
+        }
+        CPPUNIT_ASSERT(read > 0);
+    }
+
+    // A hostile caller sends packets with every field at random. None may open a flow for an address that is not the
+    // service's, and none may take memory for ever.
+    void hostilePacketsOpenNothing()
+    {
+        std::mt19937_64 random(7);
+        const Clock clock;
+        std::size_t messages = 0;
+        FlowDesk desk(clock, { .flowLimit = 50 },
+            { .onMessage = [&](FlowId, const wire::Message&) { return ++messages > 0; },
+                .onRoom = [](FlowId) {},
+                .onEnded = [](FlowId) {},
+                .isHeld = [] { return false; },
+                .hasRequests = [](FlowId) { return false; } });
+        desk.setOwnToken({ 5, 2 });
+        desk.setService(99);
+        const auto send = [&](ServiceAddress service) {
+            wire::PacketT packet;
+            packet.kind = static_cast<wire::PacketKind>(random() % 8);
+            packet.service = service;
+            packet.flow = random() % 200;
+            packet.owner_upstream = random() % 7;
+            packet.owner_incarnation = random() % 4;
+            packet.sequence = static_cast<std::uint32_t>(random());
+            packet.acknowledged = static_cast<std::uint32_t>(random());
+            packet.hops = static_cast<std::uint8_t>(random());
+            packet.payload.assign(random() % 64, static_cast<std::uint8_t>(random()));
+            const Bytes bytes = encodeFrameOf(std::move(packet));
+            FrameReader reader;
+            reader.append(bytes);
+            desk.handlePacket(nullptr, *reader.next()->frame->body_as_Packet());
+        };
+        for (int round = 0; round < 5000; ++round)
+            send(random() % 98);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, desk.flowCount());
+        for (int round = 0; round < 5000; ++round)
+            send(99);
+        CPPUNIT_ASSERT(desk.flowCount() > 0 && desk.flowCount() <= 50);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, messages);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestBadInput);
