--- a/src/kingcuptraild/balancer/balancer.cpp
+++ b/src/kingcuptraild/balancer/balancer.cpp
@@ -59,7 +59,8 @@
                          return std::make_unique<ConfigFollower>(m_role, ConfigFollower::Mode::Follow);
                      } });
     m_role.root.add({ .name = "presence", .make = [this](const FailureHandler&) {
-                         auto follower = std::make_unique<PresenceFollower>(m_role, [this](const std::vector<Presence>& presences) { handlePresence(presences); });
+                         auto follower = std::make_unique<PresenceFollower>(
+                             m_role, [this](const std::vector<Presence>& presences) { handlePresence(presences); }, [this](const Presence& presence) { return isInDoubt(presence); });
                          m_presence = follower.get();
                          return follower;
                      } });
@@ -104,6 +105,13 @@
     reconcileConnections();
 }
 
+// An agent that is heard over its link lives; its lease matters only while it is not.
+bool Balancer::isInDoubt(const Presence& presence) const
+{
+    const auto* entry = m_members.find(presence.token);
+    return !entry || !entry->link;
+}
+
 void Balancer::logMembers(const std::vector<Presence>& presences) const
 {
     for (const Presence& presence : presences) {
--- a/src/kingcuptraild/balancer/balancer.h
+++ b/src/kingcuptraild/balancer/balancer.h
@@ -56,6 +56,7 @@
     void handleConfig(const Config& current, const Config& previous);
     void pushNews();
     void handlePresence(const std::vector<Presence>& presences);
+    bool isInDoubt(const Presence& presence) const;
     void logMembers(const std::vector<Presence>& presences) const;
     void reconcileConnections();
     ChildSpec connectionSpec(const Presence& presence);
--- a/src/kingcuptraild/watchers.h
+++ b/src/kingcuptraild/watchers.h
@@ -28,8 +28,8 @@
 /// Feeds the announcements of all agents.
 class PresenceFollower : public Supervised {
 public:
-    PresenceFollower(const RoleContext& role, PresenceWatcher::OnPresence onPresence)
-        : m_watcher(role.context, role.platform, std::move(onPresence))
+    PresenceFollower(const RoleContext& role, PresenceWatcher::OnPresence onPresence, PresenceWatcher::IsInDoubt isInDoubt)
+        : m_watcher(role.context, role.platform, std::move(onPresence), std::move(isInDoubt))
     {
     }
 
--- a/src/libplatform/presencewatcher.cpp
+++ b/src/libplatform/presencewatcher.cpp
@@ -17,6 +17,9 @@
     constexpr Millis minLeaseCheck = 20;
     constexpr Millis maxLeaseCheck = 7500;
 
+    /// Leases that are read one by one at most.
+    constexpr std::size_t maxSingleReads = 16;
+
     Millis monotonicNow()
     {
         using namespace std::chrono;
@@ -26,13 +29,14 @@
 }
 
 struct PresenceWatcher::Private {
-    Private(asio::io_context& context, const PlatformOptions& options, OnPresence handler)
+    Private(asio::io_context& context, const PlatformOptions& options, OnPresence handler, IsInDoubt inDoubt)
         : client(context, options)
         , delay(context)
         , leaseDelay(context)
         , backoff(options.retryFirst, options.retryMax)
         , watchPause(options.retryFirst)
         , onPresence(std::move(handler))
+        , isInDoubt(std::move(inDoubt))
     {
     }
 
@@ -44,6 +48,10 @@
     void checkLeasesLater();
     void checkLeasesSooner();
     void checkLeases();
+    void listLeases();
+    void readLease(const std::string& name);
+    void finishLook(std::optional<PlatformError> failure);
+    std::vector<std::string> namesInDoubt() const;
     void countLeaseTime(bool answered);
     void handleLeases(const ObjectList& list);
     Millis leaseCheckInterval() const;
@@ -55,6 +63,7 @@
     Backoff backoff;
     Millis watchPause = 0;
     OnPresence onPresence;
+    IsInDoubt isInDoubt;
     std::map<std::string, Presence> announced;
     std::map<std::string, LeaseView> leases;
     std::vector<Presence> reported;
@@ -63,6 +72,10 @@
     /// Whether the last look at the leases was answered.
     bool lastLookAnswered = false;
     bool isChecking = false;
+    /// Single reads of the look under way: those still out, what they have found, and the first failure.
+    std::size_t readsOut = 0;
+    ObjectList found;
+    std::optional<PlatformError> readFailure;
     /// The wait for the next look, in milliseconds.
     Millis checkingAfter = 0;
     /// The last trouble of either chain of calls; each is cleared by its own success.
@@ -152,17 +165,71 @@
 
 void PresenceWatcher::Private::checkLeases()
 {
+    const std::vector<std::string> names = namesInDoubt();
+    std::erase_if(leases, [&names](const auto& lease) { return std::ranges::find(names, lease.first) == names.end(); });
+    if (isInDoubt && names.empty()) {
+        leaseReason = PlatformError::None;
+        lastLookAnswered = false;
+        checkLeasesLater();
+        report();
+        return;
+    }
     isChecking = true;
+    found = {};
+    readFailure.reset();
+    if (!isInDoubt || names.size() > maxSingleReads) {
+        listLeases();
+        return;
+    }
+    readsOut = names.size();
+    for (const std::string& name : names)
+        readLease(name);
+}
+
+// Load: thousands of upstreams, of which a few are replaced or fail at any time, watched by hundreds of balancers.
+// Harm: a list of all leases every few seconds is by far the largest part of a balancer's control traffic.
+// Limit: single reads for a handful of upstreams in doubt; beyond it one list costs the platform less calls.
+std::vector<std::string> PresenceWatcher::Private::namesInDoubt() const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, presence] : announced) {
+        if (!isInDoubt || isInDoubt(presence))
+            names.push_back(name);
+    }
+    return names;
+}
+
+void PresenceWatcher::Private::listLeases()
+{
     client.list(leaseKind, [this](const std::optional<ObjectList>& list, PlatformError error) {
-        isChecking = false;
-        countLeaseTime(list.has_value());
-        checkLeasesLater();
-        leaseReason = error;
         if (list)
-            handleLeases(*list);
+            found = *list;
+        finishLook(list ? std::nullopt : std::optional(error));
+    });
+}
+
+void PresenceWatcher::Private::readLease(const std::string& name)
+{
+    client.get(leaseKind, name, [this](const std::optional<PlatformObject>& object, PlatformError error) {
+        if (object)
+            found.objects.push_back(*object);
+        else if (error != PlatformError::NotFound)
+            readFailure = error;
+        if (--readsOut == 0)
+            finishLook(readFailure);
     });
 }
 
+void PresenceWatcher::Private::finishLook(std::optional<PlatformError> failure)
+{
+    isChecking = false;
+    countLeaseTime(!failure);
+    checkLeasesLater();
+    leaseReason = failure.value_or(PlatformError::None);
+    if (!failure)
+        handleLeases(found);
+}
+
 // Failure: after an outage every lease looks old, all upstreams lapse at once and no flow can be placed. The time up to
 // a failed look is not counted, and neither is the time from it to the next answer, in which holders could not renew.
 void PresenceWatcher::Private::countLeaseTime(bool answered)
@@ -182,9 +249,10 @@
     for (const PlatformObject& object : list.objects)
         versions.emplace(object.name, object.version);
     const Millis now = monotonicNow();
-    for (const auto& [name, presence] : announced) {
-        const auto found = versions.find(name);
-        const ObjectVersion version = found == versions.end() ? 0 : found->second;
+    for (const std::string& name : namesInDoubt()) {
+        const Presence& presence = announced.at(name);
+        const auto held = versions.find(name);
+        const ObjectVersion version = held == versions.end() ? 0 : held->second;
         const auto known = leases.find(name);
         if (known == leases.end())
             leases.emplace(name, watchLease(presence.lease, version, now));
@@ -221,8 +289,8 @@
     handler(presences);
 }
 
-PresenceWatcher::PresenceWatcher(asio::io_context& context, const PlatformOptions& options, OnPresence onPresence)
-    : m_d(std::make_unique<Private>(context, options, std::move(onPresence)))
+PresenceWatcher::PresenceWatcher(asio::io_context& context, const PlatformOptions& options, OnPresence onPresence, IsInDoubt isInDoubt)
+    : m_d(std::make_unique<Private>(context, options, std::move(onPresence), std::move(isInDoubt)))
 {
     m_d->list();
     m_d->checkLeases();
--- a/src/libplatform/presencewatcher.h
+++ b/src/libplatform/presencewatcher.h
@@ -15,7 +15,11 @@
 public:
     using OnPresence = std::function<void(const std::vector<Presence>&)>;
 
-    PresenceWatcher(asio::io_context& context, const PlatformOptions& options, OnPresence onPresence);
+    /// Whether an upstream's lease has to be looked at. One whose agent is heard over a link is alive whatever its lease.
+    using IsInDoubt = std::function<bool(const Presence&)>;
+
+    /// Without `isInDoubt` every lease is looked at.
+    PresenceWatcher(asio::io_context& context, const PlatformOptions& options, OnPresence onPresence, IsInDoubt isInDoubt = {});
     ~PresenceWatcher();
     PresenceWatcher(const PresenceWatcher&) = delete;
     PresenceWatcher& operator=(const PresenceWatcher&) = delete;
--- a/tests/platform/testmembership.cpp
+++ b/tests/platform/testmembership.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(deletedAnnouncementIsWrittenAgain);
     CPPUNIT_TEST(leaseOutlastsAnOutage);
     CPPUNIT_TEST(leaseOfALostHolderLapses);
+    CPPUNIT_TEST(onlyALeaseInDoubtIsRead);
     CPPUNIT_TEST(withdrawalGivesUpInAnOutage);
     CPPUNIT_TEST_SUITE_END();
 
@@ -220,6 +221,27 @@
         CPPUNIT_ASSERT(watched.now.front().token == later.announced.front().token);
     }
 
+    // Thousands of agents are linked and one dies. Listing every lease to judge that one would be most of a balancer's
+    // control traffic; only the lease in doubt may be read, and none while all are heard.
+    void onlyALeaseInDoubtIsRead()
+    {
+        bool isLinked = true;
+        std::vector<Presence> now;
+        const PresenceWatcher watcher(
+            m_context, m_options, [&now](const std::vector<Presence>& presences) { now = presences; }, [&isLinked](const Presence&) { return !isLinked; });
+        auto announced = std::make_unique<Announced>(m_context, m_options, wanted(200));
+        awaitRenewals(4);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, now.size());
+        announced.reset();
+        const auto reads = countCalls("GET", "/objects/lease/");
+        isLinked = false;
+        runUntil(m_context, [&] { return !now.empty() && now.front().state == MemberState::Lapsed; });
+        CPPUNIT_ASSERT(countCalls("GET", "/objects/lease/") > reads);
+        isLinked = true;
+        runUntil(m_context, [&] { return now.front().state == MemberState::Serving; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, static_cast<std::size_t>(countCalls("GET", "/objects/lease\"")));
+    }
+
     void withdrawalGivesUpInAnOutage()
     {
         Announced announced(m_context, m_options, wanted());
