--- a/src/libdecision/concurrencylimit.cpp
+++ b/src/libdecision/concurrencylimit.cpp
@@ -224,7 +224,8 @@
 // Load: the first burst after a quiet time.
 // Harm: an upstream that was restarted meanwhile has given no sign, and would get the burst at full concurrency.
 // Limit: two rounds of successes for each slot prove it in some ten service times; the baseline stays, so a cold upstream
-// shows by its first slow request.
+// shows by its first slow request. A search for the peak ends, or its trial would hold the limit at one while only long
+// work comes, which says nothing of the peak.
 void noteIdleStart(ConcurrencyLimit& limit, const LimitOptions& options, Millis now)
 {
     if (!limit.lastCompletion || now - *limit.lastCompletion < options.idleBeforeProof)
@@ -232,6 +233,7 @@
     limit.limit = 1;
     limit.cold = true;
     limit.proving = hasBaseline(limit);
+    limit.peak = {};
     limit.lastCompletion = now;
 }
 
--- a/tests/decision/testadmission.cpp
+++ b/tests/decision/testadmission.cpp
@@ -62,6 +62,7 @@
     CPPUNIT_TEST(coldUpstreamGetsNoMoreThanItBears);
     CPPUNIT_TEST(upstreamThatTurnsColdIsFoundAtOnce);
     CPPUNIT_TEST(upstreamThatTurnedColdWhileIdleIsProvedFirst);
+    CPPUNIT_TEST(trialDoesNotOutliveAnIdleTime);
     CPPUNIT_TEST(lyingEndpointNeitherOpensNorClosesTheGate);
     CPPUNIT_TEST(upstreamThatBearsLessThanItsSlotsFindsItsPeak);
     CPPUNIT_TEST(hintsOfOtherWorkAreHeededWhileCold);
@@ -212,6 +213,21 @@
         }
     }
 
+    // A trial of a lower level was under way, and after the idle time only uploads come.
+    void trialDoesNotOutliveAnIdleTime()
+    {
+        const AdmissionOptions options { .slots = 5, .warmUp = 1000 };
+        AdmissionState state;
+        state.limit = { .limit = 4, .cold = false, .coldSince = 0, .lastCompletion = 0, .peak = { .level = 4, .onTrial = true } };
+        for (Millis now = 40000; now < 80000; now += 500) {
+            const bool runs = admit(state, options, makeItem(1, now, 60000, WorkClass::Long), now).decision == AdmitDecision::Run;
+            takeRunnable(state, options, now);
+            if (!runs)
+                finishWork(state, options, WorkClass::Long, WorkOutcome::Succeeded, 900, now);
+        }
+        CPPUNIT_ASSERT_EQUAL(5U, currentLimit(state));
+    }
+
     // A health endpoint says "fine, idle" for a cold upstream, or "ill, full" for ever for a good one. The first opens
     // nothing; the second costs one more warm-up and no request after it.
     void lyingEndpointNeitherOpensNorClosesTheGate()
