--- a/src/kingcuptraild/agent/agent.cpp
+++ b/src/kingcuptraild/agent/agent.cpp
@@ -191,6 +191,7 @@
         .onLeaving = [](PeerLink& peer, wire::GoodbyeReason) { logEvent(Event::PeerLeaving, { { "peer", peer.peer().name } }); },
         .onOther = [this](PeerLink& peer, const wire::Frame& frame, std::span<const std::uint8_t>) { handleFrame(peer, frame); },
         .onClosed = [this](PeerLink& peer, LinkError reason) {
+            m_closedLinks.increment(reason);
             logEvent(Event::LinkLost, { { "peer", peer.peer().name }, { "reason", nameOf(reason) } });
             m_flows.linkDown(peer); },
         .reportLoad = [this] { return report(); },
@@ -311,12 +312,13 @@
 Presence Agent::wantedPresence() const
 {
     const AgentSettings& agent = m_role.settings.agent;
+    const asio::ip::tcp::endpoint reachedAt = agent.announce.value_or(m_listenAt);
     return {
         .upstream = agent.upstreamName,
         .token = { upstreamIdOf(agent.upstreamName), 0 },
         .service = agent.service,
         .dataCentre = m_role.settings.dataCentre,
-        .address = m_listenAt.address().to_string() + ":" + std::to_string(m_listenAt.port()),
+        .address = reachedAt.address().to_string() + ":" + std::to_string(reachedAt.port()),
         .state = isLeaving() ? MemberState::Draining : MemberState::Serving,
         .lease = agent.lease,
     };
@@ -369,6 +371,7 @@
 {
     m_flows.exposeMetrics(out);
     m_requests.exposeMetrics(out);
+    exposeCounters(out, "kingcuptrail_links_closed_total", "Links that ended, by reason.", m_closedLinks);
 }
 
 }
--- a/src/kingcuptraild/agent/flowdesk.cpp
+++ b/src/kingcuptraild/agent/flowdesk.cpp
@@ -1,5 +1,6 @@
 #include "flowdesk.h"
 
+#include "libplatform/config.h"
 #include "libruntime/events.h"
 
 #include <algorithm>
@@ -65,7 +66,8 @@
     m_actions.increment(verdict.action);
     if (verdict.reason == RefusalReason::WrongService) {
         ++m_wrongService;
-        logEvent(Event::WrongServicePacket, { { "flow", packet.flow() }, { "address", packet.service() } });
+        if (m_wrongServiceLog.isDue(m_clock.now()))
+            logEvent(Event::WrongServicePacket, { { "flow", packet.flow() }, { "address", toString(packet.service()) }, { "leftOut", m_wrongServiceLog.takeLeftOut() } });
     }
     switch (verdict.action) {
     case PacketAction::Deliver:
@@ -125,7 +127,7 @@
     flow.idleSince = now;
     flow.path = from;
     ++m_opened;
-    if (packet.passed_over() != 0)
+    if (m_redirectOptions.announce && packet.passed_over() != 0)
         m_redirectsDue[packet.passed_over()].push_back(flow.id);
     sendOpened(flow);
 }
--- a/src/kingcuptraild/agent/requestdesk.cpp
+++ b/src/kingcuptraild/agent/requestdesk.cpp
@@ -23,9 +23,6 @@
     /// Chunks of a stream that may wait for room on a flow before the upstream is no longer read.
     constexpr std::size_t maxStreamOutbox = 64;
 
-    /// Between events that tell of saturation, in milliseconds.
-    constexpr Millis saturationLogInterval = 10000;
-
     /// When a request that found no memory should come back, in milliseconds: about the time of one upload.
     constexpr Millis memoryRetryAfter = 1000;
 
@@ -356,6 +353,8 @@
 {
     request->call = nullptr;
     m_hooks.onContact(response || outcome.mayHaveReached);
+    if (request->streamOpen && outcome.error == HttpError::ConnectionLost)
+        noteCutFeed();
     if (response && isShed(*response)) {
         finishSlot(request, WorkOutcome::Shed);
         refuse(request, { Ran::No, RefusalReason::UpstreamShed, retryAfterOf(*response) });
@@ -378,6 +377,20 @@
         refuse(request, { Ran::Unknown, isTimeout ? RefusalReason::UpstreamTimeout : RefusalReason::UpstreamLost, 0 });
 }
 
+// Load: an upstream that is restarted within less than a probe while no request is under way; its crews all come back.
+// Harm: neither a failed request nor a refused connection shows the restart, only feeds that are cut, so that a cold
+// upstream would be given the load of a warm one.
+// Limit: only when no feed is left open. A restart cuts all of them; one that ends badly by itself must not take a warm
+// upstream back to one slot.
+void RequestDesk::noteCutFeed()
+{
+    const bool isAnyOpen = std::ranges::any_of(m_byWork, [](const auto& entry) { return entry.second->streamOpen && entry.second->call; });
+    if (isAnyOpen)
+        return;
+    restartCold();
+    logEvent(Event::UpstreamCold, { { "limit", currentLimit(m_admission) }, { "outcome", nameOf(HttpError::ConnectionLost) } });
+}
+
 void RequestDesk::finishSlot(const RequestPtr& request, WorkOutcome outcome)
 {
     if (!request->holdsSlot)
@@ -421,16 +434,12 @@
     pump(request);
 }
 
-// Saturation refuses hundreds of requests a second. One event in a while tells an operator as much, and the counters
-// have the rest.
 void RequestDesk::noteSaturation(RefusalReason reason)
 {
     const bool isSaturated = reason == RefusalReason::QueueFull || reason == RefusalReason::ExpectedWaitTooLong;
-    const Millis now = m_clock.now();
-    if (!isSaturated || now < m_nextSaturationLog)
+    if (!isSaturated || !m_saturationLog.isDue(m_clock.now()))
         return;
-    m_nextSaturationLog = now + saturationLogInterval;
-    logEvent(Event::Saturated, { { "reason", nameOf(reason) }, { "queued", queued(m_admission) }, { "limit", currentLimit(m_admission) } });
+    logEvent(Event::Saturated, { { "leftOut", m_saturationLog.takeLeftOut() }, { "reason", nameOf(reason) }, { "queued", queued(m_admission) }, { "limit", currentLimit(m_admission) } });
 }
 
 void RequestDesk::settle(const RequestPtr& request, LedgerState outcome)
--- a/src/kingcuptraild/agent/requestdesk.h
+++ b/src/kingcuptraild/agent/requestdesk.h
@@ -6,6 +6,7 @@
 #include "libdecision/ledger.h"
 #include "libhttp/httpclient.h"
 #include "libruntime/clock.h"
+#include "libruntime/loginterval.h"
 #include "libruntime/metrics.h"
 
 #include <functional>
@@ -113,6 +114,7 @@
     void handleHead(const RequestPtr& request, const HttpResponse& head);
     void handleStreamChunk(const RequestPtr& request, std::string_view chunk);
     void handleDone(const RequestPtr& request, std::optional<HttpResponse> response, const HttpOutcome& outcome);
+    void noteCutFeed();
     void finishSlot(const RequestPtr& request, WorkOutcome outcome);
     void answer(const RequestPtr& request, int status, const std::string& body);
     void refuse(const RequestPtr& request, const RefusalVerdict& verdict);
@@ -140,7 +142,7 @@
     std::uint64_t m_lastWork = 0;
     std::uint64_t m_lastQuery = 0;
     std::size_t m_heldBytes = 0;
-    Millis m_nextSaturationLog = 0;
+    LogInterval m_saturationLog { 10000 };
     RefusalReason m_refuseNew = RefusalReason::None;
     EnumCounters<RefusalReason> m_refusals;
     EnumCounters<RequestEnd> m_ends;
