--- /dev/null
+++ b/src/kingcuptraild/agent/answermessages.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "libdecision/refusal.h"
+#include "libprotocol/framing.h"
+
+#include <deque>
+#include <string_view>
+
+namespace kingcuptrail {
+
+/// The messages that tell a caller how its request ended.
+Bytes answerHeadMessage(std::uint64_t request, int status, bool stream, std::string_view body);
+Bytes answerChunkMessage(std::uint64_t request, std::uint64_t offset, std::string_view bytes);
+Bytes refusalMessage(std::uint64_t request, const RefusalVerdict& verdict);
+
+/// Cuts bytes into chunks of at most maxChunkBytes and appends their messages; `offset` is that of the first byte.
+void appendChunks(std::deque<Bytes>& out, std::uint64_t request, std::uint64_t offset, std::string_view bytes);
+
+}
--- a/src/kingcuptraild/agent/flowdesk.cpp
+++ b/src/kingcuptraild/agent/flowdesk.cpp
@@ -1,5 +1,6 @@
 #include "flowdesk.h"
 
+#include "kingcuptraild/resetpacket.h"
 #include "libplatform/config.h"
 #include "libruntime/events.h"
 
@@ -17,11 +18,6 @@
         return { packet.owner_upstream(), packet.owner_incarnation() };
     }
 
-    bool isAnswerable(const wire::Packet& packet)
-    {
-        return packet.kind() != wire::PacketKind::Reset && packet.kind() != wire::PacketKind::Close;
-    }
-
 }
 
 FlowDesk::FlowDesk(const Clock& clock, const FlowDeskOptions& options, Hooks hooks)
@@ -85,7 +81,7 @@
         passOn(from, packet, {}, true);
         return;
     case PacketAction::ReplyReset:
-        if (isAnswerable(packet))
+        if (isResettable(packet))
             replyReset(packet, verdict.reason, reopenAfter);
         return;
     case PacketAction::Drop:
@@ -199,16 +195,7 @@
 void FlowDesk::replyReset(const wire::Packet& packet, RefusalReason reason, Millis retryAfter)
 {
     m_resets.increment(reason);
-    wire::PacketT reset;
-    reset.kind = wire::PacketKind::Reset;
-    reset.service = packet.service();
-    reset.flow = packet.flow();
-    reset.source = packet.source();
-    reset.owner_upstream = packet.owner_upstream();
-    reset.owner_incarnation = packet.owner_incarnation();
-    reset.reason = static_cast<std::uint8_t>(reason);
-    reset.retry_after = static_cast<std::uint32_t>(retryAfter);
-    sendOverAnyLink(encodeFrameOf(std::move(reset)));
+    sendOverAnyLink(encodeFrameOf(makeReset(packet, reason, retryAfter)));
 }
 
 void FlowDesk::handleRedirects(const wire::Redirects& redirects)
--- a/src/kingcuptraild/agent/requestdesk.cpp
+++ b/src/kingcuptraild/agent/requestdesk.cpp
@@ -1,5 +1,6 @@
 #include "requestdesk.h"
 
+#include "answermessages.h"
 #include "libruntime/events.h"
 
 #include <algorithm>
@@ -15,11 +16,6 @@
     constexpr std::string_view ranHeader = "X-Request-Ran";
     constexpr std::string_view ranNo = "no";
 
-    /// How long an earlier owner may take to answer before it is asked again, and how often it is asked.
-    /// A balancer that carried the question may have died with it; the next one goes over another link.
-    constexpr Millis askAgainAfter = 300;
-    constexpr std::uint32_t maxAsks = 4;
-
     /// Chunks of a stream that may wait for room on a flow before the upstream is no longer read.
     constexpr std::size_t maxStreamOutbox = 64;
 
@@ -39,26 +35,6 @@
         return response.status == statusShed && headerValue(response.headers, ranHeader) == ranNo;
     }
 
-    Bytes answerHead(std::uint64_t request, int status, bool stream, std::string_view body)
-    {
-        wire::AnswerHeadT head;
-        head.request = request;
-        head.status = static_cast<std::uint16_t>(status);
-        head.stream = stream;
-        head.body_length = body.size();
-        head.body_hash = XXH3_64bits(body.data(), body.size());
-        return encodeMessageOf(head);
-    }
-
-    Bytes answerChunk(std::uint64_t request, std::uint64_t offset, std::string_view bytes)
-    {
-        wire::AnswerChunkT chunk;
-        chunk.request = request;
-        chunk.offset = offset;
-        chunk.bytes.assign(bytes.begin(), bytes.end());
-        return encodeMessageOf(std::move(chunk));
-    }
-
     RefusalVerdict refusalOf(BeginVerdict verdict)
     {
         switch (verdict) {
@@ -83,7 +59,18 @@
     , m_options(std::move(options))
     , m_hooks(std::move(hooks))
     , m_ledger(std::make_unique<Ledger>())
+    , m_earlierOwners(earlierHooks())
+{
+}
+
+EarlierOwners::Hooks RequestDesk::earlierHooks()
 {
+    return {
+        .ask = m_hooks.askLedger,
+        .onMayRun = [this](const RequestPtr& request) { enterLedger(request); },
+        .onRefused = [this](const RequestPtr& request, const RefusalVerdict& verdict) { refuse(request, verdict); },
+        .onAnswered = [this](const RequestPtr& request, const StoredAnswer& stored) { answerAgain(request, stored); },
+    };
 }
 
 RequestDesk::~RequestDesk()
@@ -196,57 +183,11 @@
     if (request->idempotent)
         submit(request);
     else if (!request->earlier.empty())
-        askEarlier(request);
+        m_earlierOwners.begin(request, m_ownToken, m_clock.now());
     else
         enterLedger(request);
 }
 
-void RequestDesk::askEarlier(const RequestPtr& request)
-{
-    request->stage = RequestStage::AskingEarlier;
-    if (request->attempts.attempts.empty())
-        request->attempts = startAttempts(request->earlier, m_ownToken);
-    request->askedAt = m_clock.now();
-    ++request->asks;
-    for (const EarlierAttempt& attempt : request->attempts.attempts) {
-        if (attempt.answer || attempt.unreachable)
-            continue;
-        const std::uint64_t query = ++m_lastQuery;
-        m_queries[query] = { request, attempt.owner };
-        m_hooks.askLedger(query, attempt.owner, request->key);
-    }
-    considerEarlier(request);
-}
-
-void RequestDesk::handleLedgerAnswer(std::uint64_t query, const LedgerReply& reply)
-{
-    const auto found = m_queries.find(query);
-    if (found == m_queries.end())
-        return;
-    const RequestPtr request = found->second.request.lock();
-    const OwnerToken owner = found->second.owner;
-    m_queries.erase(found);
-    if (!request || request->stage != RequestStage::AskingEarlier)
-        return;
-    // The work ran at the earlier owner and its answer is still held there: the caller gets it, though its flow is gone.
-    if (reply.state == LedgerState::Ran && reply.answer) {
-        m_ends.increment(RequestEnd::AnsweredFromLedger);
-        answer(request, reply.answer->status, reply.answer->body);
-        return;
-    }
-    noteAnswer(request->attempts, owner, reply.state);
-    considerEarlier(request);
-}
-
-void RequestDesk::considerEarlier(const RequestPtr& request)
-{
-    const AttemptsVerdict verdict = decideAttempts(request->attempts);
-    if (verdict.decision == AttemptsDecision::Run)
-        enterLedger(request);
-    else if (verdict.decision == AttemptsDecision::Refuse)
-        refuse(request, verdict.refusal);
-}
-
 void RequestDesk::enterLedger(const RequestPtr& request)
 {
     const BeginVerdict verdict = beginWork(*m_ledger, m_options.ledger, request->key, m_clock.now());
@@ -257,14 +198,20 @@
     }
     if (verdict == BeginVerdict::AlreadyRan) {
         if (const auto stored = m_answers.find(request->key)) {
-            m_ends.increment(RequestEnd::AnsweredFromLedger);
-            answer(request, stored->status, stored->body);
+            answerAgain(request, *stored);
             return;
         }
     }
     refuse(request, refusalOf(verdict));
 }
 
+// The work ran for an earlier try whose flow went silent: the caller gets the answer it gave then.
+void RequestDesk::answerAgain(const RequestPtr& request, const StoredAnswer& stored)
+{
+    m_ends.increment(RequestEnd::AnsweredFromLedger);
+    answer(request, stored.status, stored.body);
+}
+
 void RequestDesk::submit(const RequestPtr& request)
 {
     const Millis now = m_clock.now();
@@ -328,7 +275,7 @@
         return;
     finishSlot(request, WorkOutcome::Succeeded);
     request->streamOpen = true;
-    request->outbox.push_back(answerHead(request->request, head.status, true, {}));
+    request->outbox.push_back(answerHeadMessage(request->request, head.status, true, {}));
     pump(request);
 }
 
@@ -336,12 +283,8 @@
 {
     if (!request->streamOpen)
         return;
-    while (!chunk.empty()) {
-        const std::string_view piece = chunk.substr(0, maxChunkBytes);
-        request->outbox.push_back(answerChunk(request->request, request->streamOffset, piece));
-        request->streamOffset += piece.size();
-        chunk.remove_prefix(piece.size());
-    }
+    appendChunks(request->outbox, request->request, request->streamOffset, chunk);
+    request->streamOffset += chunk.size();
     pump(request);
     if (request->outbox.size() > maxStreamOutbox && request->call) {
         request->isPaused = true;
@@ -360,6 +303,10 @@
         refuse(request, { Ran::No, RefusalReason::UpstreamShed, retryAfterOf(*response) });
         return;
     }
+    if (response && request->streamOpen) {
+        endStream(request);
+        return;
+    }
     if (response && !request->stream) {
         finishSlot(request, WorkOutcome::Succeeded);
         if (request->inLedger)
@@ -377,7 +324,16 @@
         refuse(request, { Ran::Unknown, isTimeout ? RefusalReason::UpstreamTimeout : RefusalReason::UpstreamLost, 0 });
 }
 
-// Load: an upstream that is restarted within less than a probe while no request is under way; its crews all come back.
+// An empty chunk tells the caller that its feed ended where the upstream ended it, and was not cut.
+void RequestDesk::endStream(const RequestPtr& request)
+{
+    m_ends.increment(RequestEnd::StreamEnded);
+    request->stage = RequestStage::Answering;
+    request->outbox.push_back(answerChunkMessage(request->request, request->streamOffset, {}));
+    pump(request);
+}
+
+// Load: an upstream that is restarted within less than a probe while no request is under way; its end users all come back.
 // Harm: neither a failed request nor a refused connection shows the restart, only feeds that are cut, so that a cold
 // upstream would be given the load of a warm one.
 // Limit: only when no feed is left open. A restart cuts all of them; one that ends badly by itself must not take a warm
@@ -409,9 +365,8 @@
 {
     request->stage = RequestStage::Answering;
     hold(*request, body.size());
-    request->outbox.push_back(answerHead(request->request, status, false, body));
-    for (std::size_t offset = 0; offset < body.size(); offset += maxChunkBytes)
-        request->outbox.push_back(answerChunk(request->request, offset, std::string_view(body).substr(offset, maxChunkBytes)));
+    request->outbox.push_back(answerHeadMessage(request->request, status, false, body));
+    appendChunks(request->outbox, request->request, 0, body);
     pump(request);
 }
 
@@ -424,13 +379,8 @@
     settle(request, verdict.ran == Ran::No ? LedgerState::NotRun : LedgerState::Unknown);
     if (verdict.ran == Ran::Unknown && !request->idempotent)
         logEvent(Event::OutcomeUnknown, { { "key", request->key }, { "reason", nameOf(verdict.reason) } });
-    wire::RefusalT refusal;
-    refusal.request = request->request;
-    refusal.ran = static_cast<std::uint8_t>(verdict.ran);
-    refusal.reason = static_cast<std::uint8_t>(verdict.reason);
-    refusal.retry_after = static_cast<std::uint32_t>(std::max<Millis>(verdict.retryAfter, 0));
     request->stage = RequestStage::Answering;
-    request->outbox.push_back(encodeMessageOf(refusal));
+    request->outbox.push_back(refusalMessage(request->request, verdict));
     pump(request);
 }
 
@@ -544,38 +494,20 @@
     }
     startRunnable();
     expireDeadlines(now);
+    m_earlierOwners.tick(now);
     expireLedger(*m_ledger, m_options.ledger, now);
 }
 
 void RequestDesk::expireDeadlines(Millis now)
 {
     std::vector<RequestPtr> late;
-    std::vector<RequestPtr> unanswered;
     for (const auto& [work, request] : m_byWork) {
         const bool isWaiting = request->stage == RequestStage::Receiving || request->stage == RequestStage::AskingEarlier;
         if (isWaiting && now > request->deadline)
             late.push_back(request);
-        else if (request->stage == RequestStage::AskingEarlier && now > request->askedAt + askAgainAfter)
-            unanswered.push_back(request);
     }
     for (const RequestPtr& request : late)
         refuse(request, { Ran::No, RefusalReason::DeadlinePassed, 0 });
-    for (const RequestPtr& request : unanswered)
-        askAgain(request);
-}
-
-void RequestDesk::askAgain(const RequestPtr& request)
-{
-    if (request->asks < maxAsks) {
-        askEarlier(request);
-        return;
-    }
-    const std::vector<EarlierAttempt> attempts = request->attempts.attempts;
-    for (const EarlierAttempt& attempt : attempts) {
-        if (!attempt.answer && !attempt.unreachable)
-            noteUnreachable(request->attempts, attempt.owner);
-    }
-    considerEarlier(request);
 }
 
 void RequestDesk::forget(const RequestPtr& request)
--- a/src/kingcuptraild/agent/requestdesk.h
+++ b/src/kingcuptraild/agent/requestdesk.h
@@ -2,6 +2,7 @@
 
 #include "activerequest.h"
 #include "answerstore.h"
+#include "earlierowners.h"
 #include "libdecision/admission.h"
 #include "libdecision/ledger.h"
 #include "libhttp/httpclient.h"
@@ -78,7 +79,7 @@
     void flowEnded(FlowId flow);
 
     LedgerReply answerLedgerQuery(const std::string& key);
-    void handleLedgerAnswer(std::uint64_t query, const LedgerReply& reply);
+    void handleLedgerAnswer(std::uint64_t query, const LedgerReply& reply) { m_earlierOwners.handleAnswer(query, reply); }
 
     void noteHint(const UpstreamHint& hint);
     void restartCold() { kingcuptrail::restartCold(m_admission, m_clock.now()); }
@@ -94,26 +95,21 @@
 private:
     using RequestPtr = std::shared_ptr<ActiveRequest>;
 
-    struct Query {
-        std::weak_ptr<ActiveRequest> request;
-        OwnerToken owner;
-    };
-
+    EarlierOwners::Hooks earlierHooks();
     void receiveHead(FlowId flow, const wire::RequestHead& head);
     void receiveChunk(FlowId flow, const wire::BodyChunk& chunk);
     void cancel(FlowId flow, std::uint64_t request);
     std::optional<RefusalVerdict> judgeHead(const ActiveRequest& request) const;
     void bodyComplete(const RequestPtr& request);
-    void askEarlier(const RequestPtr& request);
-    void askAgain(const RequestPtr& request);
-    void considerEarlier(const RequestPtr& request);
     void enterLedger(const RequestPtr& request);
+    void answerAgain(const RequestPtr& request, const StoredAnswer& stored);
     void submit(const RequestPtr& request);
     void startRunnable();
     void run(const RequestPtr& request);
     void handleHead(const RequestPtr& request, const HttpResponse& head);
     void handleStreamChunk(const RequestPtr& request, std::string_view chunk);
     void handleDone(const RequestPtr& request, std::optional<HttpResponse> response, const HttpOutcome& outcome);
+    void endStream(const RequestPtr& request);
     void noteCutFeed();
     void finishSlot(const RequestPtr& request, WorkOutcome outcome);
     void answer(const RequestPtr& request, int status, const std::string& body);
@@ -138,9 +134,8 @@
     AnswerStore m_answers;
     std::map<std::pair<FlowId, std::uint64_t>, RequestPtr> m_requests;
     std::unordered_map<std::uint64_t, RequestPtr> m_byWork;
-    std::unordered_map<std::uint64_t, Query> m_queries;
+    EarlierOwners m_earlierOwners;
     std::uint64_t m_lastWork = 0;
-    std::uint64_t m_lastQuery = 0;
     std::size_t m_heldBytes = 0;
     LogInterval m_saturationLog { 10000 };
     RefusalReason m_refuseNew = RefusalReason::None;
--- a/src/kingcuptraild/balancer/balancer.cpp
+++ b/src/kingcuptraild/balancer/balancer.cpp
@@ -2,6 +2,7 @@
 
 #include "agentconnection.h"
 #include "kingcuptraild/listener.h"
+#include "kingcuptraild/resetpacket.h"
 #include "libdecision/pacing.h"
 #include "libruntime/events.h"
 
@@ -334,20 +335,10 @@
 
 void Balancer::sendReset(const wire::Packet& packet, RefusalReason reason)
 {
-    // A reset that answers a reset or a close would travel for ever.
-    if (packet.kind() == wire::PacketKind::Reset || packet.kind() == wire::PacketKind::Close)
+    if (!isResettable(packet))
         return;
     m_resets.increment(reason);
-    wire::PacketT reset;
-    reset.kind = wire::PacketKind::Reset;
-    reset.service = packet.service();
-    reset.flow = packet.flow();
-    reset.source = packet.source();
-    reset.owner_upstream = packet.owner_upstream();
-    reset.owner_incarnation = packet.owner_incarnation();
-    reset.reason = static_cast<std::uint8_t>(reason);
-    reset.retry_after = static_cast<std::uint32_t>(noUpstreamRetryAfter);
-    sendToCaller(encodeFrameOf(std::move(reset)), PacketRoute::ResetSent);
+    sendToCaller(encodeFrameOf(makeReset(packet, reason, noUpstreamRetryAfter)), PacketRoute::ResetSent);
 }
 
 // Without packets nothing else would show that the process runs, and the first one after a quiet second would look like
