--- a/src/kingcuptraild/agent/requestdesk.cpp
+++ b/src/kingcuptraild/agent/requestdesk.cpp
@@ -266,7 +266,7 @@
     request->call = startHttpCall(m_context, m_options.upstream, std::move(http), options, std::move(handlers));
 }
 
-// A feed is held open for a shift. It takes a slot only while the upstream sets it up: two thousand open feeds before
+// A feed is held open for hours. It takes a slot only while the upstream sets it up: two thousand open feeds before
 // five slots would otherwise keep every query out, while feeds that all come back at once to a cold upstream still
 // take their turn.
 void RequestDesk::handleHead(const RequestPtr& request, const HttpResponse& head)
--- a/src/libdecision/attempts.cpp
+++ b/src/libdecision/attempts.cpp
@@ -86,7 +86,7 @@
         attempt->unreachable = true;
 }
 
-// Failure: the same Filing on a new flow after its first flow went silent, while the first owner runs it, has run it, or
+// Failure: the same non-idempotent request on a new flow after its first flow went silent, while the first owner runs it, has run it, or
 // cannot be asked. It would show as a trench booked twice. It runs here only when every earlier owner has promised that
 // it neither ran nor will run it; anything else is answered at once as what it is.
 AttemptsVerdict decideAttempts(const EarlierAttempts& earlier, const AttemptsOptions& options)
--- a/src/libdecision/forwarding.cpp
+++ b/src/libdecision/forwarding.cpp
@@ -19,7 +19,7 @@
     }
 
     // Failure: an address has moved from one service to another, a balancer has not heard of it yet, and its packets
-    // arrive at the old service's upstreams. It would show as a Filing among telemetry. Only the agent can know, since
+    // arrive at the old service's upstreams. It would show as one service's upload at another service. Only the agent can know, since
     // only it knows which service its upstream belongs to; a held flow keeps the address it was opened with.
     // Such a packet of a held flow is dropped, not reset: the flow itself is in order, and one stray packet must not end
     // a feed.
--- a/src/libdecision/ledger.cpp
+++ b/src/libdecision/ledger.cpp
@@ -101,7 +101,7 @@
     settle(ledger, found->first, entry, fenced ? LedgerState::Fenced : outcome, now);
 }
 
-// Failure: a Filing's flow goes silent, its caller sends it again on a new flow, and the first packet reaches its old
+// Failure: a non-idempotent request's flow goes silent, its caller sends it again on a new flow, and the first packet reaches its old
 // owner after the new one has run it. It would show as the same trench booked twice. The answer "never seen" is
 // therefore a promise: the key is entered as fenced before the answer goes out.
 LedgerState queryAndFence(Ledger& ledger, const LedgerOptions& options, std::string_view key, Millis now)
--- a/src/libdecision/routing.cpp
+++ b/src/libdecision/routing.cpp
@@ -69,7 +69,7 @@
 }
 
 // Failure: news of members reaches balancers unevenly, and this one has not heard of a flow's owner, or has lost its link
-// to it. It would show as a feed cut mid-shift if the flow were reset on a stale view. So a token that is not known is
+// to it. It would show as a feed cut if the flow were reset on a stale view. So a token that is not known is
 // passed on through any agent, and dropped when its hops are spent: the endpoints send again, and give the flow up by its
 // silence when the owner is truly gone. A reset is safe in three cases: a newer incarnation of the same upstream is known
 // (incarnations are given out by the platform and only grow, so the owner is fenced), the owner's host says that nothing
--- a/src/libdecision/workqueue.cpp
+++ b/src/libdecision/workqueue.cpp
@@ -57,7 +57,7 @@
 }
 
 // Load: uploads of seconds mixed with queries of milliseconds, more of both than the slots carry.
-// Harm: in order of arrival, queries wait behind uploads and a crew stands idle; with queries always first, a Filing
+// Harm: in order of arrival, queries wait behind uploads and miss their deadlines; with queries always first, an upload
 // waits until its deadline.
 // Limit: slot time is shared 3 to 1, queries first, since there are more of them and their deadlines are short; the
 // quarter that is left lets every upload that was queued within its expected wait start.
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds, then runs the Trust's deployment on loopback with feeds, queries and filings while a balancer is killed, an
+# Builds, then runs a deployment of three data centres on loopback with feeds, queries and filings while a balancer is killed, an
 # upstream drains, and a data centre is taken out and brought back. The last line is a summary in JSON; the exit code is
 # not 0 where a promise broke. Leaves no process behind, also when it is interrupted.
 set -euo pipefail
