--- a/bench/libmodel/modelagent.cpp
+++ b/bench/libmodel/modelagent.cpp
@@ -388,10 +388,10 @@
         return;
     const Millis now = m_context.loop.nowMillis();
     Work& work = m_work[id];
-    work = { .flow = packet.flow, .request = packet.request, .deadline = now + packet.request.deadline };
+    work = { .flow = packet.flow, .request = packet.request, .deadline = now + packet.request.deadline, .arrivedAt = now };
     work.last = { .service = packet.service, .flow = packet.flow, .caller = packet.caller, .owner = m_token, .request = packet.request };
     later(toMicros(packet.request.deadline), [this, id] { timeOut(id); });
-    if (m_isDraining && m_context.policy.drainGuard)
+    if (m_isDraining && m_context.policy.drainGuard && refusesNewWork(m_drain, m_context.policy.drain, now))
         return refuse(work, { .ran = Ran::No, .reason = RefusalReason::UpstreamDraining }, LedgerState::NeverSeen);
     if (!packet.request.once)
         return admitWork(id);
@@ -680,8 +680,9 @@
 
 void ModelAgent::drain(bool mayExit)
 {
-    m_isDraining = true;
-    m_mayExit = mayExit;
+    m_mayExit = m_mayExit || mayExit;
+    if (std::exchange(m_isDraining, true))
+        return;
     const Millis now = m_context.loop.nowMillis();
     m_drain = { .startedAt = now, .announced = true, .announcedAt = now };
     m_store.setDraining(m_index, true);
@@ -694,12 +695,26 @@
     m_store.setDraining(m_index, false);
 }
 
+/// What came after the leaving began and still waits is new work; it has reached nothing yet.
+void ModelAgent::refuseWaiting()
+{
+    for (auto& [id, work] : m_work) {
+        const bool waits = work.state == WorkState::Queued || work.state == WorkState::Asking;
+        if (!waits || work.arrivedAt < m_drain.startedAt)
+            continue;
+        cancelQueued(m_admission, id);
+        refuse(work, { .ran = Ran::No, .reason = RefusalReason::UpstreamDraining }, LedgerState::NotRun);
+    }
+}
+
 void ModelAgent::stepDrain()
 {
     if (!m_isDraining)
         return;
     // Written again each time: the first write may have met an outage.
     m_store.setDraining(m_index, true);
+    if (m_context.policy.drainGuard && refusesNewWork(m_drain, m_context.policy.drain, m_context.loop.nowMillis()))
+        refuseWaiting();
     std::vector<DrainFlow> flows;
     std::vector<FlowId> idle;
     for (const auto& [id, flow] : m_flows) {
--- a/bench/libmodel/modelagent.h
+++ b/bench/libmodel/modelagent.h
@@ -80,6 +80,7 @@
         Millis deadline = 0;
         WorkState state = WorkState::Asking;
         EarlierAttempts earlier;
+        Millis arrivedAt = 0;
         Millis startedAt = 0;
         FlowPacket last;
         std::uint32_t sends = 0;
@@ -129,6 +130,7 @@
     void giveUpSilentLinks();
     void expire();
     void stepDrain();
+    void refuseWaiting();
     void sendRedirects();
     HistoryEvent eventOf(HistoryKind kind) const;
     void noteIdle(FlowId flow);
--- a/src/libdecision/drain.cpp
+++ b/src/libdecision/drain.cpp
@@ -30,6 +30,15 @@
     return now - flow.idleSince >= options.idleBeforeClose ? DrainFlowStep::CloseIdle : DrainFlowStep::Keep;
 }
 
+// Load: an upstream leaves with a seventh or a third of its service's flows, and requests go on coming over them.
+// Harm: refused from the first moment, their callers try them again at once, and the retry budget of a tenth is spent
+// before the idle flows are closed: a planned change answered with refusals.
+// Limit: until the news is out, when the idle flows are closed and what comes after is new work.
+bool refusesNewWork(const DrainProgress& progress, const DrainOptions& options, Millis now)
+{
+    return newsIsOut(progress, options, now);
+}
+
 DrainStep nextDrainStep(std::span<const DrainFlow> flows, const DrainProgress& progress, const DrainOptions& options, Millis now)
 {
     if (flows.empty() && newsIsOut(progress, options, now) && callersWereTold(progress, options, now))
--- a/src/libdecision/drain.h
+++ b/src/libdecision/drain.h
@@ -8,8 +8,9 @@
 namespace kingcuptrail {
 
 struct DrainOptions {
-    /// After the announcement, balancers learn of it within this time, in milliseconds; until then new flows may come.
-    Millis announceGrace = 3000;
+    /// After the announcement, balancers learn of it within this time, in milliseconds: at once over their links, and from
+    /// the platform within its watch's delay. Until then new flows may come, and held ones are served as before.
+    Millis announceGrace = 1000;
     /// A flow without a pending request for this long is closed, in milliseconds.
     Millis idleBeforeClose = 1000;
     /// The agent stays this long after its last flow has ended, to tell callers that have not heard of it, in milliseconds.
@@ -51,6 +52,9 @@
     static constexpr std::array<std::string_view, 3> names { "wait", "done", "limitReached" };
 };
 
+/// Whether a leaving agent refuses requests that come over flows it holds.
+bool refusesNewWork(const DrainProgress&, const DrainOptions&, Millis now);
+
 /// What to do with one flow of a leaving agent.
 DrainFlowStep drainFlow(const DrainFlow&, const DrainProgress&, const DrainOptions&, Millis now);
 
--- a/tests/decision/testguards.cpp
+++ b/tests/decision/testguards.cpp
@@ -90,6 +90,8 @@
         DrainProgress progress { .startedAt = 0, .announced = true, .announcedAt = 0, .lastClosedAt = 500 };
         CPPUNIT_ASSERT(nextDrainStep({}, progress, options, 2499) == DrainStep::Wait);
         CPPUNIT_ASSERT(nextDrainStep({}, progress, options, 2500) == DrainStep::Done);
+        // Until the news is out it goes on serving the flows it holds.
+        CPPUNIT_ASSERT(!refusesNewWork(progress, options, 99) && refusesNewWork(progress, options, 100));
         progress.lastClosedAt = 0;
         CPPUNIT_ASSERT(nextDrainStep({}, progress, options, 100) == DrainStep::Done);
     }
