--- a/src/kingcuptraild/agent/agent.cpp
+++ b/src/kingcuptraild/agent/agent.cpp
@@ -169,7 +169,7 @@
     m_flows.setDraining(isLeaving());
     if (m_isOut)
         m_requests.setRefuseNew(RefusalReason::DataCentreOut);
-    else if (isLeaving())
+    else if (m_isFenced || (m_isDraining && refusesNewWork(m_drainProgress, m_drainOptions, m_role.clock.now())))
         m_requests.setRefuseNew(RefusalReason::UpstreamDraining);
     else
         m_requests.setRefuseNew(m_reachability.isReachable ? RefusalReason::None : RefusalReason::UpstreamUnreachable);
@@ -291,6 +291,7 @@
 
 void Agent::drain()
 {
+    applyState();
     const DrainStep step = m_flows.drainStep(m_drainProgress, m_drainOptions);
     if (step == DrainStep::Wait || !m_onDrained)
         return;
--- a/src/kingcuptraild/agent/requestdesk.cpp
+++ b/src/kingcuptraild/agent/requestdesk.cpp
@@ -83,6 +83,8 @@
 
 void RequestDesk::setRefuseNew(RefusalReason reason)
 {
+    if (reason == m_refuseNew)
+        return;
     m_refuseNew = reason;
     if (reason != RefusalReason::None)
         refuseWaiting(reason);
--- a/src/kingcuptraild/agent/requestdesk.h
+++ b/src/kingcuptraild/agent/requestdesk.h
@@ -66,7 +66,7 @@
     void setAdmission(const AdmissionOptions& options) { m_admissionOptions = options; }
     void setOwnToken(const OwnerToken& token) { m_ownToken = token; }
 
-    /// While set, new requests are refused as not run for this reason; None accepts them.
+    /// While set, new requests are refused as not run for this reason, and what waits when it is set; None accepts them.
     void setRefuseNew(RefusalReason reason);
 
     /// False when the message is not one that a caller may send.
