--- a/src/libplatform/presencewatcher.cpp
+++ b/src/libplatform/presencewatcher.cpp
@@ -43,6 +43,7 @@
     void list();
     void watch();
     void watchLater();
+    void takeChanges(const ObjectList& list);
     void handleChange(const PlatformObject& object);
     void retry(PlatformError error, void (Private::*step)());
     void checkLeasesLater();
@@ -91,14 +92,7 @@
             return;
         }
         announced.clear();
-        for (const PlatformObject& object : list->objects)
-            handleChange(object);
-        seen = list->version;
-        watchReason = PlatformError::None;
-        backoff.reset();
-        watchLater();
-        checkLeasesSooner();
-        report();
+        takeChanges(*list);
     });
 }
 
@@ -109,17 +103,22 @@
             retry(error, error == PlatformError::Gone ? &Private::list : &Private::watch);
             return;
         }
-        for (const PlatformObject& object : list->objects)
-            handleChange(object);
-        seen = list->version;
-        watchReason = PlatformError::None;
-        backoff.reset();
-        watchLater();
-        checkLeasesSooner();
-        report();
+        takeChanges(*list);
     });
 }
 
+void PresenceWatcher::Private::takeChanges(const ObjectList& list)
+{
+    for (const PlatformObject& object : list.objects)
+        handleChange(object);
+    seen = list.version;
+    watchReason = PlatformError::None;
+    backoff.reset();
+    watchLater();
+    checkLeasesSooner();
+    report();
+}
+
 // Load: a rack ends, or a fleet is restarted, and hundreds of announcements change within a second. Harm: each change
 // would wake every watcher by itself. Limit: a pause after each answer, in which changes gather for the next one; the
 // first change is still seen at once.
