--- a/src/kingcuptraild/agent/requestdesk.cpp
+++ b/src/kingcuptraild/agent/requestdesk.cpp
@@ -423,6 +423,12 @@
     if (!request || request->stage == RequestStage::Answering)
         return;
     const bool mayHaveRun = request->stage == RequestStage::Running;
+    takeBack(request);
+    refuse(request, { mayHaveRun ? Ran::Unknown : Ran::No, RefusalReason::Cancelled, 0 });
+}
+
+void RequestDesk::takeBack(const RequestPtr& request)
+{
     if (request->stage == RequestStage::Queued)
         cancelQueued(m_admission, request->work);
     // The slot is free once the connection is gone: closing it is how an HTTP/1.1 upstream is told.
@@ -431,7 +437,6 @@
         request->call = nullptr;
     }
     finishSlot(request, WorkOutcome::Cancelled);
-    refuse(request, { mayHaveRun ? Ran::Unknown : Ran::No, RefusalReason::Cancelled, 0 });
 }
 
 void RequestDesk::flowHasRoom(FlowId flow)
@@ -463,13 +468,7 @@
 
 void RequestDesk::cancelAbandoned(const RequestPtr& request)
 {
-    if (request->stage == RequestStage::Queued)
-        cancelQueued(m_admission, request->work);
-    if (request->call) {
-        request->call->cancel();
-        request->call = nullptr;
-    }
-    finishSlot(request, WorkOutcome::Cancelled);
+    takeBack(request);
     settle(request, LedgerState::NotRun);
     forget(request);
 }
--- a/src/kingcuptraild/agent/requestdesk.h
+++ b/src/kingcuptraild/agent/requestdesk.h
@@ -117,6 +117,7 @@
     void noteSaturation(RefusalReason reason);
     void settle(const RequestPtr& request, LedgerState outcome);
     void pump(const RequestPtr& request);
+    void takeBack(const RequestPtr& request);
     void cancelAbandoned(const RequestPtr& request);
     void forget(const RequestPtr& request);
     void expireDeadlines(Millis now);
