--- a/src/kingcuptraild/agent/agent.cpp
+++ b/src/kingcuptraild/agent/agent.cpp
@@ -169,7 +169,7 @@
     m_flows.setDraining(isLeaving());
     if (m_isOut)
         m_requests.setRefuseNew(RefusalReason::DataCentreOut);
-    else if (isLeaving())
+    else if (m_isFenced || (m_isDraining && refusesNewWork(m_drainProgress, m_drainOptions, m_role.clock.now())))
         m_requests.setRefuseNew(RefusalReason::UpstreamDraining);
     else
         m_requests.setRefuseNew(m_reachability.isReachable ? RefusalReason::None : RefusalReason::UpstreamUnreachable);
@@ -268,8 +268,10 @@
     if (m_announcer)
         m_trouble.note(m_announcer->announcer().lastReason());
     considerReturn();
-    if (m_isDraining)
+    if (m_isDraining) {
+        applyState();
         drain();
+    }
     m_sweepTimer.expires_after(std::chrono::milliseconds(sweepInterval));
     m_sweepTimer.async_wait([this](asio::error_code error) {
         if (!error)
