--- a/src/kingcuptraild/agent/agent.cpp
+++ b/src/kingcuptraild/agent/agent.cpp
@@ -268,8 +268,10 @@
     if (m_announcer)
         m_trouble.note(m_announcer->announcer().lastReason());
     considerReturn();
-    if (m_isDraining)
+    if (m_isDraining) {
+        applyState();
         drain();
+    }
     m_sweepTimer.expires_after(std::chrono::milliseconds(sweepInterval));
     m_sweepTimer.async_wait([this](asio::error_code error) {
         if (!error)
