--- a/src/kingcuptraild/agent/agent.cpp
+++ b/src/kingcuptraild/agent/agent.cpp
@@ -124,14 +124,17 @@
 }
 
 // What waited for a slot while this process stood still is older than news it has not read: its data centre may be out
-// by now. It has waited for longer than any queue should make it, so it is refused, and its callers go elsewhere.
+// by now. It has waited for longer than any queue should make it, so it is refused, and its callers go elsewhere. The
+// upstream may have been restarted meanwhile, unseen by this process, so it is proved anew.
 bool Agent::isHeld()
 {
     const Millis now = m_role.clock.now();
     const Millis heldBefore = m_pause.holdUntil;
     noteRunning(m_pause, {}, now);
-    if (m_pause.holdUntil != heldBefore)
+    if (m_pause.holdUntil != heldBefore) {
         m_requests.refuseWaiting(RefusalReason::ExpectedWaitTooLong);
+        m_requests.restartCold();
+    }
     return holdsPackets(m_pause, now);
 }
 
@@ -206,9 +209,7 @@
 
 void Agent::handleFrame(PeerLink& from, const wire::Frame& frame)
 {
-    if (const auto* redirects = frame.body_as_Redirects())
-        m_flows.handleRedirects(*redirects);
-    else if (const auto* query = frame.body_as_LedgerQuery())
+    if (const auto* query = frame.body_as_LedgerQuery())
         answerQuery(from, *query);
     else if (const auto* answer = frame.body_as_LedgerAnswer())
         m_requests.handleLedgerAnswer(answer->query(), readLedgerAnswer(*answer));
@@ -268,10 +269,8 @@
     if (m_announcer)
         m_trouble.note(m_announcer->announcer().lastReason());
     considerReturn();
-    if (m_isDraining) {
-        applyState();
+    if (m_isDraining)
         drain();
-    }
     m_sweepTimer.expires_after(std::chrono::milliseconds(sweepInterval));
     m_sweepTimer.async_wait([this](asio::error_code error) {
         if (!error)
--- a/src/kingcuptraild/agent/flowdesk.cpp
+++ b/src/kingcuptraild/agent/flowdesk.cpp
@@ -72,13 +72,11 @@
     case PacketAction::Open:
         open(from, packet);
         return;
-    case PacketAction::ForwardToOwner: {
-        const auto redirect = findRedirect(m_redirects, m_redirectOptions, packet.flow(), m_clock.now());
-        passOn(from, packet, tokenOf(packet).isSet() || !redirect ? tokenOf(packet) : *redirect, false);
+    case PacketAction::ForwardToOwner:
+        passOn(from, packet, false);
         return;
-    }
     case PacketAction::NextInRanking:
-        passOn(from, packet, {}, true);
+        passOn(from, packet, true);
         return;
     case PacketAction::ReplyReset:
         if (isResettable(packet))
@@ -99,7 +97,6 @@
         .tokenIsPredecessor = token.upstream == m_token.upstream && token.incarnation < m_token.incarnation,
         .holdsFlow = flow != nullptr,
         .endedFor = closedReason(m_closed, packet.flow()),
-        .redirectFound = !flow && findRedirect(m_redirects, m_redirectOptions, packet.flow(), m_clock.now()).has_value(),
         .serviceMatches = packet.service() != 0 && packet.service() == (flow ? flow->service : m_service),
         .hops = packet.hops(),
         .draining = m_isDraining,
@@ -123,8 +120,6 @@
     flow.idleSince = now;
     flow.path = from;
     ++m_opened;
-    if (m_redirectOptions.announce && packet.passed_over() != 0)
-        m_redirectsDue[packet.passed_over()].push_back(flow.id);
     sendOpened(flow);
 }
 
@@ -176,13 +171,11 @@
 
 // Another agent holds the flow, or may: the packet goes back to a balancer, which knows more agents than this one. A
 // different balancer than the one it came from is taken if there is one, since that one's view sent it here.
-void FlowDesk::passOn(const std::shared_ptr<PeerLink>& from, const wire::Packet& packet, const OwnerToken& owner, bool visitedMe)
+void FlowDesk::passOn(const std::shared_ptr<PeerLink>& from, const wire::Packet& packet, bool visitedMe)
 {
     std::unique_ptr<wire::PacketT> onward(packet.UnPack());
     onward->bounced = true;
     ++onward->hops;
-    onward->owner_upstream = owner.upstream;
-    onward->owner_incarnation = owner.incarnation;
     if (visitedMe)
         onward->visited.push_back(m_token.upstream);
     std::shared_ptr<PeerLink> next = anyLink();
@@ -198,15 +191,6 @@
     sendOverAnyLink(encodeFrameOf(makeReset(packet, reason, retryAfter)));
 }
 
-void FlowDesk::handleRedirects(const wire::Redirects& redirects)
-{
-    if (!redirects.entries())
-        return;
-    for (const wire::Redirect* redirect : *redirects.entries()) {
-        noteRedirect(m_redirects, m_redirectOptions, redirect->flow(), { redirect->owner_upstream(), redirect->owner_incarnation() }, m_clock.now());
-    }
-}
-
 bool FlowDesk::send(FlowId id, Bytes message)
 {
     Flow* flow = find(id);
@@ -310,21 +294,7 @@
     }
     for (const auto& [id, end] : over)
         endFlow(id, end, RefusalReason::FlowSilent);
-    for (auto& [upstream, flows] : m_redirectsDue) {
-        wire::RedirectsT redirects;
-        redirects.target_upstream = upstream;
-        for (const FlowId flow : flows) {
-            auto redirect = std::make_unique<wire::RedirectT>();
-            redirect->flow = flow;
-            redirect->owner_upstream = m_token.upstream;
-            redirect->owner_incarnation = m_token.incarnation;
-            redirects.entries.push_back(std::move(redirect));
-        }
-        sendOverAnyLink(encodeFrameOf(std::move(redirects)));
-    }
-    m_redirectsDue.clear();
     expireClosed(m_closed, m_closedOptions, now);
-    expireRedirects(m_redirects, m_redirectOptions, now);
 }
 
 DrainStep FlowDesk::drainStep(DrainProgress& progress, const DrainOptions& options)
@@ -385,7 +355,6 @@
     exposeCounter(out, "kingcuptrail_flows_opened_total", "Flows opened here.", m_opened);
     exposeCounter(out, "kingcuptrail_wrong_service_total", "Packets for another service's address, refused.", m_wrongService);
     exposeGauge(out, "kingcuptrail_flows_open", "Flows held.", static_cast<double>(m_flows.size()));
-    exposeGauge(out, "kingcuptrail_redirects", "Redirect entries held.", static_cast<double>(m_redirects.entries.size()));
 }
 
 }
--- a/src/kingcuptraild/agent/flowdesk.h
+++ b/src/kingcuptraild/agent/flowdesk.h
@@ -4,7 +4,6 @@
 #include "libdecision/closedflows.h"
 #include "libdecision/drain.h"
 #include "libdecision/forwarding.h"
-#include "libdecision/redirects.h"
 #include "libdecision/refusal.h"
 #include "libprotocol/flowendpoint.h"
 #include "libruntime/loginterval.h"
@@ -80,7 +79,6 @@
     void linkDown(const PeerLink& link);
 
     void handlePacket(const std::shared_ptr<PeerLink>& from, const wire::Packet& packet);
-    void handleRedirects(const wire::Redirects& redirects);
 
     /// Queues a message on a flow; false when it has no room.
     bool send(FlowId flow, Bytes message);
@@ -90,7 +88,7 @@
 
     /// Sends what is due, in order of need: new and resent segments.
     void tick();
-    /// Drops flows that are silent or were never confirmed, and sends collected redirects.
+    /// Drops flows that are silent or were never confirmed.
     void sweep();
     /// Closes flows that may be closed while this agent drains, and says whether any is left.
     DrainStep drainStep(DrainProgress& progress, const DrainOptions& options);
@@ -121,7 +119,7 @@
     void open(const std::shared_ptr<PeerLink>& from, const wire::Packet& packet);
     void deliver(const std::shared_ptr<PeerLink>& from, Flow& flow, const wire::Packet& packet);
     void deliverMessages(FlowId id);
-    void passOn(const std::shared_ptr<PeerLink>& from, const wire::Packet& packet, const OwnerToken& owner, bool visitedMe);
+    void passOn(const std::shared_ptr<PeerLink>& from, const wire::Packet& packet, bool visitedMe);
     void replyReset(const wire::Packet& packet, RefusalReason reason, Millis retryAfter);
     void sendOpened(Flow& flow);
     void flush(Flow& flow);
@@ -145,9 +143,6 @@
     ClosedFlows m_closed;
     ClosedFlowOptions m_closedOptions;
     Millis m_lastClosedAt = 0;
-    Redirects m_redirects;
-    RedirectOptions m_redirectOptions;
-    std::unordered_map<UpstreamId, std::vector<FlowId>> m_redirectsDue;
     EnumCounters<PacketAction> m_actions;
     EnumCounters<FlowEnd> m_ends;
     EnumCounters<RefusalReason> m_resets;
--- a/src/kingcuptraild/balancer/balancer.cpp
+++ b/src/kingcuptraild/balancer/balancer.cpp
@@ -234,13 +234,7 @@
         return;
     }
     const OwnerToken chosen = members[placement->member].token;
-    if (!placement->passedOver) {
-        sendToMember(chosen, copyOf(raw), PacketRoute::Placed);
-    } else {
-        std::unique_ptr<wire::PacketT> marked(packet.UnPack());
-        marked->passed_over = members[*placement->passedOver].token.upstream;
-        sendToMember(chosen, encodeFrameOf(std::move(*marked)), PacketRoute::PlacedSecondChoice);
-    }
+    sendToMember(chosen, copyOf(raw), placement->passedOver ? PacketRoute::PlacedSecondChoice : PacketRoute::Placed);
     m_members.notePlaced(chosen);
 }
 
@@ -299,9 +293,7 @@
 
 void Balancer::handleAgentFrame(const wire::Frame& frame, std::span<const std::uint8_t> raw)
 {
-    if (const auto* redirects = frame.body_as_Redirects()) {
-        forwardToUpstream(redirects->target_upstream(), raw);
-    } else if (const auto* query = frame.body_as_LedgerQuery()) {
+    if (const auto* query = frame.body_as_LedgerQuery()) {
         const auto* holder = m_members.find({ query->holder_upstream(), query->holder_incarnation() });
         if (holder && holder->link && !m_role.config.current().isOut(holder->presence.dataCentre))
             holder->link->send(copyOf(raw));
@@ -312,13 +304,6 @@
     }
 }
 
-void Balancer::forwardToUpstream(UpstreamId upstream, std::span<const std::uint8_t> raw)
-{
-    const auto* entry = m_members.findNewest(upstream);
-    if (entry && entry->link && !m_role.config.current().isOut(entry->presence.dataCentre))
-        entry->link->send(copyOf(raw));
-}
-
 void Balancer::sendToMember(const OwnerToken& token, Bytes frame, PacketRoute route)
 {
     const auto* entry = m_members.find(token);
--- a/src/kingcuptraild/balancer/balancer.h
+++ b/src/kingcuptraild/balancer/balancer.h
@@ -74,7 +74,6 @@
     void sendToCaller(Bytes frame, PacketRoute route);
     void refusePacket(const wire::Packet& packet, const RouteResult& result);
     void sendReset(const wire::Packet& packet, RefusalReason reason);
-    void forwardToUpstream(UpstreamId upstream, std::span<const std::uint8_t> raw);
 
     void noteRunningRegularly();
     bool isHeld();
--- a/src/kingcuptraild/balancer/membertable.cpp
+++ b/src/kingcuptraild/balancer/membertable.cpp
@@ -85,16 +85,6 @@
     return found == m_entries.end() ? nullptr : &found->second;
 }
 
-const MemberTable::Entry* MemberTable::findNewest(UpstreamId upstream) const
-{
-    // Entries are ordered by upstream, then incarnation.
-    const auto end = m_entries.lower_bound({ upstream + 1, 0 });
-    if (end == m_entries.begin())
-        return nullptr;
-    const auto last = std::prev(end);
-    return last->first.upstream == upstream ? &last->second : nullptr;
-}
-
 std::vector<OwnerToken> MemberTable::tokens() const
 {
     std::vector<OwnerToken> tokens;
--- a/src/kingcuptraild/balancer/membertable.h
+++ b/src/kingcuptraild/balancer/membertable.h
@@ -45,8 +45,6 @@
     void notePlaced(const OwnerToken& token);
 
     const Entry* find(const OwnerToken& token) const;
-    /// The entry that holds the newest incarnation of an upstream, or nothing.
-    const Entry* findNewest(UpstreamId upstream) const;
     std::vector<OwnerToken> tokens() const;
 
     /// Members of a service, for placing and ranking.
--- a/src/libdecision/pacing.h
+++ b/src/libdecision/pacing.h
@@ -9,7 +9,7 @@
     Millis baseInterval = 1000;
     /// One heartbeat on the wire, framing included.
     std::uint32_t bytesPerHeartbeat = 120;
-    /// What heartbeats may take of a process's control traffic. Of 11 KB/s, the rest is for configuration and redirects.
+    /// What heartbeats may take of a process's control traffic. Of 11 KB/s, the rest is for configuration and membership.
     std::uint32_t budgetBytesPerSecond = 6000;
     /// Heartbeats missed before a link is given up.
     std::uint32_t missed = 3;
--- a/src/libdecision/placing.h
+++ b/src/libdecision/placing.h
@@ -13,7 +13,7 @@
     /// Whether the second-ranked member may be taken when it carries less. Off in the `ranking` baseline.
     bool secondChoice = true;
     /// The second choice is taken only when the first carries more than this many flows above it. News of load is
-    /// about a second old, so small differences are noise, and each second choice costs a redirect.
+    /// about a second old, so small differences are noise.
     double secondChoiceMargin = 2;
     /// How often members tell their load, in milliseconds, and the longest such interval at which load is looked at.
     Millis newsInterval = 1000;
