--- a/src/kingcuptraild/agent/agent.h
+++ b/src/kingcuptraild/agent/agent.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "flowdesk.h"
+#include "flowtable.h"
 #include "kingcuptraild/role.h"
 #include "kingcuptraild/rolecontext.h"
 #include "kingcuptraild/troublelog.h"
@@ -8,7 +8,7 @@
 #include "libdecision/pausewatch.h"
 #include "libdecision/reachability.h"
 #include "libplatform/announcer.h"
-#include "requestdesk.h"
+#include "requestscheduler.h"
 
 #include <asio/steady_timer.hpp>
 #include <memory>
@@ -51,8 +51,8 @@
     bool isLeaving() const { return m_isDraining || m_isFenced; }
 
     const RoleContext m_role;
-    FlowDesk m_flows;
-    RequestDesk m_requests;
+    FlowTable m_flows;
+    RequestScheduler m_requests;
     OwnerToken m_token;
     AnnouncerChild* m_announcer = nullptr;
     /// Where balancers reach this agent; the port is the one that was bound.
--- a/src/kingcuptraild/agent/flowdesk.cpp
+++ b/src/kingcuptraild/agent/flowtable.cpp
@@ -1,4 +1,4 @@
-#include "flowdesk.h"
+#include "flowtable.h"
 
 #include "kingcuptraild/resetpacket.h"
 #include "libplatform/config.h"
@@ -20,14 +20,14 @@
 
 }
 
-FlowDesk::FlowDesk(const Clock& clock, const FlowDeskOptions& options, Hooks hooks)
+FlowTable::FlowTable(const Clock& clock, const FlowTableOptions& options, Hooks hooks)
     : m_clock(clock)
     , m_options(options)
     , m_hooks(std::move(hooks))
 {
 }
 
-void FlowDesk::setDataCentreOut(bool isOut)
+void FlowTable::setDataCentreOut(bool isOut)
 {
     const bool becameOut = isOut && !m_isDataCentreOut;
     m_isDataCentreOut = isOut;
@@ -41,17 +41,17 @@
     logEvent(Event::FlowsGivenUp, { { "flows", ids.size() } });
 }
 
-void FlowDesk::linkUp(std::shared_ptr<PeerLink> link)
+void FlowTable::linkUp(std::shared_ptr<PeerLink> link)
 {
     m_links.push_back(std::move(link));
 }
 
-void FlowDesk::linkDown(const PeerLink& link)
+void FlowTable::linkDown(const PeerLink& link)
 {
     std::erase_if(m_links, [&](const auto& known) { return known.get() == &link; });
 }
 
-void FlowDesk::handlePacket(const std::shared_ptr<PeerLink>& from, const wire::Packet& packet)
+void FlowTable::handlePacket(const std::shared_ptr<PeerLink>& from, const wire::Packet& packet)
 {
     if (m_hooks.isHeld()) {
         m_actions.increment(PacketAction::Drop);
@@ -87,7 +87,7 @@
     }
 }
 
-PacketFacts FlowDesk::factsOf(const wire::Packet& packet, const Flow* flow) const
+PacketFacts FlowTable::factsOf(const wire::Packet& packet, const Flow* flow) const
 {
     const OwnerToken token = tokenOf(packet);
     return {
@@ -104,7 +104,7 @@
     };
 }
 
-void FlowDesk::open(const std::shared_ptr<PeerLink>& from, const wire::Packet& packet)
+void FlowTable::open(const std::shared_ptr<PeerLink>& from, const wire::Packet& packet)
 {
     if (m_flows.size() >= m_options.flowLimit) {
         replyReset(packet, RefusalReason::TooManyFlows, reopenAfter);
@@ -123,7 +123,7 @@
     sendOpened(flow);
 }
 
-void FlowDesk::deliver(const std::shared_ptr<PeerLink>& from, Flow& flow, const wire::Packet& packet)
+void FlowTable::deliver(const std::shared_ptr<PeerLink>& from, Flow& flow, const wire::Packet& packet)
 {
     const Millis now = m_clock.now();
     flow.heardAt = now;
@@ -154,7 +154,7 @@
         flush(*still);
 }
 
-void FlowDesk::deliverMessages(FlowId id)
+void FlowTable::deliverMessages(FlowId id)
 {
     while (Flow* flow = find(id)) {
         const auto payload = flow->endpoint.takeDelivered();
@@ -171,7 +171,7 @@
 
 // Another agent holds the flow, or may: the packet goes back to a balancer, which knows more agents than this one. A
 // different balancer than the one it came from is taken if there is one, since that one's view sent it here.
-void FlowDesk::passOn(const std::shared_ptr<PeerLink>& from, const wire::Packet& packet, bool visitedMe)
+void FlowTable::passOn(const std::shared_ptr<PeerLink>& from, const wire::Packet& packet, bool visitedMe)
 {
     std::unique_ptr<wire::PacketT> onward(packet.UnPack());
     onward->bounced = true;
@@ -185,13 +185,13 @@
         next->sendPacket(encodeFrameOf(std::move(*onward)));
 }
 
-void FlowDesk::replyReset(const wire::Packet& packet, RefusalReason reason, Millis retryAfter)
+void FlowTable::replyReset(const wire::Packet& packet, RefusalReason reason, Millis retryAfter)
 {
     m_resets.increment(reason);
     sendOverAnyLink(encodeFrameOf(makeReset(packet, reason, retryAfter)));
 }
 
-bool FlowDesk::send(FlowId id, Bytes message)
+bool FlowTable::send(FlowId id, Bytes message)
 {
     Flow* flow = find(id);
     if (!flow)
@@ -205,13 +205,13 @@
     return true;
 }
 
-bool FlowDesk::sendOverAnyLink(Bytes frame)
+bool FlowTable::sendOverAnyLink(Bytes frame)
 {
     const auto link = anyLink();
     return link && link->sendPacket(std::move(frame));
 }
 
-void FlowDesk::tick()
+void FlowTable::tick()
 {
     std::vector<FlowId> active(m_active.begin(), m_active.end());
     for (const FlowId id : active) {
@@ -224,7 +224,7 @@
     }
 }
 
-void FlowDesk::flush(Flow& flow)
+void FlowTable::flush(Flow& flow)
 {
     for (const FlowEndpoint::Segment& segment : flow.endpoint.takeDue(m_clock.now())) {
         wire::PacketT packet;
@@ -242,14 +242,14 @@
         m_active.insert(flow.id);
 }
 
-void FlowDesk::sendOpened(Flow& flow)
+void FlowTable::sendOpened(Flow& flow)
 {
     wire::PacketT packet;
     packet.kind = wire::PacketKind::Opened;
     sendOnFlow(flow, std::move(packet));
 }
 
-void FlowDesk::sendOnFlow(Flow& flow, wire::PacketT packet)
+void FlowTable::sendOnFlow(Flow& flow, wire::PacketT packet)
 {
     packet.service = flow.service;
     packet.flow = flow.id;
@@ -262,7 +262,7 @@
         link->sendPacket(encodeFrameOf(std::move(packet)));
 }
 
-void FlowDesk::endFlow(FlowId id, FlowEnd end, RefusalReason tellCaller)
+void FlowTable::endFlow(FlowId id, FlowEnd end, RefusalReason tellCaller)
 {
     Flow* flow = find(id);
     if (!flow)
@@ -282,7 +282,7 @@
     m_hooks.onEnded(id);
 }
 
-void FlowDesk::sweep()
+void FlowTable::sweep()
 {
     const Millis now = m_clock.now();
     std::vector<std::pair<FlowId, FlowEnd>> over;
@@ -297,7 +297,7 @@
     expireClosed(m_closed, m_closedOptions, now);
 }
 
-DrainStep FlowDesk::drainStep(DrainProgress& progress, const DrainOptions& options)
+DrainStep FlowTable::drainStep(DrainProgress& progress, const DrainOptions& options)
 {
     const Millis now = m_clock.now();
     std::vector<FlowId> idle;
@@ -316,7 +316,7 @@
     return nextDrainStep(left, progress, options, now);
 }
 
-void FlowDesk::closeAll(RefusalReason reason)
+void FlowTable::closeAll(RefusalReason reason)
 {
     std::vector<FlowId> ids;
     for (const auto& [id, flow] : m_flows)
@@ -325,13 +325,13 @@
         endFlow(id, FlowEnd::ClosedDraining, reason);
 }
 
-std::shared_ptr<PeerLink> FlowDesk::pathOf(const Flow& flow)
+std::shared_ptr<PeerLink> FlowTable::pathOf(const Flow& flow)
 {
     const auto link = flow.path.lock();
     return link && link->isUsable() ? link : anyLink();
 }
 
-std::shared_ptr<PeerLink> FlowDesk::anyLink()
+std::shared_ptr<PeerLink> FlowTable::anyLink()
 {
     for (std::size_t tries = 0; tries < m_links.size(); ++tries) {
         const auto& link = m_links[m_nextLink++ % m_links.size()];
@@ -341,13 +341,13 @@
     return nullptr;
 }
 
-FlowDesk::Flow* FlowDesk::find(FlowId id)
+FlowTable::Flow* FlowTable::find(FlowId id)
 {
     const auto found = m_flows.find(id);
     return found == m_flows.end() ? nullptr : &found->second;
 }
 
-void FlowDesk::exposeMetrics(std::string& out) const
+void FlowTable::exposeMetrics(std::string& out) const
 {
     exposeCounters(out, "kingcuptrail_packets_total", "Packets by what was done with them.", m_actions);
     exposeCounters(out, "kingcuptrail_flows_ended_total", "Flows by the way they ended.", m_ends);
--- a/src/kingcuptraild/agent/flowdesk.h
+++ b/src/kingcuptraild/agent/flowtable.h
@@ -17,7 +17,7 @@
 
 namespace kingcuptrail {
 
-struct FlowDeskOptions {
+struct FlowTableOptions {
     /// Flows held at most; more are refused, so that one upstream's memory stays bounded.
     std::size_t flowLimit = 20000;
     /// How long a caller may say nothing, in milliseconds. Callers probe idle flows, so a longer silence means that the
@@ -51,7 +51,7 @@
 
 /// Holds the flows that this agent owns: decides on each packet, keeps both ends' segments in order, and answers over
 /// whichever balancer is there.
-class FlowDesk {
+class FlowTable {
 public:
     struct Hooks {
         /// Takes a message; false when it is none that a caller may send.
@@ -65,7 +65,7 @@
         std::function<bool(FlowId)> hasRequests;
     };
 
-    FlowDesk(const Clock& clock, const FlowDeskOptions& options, Hooks hooks);
+    FlowTable(const Clock& clock, const FlowTableOptions& options, Hooks hooks);
 
     void setOwnToken(const OwnerToken& token) { m_token = token; }
     /// The address of this agent's service; 0 while no configuration names it.
@@ -130,7 +130,7 @@
     Flow* find(FlowId id);
 
     const Clock& m_clock;
-    FlowDeskOptions m_options;
+    FlowTableOptions m_options;
     Hooks m_hooks;
     OwnerToken m_token;
     ServiceAddress m_service = 0;
--- a/src/kingcuptraild/agent/requestdesk.cpp
+++ b/src/kingcuptraild/agent/requestscheduler.cpp
@@ -1,4 +1,4 @@
-#include "requestdesk.h"
+#include "requestscheduler.h"
 
 #include "answermessages.h"
 #include "libruntime/events.h"
@@ -53,7 +53,7 @@
 
 }
 
-RequestDesk::RequestDesk(asio::io_context& context, const Clock& clock, RequestDeskOptions options, Hooks hooks)
+RequestScheduler::RequestScheduler(asio::io_context& context, const Clock& clock, RequestSchedulerOptions options, Hooks hooks)
     : m_context(context)
     , m_clock(clock)
     , m_options(std::move(options))
@@ -63,7 +63,7 @@
 {
 }
 
-EarlierOwners::Hooks RequestDesk::earlierHooks()
+EarlierOwners::Hooks RequestScheduler::earlierHooks()
 {
     return {
         .ask = m_hooks.askLedger,
@@ -73,7 +73,7 @@
     };
 }
 
-RequestDesk::~RequestDesk()
+RequestScheduler::~RequestScheduler()
 {
     for (const auto& [work, request] : m_byWork) {
         if (request->call)
@@ -81,7 +81,7 @@
     }
 }
 
-void RequestDesk::setRefuseNew(RefusalReason reason)
+void RequestScheduler::setRefuseNew(RefusalReason reason)
 {
     if (reason == m_refuseNew)
         return;
@@ -90,7 +90,7 @@
         refuseWaiting(reason);
 }
 
-void RequestDesk::refuseWaiting(RefusalReason reason)
+void RequestScheduler::refuseWaiting(RefusalReason reason)
 {
     for (const ExpiredItem& expired : refuseQueue(m_admission, reason, m_clock.now())) {
         if (const auto found = m_byWork.find(expired.item.id); found != m_byWork.end())
@@ -98,7 +98,7 @@
     }
 }
 
-bool RequestDesk::handleMessage(FlowId flow, const wire::Message& message)
+bool RequestScheduler::handleMessage(FlowId flow, const wire::Message& message)
 {
     if (const auto* head = message.body_as_RequestHead())
         receiveHead(flow, *head);
@@ -111,7 +111,7 @@
     return true;
 }
 
-void RequestDesk::receiveHead(FlowId flow, const wire::RequestHead& head)
+void RequestScheduler::receiveHead(FlowId flow, const wire::RequestHead& head)
 {
     if (m_requests.contains({ flow, head.request() }))
         return;
@@ -145,7 +145,7 @@
 
 // A request that has no chance is refused before its body is sent: an upload that would only be refused at its end
 // costs its end user the whole transfer.
-std::optional<RefusalVerdict> RequestDesk::judgeHead(const ActiveRequest& request) const
+std::optional<RefusalVerdict> RequestScheduler::judgeHead(const ActiveRequest& request) const
 {
     if (m_refuseNew != RefusalReason::None)
         return RefusalVerdict { Ran::No, m_refuseNew, 0 };
@@ -161,7 +161,7 @@
     return std::nullopt;
 }
 
-void RequestDesk::receiveChunk(FlowId flow, const wire::BodyChunk& chunk)
+void RequestScheduler::receiveChunk(FlowId flow, const wire::BodyChunk& chunk)
 {
     const RequestPtr request = find(flow, chunk.request());
     if (!request || request->stage != RequestStage::Receiving || !chunk.bytes())
@@ -176,7 +176,7 @@
         bodyComplete(request);
 }
 
-void RequestDesk::bodyComplete(const RequestPtr& request)
+void RequestScheduler::bodyComplete(const RequestPtr& request)
 {
     if (request->bodyLength > 0 && XXH3_64bits(request->body.data(), request->body.size()) != request->bodyHash) {
         refuse(request, { Ran::No, RefusalReason::BodyCorrupt, 0 });
@@ -190,7 +190,7 @@
         enterLedger(request);
 }
 
-void RequestDesk::enterLedger(const RequestPtr& request)
+void RequestScheduler::enterLedger(const RequestPtr& request)
 {
     const BeginVerdict verdict = beginWork(*m_ledger, m_options.ledger, request->key, m_clock.now());
     if (verdict == BeginVerdict::Run) {
@@ -208,13 +208,13 @@
 }
 
 // The work ran for an earlier try whose flow went silent: the caller gets the answer it gave then.
-void RequestDesk::answerAgain(const RequestPtr& request, const StoredAnswer& stored)
+void RequestScheduler::answerAgain(const RequestPtr& request, const StoredAnswer& stored)
 {
     m_ends.increment(RequestEnd::AnsweredFromLedger);
     answer(request, stored.status, stored.body);
 }
 
-void RequestDesk::submit(const RequestPtr& request)
+void RequestScheduler::submit(const RequestPtr& request)
 {
     const Millis now = m_clock.now();
     request->queuedAt = now;
@@ -227,7 +227,7 @@
         refuse(request, verdict.refusal);
 }
 
-void RequestDesk::startRunnable()
+void RequestScheduler::startRunnable()
 {
     for (const WorkItem& item : takeRunnable(m_admission, m_admissionOptions, m_clock.now())) {
         const auto found = m_byWork.find(item.id);
@@ -238,7 +238,7 @@
     }
 }
 
-void RequestDesk::run(const RequestPtr& request)
+void RequestScheduler::run(const RequestPtr& request)
 {
     const Millis now = m_clock.now();
     request->stage = RequestStage::Running;
@@ -271,7 +271,7 @@
 // A feed is held open for hours. It takes a slot only while the upstream sets it up: two thousand open feeds before
 // five slots would otherwise keep every query out, while feeds that all come back at once to a cold upstream still
 // take their turn.
-void RequestDesk::handleHead(const RequestPtr& request, const HttpResponse& head)
+void RequestScheduler::handleHead(const RequestPtr& request, const HttpResponse& head)
 {
     if (isShed(head))
         return;
@@ -281,7 +281,7 @@
     pump(request);
 }
 
-void RequestDesk::handleStreamChunk(const RequestPtr& request, std::string_view chunk)
+void RequestScheduler::handleStreamChunk(const RequestPtr& request, std::string_view chunk)
 {
     if (!request->streamOpen)
         return;
@@ -294,7 +294,7 @@
     }
 }
 
-void RequestDesk::handleDone(const RequestPtr& request, std::optional<HttpResponse> response, const HttpOutcome& outcome)
+void RequestScheduler::handleDone(const RequestPtr& request, std::optional<HttpResponse> response, const HttpOutcome& outcome)
 {
     request->call = nullptr;
     m_hooks.onContact(response || outcome.mayHaveReached);
@@ -327,7 +327,7 @@
 }
 
 // An empty chunk tells the caller that its feed ended where the upstream ended it, and was not cut.
-void RequestDesk::endStream(const RequestPtr& request)
+void RequestScheduler::endStream(const RequestPtr& request)
 {
     m_ends.increment(RequestEnd::StreamEnded);
     request->stage = RequestStage::Answering;
@@ -340,7 +340,7 @@
 // upstream would be given the load of a warm one.
 // Limit: only when no feed is left open. A restart cuts all of them; one that ends badly by itself must not take a warm
 // upstream back to one slot.
-void RequestDesk::noteCutFeed()
+void RequestScheduler::noteCutFeed()
 {
     const bool isAnyOpen = std::ranges::any_of(m_byWork, [](const auto& entry) { return entry.second->streamOpen && entry.second->call; });
     if (isAnyOpen)
@@ -349,7 +349,7 @@
     logEvent(Event::UpstreamCold, { { "limit", currentLimit(m_admission) }, { "outcome", nameOf(HttpError::ConnectionLost) } });
 }
 
-void RequestDesk::finishSlot(const RequestPtr& request, WorkOutcome outcome)
+void RequestScheduler::finishSlot(const RequestPtr& request, WorkOutcome outcome)
 {
     if (!request->holdsSlot)
         return;
@@ -363,7 +363,7 @@
     startRunnable();
 }
 
-void RequestDesk::answer(const RequestPtr& request, int status, const std::string& body)
+void RequestScheduler::answer(const RequestPtr& request, int status, const std::string& body)
 {
     request->stage = RequestStage::Answering;
     hold(*request, body.size());
@@ -372,7 +372,7 @@
     pump(request);
 }
 
-void RequestDesk::refuse(const RequestPtr& request, const RefusalVerdict& verdict)
+void RequestScheduler::refuse(const RequestPtr& request, const RefusalVerdict& verdict)
 {
     m_refusals.increment(verdict.reason);
     noteSaturation(verdict.reason);
@@ -386,7 +386,7 @@
     pump(request);
 }
 
-void RequestDesk::noteSaturation(RefusalReason reason)
+void RequestScheduler::noteSaturation(RefusalReason reason)
 {
     const bool isSaturated = reason == RefusalReason::QueueFull || reason == RefusalReason::ExpectedWaitTooLong;
     if (!isSaturated || !m_saturationLog.isDue(m_clock.now()))
@@ -394,7 +394,7 @@
     logEvent(Event::Saturated, { { "leftOut", m_saturationLog.takeLeftOut() }, { "reason", nameOf(reason) }, { "queued", queued(m_admission) }, { "limit", currentLimit(m_admission) } });
 }
 
-void RequestDesk::settle(const RequestPtr& request, LedgerState outcome)
+void RequestScheduler::settle(const RequestPtr& request, LedgerState outcome)
 {
     if (!request->inLedger)
         return;
@@ -402,7 +402,7 @@
     settleWork(*m_ledger, m_options.ledger, request->key, outcome, m_clock.now());
 }
 
-void RequestDesk::pump(const RequestPtr& request)
+void RequestScheduler::pump(const RequestPtr& request)
 {
     while (request->hasFlow && !request->outbox.empty()) {
         if (!m_hooks.send(request->flow, request->outbox.front()))
@@ -417,7 +417,7 @@
     }
 }
 
-void RequestDesk::cancel(FlowId flow, std::uint64_t id)
+void RequestScheduler::cancel(FlowId flow, std::uint64_t id)
 {
     const RequestPtr request = find(flow, id);
     if (!request || request->stage == RequestStage::Answering)
@@ -427,7 +427,7 @@
     refuse(request, { mayHaveRun ? Ran::Unknown : Ran::No, RefusalReason::Cancelled, 0 });
 }
 
-void RequestDesk::takeBack(const RequestPtr& request)
+void RequestScheduler::takeBack(const RequestPtr& request)
 {
     if (request->stage == RequestStage::Queued)
         cancelQueued(m_admission, request->work);
@@ -439,7 +439,7 @@
     finishSlot(request, WorkOutcome::Cancelled);
 }
 
-void RequestDesk::flowHasRoom(FlowId flow)
+void RequestScheduler::flowHasRoom(FlowId flow)
 {
     std::vector<RequestPtr> waiting;
     for (auto item = m_requests.lower_bound({ flow, 0 }); item != m_requests.end() && item->first.first == flow; ++item) {
@@ -450,7 +450,7 @@
         pump(request);
 }
 
-void RequestDesk::flowEnded(FlowId flow)
+void RequestScheduler::flowEnded(FlowId flow)
 {
     std::vector<RequestPtr> ended;
     for (auto item = m_requests.lower_bound({ flow, 0 }); item != m_requests.end() && item->first.first == flow; ++item)
@@ -466,14 +466,14 @@
     }
 }
 
-void RequestDesk::cancelAbandoned(const RequestPtr& request)
+void RequestScheduler::cancelAbandoned(const RequestPtr& request)
 {
     takeBack(request);
     settle(request, LedgerState::NotRun);
     forget(request);
 }
 
-LedgerReply RequestDesk::answerLedgerQuery(const std::string& key)
+LedgerReply RequestScheduler::answerLedgerQuery(const std::string& key)
 {
     LedgerReply reply { .state = queryAndFence(*m_ledger, m_options.ledger, key, m_clock.now()), .answer = std::nullopt };
     if (reply.state == LedgerState::Ran)
@@ -481,12 +481,12 @@
     return reply;
 }
 
-void RequestDesk::noteHint(const UpstreamHint& hint)
+void RequestScheduler::noteHint(const UpstreamHint& hint)
 {
     kingcuptrail::noteHint(m_admission, m_admissionOptions, hint, m_clock.now());
 }
 
-void RequestDesk::tick()
+void RequestScheduler::tick()
 {
     const Millis now = m_clock.now();
     for (const ExpiredItem& expired : takeExpired(m_admission, m_admissionOptions, now)) {
@@ -499,7 +499,7 @@
     expireLedger(*m_ledger, m_options.ledger, now);
 }
 
-void RequestDesk::expireDeadlines(Millis now)
+void RequestScheduler::expireDeadlines(Millis now)
 {
     std::vector<RequestPtr> late;
     for (const auto& [work, request] : m_byWork) {
@@ -511,7 +511,7 @@
         refuse(request, { Ran::No, RefusalReason::DeadlinePassed, 0 });
 }
 
-void RequestDesk::forget(const RequestPtr& request)
+void RequestScheduler::forget(const RequestPtr& request)
 {
     m_heldBytes -= request->heldBytes;
     request->heldBytes = 0;
@@ -520,30 +520,30 @@
         m_requests.erase({ request->flow, request->request });
 }
 
-void RequestDesk::hold(ActiveRequest& request, std::size_t bytes)
+void RequestScheduler::hold(ActiveRequest& request, std::size_t bytes)
 {
     request.heldBytes += bytes;
     m_heldBytes += bytes;
 }
 
-RequestDesk::RequestPtr RequestDesk::find(FlowId flow, std::uint64_t request) const
+RequestScheduler::RequestPtr RequestScheduler::find(FlowId flow, std::uint64_t request) const
 {
     const auto found = m_requests.find({ flow, request });
     return found == m_requests.end() ? nullptr : found->second;
 }
 
-bool RequestDesk::hasRequests(FlowId flow) const
+bool RequestScheduler::hasRequests(FlowId flow) const
 {
     const auto first = m_requests.lower_bound({ flow, 0 });
     return first != m_requests.end() && first->first.first == flow;
 }
 
-std::size_t RequestDesk::ledgerSize() const
+std::size_t RequestScheduler::ledgerSize() const
 {
     return m_ledger->entries.size();
 }
 
-void RequestDesk::exposeMetrics(std::string& out) const
+void RequestScheduler::exposeMetrics(std::string& out) const
 {
     exposeCounters(out, "kingcuptrail_refusals_total", "Requests refused, by reason.", m_refusals);
     exposeCounters(out, "kingcuptrail_refusals_ran_total", "Requests refused, by whether they ran.", m_refusedRan);
--- a/src/kingcuptraild/agent/requestdesk.h
+++ b/src/kingcuptraild/agent/requestscheduler.h
@@ -17,7 +17,7 @@
 
 namespace kingcuptrail {
 
-struct RequestDeskOptions {
+struct RequestSchedulerOptions {
     asio::ip::tcp::endpoint upstream;
     std::string service;
     /// One request's body at most. It is held whole, since its hash is checked before any of it runs.
@@ -46,7 +46,7 @@
 
 /// Takes the requests of all flows through receipt, the questions to earlier owners, admission, the upstream and the
 /// answer. The decisions are libdecision's; here they meet the upstream's connection and the flows.
-class RequestDesk {
+class RequestScheduler {
 public:
     struct Hooks {
         /// Queues a message on a flow; false when the flow has no room, and it is called again by flowHasRoom().
@@ -57,10 +57,10 @@
         std::function<void(std::uint64_t query, const OwnerToken& holder, const std::string& key)> askLedger;
     };
 
-    RequestDesk(asio::io_context& context, const Clock& clock, RequestDeskOptions options, Hooks hooks);
-    ~RequestDesk();
-    RequestDesk(const RequestDesk&) = delete;
-    RequestDesk& operator=(const RequestDesk&) = delete;
+    RequestScheduler(asio::io_context& context, const Clock& clock, RequestSchedulerOptions options, Hooks hooks);
+    ~RequestScheduler();
+    RequestScheduler(const RequestScheduler&) = delete;
+    RequestScheduler& operator=(const RequestScheduler&) = delete;
 
     /// Slots and queue limits of the service, from the configuration in force.
     void setAdmission(const AdmissionOptions& options) { m_admissionOptions = options; }
@@ -126,7 +126,7 @@
 
     asio::io_context& m_context;
     const Clock& m_clock;
-    RequestDeskOptions m_options;
+    RequestSchedulerOptions m_options;
     Hooks m_hooks;
     OwnerToken m_ownToken;
     AdmissionOptions m_admissionOptions;
--- a/tests/daemon/testbadinput.cpp
+++ b/tests/daemon/testbadinput.cpp
@@ -1,4 +1,4 @@
-#include "kingcuptraild/agent/flowdesk.h"
+#include "kingcuptraild/agent/flowtable.h"
 #include "kingcuptraild/configkeeper.h"
 #include "kingcuptraild/listener.h"
 #include "kingcuptraild/peerlink.h"
@@ -170,7 +170,7 @@
         std::mt19937_64 random(7);
         const Clock clock;
         std::size_t messages = 0;
-        FlowDesk desk(clock, { .flowLimit = 50 },
+        FlowTable desk(clock, { .flowLimit = 50 },
             { .onMessage = [&](FlowId, const wire::Message&) { return ++messages > 0; },
                 .onRoom = [](FlowId) {},
                 .onEnded = [](FlowId) {},
