--- a/src/kingcuptraild/agent/requestscheduler.cpp
+++ b/src/kingcuptraild/agent/requestscheduler.cpp
@@ -2,55 +2,21 @@
 
 #include "answermessages.h"
 #include "libruntime/events.h"
+#include "upstreamrequest.h"
 
 #include <algorithm>
-#include <charconv>
 #include <xxhash.h>
 
 namespace kingcuptrail {
 
 namespace {
 
-    /// An upstream answers with this status and header when it turned a request away before it ran any of it.
-    constexpr int statusShed = 503;
-    constexpr std::string_view ranHeader = "X-Request-Ran";
-    constexpr std::string_view ranNo = "no";
-
     /// Chunks of a stream that may wait for room on a flow before the upstream is no longer read.
     constexpr std::size_t maxStreamOutbox = 64;
 
     /// When a request that found no memory should come back, in milliseconds: about the time of one upload.
     constexpr Millis memoryRetryAfter = 1000;
 
-    Millis retryAfterOf(const HttpResponse& response)
-    {
-        const std::string_view text = headerValue(response.headers, "Retry-After");
-        Millis seconds = 0;
-        std::from_chars(text.data(), text.data() + text.size(), seconds);
-        return seconds * 1000;
-    }
-
-    bool isShed(const HttpResponse& response)
-    {
-        return response.status == statusShed && headerValue(response.headers, ranHeader) == ranNo;
-    }
-
-    RefusalVerdict refusalOf(BeginVerdict verdict)
-    {
-        switch (verdict) {
-        case BeginVerdict::AlreadyRunning:
-            return { Ran::Unknown, RefusalReason::AlreadyRunning, 0 };
-        case BeginVerdict::AlreadyRan:
-            return { Ran::Yes, RefusalReason::AlreadyRan, 0 };
-        case BeginVerdict::Fenced:
-            return { Ran::No, RefusalReason::KeyFenced, 0 };
-        case BeginVerdict::Full:
-            return { Ran::No, RefusalReason::QueueFull, memoryRetryAfter };
-        default:
-            return { Ran::Unknown, RefusalReason::EarlierAttemptUnknown, 0 };
-        }
-    }
-
 }
 
 RequestScheduler::RequestScheduler(asio::io_context& context, const Clock& clock, RequestSchedulerOptions options, Hooks hooks)
@@ -210,7 +176,7 @@
 // The work ran for an earlier try whose flow went silent: the caller gets the answer it gave then.
 void RequestScheduler::answerAgain(const RequestPtr& request, const StoredAnswer& stored)
 {
-    m_ends.increment(RequestEnd::AnsweredFromLedger);
+    m_metrics.ends.increment(RequestEnd::AnsweredFromLedger);
     answer(request, stored.status, stored.body);
 }
 
@@ -244,18 +210,8 @@
     request->stage = RequestStage::Running;
     request->startedAt = now;
     request->holdsSlot = true;
-    m_queueTime.record(static_cast<double>(now - request->queuedAt));
-    HttpRequest http {
-        .method = request->method,
-        .target = request->target,
-        .headers = {
-            { "X-Service", m_options.service },
-            { "X-Request-Key", request->key },
-            { "X-Body-Hash", std::to_string(request->bodyHash) },
-            { "X-Request-Deadline-Ms", std::to_string(std::max<Millis>(request->deadline - now, 0)) },
-        },
-        .body = std::move(request->body),
-    };
+    m_metrics.queueTime.record(static_cast<double>(now - request->queuedAt));
+    HttpRequest http = upstreamRequest(*request, m_options.service, now);
     HttpCallOptions options { .timeout = request->stream ? 0 : std::max<Millis>(request->deadline - now, 1) };
     HttpCall::Handlers handlers;
     handlers.onDone = [this, request](std::optional<HttpResponse> response, const HttpOutcome& outcome) {
@@ -314,7 +270,7 @@
         if (request->inLedger)
             m_answers.add(request->key, { response->status, response->body });
         settle(request, LedgerState::Ran);
-        m_ends.increment(RequestEnd::Answered);
+        m_metrics.ends.increment(RequestEnd::Answered);
         answer(request, response->status, response->body);
         return;
     }
@@ -329,7 +285,7 @@
 // An empty chunk tells the caller that its feed ended where the upstream ended it, and was not cut.
 void RequestScheduler::endStream(const RequestPtr& request)
 {
-    m_ends.increment(RequestEnd::StreamEnded);
+    m_metrics.ends.increment(RequestEnd::StreamEnded);
     request->stage = RequestStage::Answering;
     request->outbox.push_back(answerChunkMessage(request->request, request->streamOffset, {}));
     pump(request);
@@ -356,7 +312,7 @@
     request->holdsSlot = false;
     const Millis now = m_clock.now();
     const bool wasCold = isCold(m_admission);
-    m_serviceTime.record(static_cast<double>(now - request->startedAt));
+    m_metrics.serviceTime.record(static_cast<double>(now - request->startedAt));
     finishWork(m_admission, m_admissionOptions, request->workClass, outcome, now - request->startedAt, now);
     if (wasCold != isCold(m_admission))
         logEvent(wasCold ? Event::UpstreamWarm : Event::UpstreamCold, { { "limit", currentLimit(m_admission) }, { "outcome", static_cast<std::uint64_t>(outcome) } });
@@ -374,10 +330,10 @@
 
 void RequestScheduler::refuse(const RequestPtr& request, const RefusalVerdict& verdict)
 {
-    m_refusals.increment(verdict.reason);
+    m_metrics.refusals.increment(verdict.reason);
     noteSaturation(verdict.reason);
-    m_refusedRan.increment(verdict.ran);
-    m_ends.increment(request->streamOpen ? RequestEnd::StreamEnded : RequestEnd::Refused);
+    m_metrics.refusedRan.increment(verdict.ran);
+    m_metrics.ends.increment(request->streamOpen ? RequestEnd::StreamEnded : RequestEnd::Refused);
     settle(request, verdict.ran == Ran::No ? LedgerState::NotRun : LedgerState::Unknown);
     if (verdict.ran == Ran::Unknown && !request->idempotent)
         logEvent(Event::OutcomeUnknown, { { "key", request->key }, { "reason", nameOf(verdict.reason) } });
@@ -461,7 +417,7 @@
         const bool isLeftToEnd = !request->idempotent && request->stage == RequestStage::Running;
         if (isLeftToEnd)
             continue;
-        m_ends.increment(RequestEnd::Abandoned);
+        m_metrics.ends.increment(RequestEnd::Abandoned);
         cancelAbandoned(request);
     }
 }
@@ -545,11 +501,7 @@
 
 void RequestScheduler::exposeMetrics(std::string& out) const
 {
-    exposeCounters(out, "kingcuptrail_refusals_total", "Requests refused, by reason.", m_refusals);
-    exposeCounters(out, "kingcuptrail_refusals_ran_total", "Requests refused, by whether they ran.", m_refusedRan);
-    exposeCounters(out, "kingcuptrail_requests_total", "Requests by the way they ended.", m_ends);
-    m_queueTime.expose(out, "kingcuptrail_queue_milliseconds", "Time from arrival of a whole request to its slot.");
-    m_serviceTime.expose(out, "kingcuptrail_service_milliseconds", "Time a request held its slot.");
+    m_metrics.expose(out);
     exposeGauge(out, "kingcuptrail_slots_busy", "Requests at the upstream.", busy(m_admission));
     exposeGauge(out, "kingcuptrail_slots_limit", "Concurrency limit in force.", currentLimit(m_admission));
     exposeGauge(out, "kingcuptrail_queue_length", "Requests waiting for a slot.", queued(m_admission));
--- a/src/kingcuptraild/agent/requestscheduler.h
+++ b/src/kingcuptraild/agent/requestscheduler.h
@@ -8,7 +8,7 @@
 #include "libhttp/httpclient.h"
 #include "libruntime/clock.h"
 #include "libruntime/loginterval.h"
-#include "libruntime/metrics.h"
+#include "requestmetrics.h"
 
 #include <functional>
 #include <map>
@@ -30,20 +30,6 @@
     LedgerOptions ledger;
 };
 
-/// Counts of how requests ended at this agent.
-enum class RequestEnd : std::uint8_t {
-    Answered,
-    AnsweredFromLedger,
-    StreamEnded,
-    Refused,
-    Abandoned,
-};
-
-template <>
-struct EnumNames<RequestEnd> {
-    static constexpr std::array<std::string_view, 5> names { "answered", "answeredFromLedger", "streamEnded", "refused", "abandoned" };
-};
-
 /// Takes the requests of all flows through receipt, the questions to earlier owners, admission, the upstream and the
 /// answer. The decisions are libdecision's; here they meet the upstream's connection and the flows.
 class RequestScheduler {
@@ -140,11 +126,7 @@
     std::size_t m_heldBytes = 0;
     LogInterval m_saturationLog { 10000 };
     RefusalReason m_refuseNew = RefusalReason::None;
-    EnumCounters<RefusalReason> m_refusals;
-    EnumCounters<RequestEnd> m_ends;
-    EnumCounters<Ran> m_refusedRan;
-    LatencyHistogram m_queueTime;
-    LatencyHistogram m_serviceTime;
+    RequestMetrics m_metrics;
 };
 
 }
--- a/src/libdecision/ledger.cpp
+++ b/src/libdecision/ledger.cpp
@@ -4,6 +4,9 @@
 
 namespace {
 
+    /// When a request that met a full ledger should come back, in milliseconds: expiry frees entries all the time.
+    constexpr Millis fullRetryAfter = 1000;
+
     /// Keys forgotten in one call at most: a call stays under some 100 microseconds and cannot hold up packets.
     constexpr std::size_t expiredPerCall = 256;
 
@@ -136,4 +139,20 @@
     return expired;
 }
 
+RefusalVerdict refusalOf(BeginVerdict verdict)
+{
+    switch (verdict) {
+    case BeginVerdict::AlreadyRunning:
+        return { Ran::Unknown, RefusalReason::AlreadyRunning, 0 };
+    case BeginVerdict::AlreadyRan:
+        return { Ran::Yes, RefusalReason::AlreadyRan, 0 };
+    case BeginVerdict::Fenced:
+        return { Ran::No, RefusalReason::KeyFenced, 0 };
+    case BeginVerdict::Full:
+        return { Ran::No, RefusalReason::QueueFull, fullRetryAfter };
+    default:
+        return { Ran::Unknown, RefusalReason::EarlierAttemptUnknown, 0 };
+    }
+}
+
 }
--- a/src/libdecision/ledger.h
+++ b/src/libdecision/ledger.h
@@ -2,6 +2,7 @@
 
 #include "enumnames.h"
 #include "ids.h"
+#include "refusal.h"
 
 #include <map>
 #include <string>
@@ -69,6 +70,10 @@
 /// Enters a key before its work is queued or run. On Run it counts as running until settleWork().
 BeginVerdict beginWork(Ledger&, const LedgerOptions&, std::string_view key, Millis now);
 
+/// The final answer to a request whose key may not run here; counts with every verdict but Run. Another try of the same
+/// key that runs or waits here may still be refused from its queue, so its outcome is unknown to this one.
+RefusalVerdict refusalOf(BeginVerdict);
+
 /// Enters the outcome of a running key: Ran, NotRun (nothing reached the upstream) or Unknown. An outcome that was
 /// unknown may still turn into Ran. Anything else is ignored.
 void settleWork(Ledger&, const LedgerOptions&, std::string_view key, LedgerState outcome, Millis now);
