--- a/src/kingcuptraild/agent/agent.cpp
+++ b/src/kingcuptraild/agent/agent.cpp
@@ -1,6 +1,6 @@
 #include "agent.h"
 
-#include "kingcuptraild/balancer/agentconnection.h"
+#include "kingcuptraild/hello.h"
 #include "kingcuptraild/listener.h"
 #include "kingcuptraild/watchers.h"
 #include "libdecision/pacing.h"
--- a/src/kingcuptraild/agent/flowtable.h
+++ b/src/kingcuptraild/agent/flowtable.h
@@ -149,7 +149,6 @@
     std::uint64_t m_opened = 0;
     std::uint64_t m_wrongService = 0;
     LogInterval m_wrongServiceLog { 1000 };
-    std::uint64_t m_resent = 0;
 };
 
 }
--- a/src/kingcuptraild/balancer/agentconnection.cpp
+++ b/src/kingcuptraild/balancer/agentconnection.cpp
@@ -1,5 +1,6 @@
 #include "agentconnection.h"
 
+#include "kingcuptraild/hello.h"
 #include "libruntime/events.h"
 
 namespace kingcuptrail {
@@ -15,15 +16,6 @@
 
 }
 
-wire::HelloT makeHello(const Settings& settings, wire::Role role)
-{
-    wire::HelloT hello;
-    hello.role = role;
-    hello.name = settings.name;
-    hello.data_centre = settings.dataCentre;
-    return hello;
-}
-
 AgentConnection::AgentConnection(const RoleContext& role, Presence presence, PeerLink::Handlers handlers, OnGone onGone, FailureHandler onFailure)
     : m_role(role)
     , m_presence(std::move(presence))
--- a/src/kingcuptraild/balancer/agentconnection.h
+++ b/src/kingcuptraild/balancer/agentconnection.h
@@ -29,7 +29,4 @@
     std::shared_ptr<PeerLink> m_link;
 };
 
-/// The hello a daemon sends to its peers.
-wire::HelloT makeHello(const Settings& settings, wire::Role role);
-
 }
--- a/src/kingcuptraild/balancer/balancer.cpp
+++ b/src/kingcuptraild/balancer/balancer.cpp
@@ -1,6 +1,7 @@
 #include "balancer.h"
 
 #include "agentconnection.h"
+#include "kingcuptraild/hello.h"
 #include "kingcuptraild/listener.h"
 #include "kingcuptraild/resetpacket.h"
 #include "libdecision/pacing.h"
@@ -8,6 +9,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <unordered_set>
 
 namespace kingcuptrail {
 
@@ -115,7 +117,9 @@
 
 void Balancer::logMembers(const std::vector<Presence>& presences) const
 {
+    std::unordered_set<OwnerToken> listed;
     for (const Presence& presence : presences) {
+        listed.insert(presence.token);
         const auto* known = m_members.find(presence.token);
         if (!known)
             logEvent(Event::MemberJoined, { { "upstream", presence.upstream }, { "incarnation", presence.token.incarnation }, { "service", presence.service } });
@@ -124,8 +128,7 @@
     }
     for (const OwnerToken& token : m_members.tokens()) {
         const auto* known = m_members.find(token);
-        const bool isListed = std::any_of(presences.begin(), presences.end(), [&](const Presence& presence) { return presence.token == token; });
-        if (known->isAnnounced && !isListed)
+        if (known->isAnnounced && !listed.contains(token))
             logEvent(Event::MemberLeft, { { "upstream", known->presence.upstream }, { "incarnation", token.incarnation } });
     }
 }
