--- a/src/kingcuptraild/daemon.cpp
+++ b/src/kingcuptraild/daemon.cpp
@@ -6,6 +6,9 @@
 #include "exitcode.h"
 #include "libruntime/events.h"
 #include "libruntime/metrics.h"
+#include "packets/packetagent.h"
+#include "packets/packetbalancer.h"
+#include "platform/trustadapter.h"
 #include "registration.h"
 
 #include <csignal>
@@ -18,11 +21,45 @@
 
     std::unique_ptr<Role> makeRole(const RoleContext& context)
     {
-        if (context.settings.role == DaemonRole::Agent)
+        switch (context.settings.role) {
+        case DaemonRole::Agent:
             return std::make_unique<Agent>(context);
+        case DaemonRole::PacketBalancer:
+            return std::make_unique<PacketBalancer>(context, trustAdapter());
+        case DaemonRole::PacketAgent:
+            return std::make_unique<PacketAgent>(context, trustAdapter());
+        case DaemonRole::Balancer:
+            break;
+        }
         return std::make_unique<Balancer>(context);
     }
 
+    bool isPacketRole(DaemonRole role)
+    {
+        return role == DaemonRole::PacketBalancer || role == DaemonRole::PacketAgent;
+    }
+
+    /// How long a call of the store may show no sign of the store's host, in milliseconds: less than the time in which a
+    /// change has to be known everywhere, and several keep-alive probes.
+    constexpr Millis storePathSilence = 2000;
+    /// A packet deployment waits long at the store for changes, in milliseconds: each wait is a call that is paid for.
+    constexpr Millis packetWatchWait = 30000;
+    /// A store call that takes longer is given up, in milliseconds.
+    constexpr Millis packetCallTimeout = 2000;
+
+    PlatformOptions platformOptions(const Settings& settings)
+    {
+        PlatformOptions options { .server = settings.platform, .client = settings.name };
+        if (!isPacketRole(settings.role))
+            return options;
+        options.dialect = trustAdapter().store;
+        options.callTimeout = packetCallTimeout;
+        options.watchWait = packetWatchWait;
+        options.pathSilenceLimit = storePathSilence;
+        options.retryMax = 1000;
+        return options;
+    }
+
     nlohmann::json childrenOf(const Supervisor& supervisor)
     {
         nlohmann::json children = nlohmann::json::array();
@@ -42,7 +79,7 @@
 Daemon::Daemon(Settings settings)
     : m_settings(std::move(settings))
     , m_signals(m_context, SIGTERM, SIGINT)
-    , m_platform { .server = m_settings.platform, .client = m_settings.name }
+    , m_platform(platformOptions(m_settings))
     , m_root(m_context, "root", [this](ChildFailure) { stop(static_cast<int>(ExitCode::GaveUp)); })
     , m_roleContext { m_context, m_settings, m_platform, m_clock, m_config, m_root }
 {
@@ -59,7 +96,9 @@
     logEvent(Event::DaemonStarted, { { "role", nameOf(m_settings.role) }, { "dataCentre", m_settings.dataCentre }, { "pid", static_cast<std::uint64_t>(getpid()) } });
     m_role = makeRole(m_roleContext);
     m_root.add({ .name = "admin", .make = [this](const FailureHandler& onFailure) { return makeAdminEndpoint(onFailure); } });
-    m_root.add({ .name = "registration", .make = [this](const FailureHandler&) { return std::make_unique<Registration>(m_roleContext); } });
+    // The processes of a packet deployment know each other without an object of their own in the store.
+    if (!isPacketRole(m_settings.role))
+        m_root.add({ .name = "registration", .make = [this](const FailureHandler&) { return std::make_unique<Registration>(m_roleContext); } });
     waitForSignal();
     m_context.run();
     logEvent(Event::DaemonStopped, { { "exitCode", static_cast<std::uint64_t>(m_exitCode) } });
--- a/src/kingcuptraild/main.cpp
+++ b/src/kingcuptraild/main.cpp
@@ -1,6 +1,7 @@
 #include "daemon.h"
 #include "exitcode.h"
 #include "libruntime/events.h"
+#include "platform/trustadapter.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -53,7 +54,9 @@
     usageConfig.version_string = [] { return std::string("kingcuptraild ") + KINGCUPTRAIL_VERSION + "\n"; };
     absl::SetFlagsUsageConfig(usageConfig);
     const auto rest = absl::ParseCommandLine(argc, argv);
-    const std::string path = absl::GetFlag(FLAGS_settings);
+    std::string path = absl::GetFlag(FLAGS_settings);
+    if (path.empty())
+        path = trustSettingsPath();
     if (rest.size() > 1 || path.empty()) {
         std::cerr << usage << "\n";
         return toInt(ExitCode::Usage);
@@ -68,7 +71,7 @@
         std::cout << path << ": no fault\n";
         return toInt(ExitCode::Success);
     }
-    if (!startLogging(settings->name, settings->logLevel))
+    if (!startLogging(settings->name, settings->logLevel, settings->logFormat))
         return toInt(ExitCode::SettingsRefused);
     Daemon daemon(std::move(*settings));
     return daemon.run();
--- /dev/null
+++ b/src/kingcuptraild/packets/agentannouncement.cpp
@@ -0,0 +1,93 @@
+#include "agentannouncement.h"
+
+#include "libplatform/viewjson.h"
+#include "libruntime/events.h"
+#include "storefollower.h"
+
+namespace kingcuptrail {
+
+AgentAnnouncement::AgentAnnouncement(asio::io_context& context, const PlatformOptions& options)
+    : m_client(context, options)
+    , m_delay(context)
+    , m_backoff(options.retryFirst, options.retryMax)
+{
+}
+
+void AgentAnnouncement::write(const PeerEntry& entry)
+{
+    m_entry = entry;
+    m_isWritten = false;
+    if (!m_isBusy)
+        put();
+}
+
+void AgentAnnouncement::put()
+{
+    m_isBusy = true;
+    const PeerEntry written = *m_entry;
+    m_client.put(agentKind, written.name, toJson(written), m_version, [this, written](const std::optional<ObjectVersion>& version, PlatformError reason) {
+        m_isBusy = false;
+        if (version) {
+            m_version = *version;
+            m_backoff.reset();
+            m_isWritten = written == *m_entry;
+            logEvent(Event::Announced, { { "peer", written.name }, { "epoch", written.epoch }, { "revision", *version } });
+            if (!m_isWritten)
+                put();
+        } else if (reason == PlatformError::Conflict || reason == PlatformError::NotFound) {
+            read();
+        } else {
+            retry(reason);
+        }
+    });
+}
+
+// Something stands there already: an earlier process of this agent wrote it, or a write of this one whose answer was lost.
+void AgentAnnouncement::read()
+{
+    m_isBusy = true;
+    m_client.get(agentKind, m_entry->name, [this](const std::optional<PlatformObject>& object, PlatformError reason) {
+        m_isBusy = false;
+        if (!object && reason != PlatformError::NotFound) {
+            retry(reason);
+            return;
+        }
+        m_version = object ? object->version : 0;
+        const auto found = object && object->value ? parsePeerEntry(*object->value) : std::nullopt;
+        if (found && found->epoch >= m_entry->epoch && *found != *m_entry && m_onFound)
+            m_onFound(*found);
+        if (m_isBusy)
+            return;
+        if (found && *found == *m_entry)
+            m_isWritten = true;
+        else
+            put();
+    });
+}
+
+void AgentAnnouncement::retry(PlatformError reason)
+{
+    logEvent(Event::PlatformTrouble, { { "reason", nameOf(reason) }, { "call", "announcement" } });
+    m_delay.start(m_backoff.next(), [this] {
+        if (!m_isBusy && !m_isWritten)
+            put();
+    });
+}
+
+void AgentAnnouncement::withdraw(std::function<void()> done)
+{
+    m_delay.cancel();
+    m_client.cancelAll();
+    if (!m_entry || m_version == 0) {
+        done();
+        return;
+    }
+    m_isBusy = true;
+    m_client.remove(agentKind, m_entry->name, m_version, [done = std::move(done)](const std::optional<ObjectVersion>&, PlatformError reason) {
+        if (reason != PlatformError::None)
+            logEvent(Event::PlatformTrouble, { { "reason", nameOf(reason) }, { "call", "withdrawal" } });
+        done();
+    });
+}
+
+}
--- /dev/null
+++ b/src/kingcuptraild/packets/agentannouncement.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "libdecision/directory.h"
+#include "libplatform/delay.h"
+#include "libplatform/platformclient.h"
+
+namespace kingcuptrail {
+
+/// Keeps one agent's announcement in the store, where balancers that start later find it. What changes often goes from
+/// process to process instead; here it is one write when the agent begins and one when it leaves. Tries for ever.
+class AgentAnnouncement {
+public:
+    AgentAnnouncement(asio::io_context& context, const PlatformOptions& options);
+
+    /// Writes the entry, unless it stands there already.
+    void write(const PeerEntry& entry);
+    /// Takes the entry out; `done` is called when it is out, or when the store has not answered in time.
+    void withdraw(std::function<void()> done);
+
+    /// Called with the entry of another process under the same name that is found in the store.
+    void setOnFound(std::function<void(const PeerEntry&)> onFound) { m_onFound = std::move(onFound); }
+
+    std::uint64_t callsMade() const { return m_client.callsMade(); }
+
+private:
+    void put();
+    void read();
+    void retry(PlatformError reason);
+
+    PlatformClient m_client;
+    Delay m_delay;
+    Backoff m_backoff;
+    std::optional<PeerEntry> m_entry;
+    std::function<void(const PeerEntry&)> m_onFound;
+    ObjectVersion m_version = 0;
+    bool m_isBusy = false;
+    bool m_isWritten = false;
+};
+
+}
--- /dev/null
+++ b/src/kingcuptraild/packets/flowholders.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "libdecision/holdersearch.h"
+#include "libdecision/opengate.h"
+
+#include <array>
+#include <deque>
+#include <unordered_map>
+#include <vector>
+
+namespace kingcuptrail {
+
+using PacketBytes = std::vector<std::uint8_t>;
+
+/// An opening packet that is being offered to agents, one after the other.
+struct Opening {
+    PacketBytes packet;
+    std::vector<std::uint32_t> tried;
+    /// The agent that has it now; 0 while there is none to offer it to.
+    std::uint32_t agent = 0;
+    Millis startedAt = 0;
+    Millis offeredAt = 0;
+    /// The agents' last reason not to take it.
+    OpenRefusal lastRefusal = OpenRefusal::None;
+};
+
+/// Where a balancer last learnt that a flow is. A cache: agents know for certain.
+struct Holder {
+    std::uint32_t agent = 0;
+    Millis usedAt = 0;
+};
+
+/// A search and the packets that wait for its end.
+struct WaitingSearch {
+    HolderSearch search;
+    std::vector<PacketBytes> packets;
+    /// What the caller last acknowledged, for a reset.
+    std::uint32_t acknowledged = 0;
+    /// The agents beyond the route's own service were asked too.
+    bool askedEverybody = false;
+};
+
+}
--- /dev/null
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -0,0 +1,442 @@
+#include "packetagent.h"
+
+#include "httpendpoint.h"
+#include "libruntime/events.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace kingcuptrail {
+
+namespace {
+
+    constexpr Millis turnInterval = 100;
+    /// News of load goes to balancers at most this often, in milliseconds, and only when it changed.
+    constexpr Millis loadInterval = 200;
+    /// Balancers that have sent nothing for longer are not told, in milliseconds.
+    constexpr Millis balancerIdleLimit = 2000;
+    /// How long peers may leave this process without news before it turns to the store itself, in milliseconds: at its
+    /// start, several rounds of asking; later, some rounds of news in a row that did not come.
+    constexpr Millis startPatience = 400;
+    constexpr Millis newsPatience = 3000;
+    /// How long it waits for the upstream's word on a flow, in milliseconds.
+    constexpr Millis learningLimit = 1000;
+    /// How long a leaving agent goes on carrying open flows, in milliseconds: short requests end, and its host is back
+    /// sooner than the long ones would.
+    constexpr Millis leaveTime = 400;
+    constexpr Millis leaveMargin = 1000;
+    /// Before an address may belong to another upstream, nothing more goes there, in milliseconds: a packet is delivered
+    /// within a few.
+    constexpr Millis reuseMargin = 100;
+
+    HttpResponse jsonReply(int status, std::string body)
+    {
+        return { .status = status, .headers = { { "Content-Type", "application/json" } }, .body = std::move(body) };
+    }
+
+}
+
+PacketAgent::PacketAgent(const RoleContext& role, const DeploymentAdapter& adapter)
+    : m_role(role)
+    , m_adapter(adapter)
+    , m_network(role.context, role.settings, role.clock)
+    , m_announcement(role.context, role.platform)
+    , m_turnTimer(role.context)
+    , m_leaveTimer(role.context)
+    , m_startedAt(role.clock.now())
+{
+    m_gate.options.reportLimit = role.settings.packets.addressReuse - reuseMargin;
+    m_flows.completeAt = m_startedAt + m_flows.options.idleLimit;
+    const bool isStarted = m_network.start({
+        .onFlowMessage = [this](const PeerMessage& message, std::uint32_t sender) { handleFlowMessage(message, sender); },
+        .onRoutes = [] {},
+        .onOutages = [this](const std::vector<std::string>& returned) { handleOutages(returned); },
+        .onEntry = [](const PeerEntry&) {},
+    });
+    if (!isStarted)
+        logEvent(Event::ChildGaveUp, { { "child", "peers" }, { "reason", nameOf(ChildFailure::BindFailed) } });
+    const auto& outbound = role.settings.packets.outbound;
+    DatagramError error = DatagramError::None;
+    m_outbound = DatagramSocket::open(
+        role.context, { outbound.address(), outbound.port() }, [this](std::span<std::uint8_t> packet, const asio::ip::udp::endpoint&) { handleUpstreamDatagram(packet); }, error);
+    if (error != DatagramError::None)
+        logEvent(Event::ChildGaveUp, { { "child", "outbound" }, { "reason", nameOf(error) } });
+    role.root.add({ .name = "control", .make = [this](const FailureHandler& onFailure) {
+                       return std::make_unique<HttpEndpoint>(
+                           m_role.context, m_role.settings.packets.control, [this](const HttpRequest& request) { return handleUpstreamCall(request); }, onFailure);
+                   } });
+    role.root.add({ .name = "ready", .make = [this](const FailureHandler& onFailure) {
+                       return std::make_unique<HttpEndpoint>(
+                           m_role.context, m_role.settings.packets.ready, [this](const HttpRequest&) { return HttpResponse { .status = isServingNow() ? 200 : 503 }; }, onFailure);
+                   } });
+    m_announcement.setOnFound([this](const PeerEntry& found) {
+        m_network.takeEntry(found);
+        m_self.epoch = found.epoch + 1;
+        m_self = m_network.announce(m_self);
+        m_announcement.write(m_self);
+    });
+    turn();
+}
+
+bool PacketAgent::isServingNow() const
+{
+    return !m_gate.isLeaving && isServing(m_gate, m_role.clock.now());
+}
+
+void PacketAgent::handleFlowMessage(const PeerMessage& message, std::uint32_t sender)
+{
+    m_heardFrom[sender] = m_role.clock.now();
+    switch (message.kind) {
+    case wire::PeerKind::Open:
+        handleOpen(message, sender);
+        break;
+    case wire::PeerKind::Forward:
+    case wire::PeerKind::Probe:
+        handleForward(message, sender);
+        break;
+    case wire::PeerKind::Find:
+        handleFind(message, sender);
+        break;
+    case wire::PeerKind::Ping:
+        reply(sender, { .kind = wire::PeerKind::Load });
+        break;
+    default:
+        break;
+    }
+}
+
+void PacketAgent::handleOpen(const PeerMessage& message, std::uint32_t sender)
+{
+    DecodeError error = DecodeError::None;
+    const auto head = m_adapter.decodePacket(message.packet, error);
+    if (!head || !isOpening(*head) || flowFromCaller(*head) != message.flow) {
+        m_fates.increment(head ? AgentPacketFate::Forged : AgentPacketFate::Malformed);
+        return;
+    }
+    const Millis now = m_role.clock.now();
+    const auto known = m_flows.flows.find(message.flow);
+    const bool isCopy = known != m_flows.flows.end() && known->second.phase != FlowPhase::Closed;
+    if (!isCopy) {
+        m_gate.isViewInDoubt = m_network.isInDoubt();
+        const OpenAttempt attempt {
+            .address = message.flow.service,
+            .balancerVersion = message.configVersion,
+            .openFlows = m_flows.open,
+            .atWork = m_flows.atWork,
+        };
+        const OpenRefusal refusal = decideOpen(m_gate, m_network.routes(), m_network.outages(), attempt, now);
+        if (refusal != OpenRefusal::None) {
+            refuse(message, sender, refusal);
+            return;
+        }
+        logFlowEvent(Event::FlowAdmitted, message.flow, { { "upstream", m_gate.upstream->id }, { "atWork", m_flows.atWork }, { "open", m_flows.open }, { "reportAge", static_cast<std::uint64_t>(now - m_gate.reportedAt) }, { "version", m_network.routes().version }, { "outages", m_network.outages().revision } });
+    }
+    beginFlow(m_flows, message.flow, now);
+    deliver(message.packet, indexOf(sender));
+    m_fates.increment(AgentPacketFate::Delivered);
+    reply(sender, { .kind = wire::PeerKind::Admitted, .flow = message.flow });
+}
+
+void PacketAgent::refuse(const PeerMessage& message, std::uint32_t sender, OpenRefusal refusal)
+{
+    m_refusals.increment(refusal);
+    m_fates.increment(AgentPacketFate::Refused);
+    const Millis now = m_role.clock.now();
+    logFlowEvent(Event::OpeningRefused, message.flow, { { "reason", nameOf(refusal) }, { "atWork", m_flows.atWork }, { "open", m_flows.open }, { "reportAge", static_cast<std::uint64_t>(now - m_gate.reportedAt) }, { "version", m_network.routes().version }, { "balancerVersion", message.configVersion } });
+    reply(sender, { .kind = wire::PeerKind::Refused, .flow = message.flow, .refusal = refusal, .packet = message.packet });
+}
+
+void PacketAgent::reply(std::uint32_t balancer, FlowMessage message)
+{
+    const AgentLoad now = load();
+    message.load = &now;
+    message.configVersion = m_network.routes().version;
+    m_network.send(balancer, message);
+}
+
+AgentLoad PacketAgent::load() const
+{
+    return { .atWork = m_flows.atWork, .slots = m_gate.upstream ? m_gate.upstream->slots : 1, .isCold = m_role.clock.now() < m_gate.coldUntil };
+}
+
+void PacketAgent::handleForward(const PeerMessage& message, std::uint32_t sender)
+{
+    DecodeError error = DecodeError::None;
+    const auto head = m_adapter.decodePacket(message.packet, error);
+    if (!head || flowFromCaller(*head) != message.flow) {
+        m_fates.increment(head ? AgentPacketFate::Forged : AgentPacketFate::Malformed);
+        return;
+    }
+    const Millis now = m_role.clock.now();
+    const std::uint32_t index = indexOf(sender);
+    switch (takeCallerPacket(m_flows, message.flow, *head, index, now)) {
+    case CallerPacketAction::Deliver:
+        m_fates.increment(AgentPacketFate::Delivered);
+        deliver(message.packet, index);
+        break;
+    case CallerPacketAction::DeliverToLearn:
+        m_fates.increment(AgentPacketFate::DeliveredToLearn);
+        m_learning[message.flow] = { .balancer = sender, .since = now };
+        deliver(message.packet, index);
+        break;
+    case CallerPacketAction::NotHeld:
+        m_fates.increment(AgentPacketFate::HandedBack);
+        reply(sender, { .kind = wire::PeerKind::NotHeld, .flow = message.flow, .packet = message.packet });
+        break;
+    }
+}
+
+void PacketAgent::handleFind(const PeerMessage& message, std::uint32_t sender)
+{
+    DecodeError error = DecodeError::None;
+    const auto head = m_adapter.decodePacket(message.packet, error);
+    if (!head)
+        return;
+    switch (answerHolderQuestion(m_flows, message.flow, *head, m_role.clock.now())) {
+    case HolderAnswer::Held:
+        reply(sender, { .kind = wire::PeerKind::Held, .flow = message.flow });
+        break;
+    case HolderAnswer::NotHeld:
+        reply(sender, { .kind = wire::PeerKind::NotHeld, .flow = message.flow });
+        break;
+    case HolderAnswer::Unsure:
+        reply(sender, { .kind = wire::PeerKind::Unsure, .flow = message.flow });
+        break;
+    }
+}
+
+std::uint32_t PacketAgent::indexOf(std::uint32_t balancer)
+{
+    const auto found = std::ranges::find(m_balancers, balancer);
+    if (found != m_balancers.end())
+        return static_cast<std::uint32_t>(found - m_balancers.begin()) + 1;
+    m_balancers.push_back(balancer);
+    return static_cast<std::uint32_t>(m_balancers.size());
+}
+
+void PacketAgent::deliver(std::span<const std::uint8_t> packet, std::uint32_t mark)
+{
+    m_scratch.assign(packet.begin(), packet.end());
+    m_adapter.clearMarks(m_scratch);
+    m_adapter.setMark(m_scratch, mark);
+    const auto& upstream = m_role.settings.packets.upstream;
+    m_network.sendPacket(m_scratch, { upstream.address(), upstream.port() });
+}
+
+void PacketAgent::handleUpstreamDatagram(std::span<std::uint8_t> packet)
+{
+    DecodeError error = DecodeError::None;
+    const auto head = m_adapter.decodePacket(packet, error);
+    if (!head) {
+        m_fates.increment(AgentPacketFate::Malformed);
+        return;
+    }
+    if (head->flags.isReturned) {
+        handleReturned(flowFromCaller(*head), packet, *head);
+        return;
+    }
+    const FlowKey flow = flowFromUpstream(*head);
+    const UpstreamPacketNews news = takeUpstreamPacket(m_flows, flow, *head, m_role.clock.now());
+    if (const auto learning = m_learning.find(flow); learning != m_learning.end()) {
+        const bool isHeld = !head->flags.resets;
+        reply(learning->second.balancer, { .kind = isHeld ? wire::PeerKind::Held : wire::PeerKind::NotHeld, .flow = flow });
+        m_learning.erase(learning);
+    }
+    if (news.isLearnt)
+        logFlowEvent(Event::FlowLearnt, flow, { { "open", m_flows.open } });
+    m_fates.increment(AgentPacketFate::ToCaller);
+    m_network.sendPacket(packet, { asio::ip::address_v4(flow.caller.address), m_role.settings.packets.ingress.port() });
+}
+
+// The upstream does not hold the flow or cannot take it. That is certain, whatever the table says.
+void PacketAgent::handleReturned(const FlowKey& flow, std::span<std::uint8_t> packet, const PacketHead& head)
+{
+    m_fates.increment(AgentPacketFate::Returned);
+    forgetFlow(m_flows, flow);
+    m_learning.erase(flow);
+    if (head.mark == 0 || head.mark > m_balancers.size())
+        return;
+    const std::uint32_t balancer = m_balancers[head.mark - 1];
+    m_adapter.clearMarks(packet);
+    if (isOpening(head)) {
+        m_refusals.increment(OpenRefusal::Returned);
+        logFlowEvent(Event::OpeningRefused, flow, { { "reason", nameOf(OpenRefusal::Returned) }, { "atWork", m_flows.atWork }, { "open", m_flows.open } });
+        reply(balancer, { .kind = wire::PeerKind::Refused, .flow = flow, .refusal = OpenRefusal::Returned, .packet = packet });
+    } else {
+        reply(balancer, { .kind = wire::PeerKind::NotHeld, .flow = flow, .packet = packet });
+    }
+}
+
+HttpResponse PacketAgent::handleUpstreamCall(const HttpRequest& request)
+{
+    const UpstreamCall call = m_adapter.readUpstreamCall(request);
+    switch (call.kind) {
+    case UpstreamCall::Kind::Report:
+        if (!call.report) {
+            m_badCalls.increment(call.error);
+            logEvent(Event::ForeignReport, { { "reason", nameOf(call.error) }, { "id", call.id } });
+            return jsonReply(400, "{}");
+        }
+        handleReport(*call.report);
+        return jsonReply(200, "{}");
+    case UpstreamCall::Kind::Farewell:
+        if (takeFarewell(m_gate, call.id)) {
+            logEvent(Event::UpstreamLeft, { { "upstream", call.id } });
+            announceState();
+        }
+        return jsonReply(200, "{}");
+    case UpstreamCall::Kind::Unknown:
+        break;
+    }
+    return jsonReply(404, "{}");
+}
+
+void PacketAgent::handleReport(const UpstreamReport& report)
+{
+    const Millis now = m_role.clock.now();
+    const bool isFirst = !m_gate.upstream;
+    const ReportNews news = takeReport(m_gate, report, now);
+    m_reports.increment(news);
+    if (news == ReportNews::Changed || news == ReportNews::NewProcess)
+        logEvent(Event::UpstreamReported, { { "upstream", report.id }, { "news", nameOf(news) }, { "service", report.service }, { "draining", report.isDraining ? "yes" : "no" }, { "born", report.born }, { "sequence", report.sequence }, { "coldLeft", static_cast<std::uint64_t>(report.coldLeft) } });
+    // The first report of a process that has just started: everything that it will hold passes here.
+    constexpr std::uint64_t firstSequence = 1;
+    if (isFirst && report.sequence <= firstSequence)
+        m_flows.isComplete = true;
+    if (news == ReportNews::NewProcess)
+        resetLostFlows();
+    announceState();
+}
+
+// A new process speaks for the upstream: it holds nothing of before. Callers are told at once, so that they open anew
+// instead of sending into a flow that nobody holds until their deadline.
+void PacketAgent::resetLostFlows()
+{
+    const std::vector<LostFlow> lost = takeLostFlows(m_flows);
+    for (const LostFlow& flow : lost) {
+        const auto packet = m_adapter.encodeReset(flow.flow, flow.callerAcknowledged);
+        m_network.sendPacket(packet, { asio::ip::address_v4(flow.flow.caller.address), m_role.settings.packets.ingress.port() });
+    }
+    m_resetFlows += lost.size();
+    logEvent(Event::FlowsGivenUp, { { "flows", lost.size() }, { "reason", "upstreamReplaced" } });
+}
+
+void PacketAgent::handleOutages(const std::vector<std::string>& returned)
+{
+    if (std::ranges::find(returned, m_role.settings.dataCentre) != returned.end())
+        assumeCold(m_gate, m_network.routes(), m_role.clock.now());
+}
+
+void PacketAgent::announceState()
+{
+    if (!m_gate.upstream)
+        return;
+    const PeerState state = isServingNow() ? PeerState::Ready : PeerState::Draining;
+    PeerEntry next {
+        .name = m_role.settings.name,
+        .role = PeerRole::Agent,
+        .address = m_role.settings.listen.address().to_v4().to_uint(),
+        .dataCentre = m_role.settings.dataCentre,
+        .service = m_gate.upstream->service,
+        .state = state,
+        .slots = m_gate.upstream->slots,
+        .epoch = m_self.epoch,
+    };
+    if (next == m_self)
+        return;
+    const bool isNewInStore = m_self.name.empty() || m_self.service != next.service;
+    m_self = m_network.announce(next);
+    if (isNewInStore && state == PeerState::Ready)
+        m_announcement.write(m_self);
+}
+
+void PacketAgent::turn()
+{
+    const Millis now = m_role.clock.now();
+    m_network.isInDoubt();
+    sweepFlows(m_flows, now);
+    std::erase_if(m_learning, [now](const auto& item) { return now - item.second.since > learningLimit; });
+    announceState();
+    tellLoad(now);
+    followStoreIfAlone(now);
+    m_turnTimer.start(turnInterval, [this] { turn(); });
+}
+
+void PacketAgent::tellLoad(Millis now)
+{
+    if (m_toldAtWork == m_flows.atWork || now - m_toldAt < loadInterval)
+        return;
+    m_toldAtWork = m_flows.atWork;
+    m_toldAt = now;
+    std::erase_if(m_heardFrom, [now](const auto& item) { return now - item.second > balancerIdleLimit; });
+    for (const auto& [balancer, heardAt] : m_heardFrom)
+        reply(balancer, { .kind = wire::PeerKind::Load });
+}
+
+// Peers bring the news as long as any of them reaches the store. Only a process that no peer has told anything turns to the
+// store itself, so that a fleet costs the store no more than its balancers do.
+void PacketAgent::followStoreIfAlone(Millis now)
+{
+    const bool hasView = m_network.routes().version != 0 && m_network.outages().revision != 0;
+    const Millis patience = hasView ? newsPatience : startPatience;
+    const bool isAlone = now - std::max(m_network.lastNewsAt(), m_startedAt) > patience || (!hasView && now - m_startedAt > patience);
+    if (isAlone && !m_store)
+        m_store = std::make_unique<StoreFollower>(m_role.context, m_role.platform, m_adapter, m_network);
+    else if (!isAlone && hasView && m_store)
+        m_store.reset();
+}
+
+void PacketAgent::shutDown(std::function<void()> done)
+{
+    const Millis now = m_role.clock.now();
+    if (!m_gate.isLeaving) {
+        m_gate.isLeaving = true;
+        m_leavingSince = now;
+        announceState();
+    }
+    if (now - m_leavingSince < leaveTime && m_flows.open > 0) {
+        m_leaveTimer.start(turnInterval, [this, done = std::move(done)] { shutDown(done); });
+        return;
+    }
+    // Only an upstream that is gone is taken out of the store: one that lives is announced again as soon as its agent is back.
+    if (isServing(m_gate, now)) {
+        done();
+        return;
+    }
+    if (!m_self.name.empty()) {
+        m_self.state = PeerState::Gone;
+        m_self = m_network.announce(m_self);
+    }
+    m_leaveTimer.start(std::max<Millis>(m_role.settings.packets.leave - leaveMargin - leaveTime, 0), [done] { done(); });
+    m_announcement.withdraw(done);
+}
+
+std::string PacketAgent::statusMembers() const
+{
+    const nlohmann::json status {
+        { "upstream", m_gate.upstream ? m_gate.upstream->id : "" },
+        { "service", m_gate.upstream ? m_gate.upstream->service : "" },
+        { "serving", isServingNow() },
+        { "openFlows", m_flows.open },
+        { "atWork", m_flows.atWork },
+        { "routesVersion", m_network.routes().version },
+        { "out", m_network.outages().out },
+    };
+    const std::string text = status.dump();
+    return text.substr(1, text.size() - 2);
+}
+
+void PacketAgent::exposeMetrics(std::string& out) const
+{
+    exposeCounters(out, "kingcuptrail_agent_packets_total", "Packets by what was done with them.", m_fates);
+    exposeCounters(out, "kingcuptrail_openings_refused_total", "Openings that were not admitted, by reason.", m_refusals);
+    exposeCounters(out, "kingcuptrail_upstream_reports_total", "Reports of the upstream by what they changed.", m_reports);
+    exposeCounters(out, "kingcuptrail_upstream_calls_malformed_total", "Calls of the upstream that could not be read, by reason.", m_badCalls);
+    exposeCounter(out, "kingcuptrail_flows_reset_total", "Flows reset since their upstream's process ended.", m_resetFlows);
+    exposeGauge(out, "kingcuptrail_open_flows", "Flows that the upstream holds.", m_flows.open);
+    exposeGauge(out, "kingcuptrail_requests_at_work", "Requests that the upstream has not answered yet.", m_flows.atWork);
+    exposeCounter(out, "kingcuptrail_store_calls_total", "Calls of the store.", m_announcement.callsMade() + (m_store ? m_store->callsMade() : 0));
+    m_network.exposeMetrics(out);
+}
+
+}
--- /dev/null
+++ b/src/kingcuptraild/packets/packetbalancer.cpp
@@ -0,0 +1,492 @@
+#include "packetbalancer.h"
+
+#include "httpendpoint.h"
+#include "libruntime/events.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace kingcuptrail {
+
+namespace {
+
+    /// Between two looks at what waits, in milliseconds.
+    constexpr Millis turnInterval = 20;
+    /// An agent that has not answered an opening for this long is passed over, in milliseconds: several round trips between
+    /// data centres and some turns of a busy agent; far below the 200 ms after which the caller sends a copy.
+    constexpr Millis answerLimit = 60;
+    /// An opening is given up after this long, in milliseconds, just before its caller gives it up (1.4 s).
+    constexpr Millis openingLimit = 1300;
+    /// How long an agent's refusal keeps it behind the others, in milliseconds: it counts again within one latency target.
+    constexpr Millis refusalTime = 100;
+    /// An agent that does not answer is asked again this often, in milliseconds.
+    constexpr Millis pingInterval = 200;
+    /// A search is given up after this long, in milliseconds: the caller sends its packet again after 200 ms at the earliest.
+    constexpr Millis searchLimit = 190;
+    /// Packets of one flow that wait for a search: what a caller has in flight.
+    constexpr std::size_t waitingPackets = 16;
+    /// Searches at a time. Beyond it packets are dropped as in a full queue; at 1,200 bytes a packet and a few packets each
+    /// it bounds the memory at some 10 MB.
+    constexpr std::size_t maxSearches = 4096;
+    /// A cached holder that was not used for longer is dropped, in milliseconds; above the idle limit of flows.
+    constexpr Millis holderIdleLimit = 25000;
+    constexpr Millis sweepInterval = 5000;
+    /// After the process was told to stop, packets still come until the routers have noticed: two misses half a second
+    /// apart, and some time for the packets that are under way, in milliseconds.
+    constexpr Millis noticeTime = 1600;
+    /// No packet for this long means that the routers have noticed, in milliseconds.
+    constexpr Millis quietTime = 300;
+    /// What stays of the time to leave when the process ends by itself, in milliseconds.
+    constexpr Millis leaveMargin = 1000;
+
+    PacketBytes copyOf(std::span<const std::uint8_t> packet)
+    {
+        return { packet.begin(), packet.end() };
+    }
+
+}
+
+PacketBalancer::PacketBalancer(const RoleContext& role, const DeploymentAdapter& adapter)
+    : m_role(role)
+    , m_adapter(adapter)
+    , m_network(role.context, role.settings, role.clock)
+    , m_turnTimer(role.context)
+    , m_leaveTimer(role.context)
+{
+    const bool isStarted = m_network.start({
+        .onFlowMessage = [this](const PeerMessage& message, std::uint32_t sender) { handleFlowMessage(message, sender); },
+        .onRoutes = [] {},
+        .onOutages = [](const std::vector<std::string>&) {},
+        .onEntry = [](const PeerEntry&) {},
+    });
+    if (!isStarted)
+        logEvent(Event::ChildGaveUp, { { "child", "peers" }, { "reason", nameOf(ChildFailure::BindFailed) } });
+    m_store = std::make_unique<StoreFollower>(role.context, role.platform, adapter, m_network);
+    openIngress();
+    role.root.add({ .name = "ready", .make = [this](const FailureHandler& onFailure) {
+                       return std::make_unique<HttpEndpoint>(
+                           m_role.context, m_role.settings.packets.ready, [this](const HttpRequest&) { return HttpResponse { .status = isReady() ? 200 : 503 }; }, onFailure);
+                   } });
+    m_network.announce({
+        .name = role.settings.name,
+        .role = PeerRole::Balancer,
+        .address = role.settings.listen.address().to_v4().to_uint(),
+        .dataCentre = role.settings.dataCentre,
+    });
+    turn();
+}
+
+void PacketBalancer::openIngress()
+{
+    const auto& address = m_role.settings.packets.ingress;
+    DatagramError error = DatagramError::None;
+    m_ingress = DatagramSocket::open(
+        m_role.context, { address.address(), address.port() }, [this](std::span<std::uint8_t> packet, const asio::ip::udp::endpoint&) { handleCallerDatagram(packet); }, error);
+    if (error != DatagramError::None)
+        logEvent(Event::ChildGaveUp, { { "child", "ingress" }, { "reason", nameOf(error) } });
+}
+
+bool PacketBalancer::isReady() const
+{
+    return !m_isLeaving && m_network.routes().version != 0 && m_network.outages().revision != 0;
+}
+
+void PacketBalancer::handleCallerDatagram(std::span<std::uint8_t> packet)
+{
+    m_lastCallerPacketAt = m_role.clock.now();
+    DecodeError error = DecodeError::None;
+    const auto head = m_adapter.decodePacket(packet, error);
+    if (!head) {
+        m_fates.increment(PacketFate::Malformed);
+        return;
+    }
+    // Only upstreams answer openings, and only they hand packets back.
+    if ((head->flags.opens && head->flags.acknowledges) || head->flags.isReturned) {
+        m_fates.increment(PacketFate::Forged);
+        return;
+    }
+    const FlowKey flow = flowFromCaller(*head);
+    if (isOpening(*head))
+        handleOpening(flow, packet);
+    else
+        handleFlowPacket(flow, *head, packet);
+}
+
+void PacketBalancer::handleOpening(const FlowKey& flow, std::span<const std::uint8_t> packet)
+{
+    const Millis now = m_role.clock.now();
+    // A copy goes to the same agent, so that a flow is not opened at two; a silent agent is in doubt.
+    if (const auto holder = m_holders.find(flow); holder != m_holders.end()) {
+        if (m_loads[holder->second.agent].unanswered == 0) {
+            holder->second.usedAt = now;
+            m_network.send(holder->second.agent, { .kind = wire::PeerKind::Open, .flow = flow, .configVersion = m_network.routes().version, .packet = packet });
+            m_fates.increment(PacketFate::Offered);
+            return;
+        }
+        m_holders.erase(holder);
+    }
+    const auto [found, isNew] = m_openings.try_emplace(flow);
+    Opening& opening = found->second;
+    opening.packet = copyOf(packet);
+    if (!isNew)
+        return;
+    opening.startedAt = now;
+    offerToNext(flow, opening);
+}
+
+// Offers an opening to the best agent that has not had it yet. Without a configuration or agents it waits: a process that
+// has just started learns both within some round trips, and its callers' copies would come 200 ms later.
+void PacketBalancer::offerToNext(const FlowKey& flow, Opening& opening)
+{
+    const Millis now = m_role.clock.now();
+    opening.agent = 0;
+    opening.offeredAt = now;
+    if (m_network.routes().version == 0 || m_network.isInDoubt()) {
+        m_fates.increment(PacketFate::NoView);
+        return;
+    }
+    const std::string* service = serviceForFlow(m_network.routes(), flow);
+    if (!service) {
+        finishRefused(flow, opening, ResetReason::NoRoute);
+        return;
+    }
+    const std::vector<std::uint32_t> order = agentsFor(flow, *service);
+    const auto next = std::ranges::find_if(order, [&](std::uint32_t agent) { return std::ranges::find(opening.tried, agent) == opening.tried.end(); });
+    if (next == order.end()) {
+        finishRefused(flow, opening, opening.tried.empty() ? ResetReason::NoAgent : ResetReason::RefusedByAll);
+        return;
+    }
+    opening.agent = *next;
+    opening.tried.push_back(*next);
+    AgentLoad& load = m_loads[*next];
+    ++load.sentSince;
+    m_network.send(*next, { .kind = wire::PeerKind::Open, .flow = flow, .configVersion = m_network.routes().version, .packet = opening.packet });
+    m_fates.increment(PacketFate::Offered);
+    logFlowEvent(Event::FlowOffered, flow, { { "agent", toString(PacketEndpoint { *next, 0 }) }, { "service", *service }, { "atWork", load.atWork }, { "loadAge", static_cast<std::uint64_t>(now - load.heardAt) }, { "candidates", order.size() }, { "try", opening.tried.size() }, { "version", m_network.routes().version } });
+}
+
+// The opening is the caller's of `flow`; it is gone after this.
+void PacketBalancer::finishRefused(const FlowKey& flow, const Opening& opening, ResetReason reason)
+{
+    logFlowEvent(Event::FlowRefused, flow, { { "reason", nameOf(reason) }, { "lastRefusal", nameOf(opening.lastRefusal) }, { "tried", opening.tried.size() }, { "version", m_network.routes().version } });
+    sendReset(flow, 0, reason);
+    m_openings.erase(flow);
+}
+
+std::vector<std::uint32_t> PacketBalancer::agentsFor(const FlowKey& flow, const std::string& service) const
+{
+    std::vector<AgentCandidate> candidates;
+    for (const auto& [name, entry] : m_network.directory().entries) {
+        const bool isUsable = entry.role == PeerRole::Agent && entry.state == PeerState::Ready && entry.service == service;
+        if (!isUsable || isOut(m_network.outages(), entry.dataCentre))
+            continue;
+        AgentCandidate candidate { .address = entry.address, .isNear = entry.dataCentre == m_role.settings.dataCentre, .load = {} };
+        if (const auto load = m_loads.find(entry.address); load != m_loads.end())
+            candidate.load = load->second;
+        candidate.load.slots = std::max(entry.slots, 1U);
+        candidates.push_back(candidate);
+    }
+    return chooseAgents(flow, candidates, m_choice, m_role.clock.now());
+}
+
+void PacketBalancer::handleFlowPacket(const FlowKey& flow, const PacketHead& head, std::span<const std::uint8_t> packet)
+{
+    const auto holder = m_holders.find(flow);
+    if (holder == m_holders.end()) {
+        search(flow, head, packet);
+        return;
+    }
+    holder->second.usedAt = m_role.clock.now();
+    m_network.send(holder->second.agent, { .kind = wire::PeerKind::Forward, .flow = flow, .configVersion = m_network.routes().version, .packet = packet });
+    m_fates.increment(PacketFate::Forwarded);
+}
+
+std::vector<std::uint32_t> PacketBalancer::holdersToAsk(const std::string* service) const
+{
+    std::vector<std::uint32_t> agents;
+    for (const auto& [name, entry] : m_network.directory().entries) {
+        if (entry.role == PeerRole::Agent && entry.state != PeerState::Gone && (!service || entry.service == *service))
+            agents.push_back(entry.address);
+    }
+    return agents;
+}
+
+// The cache does not know the flow: another balancer opened it, or this process has started since. Each agent of the
+// service is asked; the one that holds the flow says so within a round trip, and the packet goes there.
+void PacketBalancer::search(const FlowKey& flow, const PacketHead& head, std::span<const std::uint8_t> packet)
+{
+    if (m_searches.size() >= maxSearches) {
+        m_fates.increment(PacketFate::SearchFull);
+        return;
+    }
+    const auto [found, isNew] = m_searches.try_emplace(flow);
+    WaitingSearch& waiting = found->second;
+    waiting.acknowledged = head.acknowledged;
+    if (waiting.packets.size() < waitingPackets)
+        waiting.packets.push_back(copyOf(packet));
+    m_fates.increment(PacketFate::Waiting);
+    if (!isNew) {
+        for (const std::uint32_t agent : waiting.search.unsure)
+            m_network.send(agent, { .kind = wire::PeerKind::Probe, .flow = flow, .configVersion = m_network.routes().version, .packet = packet });
+        return;
+    }
+    std::vector<std::uint32_t> agents = holdersToAsk(serviceForFlow(m_network.routes(), flow));
+    waiting.search = beginSearch(agents, m_role.clock.now());
+    ask(flow, waiting, agents);
+}
+
+void PacketBalancer::ask(const FlowKey& flow, const WaitingSearch& waiting, const std::vector<std::uint32_t>& agents)
+{
+    for (const std::uint32_t agent : agents)
+        m_network.send(agent, { .kind = wire::PeerKind::Find, .flow = flow, .configVersion = m_network.routes().version, .packet = std::span(waiting.packets.front()).first(bareHeadBytes) });
+}
+
+void PacketBalancer::settleSearch(const FlowKey& flow, SearchState state)
+{
+    const auto found = m_searches.find(flow);
+    if (found == m_searches.end() || state == SearchState::Asking)
+        return;
+    WaitingSearch& waiting = found->second;
+    if (state == SearchState::Found) {
+        const Millis now = m_role.clock.now();
+        m_holders[flow] = { .agent = waiting.search.holder, .usedAt = now };
+        logFlowEvent(Event::HolderFound, flow, { { "agent", toString(PacketEndpoint { waiting.search.holder, 0 }) }, { "milliseconds", static_cast<std::uint64_t>(now - waiting.search.startedAt) } });
+        for (const PacketBytes& packet : waiting.packets)
+            m_network.send(waiting.search.holder, { .kind = wire::PeerKind::Forward, .flow = flow, .configVersion = m_network.routes().version, .packet = packet });
+        m_searchEnds.increment(state);
+        m_searches.erase(found);
+        return;
+    }
+    if (!waiting.askedEverybody) {
+        // A configuration may have moved the route since the flow was opened.
+        waiting.askedEverybody = true;
+        std::vector<std::uint32_t> agents = holdersToAsk(nullptr);
+        waiting.search = beginSearch(agents, waiting.search.startedAt);
+        ask(flow, waiting, agents);
+        return;
+    }
+    if (canBeCertain()) {
+        logFlowEvent(Event::FlowLost, flow, { { "directory", m_network.directory().entries.size() } });
+        sendReset(flow, waiting.acknowledged, ResetReason::HeldByNobody);
+    }
+    m_searchEnds.increment(state);
+    m_searches.erase(found);
+}
+
+// A balancer that has not heard of every agent could take a flow for lost that one of them holds: another balancer may have
+// opened it there. The directory is complete when a peer has lately named the same one.
+bool PacketBalancer::canBeCertain() const
+{
+    return m_network.isDirectoryConfirmed();
+}
+
+void PacketBalancer::handleFlowMessage(const PeerMessage& message, std::uint32_t sender)
+{
+    switch (message.kind) {
+    case wire::PeerKind::Admitted:
+        handleAdmitted(message, sender);
+        break;
+    case wire::PeerKind::Refused:
+        handleRefused(message, sender);
+        break;
+    case wire::PeerKind::Held:
+    case wire::PeerKind::NotHeld:
+    case wire::PeerKind::Unsure:
+        handleHolderAnswer(message, sender);
+        break;
+    case wire::PeerKind::Load:
+        noteLoad(message, sender);
+        break;
+    default:
+        break;
+    }
+}
+
+void PacketBalancer::noteLoad(const PeerMessage& message, std::uint32_t sender)
+{
+    AgentLoad& load = m_loads[sender];
+    const Millis refusesUntil = load.refusesUntil;
+    load = message.load;
+    load.heardAt = m_role.clock.now();
+    load.refusesUntil = refusesUntil;
+}
+
+void PacketBalancer::handleAdmitted(const PeerMessage& message, std::uint32_t sender)
+{
+    noteLoad(message, sender);
+    const Millis now = m_role.clock.now();
+    const auto opening = m_openings.find(message.flow);
+    if (opening != m_openings.end()) {
+        m_openingTimes.record(static_cast<double>(now - opening->second.startedAt));
+        m_openings.erase(opening);
+        m_holders[message.flow] = { .agent = sender, .usedAt = now };
+        return;
+    }
+    m_holders.try_emplace(message.flow, Holder { .agent = sender, .usedAt = now });
+}
+
+void PacketBalancer::handleRefused(const PeerMessage& message, std::uint32_t sender)
+{
+    noteLoad(message, sender);
+    m_refusals.increment(message.refusal);
+    m_loads[sender].refusesUntil = m_role.clock.now() + refusalTime;
+    if (const auto holder = m_holders.find(message.flow); holder != m_holders.end() && holder->second.agent == sender)
+        m_holders.erase(holder);
+    auto opening = m_openings.find(message.flow);
+    if (opening == m_openings.end()) {
+        // The copy of an opening that was admitted before: its upstream has handed it back since.
+        opening = m_openings.try_emplace(message.flow).first;
+        opening->second.packet = copyOf(message.packet);
+        opening->second.startedAt = m_role.clock.now();
+        opening->second.tried.push_back(sender);
+        opening->second.agent = sender;
+    }
+    opening->second.lastRefusal = message.refusal;
+    if (opening->second.agent == sender)
+        offerToNext(message.flow, opening->second);
+}
+
+void PacketBalancer::handleHolderAnswer(const PeerMessage& message, std::uint32_t sender)
+{
+    if (const auto load = m_loads.find(sender); load != m_loads.end())
+        load->second.unanswered = 0;
+    const auto answer = message.kind == wire::PeerKind::Held ? HolderAnswer::Held
+        : message.kind == wire::PeerKind::NotHeld            ? HolderAnswer::NotHeld
+                                                             : HolderAnswer::Unsure;
+    const auto found = m_searches.find(message.flow);
+    if (answer == HolderAnswer::NotHeld) {
+        const auto holder = m_holders.find(message.flow);
+        const bool wasCached = holder != m_holders.end() && holder->second.agent == sender;
+        if (wasCached)
+            m_holders.erase(holder);
+        // A packet that comes back from the cached holder is looked after anew.
+        if (wasCached && found == m_searches.end() && !message.packet.empty()) {
+            DecodeError error = DecodeError::None;
+            if (const auto head = m_adapter.decodePacket(message.packet, error))
+                search(message.flow, *head, message.packet);
+            return;
+        }
+    }
+    if (found == m_searches.end())
+        return;
+    const SearchState state = takeAnswer(found->second.search, sender, answer);
+    if (answer == HolderAnswer::Unsure && state == SearchState::Asking) {
+        for (const PacketBytes& packet : found->second.packets)
+            m_network.send(sender, { .kind = wire::PeerKind::Probe, .flow = message.flow, .configVersion = m_network.routes().version, .packet = packet });
+        m_fates.increment(PacketFate::Probed, found->second.packets.size());
+    }
+    settleSearch(message.flow, state);
+}
+
+void PacketBalancer::sendReset(const FlowKey& flow, std::uint32_t sequence, ResetReason reason)
+{
+    m_resets.increment(reason);
+    const auto packet = m_adapter.encodeReset(flow, sequence);
+    m_network.sendPacket(packet, { asio::ip::address_v4(flow.caller.address), m_role.settings.packets.ingress.port() });
+}
+
+void PacketBalancer::turn()
+{
+    const Millis now = m_role.clock.now();
+    m_network.isInDoubt();
+    offerUnansweredAgain(now);
+    std::erase_if(m_searches, [now](const auto& item) { return now - item.second.search.startedAt > searchLimit; });
+    if (now - m_pingedAt >= pingInterval)
+        pingSilentAgents(now);
+    if (now - m_sweptAt >= sweepInterval)
+        sweepHolders(now);
+    m_turnTimer.start(turnInterval, [this] { turn(); });
+}
+
+void PacketBalancer::offerUnansweredAgain(Millis now)
+{
+    std::vector<FlowKey> late;
+    for (const auto& [flow, opening] : m_openings) {
+        if (now - opening.offeredAt >= (opening.agent == 0 ? turnInterval : answerLimit))
+            late.push_back(flow);
+    }
+    for (const FlowKey& flow : late) {
+        Opening& opening = m_openings.at(flow);
+        if (now - opening.startedAt > openingLimit) {
+            finishRefused(flow, opening, ResetReason::NoAgent);
+            continue;
+        }
+        if (opening.agent != 0)
+            ++m_loads[opening.agent].unanswered;
+        offerToNext(flow, opening);
+    }
+}
+
+void PacketBalancer::pingSilentAgents(Millis now)
+{
+    m_pingedAt = now;
+    for (const auto& [address, load] : m_loads) {
+        if (load.unanswered > 0)
+            m_network.send(address, { .kind = wire::PeerKind::Ping, .configVersion = m_network.routes().version });
+    }
+}
+
+void PacketBalancer::sweepHolders(Millis now)
+{
+    m_sweptAt = now;
+    std::erase_if(m_holders, [now](const auto& item) { return now - item.second.usedAt > holderIdleLimit; });
+}
+
+// Routers keep sending until they have noticed that this process is not ready. What they send until then is carried, so
+// that no caller waits for a copy of its packet.
+void PacketBalancer::shutDown(std::function<void()> done)
+{
+    const Millis now = m_role.clock.now();
+    if (!m_isLeaving)
+        m_leavingSince = now;
+    m_isLeaving = true;
+    const bool isNoticed = now - m_leavingSince >= noticeTime && now - m_lastCallerPacketAt >= quietTime;
+    const bool mustEnd = now - m_leavingSince >= m_role.settings.packets.leave - leaveMargin;
+    if ((isNoticed && m_openings.empty()) || mustEnd) {
+        done();
+        return;
+    }
+    m_leaveTimer.start(turnInterval, [this, done = std::move(done)] { shutDown(done); });
+}
+
+std::string PacketBalancer::statusMembers() const
+{
+    nlohmann::json agents = nlohmann::json::array();
+    for (const auto& [name, entry] : m_network.directory().entries) {
+        if (entry.role != PeerRole::Agent)
+            continue;
+        const auto load = m_loads.find(entry.address);
+        agents.push_back({
+            { "name", name },
+            { "service", entry.service },
+            { "dataCentre", entry.dataCentre },
+            { "state", nameOf(entry.state) },
+            { "atWork", load != m_loads.end() ? load->second.atWork : 0 },
+            { "unanswered", load != m_loads.end() ? load->second.unanswered : 0 },
+        });
+    }
+    const nlohmann::json status {
+        { "agents", agents },
+        { "routesVersion", m_network.routes().version },
+        { "out", m_network.outages().out },
+        { "ready", isReady() },
+        { "leaving", m_isLeaving },
+        { "platformTrouble", nameOf(m_store->lastReason()) },
+    };
+    const std::string text = status.dump();
+    return text.substr(1, text.size() - 2);
+}
+
+void PacketBalancer::exposeMetrics(std::string& out) const
+{
+    exposeCounters(out, "kingcuptrail_caller_packets_total", "Callers' packets by what was done with them.", m_fates);
+    exposeCounters(out, "kingcuptrail_flow_resets_total", "Flows reset by this balancer, by reason.", m_resets);
+    exposeCounters(out, "kingcuptrail_openings_refused_total", "Refusals by agents, by reason.", m_refusals);
+    exposeCounters(out, "kingcuptrail_holder_searches_total", "Searches for the holder of a flow, by how they ended.", m_searchEnds);
+    m_openingTimes.expose(out, "kingcuptrail_opening_milliseconds", "Time until an agent took an opening, in milliseconds.");
+    exposeGauge(out, "kingcuptrail_cached_holders", "Flows whose holder is cached.", static_cast<double>(m_holders.size()));
+    exposeCounter(out, "kingcuptrail_store_calls_total", "Calls of the store.", m_store->callsMade());
+    m_network.exposeMetrics(out);
+}
+
+}
--- /dev/null
+++ b/src/kingcuptraild/packets/pausemeter.cpp
@@ -0,0 +1,51 @@
+#include "pausemeter.h"
+
+#include <ctime>
+
+namespace kingcuptrail {
+
+namespace {
+
+    /// A process that has not run for longer than this was paused, in milliseconds: seven turns of the 100 ms timer that
+    /// notes it, which a busy host makes late by two or three at the most.
+    constexpr Millis longestGap = 700;
+    /// News counts only when it comes this long after a pause, in milliseconds: what waited in the socket since before the
+    /// pause has been read by then.
+    constexpr Millis backlogTime = 200;
+
+    Millis suspendAwareNow()
+    {
+        constexpr Millis millisPerSecond = 1000;
+        constexpr Millis nanosPerMilli = 1000000;
+        timespec time {};
+        clock_gettime(CLOCK_BOOTTIME, &time);
+        return Millis { time.tv_sec } * millisPerSecond + time.tv_nsec / nanosPerMilli;
+    }
+
+}
+
+PauseMeter::PauseMeter()
+    : m_lastRun(suspendAwareNow())
+{
+}
+
+bool PauseMeter::noteRunning()
+{
+    const Millis now = suspendAwareNow();
+    const Millis gap = now - m_lastRun;
+    m_lastRun = now;
+    if (gap <= longestGap)
+        return false;
+    m_lastPause = gap;
+    m_resumedAt = now;
+    m_isInDoubt = true;
+    return true;
+}
+
+void PauseMeter::noteNews()
+{
+    if (m_isInDoubt && suspendAwareNow() - m_resumedAt >= backlogTime)
+        m_isInDoubt = false;
+}
+
+}
--- /dev/null
+++ b/src/kingcuptraild/packets/peernetwork.cpp
@@ -0,0 +1,297 @@
+#include "peernetwork.h"
+
+#include "libruntime/events.h"
+
+#include <algorithm>
+
+namespace kingcuptrail {
+
+namespace {
+
+    /// Between two rounds of news, in milliseconds, and the peers told in each. Whoever missed a change hears of it within
+    /// about a second; a process sends and receives 8 datagrams of some 150 bytes a second, however large the fleet is.
+    constexpr Millis tellInterval = 250;
+    constexpr std::size_t tellCount = 2;
+    /// Peers told at once of a change: with eight each, 5,000 processes have heard after five rounds.
+    constexpr std::size_t changeCount = 8;
+    /// While a process knows nothing yet it asks this often, in milliseconds: each round costs three datagrams, and the
+    /// answer decides when the process begins to serve.
+    constexpr Millis firstTellInterval = 50;
+    /// The view is fetched at most this often, in milliseconds: several peers name the same new version.
+    constexpr Millis fetchInterval = 30;
+    /// A fetch that takes longer goes to another peer, in milliseconds: some round trips and 100 KB at 10 Mbit/s.
+    constexpr Millis fetchTimeout = 400;
+    /// How long a peer's word that it has the same directory holds, in milliseconds: several rounds of news.
+    constexpr Millis confirmationTime = 1500;
+    /// Announcements that one datagram of news carries.
+    constexpr std::size_t entriesInNews = 6;
+    /// The running clock is read this often, in milliseconds.
+    constexpr Millis runningInterval = 100;
+
+    std::uint64_t wallMillis()
+    {
+        const auto now = std::chrono::system_clock::now().time_since_epoch();
+        return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+    }
+
+}
+
+PeerNetwork::PeerNetwork(asio::io_context& context, const Settings& settings, const Clock& clock)
+    : m_context(context)
+    , m_settings(settings)
+    , m_clock(clock)
+    , m_tellTimer(context)
+    , m_random(std::random_device {}())
+    , m_ownAddress(settings.listen.address().to_v4().to_uint())
+{
+}
+
+PeerNetwork::~PeerNetwork()
+{
+    if (m_fetch)
+        m_fetch->cancel();
+}
+
+bool PeerNetwork::start(Handlers handlers)
+{
+    m_handlers = std::move(handlers);
+    DatagramError datagramError = DatagramError::None;
+    m_socket = DatagramSocket::open(
+        m_context, { m_settings.listen.address(), m_settings.listen.port() },
+        [this](std::span<std::uint8_t> datagram, const asio::ip::udp::endpoint& sender) { handleDatagram(datagram, sender.address().to_v4().to_uint()); }, datagramError);
+    asio::error_code error;
+    m_viewServer = HttpServer::listen(
+        m_context, m_settings.listen, { .maxBodyBytes = 0, .requestTimeout = 2000, .maxConnections = 256 },
+        [this](const HttpRequest&, const std::shared_ptr<HttpResponder>& responder) { answerView(responder); }, error);
+    if (!m_socket || !m_viewServer)
+        return false;
+    tellPeriodically();
+    return true;
+}
+
+DeploymentView PeerNetwork::view() const
+{
+    DeploymentView view = m_view;
+    for (const auto& [name, entry] : m_directory.entries)
+        view.entries.push_back(entry);
+    return view;
+}
+
+void PeerNetwork::takeRoutes(RouteTable routes)
+{
+    const ConfigVersion previous = m_view.routes.version;
+    if (!offerRoutes(m_view.routes, std::move(routes)))
+        return;
+    logEvent(Event::RoutesInForce, { { "version", m_view.routes.version }, { "previous", previous }, { "routes", m_view.routes.routes.size() } });
+    tellSome(changeCount, {});
+    m_handlers.onRoutes();
+}
+
+void PeerNetwork::takeOutages(OutageView outages)
+{
+    const OutageView previous = m_view.outages;
+    if (!offerOutages(m_view.outages, std::move(outages)))
+        return;
+    std::vector<std::string> returned;
+    for (const std::string& name : previous.out) {
+        if (!isOut(m_view.outages, name)) {
+            returned.push_back(name);
+            logEvent(Event::DataCentreBack, { { "dataCentre", name }, { "revision", m_view.outages.revision } });
+        }
+    }
+    for (const std::string& name : m_view.outages.out) {
+        if (!isOut(previous, name))
+            logEvent(Event::DataCentreOut, { { "dataCentre", name }, { "revision", m_view.outages.revision } });
+    }
+    tellSome(changeCount, {});
+    m_handlers.onOutages(returned);
+}
+
+void PeerNetwork::takeEntry(const PeerEntry& entry)
+{
+    if (entry.name == m_self.name && !m_self.name.empty()) {
+        // An announcement from before this process's start that is not below its own: the time of day may have jumped.
+        if (entry.epoch >= m_self.epoch && entry != m_self) {
+            m_self.epoch = entry.epoch + 1;
+            announce(m_self);
+        }
+        return;
+    }
+    if (!offerEntry(m_directory, entry))
+        return;
+    m_digest = digestOf(m_directory);
+    logEvent(Event::PeerChanged, { { "peer", entry.name }, { "role", nameOf(entry.role) }, { "state", nameOf(entry.state) }, { "epoch", entry.epoch } });
+    tellSome(changeCount, { entry });
+    m_handlers.onEntry(entry);
+}
+
+const PeerEntry& PeerNetwork::announce(PeerEntry self)
+{
+    const auto known = m_directory.entries.find(self.name);
+    const std::uint64_t above = known != m_directory.entries.end() ? known->second.epoch + 1 : 0;
+    self.epoch = std::max({ self.epoch, m_self.epoch + 1, above });
+    if (m_self.epoch == 0)
+        self.epoch = std::max(self.epoch, wallMillis());
+    m_self = std::move(self);
+    m_directory.entries[m_self.name] = m_self;
+    m_digest = digestOf(m_directory);
+    tellSome(changeCount, { m_self });
+    return m_self;
+}
+
+void PeerNetwork::send(std::uint32_t address, const FlowMessage& message)
+{
+    m_socket->send(m_encoder.encode(message), peerEndpoint(address));
+}
+
+void PeerNetwork::sendPacket(std::span<const std::uint8_t> packet, const asio::ip::udp::endpoint& receiver)
+{
+    m_socket->send(packet, receiver);
+}
+
+bool PeerNetwork::isInDoubt()
+{
+    if (m_pause.noteRunning()) {
+        logEvent(Event::ProcessPaused, { { "milliseconds", static_cast<std::uint64_t>(m_pause.lastPause()) } });
+        m_confirmedAt = 0;
+        tellSome(changeCount, {});
+    }
+    return m_pause.isInDoubt();
+}
+
+bool PeerNetwork::isDirectoryConfirmed() const
+{
+    return m_confirmedAt > 0 && m_clock.now() - m_confirmedAt < confirmationTime;
+}
+
+void PeerNetwork::handleDatagram(std::span<const std::uint8_t> datagram, std::uint32_t sender)
+{
+    isInDoubt();
+    FrameError error = FrameError::None;
+    const auto message = decodePeerMessage(datagram, error);
+    if (!message) {
+        m_trouble.increment(PeerTrouble::Malformed);
+        return;
+    }
+    if (message->configVersion > m_view.routes.version)
+        fetchView(sender);
+    if (message->kind == wire::PeerKind::News)
+        handleNews(*message, sender);
+    else
+        m_handlers.onFlowMessage(*message, sender);
+}
+
+void PeerNetwork::handleNews(const PeerMessage& message, std::uint32_t sender)
+{
+    m_lastNewsAt = m_clock.now();
+    m_pause.noteNews();
+    if (auto outages = outagesOf(message))
+        takeOutages(std::move(*outages));
+    for (const PeerEntry& entry : entriesOf(message))
+        takeEntry(entry);
+    if (message.table->digest() == m_digest)
+        m_confirmedAt = m_clock.now();
+    else if (message.table->wants_answer() || m_view.routes.version == 0)
+        fetchView(sender);
+    if (message.table->wants_answer())
+        tell(sender, { m_self }, false);
+}
+
+void PeerNetwork::tellPeriodically()
+{
+    isInDoubt();
+    tellSome(tellCount, m_self.name.empty() ? std::vector<PeerEntry> {} : std::vector { m_self });
+    const bool knowsLittle = m_view.routes.version == 0 || m_lastNewsAt == 0;
+    m_tellTimer.start(knowsLittle ? firstTellInterval : std::max(tellInterval, runningInterval), [this] { tellPeriodically(); });
+}
+
+std::vector<std::uint32_t> PeerNetwork::knownPeers() const
+{
+    std::vector<std::uint32_t> peers;
+    for (const auto& [name, entry] : m_directory.entries) {
+        if (entry.state != PeerState::Gone && entry.address != m_ownAddress)
+            peers.push_back(entry.address);
+    }
+    if (m_lastNewsAt != 0 && !peers.empty())
+        return peers;
+    for (const auto& seed : m_settings.packets.seeds) {
+        const std::uint32_t address = seed.address().to_v4().to_uint();
+        if (address != m_ownAddress && std::ranges::find(peers, address) == peers.end())
+            peers.push_back(address);
+    }
+    return peers;
+}
+
+void PeerNetwork::tellSome(std::size_t count, const std::vector<PeerEntry>& changed)
+{
+    std::vector<std::uint32_t> peers = knownPeers();
+    std::ranges::shuffle(peers, m_random);
+    if (peers.size() > count)
+        peers.resize(count);
+    for (const std::uint32_t peer : peers)
+        tell(peer, changed, true);
+}
+
+void PeerNetwork::tell(std::uint32_t address, const std::vector<PeerEntry>& changed, bool wantsAnswer)
+{
+    NewsMessage news { .configVersion = m_view.routes.version, .digest = m_digest, .outages = &m_view.outages, .entries = changed, .wantsAnswer = wantsAnswer };
+    std::erase_if(news.entries, [](const PeerEntry& entry) { return entry.name.empty(); });
+    if (news.entries.size() > entriesInNews)
+        news.entries.resize(entriesInNews);
+    m_socket->send(m_encoder.encode(news), peerEndpoint(address));
+}
+
+void PeerNetwork::fetchView(std::uint32_t address)
+{
+    const Millis now = m_clock.now();
+    if (m_fetch || (m_fetchedAt > 0 && now - m_fetchedAt < fetchInterval))
+        return;
+    m_fetchedAt = now;
+    const asio::ip::tcp::endpoint server(asio::ip::address_v4(address), m_settings.listen.port());
+    HttpCall::Handlers handlers;
+    handlers.onDone = [this](const std::optional<HttpResponse>& response, const HttpOutcome&) {
+        m_fetch.reset();
+        if (!response) {
+            m_trouble.increment(PeerTrouble::ViewFetchFailed);
+            return;
+        }
+        const auto view = parseView(response->body);
+        if (view)
+            takeView(*view);
+        else
+            m_trouble.increment(PeerTrouble::ViewMalformed);
+    };
+    m_fetch = startHttpCall(m_context, server, { .target = "/view" }, { .connectTimeout = fetchTimeout, .timeout = fetchTimeout }, std::move(handlers));
+}
+
+void PeerNetwork::takeView(const DeploymentView& view)
+{
+    m_lastNewsAt = m_clock.now();
+    takeRoutes(view.routes);
+    takeOutages(view.outages);
+    for (const PeerEntry& entry : view.entries)
+        takeEntry(entry);
+}
+
+void PeerNetwork::answerView(const std::shared_ptr<HttpResponder>& responder) const
+{
+    responder->respond({ .headers = { { "Content-Type", "application/json" } }, .body = toJson(view()) });
+}
+
+asio::ip::udp::endpoint PeerNetwork::peerEndpoint(std::uint32_t address) const
+{
+    return { asio::ip::address_v4(address), m_settings.listen.port() };
+}
+
+void PeerNetwork::exposeMetrics(std::string& out) const
+{
+    const DatagramCounts& counts = m_socket->counts();
+    exposeCounter(out, "kingcuptrail_peer_datagrams_received_total", "Datagrams read from other processes and callers' replies.", counts.received);
+    exposeCounter(out, "kingcuptrail_peer_datagrams_sent_total", "Datagrams sent to other processes, callers and the upstream.", counts.sent);
+    exposeCounter(out, "kingcuptrail_peer_datagrams_unsent_total", "Datagrams that the host did not take.", counts.sendFailed);
+    exposeCounters(out, "kingcuptrail_peer_trouble_total", "Messages and views that were not taken, by reason.", m_trouble);
+    exposeGauge(out, "kingcuptrail_routes_version", "Configuration in force.", static_cast<double>(m_view.routes.version));
+    exposeGauge(out, "kingcuptrail_directory_entries", "Processes that are known.", static_cast<double>(m_directory.entries.size()));
+}
+
+}
--- /dev/null
+++ b/src/kingcuptraild/packets/peernetwork.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "libhttp/httpclient.h"
+#include "libhttp/httpserver.h"
+#include "libplatform/delay.h"
+#include "libplatform/viewjson.h"
+#include "libprotocol/peermessage.h"
+#include "libruntime/clock.h"
+#include "libruntime/datagramsocket.h"
+#include "libruntime/metrics.h"
+#include "libruntime/settings.h"
+#include "pausemeter.h"
+
+#include <random>
+
+namespace kingcuptrail {
+
+/// Messages between processes that were not taken, and why.
+enum class PeerTrouble : std::uint8_t {
+    Malformed,
+    ViewFetchFailed,
+    ViewMalformed,
+};
+
+template <>
+struct EnumNames<PeerTrouble> {
+    static constexpr std::array<std::string_view, 3> names { "malformed", "viewFetchFailed", "viewMalformed" };
+};
+
+/// What a process knows of the whole deployment, and how it learns and tells it: configuration, outages and the directory
+/// of processes. Each process tells a few others, drawn anew each time, which versions it has; whoever is behind fetches
+/// the view over TCP. So news from the store reaches a process that the store turns away, at a cost for each process that
+/// does not grow with the fleet.
+class PeerNetwork {
+public:
+    struct Handlers {
+        /// A message about a flow, from the host with this address.
+        std::function<void(const PeerMessage&, std::uint32_t sender)> onFlowMessage;
+        std::function<void()> onRoutes;
+        /// `returned` names the data centres that were out and are no more.
+        std::function<void(const std::vector<std::string>& returned)> onOutages;
+        std::function<void(const PeerEntry&)> onEntry;
+    };
+
+    PeerNetwork(asio::io_context& context, const Settings& settings, const Clock& clock);
+    ~PeerNetwork();
+    PeerNetwork(const PeerNetwork&) = delete;
+    PeerNetwork& operator=(const PeerNetwork&) = delete;
+
+    /// Binds the sockets and begins to tell news; false when an address is taken.
+    bool start(Handlers handlers);
+
+    const RouteTable& routes() const { return m_view.routes; }
+    const OutageView& outages() const { return m_view.outages; }
+    const Directory& directory() const { return m_directory; }
+    DeploymentView view() const;
+
+    /// News from the store or a peer; older news changes nothing.
+    void takeRoutes(RouteTable routes);
+    void takeOutages(OutageView outages);
+    void takeEntry(const PeerEntry& entry);
+
+    /// Announces this process. Its epoch is set here, above every announcement under its name.
+    const PeerEntry& announce(PeerEntry self);
+
+    void send(std::uint32_t address, const FlowMessage& message);
+    /// Sends a packet as it is, to a caller or an upstream.
+    void sendPacket(std::span<const std::uint8_t> packet, const asio::ip::udp::endpoint& receiver);
+
+    /// Whether this process stood still and has not heard since what changed meanwhile.
+    bool isInDoubt();
+    /// Whether a peer has lately named exactly the directory that this process has.
+    bool isDirectoryConfirmed() const;
+    Millis lastNewsAt() const { return m_lastNewsAt; }
+
+    void exposeMetrics(std::string& out) const;
+
+private:
+    void handleDatagram(std::span<const std::uint8_t> datagram, std::uint32_t sender);
+    void handleNews(const PeerMessage& message, std::uint32_t sender);
+    void tellPeriodically();
+    void tellSome(std::size_t count, const std::vector<PeerEntry>& changed);
+    void tell(std::uint32_t address, const std::vector<PeerEntry>& changed, bool wantsAnswer);
+    std::vector<std::uint32_t> knownPeers() const;
+    void fetchView(std::uint32_t address);
+    void takeView(const DeploymentView& view);
+    void answerView(const std::shared_ptr<HttpResponder>& responder) const;
+    asio::ip::udp::endpoint peerEndpoint(std::uint32_t address) const;
+
+    asio::io_context& m_context;
+    const Settings& m_settings;
+    const Clock& m_clock;
+    Handlers m_handlers;
+    std::unique_ptr<DatagramSocket> m_socket;
+    std::unique_ptr<HttpServer> m_viewServer;
+    std::shared_ptr<HttpCall> m_fetch;
+    Delay m_tellTimer;
+    PeerMessageEncoder m_encoder;
+    std::minstd_rand m_random;
+
+    std::uint32_t m_ownAddress;
+    PeerEntry m_self;
+    DeploymentView m_view;
+    Directory m_directory;
+    std::uint64_t m_digest = 0;
+    PauseMeter m_pause;
+    Millis m_lastNewsAt = 0;
+    Millis m_confirmedAt = 0;
+    Millis m_fetchedAt = 0;
+    EnumCounters<PeerTrouble> m_trouble;
+};
+
+}
--- /dev/null
+++ b/src/kingcuptraild/packets/storefollower.cpp
@@ -0,0 +1,122 @@
+#include "storefollower.h"
+
+#include "libruntime/events.h"
+
+namespace kingcuptrail {
+
+StoreFollower::StoreFollower(asio::io_context& context, const PlatformOptions& options, const DeploymentAdapter& adapter, PeerNetwork& network)
+    : m_adapter(adapter)
+    , m_network(network)
+    , m_routes(context, options, std::string(adapter.routesKind), routesHandlers())
+    , m_outages(context, options, std::string(adapter.outagesKind), outagesHandlers())
+    , m_agents(context, options, agentKind, agentsHandlers())
+{
+}
+
+PlatformError StoreFollower::lastReason() const
+{
+    for (const KindWatcher* watcher : { &m_routes, &m_outages, &m_agents }) {
+        if (watcher->lastReason() != PlatformError::None)
+            return watcher->lastReason();
+    }
+    return PlatformError::None;
+}
+
+std::uint64_t StoreFollower::callsMade() const
+{
+    return m_routes.callsMade() + m_outages.callsMade() + m_agents.callsMade();
+}
+
+KindWatcher::Handlers StoreFollower::routesHandlers()
+{
+    return {
+        .onList = [this](const ObjectList& list) { takeRoutes(list); },
+        .onChanges = [this](const ObjectList& changes) { takeRoutes(changes); },
+        .onTrouble = [this](PlatformError) { noteTrouble(); },
+    };
+}
+
+KindWatcher::Handlers StoreFollower::outagesHandlers()
+{
+    return {
+        .onList = [this](const ObjectList& list) {
+            m_out.clear();
+            takeOutages(list);
+        },
+        .onChanges = [this](const ObjectList& changes) { takeOutages(changes); },
+        .onTrouble = [this](PlatformError) { noteTrouble(); },
+    };
+}
+
+KindWatcher::Handlers StoreFollower::agentsHandlers()
+{
+    return {
+        .onList = [this](const ObjectList& list) { takeAgents(list); },
+        .onChanges = [this](const ObjectList& changes) { takeAgents(changes); },
+        .onTrouble = [this](PlatformError) { noteTrouble(); },
+    };
+}
+
+void StoreFollower::takeRoutes(const ObjectList& objects)
+{
+    noteAnswer();
+    for (const PlatformObject& object : objects.objects) {
+        DecodeError error = DecodeError::None;
+        if (auto routes = m_adapter.readRoutes(object, error))
+            m_network.takeRoutes(std::move(*routes));
+        else if (error != DecodeError::None)
+            logEvent(Event::ForeignObject, { { "kind", m_adapter.routesKind }, { "object", object.name }, { "reason", nameOf(error) } });
+    }
+}
+
+void StoreFollower::takeOutages(const ObjectList& changes)
+{
+    noteAnswer();
+    for (const PlatformObject& object : changes.objects) {
+        std::erase(m_out, object.name);
+        if (object.value)
+            m_out.push_back(object.name);
+    }
+    m_network.takeOutages({ .revision = changes.version, .out = m_out });
+}
+
+void StoreFollower::takeAgents(const ObjectList& objects)
+{
+    noteAnswer();
+    for (const PlatformObject& object : objects.objects) {
+        if (!object.value) {
+            const auto known = m_network.directory().entries.find(object.name);
+            if (known == m_network.directory().entries.end() || known->second.state == PeerState::Gone)
+                continue;
+            PeerEntry gone = known->second;
+            gone.state = PeerState::Gone;
+            ++gone.epoch;
+            m_network.takeEntry(gone);
+            continue;
+        }
+        const auto entry = parsePeerEntry(*object.value);
+        if (entry && entry->name == object.name)
+            m_network.takeEntry(*entry);
+        else
+            logEvent(Event::ForeignObject, { { "kind", agentKind }, { "object", object.name }, { "reason", nameOf(DecodeError::BadText) } });
+    }
+}
+
+void StoreFollower::noteTrouble()
+{
+    const PlatformError reason = lastReason();
+    if (reason == PlatformError::None || m_loggedTrouble != PlatformError::None)
+        return;
+    m_loggedTrouble = reason;
+    logEvent(Event::PlatformTrouble, { { "reason", nameOf(reason) } });
+}
+
+void StoreFollower::noteAnswer()
+{
+    if (m_loggedTrouble == PlatformError::None)
+        return;
+    m_loggedTrouble = PlatformError::None;
+    logEvent(Event::PlatformBack);
+}
+
+}
--- /dev/null
+++ b/src/kingcuptraild/packets/storefollower.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "libplatform/deploymentadapter.h"
+#include "libplatform/kindwatcher.h"
+#include "peernetwork.h"
+
+namespace kingcuptrail {
+
+/// Kind of the agents' announcements in the store.
+constexpr const char* agentKind = "agent";
+
+/// Follows what the store holds of the deployment and hands it to the process's network of peers: configuration, outages,
+/// and the announcements of agents.
+class StoreFollower {
+public:
+    StoreFollower(asio::io_context& context, const PlatformOptions& options, const DeploymentAdapter& adapter, PeerNetwork& network);
+
+    /// The first of the watches' last failures, or None.
+    PlatformError lastReason() const;
+    std::uint64_t callsMade() const;
+
+private:
+    KindWatcher::Handlers routesHandlers();
+    KindWatcher::Handlers outagesHandlers();
+    KindWatcher::Handlers agentsHandlers();
+    void takeRoutes(const ObjectList& objects);
+    void takeOutages(const ObjectList& changes);
+    void takeAgents(const ObjectList& objects);
+    void noteTrouble();
+    void noteAnswer();
+
+    const DeploymentAdapter& m_adapter;
+    PeerNetwork& m_network;
+    /// Data centres that have an entry among the outages.
+    std::vector<std::string> m_out;
+    PlatformError m_loggedTrouble = PlatformError::None;
+    KindWatcher m_routes;
+    KindWatcher m_outages;
+    KindWatcher m_agents;
+};
+
+}
--- /dev/null
+++ b/src/libdecision/agentchoice.cpp
@@ -0,0 +1,62 @@
+#include "agentchoice.h"
+
+#include <algorithm>
+
+namespace kingcuptrail {
+
+namespace {
+
+    struct Scored {
+        std::uint32_t address = 0;
+        double score = 0;
+        std::uint64_t tie = 0;
+    };
+
+    /// Above any load: an agent that does not answer or has just refused comes after all others.
+    constexpr double lastResort = 1000.0;
+    /// Requests that differ by less than this part of all slots count as equally loaded; the hash decides.
+    constexpr double scoreStep = 0.2;
+
+    double loadOf(const AgentLoad& load)
+    {
+        return static_cast<double>(load.atWork + load.sentSince) / std::max(load.slots, 1U);
+    }
+
+    double scoreOf(const AgentCandidate& candidate, const AgentChoiceOptions& options, Millis now)
+    {
+        const AgentLoad& load = candidate.load;
+        double score = loadOf(load);
+        const bool isPreferred = candidate.isNear && score < options.nearLimit;
+        score -= isPreferred ? options.nearAllowance : 0;
+        score += load.isCold ? options.coldSurcharge : 0;
+        if (load.unanswered > 0)
+            score += lastResort * 2;
+        else if (now < load.refusesUntil)
+            score += lastResort;
+        return score;
+    }
+
+}
+
+std::vector<std::uint32_t> chooseAgents(const FlowKey& flow, std::span<const AgentCandidate> candidates, const AgentChoiceOptions& options, Millis now)
+{
+    std::vector<Scored> scored;
+    scored.reserve(candidates.size());
+    const std::uint64_t hash = flowHash(flow);
+    for (const AgentCandidate& candidate : candidates) {
+        const double steps = std::max(0.0, scoreOf(candidate, options, now) + options.nearAllowance) / scoreStep;
+        // A multiplicative hash of flow and agent: cheap, and any order does for ties.
+        const std::uint64_t tie = (hash ^ candidate.address) * 0x9e3779b97f4a7c15ULL;
+        scored.push_back({ .address = candidate.address, .score = static_cast<double>(static_cast<std::uint64_t>(steps)), .tie = tie });
+    }
+    std::ranges::sort(scored, [](const Scored& left, const Scored& right) {
+        return left.score != right.score ? left.score < right.score : left.tie < right.tie;
+    });
+    std::vector<std::uint32_t> order;
+    order.reserve(scored.size());
+    for (const Scored& each : scored)
+        order.push_back(each.address);
+    return order;
+}
+
+}
--- /dev/null
+++ b/src/libdecision/agentflows.cpp
@@ -0,0 +1,185 @@
+#include "agentflows.h"
+
+namespace kingcuptrail {
+
+namespace {
+
+    /// Parts of the table that a sweep looks at in one call; with a call every 100 ms all of it is seen in 3.2 s.
+    constexpr std::size_t sweepParts = 32;
+
+    /// How far beyond the upstream's answer a caller's first acknowledgement may be: the answer takes one number, and the
+    /// first packet that arrives may already acknowledge a few full packets (16 in flight of 1,200 bytes).
+    constexpr std::uint32_t longestFirstStep = 16 * 1200 + 1;
+
+    void setAtWork(AgentFlows& table, AgentFlow& flow, bool isAtWork)
+    {
+        if (flow.isAtWork == isAtWork)
+            return;
+        flow.isAtWork = isAtWork;
+        table.atWork += isAtWork ? 1 : -1;
+    }
+
+    void setPhase(AgentFlows& table, AgentFlow& flow, FlowPhase phase)
+    {
+        if (flow.phase == phase)
+            return;
+        table.open += phase == FlowPhase::Open ? 1 : 0;
+        table.open -= flow.phase == FlowPhase::Open ? 1 : 0;
+        flow.phase = phase;
+        if (phase == FlowPhase::Closed)
+            setAtWork(table, flow, false);
+    }
+
+    /// A copy of the opening packet may have been admitted at two upstreams. Only the one whose answer the caller
+    /// acknowledges owns the flow; the other one would hand every packet back.
+    bool acknowledgesAnswerOf(const AgentFlow& flow, const PacketHead& head)
+    {
+        if (!flow.answerSequence)
+            return false;
+        return head.acknowledged - *flow.answerSequence <= longestFirstStep;
+    }
+
+    bool isOver(const AgentFlow& flow, const AgentFlowOptions& options, Millis now)
+    {
+        const Millis silence = now - flow.lastPacketAt;
+        switch (flow.phase) {
+        case FlowPhase::Opening:
+            return silence > options.openingLimit;
+        case FlowPhase::Open:
+            return silence > options.idleLimit;
+        case FlowPhase::Closed:
+            break;
+        }
+        return silence > options.closedLimit;
+    }
+
+    void dropCounts(AgentFlows& table, AgentFlow& flow)
+    {
+        setPhase(table, flow, FlowPhase::Closed);
+    }
+
+    bool knowsAll(const AgentFlows& table, Millis now)
+    {
+        return table.isComplete || now >= table.completeAt;
+    }
+
+}
+
+void beginFlow(AgentFlows& table, const FlowKey& key, Millis now)
+{
+    const auto [found, isNew] = table.flows.try_emplace(key);
+    AgentFlow& flow = found->second;
+    // The same ends may be used again once the old flow is over.
+    if (!isNew && flow.phase == FlowPhase::Closed) {
+        flow = {};
+        flow.openedAt = now;
+    }
+    if (isNew)
+        flow.openedAt = now;
+    flow.lastPacketAt = now;
+}
+
+CallerPacketAction takeCallerPacket(AgentFlows& table, const FlowKey& key, const PacketHead& head, std::uint32_t balancer, Millis now)
+{
+    const auto found = table.flows.find(key);
+    if (found == table.flows.end())
+        return knowsAll(table, now) ? CallerPacketAction::NotHeld : CallerPacketAction::DeliverToLearn;
+    AgentFlow& flow = found->second;
+    if (flow.phase == FlowPhase::Opening) {
+        if (!head.flags.resets && !acknowledgesAnswerOf(flow, head))
+            return CallerPacketAction::NotHeld;
+        setPhase(table, flow, FlowPhase::Open);
+    }
+    flow.lastPacketAt = now;
+    flow.balancer = balancer;
+    if (head.flags.acknowledges)
+        flow.callerAcknowledged = head.acknowledged;
+    if (head.dataLength > 0 && flow.phase == FlowPhase::Open)
+        setAtWork(table, flow, true);
+    flow.callerEnded = flow.callerEnded || head.flags.ends;
+    if (head.flags.resets || (flow.callerEnded && flow.upstreamEnded))
+        setPhase(table, flow, FlowPhase::Closed);
+    return CallerPacketAction::Deliver;
+}
+
+UpstreamPacketNews takeUpstreamPacket(AgentFlows& table, const FlowKey& key, const PacketHead& head, Millis now)
+{
+    UpstreamPacketNews news { .isAnswer = head.flags.opens && head.flags.acknowledges };
+    auto found = table.flows.find(key);
+    if (found == table.flows.end()) {
+        // A reset says that the upstream does not hold the flow, or holds it no more.
+        if (head.flags.resets)
+            return news;
+        found = table.flows.try_emplace(key).first;
+        found->second.openedAt = now;
+        news.isLearnt = !news.isAnswer;
+    }
+    AgentFlow& flow = found->second;
+    flow.lastPacketAt = now;
+    if (news.isAnswer)
+        flow.answerSequence = head.sequence;
+    else if (flow.phase == FlowPhase::Opening)
+        setPhase(table, flow, FlowPhase::Open);
+    if (news.isLearnt)
+        flow.callerAcknowledged = head.sequence;
+    if (head.dataLength > 0)
+        setAtWork(table, flow, false);
+    flow.upstreamEnded = flow.upstreamEnded || head.flags.ends;
+    if (head.flags.resets || (flow.callerEnded && flow.upstreamEnded))
+        setPhase(table, flow, FlowPhase::Closed);
+    return news;
+}
+
+bool forgetFlow(AgentFlows& table, const FlowKey& key)
+{
+    const auto found = table.flows.find(key);
+    if (found == table.flows.end())
+        return false;
+    dropCounts(table, found->second);
+    table.flows.erase(found);
+    return true;
+}
+
+std::vector<LostFlow> takeLostFlows(AgentFlows& table)
+{
+    std::vector<LostFlow> lost;
+    for (const auto& [key, flow] : table.flows) {
+        if (flow.phase != FlowPhase::Closed)
+            lost.push_back({ .flow = key, .callerAcknowledged = flow.callerAcknowledged });
+    }
+    table.flows.clear();
+    table.atWork = 0;
+    table.open = 0;
+    table.isComplete = true;
+    return lost;
+}
+
+void sweepFlows(AgentFlows& table, Millis now)
+{
+    const std::size_t buckets = table.flows.bucket_count();
+    const std::size_t part = buckets / sweepParts + 1;
+    std::vector<FlowKey> over;
+    for (std::size_t index = 0; index < part; ++index) {
+        const std::size_t bucket = (table.sweepBucket + index) % buckets;
+        for (auto entry = table.flows.begin(bucket); entry != table.flows.end(bucket); ++entry) {
+            if (isOver(entry->second, table.options, now))
+                over.push_back(entry->first);
+        }
+    }
+    table.sweepBucket = (table.sweepBucket + part) % buckets;
+    for (const FlowKey& key : over)
+        forgetFlow(table, key);
+}
+
+HolderAnswer answerHolderQuestion(AgentFlows& table, const FlowKey& key, const PacketHead& head, Millis now)
+{
+    const auto found = table.flows.find(key);
+    if (found == table.flows.end())
+        return knowsAll(table, now) ? HolderAnswer::NotHeld : HolderAnswer::Unsure;
+    const AgentFlow& flow = found->second;
+    if (flow.phase != FlowPhase::Opening || acknowledgesAnswerOf(flow, head))
+        return HolderAnswer::Held;
+    return HolderAnswer::NotHeld;
+}
+
+}
--- /dev/null
+++ b/src/libdecision/directory.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "enumnames.h"
+#include "packet.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace kingcuptrail {
+
+enum class PeerRole : std::uint8_t {
+    Balancer,
+    Agent,
+};
+
+template <>
+struct EnumNames<PeerRole> {
+    static constexpr std::array<std::string_view, 2> names { "balancer", "agent" };
+};
+
+/// Whether an agent takes new flows, as it announces it.
+enum class PeerState : std::uint8_t {
+    Ready,
+    /// Takes no new flow; holds its open ones.
+    Draining,
+    /// Its upstream or its host is gone.
+    Gone,
+};
+
+template <>
+struct EnumNames<PeerState> {
+    static constexpr std::array<std::string_view, 3> names { "ready", "draining", "gone" };
+};
+
+/// What a process announces of itself to all others.
+struct PeerEntry {
+    std::string name;
+    PeerRole role = PeerRole::Agent;
+    /// IPv4 address of its host; the port for messages between processes is the same on all hosts.
+    std::uint32_t address = 0;
+    std::string dataCentre;
+    /// Of an agent: what its upstream serves.
+    std::string service;
+    PeerState state = PeerState::Ready;
+    std::uint32_t slots = 1;
+    /// Orders the announcements of one name. Each process begins above all that it finds under its name.
+    std::uint64_t epoch = 0;
+
+    bool operator==(const PeerEntry&) const = default;
+};
+
+/// Every process that is known, by name. The same everywhere after some rounds of news; not a list of who lives.
+struct Directory {
+    std::map<std::string, PeerEntry, std::less<>> entries;
+};
+
+/// Takes an announcement unless one at least as new is known; whether it was taken.
+bool offerEntry(Directory&, PeerEntry);
+
+/// A number that is the same in all processes that know the same entries in the same epochs.
+std::uint64_t digestOf(const Directory&);
+
+const PeerEntry* findByAddress(const Directory&, std::uint32_t address);
+
+}
--- /dev/null
+++ b/src/libdecision/holdersearch.cpp
@@ -0,0 +1,34 @@
+#include "holdersearch.h"
+
+#include <algorithm>
+
+namespace kingcuptrail {
+
+HolderSearch beginSearch(std::vector<std::uint32_t> agents, Millis now)
+{
+    return { .startedAt = now, .awaited = std::move(agents) };
+}
+
+SearchState takeAnswer(HolderSearch& search, std::uint32_t agent, HolderAnswer answer)
+{
+    if (search.state != SearchState::Asking)
+        return search.state;
+    if (answer == HolderAnswer::Held) {
+        search.holder = agent;
+        search.state = SearchState::Found;
+        return search.state;
+    }
+    const bool wasAsked = std::erase(search.awaited, agent) > 0;
+    const bool wasUnsure = std::erase(search.unsure, agent) > 0;
+    if (!wasAsked && !wasUnsure)
+        return search.state;
+    if (answer == HolderAnswer::Unsure)
+        search.unsure.push_back(agent);
+    // An agent that stays silent may be cut off or stopped with the flow still held behind it: only a no from each of them
+    // makes it certain that nobody holds the flow.
+    if (search.awaited.empty() && search.unsure.empty())
+        search.state = SearchState::HeldByNobody;
+    return search.state;
+}
+
+}
--- /dev/null
+++ b/src/libdecision/holdersearch.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "agentflows.h"
+
+#include <vector>
+
+namespace kingcuptrail {
+
+/// How a balancer's search for the agent that holds a flow stands.
+enum class SearchState : std::uint8_t {
+    Asking,
+    Found,
+    /// Every agent that could hold the flow has said that it does not.
+    HeldByNobody,
+};
+
+template <>
+struct EnumNames<SearchState> {
+    static constexpr std::array<std::string_view, 3> names { "asking", "found", "heldByNobody" };
+};
+
+/// A search for one flow's holder: every agent is asked, and a packet of the flow waits for the answer.
+struct HolderSearch {
+    Millis startedAt = 0;
+    std::vector<std::uint32_t> awaited;
+    /// Agents whose upstream may hold the flow from before their start; they get the packet itself.
+    std::vector<std::uint32_t> unsure;
+    std::uint32_t holder = 0;
+    SearchState state = SearchState::Asking;
+};
+
+/// Begins a search among `agents`. Without any there is nobody who could say that the flow is lost.
+HolderSearch beginSearch(std::vector<std::uint32_t> agents, Millis now);
+
+/// Takes one agent's answer; the state that the search is in then. Answers from agents that were not asked count only when
+/// they hold the flow.
+SearchState takeAnswer(HolderSearch&, std::uint32_t agent, HolderAnswer);
+
+}
--- a/src/libhttp/httpclient.cpp
+++ b/src/libhttp/httpclient.cpp
@@ -7,6 +7,7 @@
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
+#include <netinet/tcp.h>
 
 namespace kingcuptrail {
 
@@ -77,6 +78,7 @@
     private:
         void connect(const asio::ip::tcp::endpoint& server);
         void handleConnected();
+        void watchPath();
         void write();
         void read();
         void handleBytes(std::size_t count);
@@ -158,11 +160,30 @@
         m_patience.cancel();
         asio::error_code ignored;
         m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        if (m_options.pathSilenceLimit > 0)
+            watchPath();
         m_mayHaveReached = true;
         write();
         read();
     }
 
+    // Keep-alive probes go unanswered when something between the two hosts has lost track of the connection; nothing else
+    // shows it while an answer is only waited for. The second option bounds how long bytes may stay unacknowledged.
+    void Call::watchPath()
+    {
+        constexpr int probes = 2;
+        constexpr Millis millisPerSecond = 1000;
+        const int seconds = static_cast<int>(std::max<Millis>(m_options.pathSilenceLimit / millisPerSecond / (probes + 1), 1));
+        const int limit = static_cast<int>(m_options.pathSilenceLimit);
+        using Integer = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+        asio::error_code ignored;
+        m_socket.set_option(asio::socket_base::keep_alive(true), ignored);
+        m_socket.set_option(Integer(seconds), ignored);
+        m_socket.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>(seconds), ignored);
+        m_socket.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>(probes), ignored);
+        m_socket.set_option(asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(limit), ignored);
+    }
+
     void Call::write()
     {
         auto self = shared_from_this();
--- a/src/libhttp/httpclient.h
+++ b/src/libhttp/httpclient.h
@@ -18,6 +18,9 @@
     Millis timeout = 10000;
     /// How long the server may send nothing once it has begun to answer, in milliseconds; 0 means no limit.
     Millis silenceLimit = 0;
+    /// How long the connection may be without a sign of the other host before it counts as lost, in milliseconds; 0 means
+    /// that only the limits above end it. Finds a path that lost track of a connection while an answer is waited for.
+    Millis pathSilenceLimit = 0;
     /// Largest body that is collected; one handed over in chunks is not limited, since it takes no memory here.
     std::size_t maxBodyBytes = std::size_t { 16 } * 1024 * 1024;
 };
--- /dev/null
+++ b/src/libplatform/kindwatcher.cpp
@@ -0,0 +1,61 @@
+#include "kindwatcher.h"
+
+namespace kingcuptrail {
+
+KindWatcher::KindWatcher(asio::io_context& context, const PlatformOptions& options, std::string kind, Handlers handlers)
+    : m_kind(std::move(kind))
+    , m_handlers(std::move(handlers))
+    , m_client(context, options)
+    , m_delay(context)
+    , m_backoff(options.retryFirst, options.retryMax)
+{
+    m_delay.start(0, [this] { list(); });
+}
+
+void KindWatcher::list()
+{
+    m_client.list(m_kind, [this](const std::optional<ObjectList>& listed, PlatformError reason) {
+        if (!listed) {
+            retry(reason);
+            return;
+        }
+        m_since = listed->version;
+        m_lastReason = PlatformError::None;
+        m_backoff.reset();
+        m_handlers.onList(*listed);
+        watch();
+    });
+}
+
+void KindWatcher::watch()
+{
+    m_client.watch(m_kind, *m_since, [this](const std::optional<ObjectList>& changes, PlatformError reason) {
+        if (!changes) {
+            // The history between is gone: a list is the only way to learn what it held.
+            if (reason == PlatformError::Gone)
+                m_since.reset();
+            retry(reason);
+            return;
+        }
+        m_lastReason = PlatformError::None;
+        m_backoff.reset();
+        m_since = std::max(*m_since, changes->version);
+        m_handlers.onChanges(*changes);
+        watch();
+    });
+}
+
+void KindWatcher::retry(PlatformError reason)
+{
+    m_lastReason = reason;
+    if (m_handlers.onTrouble)
+        m_handlers.onTrouble(reason);
+    m_delay.start(m_backoff.next(), [this] {
+        if (m_since)
+            watch();
+        else
+            list();
+    });
+}
+
+}
--- a/src/libplatform/platformclient.h
+++ b/src/libplatform/platformclient.h
@@ -58,12 +58,19 @@
     std::vector<PlatformObject> objects;
 };
 
+struct StoreDialect;
+
 struct PlatformOptions {
     asio::ip::tcp::endpoint server;
+    /// How this store's API is spoken; nothing means plainDialect().
+    const StoreDialect* dialect = nullptr;
     Millis connectTimeout = 1000;
     Millis callTimeout = 3000;
     /// How long a watch waits at the platform before it answers empty, in milliseconds.
     Millis watchWait = 20000;
+    /// How long a call's connection may show no sign of the store's host before the call fails, in milliseconds; 0 means
+    /// as long as the call may take.
+    Millis pathSilenceLimit = 0;
     /// Name of this process, sent with each call so that the platform's own counts can tell callers apart.
     std::string client;
     /// Shortest and longest wait before a watcher or announcer tries again, in milliseconds. The shortest is also the
@@ -73,7 +80,7 @@
 };
 
 /// Calls of the platform's object API, without retries: those are their callers' decisions. Lives in one io_context's thread.
-/// GET /objects/KIND/NAME, PUT and DELETE with ?ifVersion=N (0: must not exist), GET /objects/KIND, GET /watch/KIND?since=V&wait=MS.
+/// What goes over the wire is its dialect's (storedialect.h).
 class PlatformClient {
 public:
     template <typename Result>
@@ -87,7 +94,7 @@
     void get(const std::string& kind, const std::string& name, Handler<PlatformObject> handler);
     void list(const std::string& kind, Handler<ObjectList> handler);
     /// Writes only when the object's version is `ifVersion`; yields the new version.
-    void put(const std::string& kind, const std::string& name, std::string value, ObjectVersion ifVersion, Handler<ObjectVersion> handler);
+    void put(const std::string& kind, const std::string& name, const std::string& value, ObjectVersion ifVersion, Handler<ObjectVersion> handler);
     void remove(const std::string& kind, const std::string& name, ObjectVersion ifVersion, Handler<ObjectVersion> handler);
     /// Waits for changes after `since`; an empty list when none came in time.
     void watch(const std::string& kind, ObjectVersion since, Handler<ObjectList> handler);
--- /dev/null
+++ b/src/libprotocol/peermessage.cpp
@@ -0,0 +1,145 @@
+#include "peermessage.h"
+
+namespace kingcuptrail {
+
+namespace {
+
+    FlowKey toFlow(const wire::Flow& flow)
+    {
+        return {
+            .caller = { .address = flow.caller_address(), .port = flow.caller_port() },
+            .service = { .address = flow.service_address(), .port = flow.service_port() },
+        };
+    }
+
+    wire::Flow toWire(const FlowKey& flow)
+    {
+        return { flow.caller.address, flow.service.address, flow.caller.port, flow.service.port };
+    }
+
+    std::string textOf(const flatbuffers::String* text)
+    {
+        return text ? text->str() : std::string();
+    }
+
+    flatbuffers::Offset<wire::PeerEntry> pack(flatbuffers::FlatBufferBuilder& builder, const PeerEntry& entry)
+    {
+        return wire::CreatePeerEntryDirect(builder, entry.name.c_str(), static_cast<std::uint8_t>(entry.role), entry.address,
+            entry.dataCentre.c_str(), entry.service.c_str(), static_cast<std::uint8_t>(entry.state), entry.slots, entry.epoch);
+    }
+
+    std::span<const std::uint8_t> finished(const flatbuffers::FlatBufferBuilder& builder)
+    {
+        return { builder.GetBufferPointer(), builder.GetSize() };
+    }
+
+}
+
+std::optional<PeerMessage> decodePeerMessage(std::span<const std::uint8_t> datagram, FrameError& error)
+{
+    flatbuffers::Verifier verifier(datagram.data(), datagram.size());
+    if (!wire::VerifyPeerMessageBuffer(verifier)) {
+        error = FrameError::Malformed;
+        return std::nullopt;
+    }
+    const wire::PeerMessage* table = wire::GetPeerMessage(datagram.data());
+    if (table->kind() > wire::PeerKind::MAX) {
+        error = FrameError::NoBody;
+        return std::nullopt;
+    }
+    PeerMessage message { .kind = table->kind(), .configVersion = table->config_version(), .table = table };
+    if (const auto* flow = table->flow())
+        message.flow = toFlow(*flow);
+    if (const auto* load = table->load())
+        message.load = { .atWork = load->at_work(), .slots = load->slots(), .isCold = load->cold() };
+    message.refusal = fromNumber<OpenRefusal>(table->reason()).value_or(OpenRefusal::None);
+    if (const auto* packet = table->packet())
+        message.packet = { packet->data(), packet->size() };
+    error = FrameError::None;
+    return message;
+}
+
+std::span<const std::uint8_t> PeerMessageEncoder::encode(const FlowMessage& message)
+{
+    m_builder.Clear();
+    flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>> packet;
+    if (!message.packet.empty())
+        packet = m_builder.CreateVector(message.packet.data(), message.packet.size());
+    const wire::Flow flow = toWire(message.flow);
+    wire::PeerMessageBuilder builder(m_builder);
+    builder.add_kind(message.kind);
+    builder.add_flow(&flow);
+    builder.add_reason(static_cast<std::uint8_t>(message.refusal));
+    builder.add_config_version(message.configVersion);
+    if (message.load) {
+        const wire::AgentLoad load(message.load->atWork, message.load->slots, message.load->isCold);
+        builder.add_load(&load);
+    }
+    if (!message.packet.empty())
+        builder.add_packet(packet);
+    m_builder.Finish(builder.Finish());
+    return finished(m_builder);
+}
+
+std::span<const std::uint8_t> PeerMessageEncoder::encode(const NewsMessage& message)
+{
+    m_builder.Clear();
+    std::vector<flatbuffers::Offset<wire::PeerEntry>> entries;
+    for (const PeerEntry& entry : message.entries)
+        entries.push_back(pack(m_builder, entry));
+    const auto packedEntries = m_builder.CreateVector(entries);
+    flatbuffers::Offset<wire::Outages> outages;
+    if (message.outages)
+        outages = wire::CreateOutages(m_builder, message.outages->revision, m_builder.CreateVectorOfStrings(message.outages->out));
+    wire::PeerMessageBuilder builder(m_builder);
+    builder.add_kind(wire::PeerKind::News);
+    builder.add_config_version(message.configVersion);
+    builder.add_digest(message.digest);
+    if (message.outages)
+        builder.add_outages(outages);
+    builder.add_entries(packedEntries);
+    builder.add_wants_answer(message.wantsAnswer);
+    m_builder.Finish(builder.Finish());
+    return finished(m_builder);
+}
+
+std::vector<PeerEntry> entriesOf(const PeerMessage& message)
+{
+    std::vector<PeerEntry> entries;
+    const auto* packed = message.table->entries();
+    if (!packed)
+        return entries;
+    for (const wire::PeerEntry* entry : *packed) {
+        const auto role = fromNumber<PeerRole>(entry->role());
+        const auto state = fromNumber<PeerState>(entry->state());
+        // An entry of a later release's kind names nobody that this one could use.
+        if (!role || !state || !entry->name())
+            continue;
+        entries.push_back({
+            .name = textOf(entry->name()),
+            .role = *role,
+            .address = entry->address(),
+            .dataCentre = textOf(entry->data_centre()),
+            .service = textOf(entry->service()),
+            .state = *state,
+            .slots = entry->slots(),
+            .epoch = entry->epoch(),
+        });
+    }
+    return entries;
+}
+
+std::optional<OutageView> outagesOf(const PeerMessage& message)
+{
+    const auto* packed = message.table->outages();
+    if (!packed)
+        return std::nullopt;
+    OutageView view { .revision = packed->revision(), .out = {} };
+    if (const auto* out = packed->out()) {
+        for (const auto* name : *out)
+            view.out.push_back(textOf(name));
+    }
+    return view;
+}
+
+}
--- /dev/null
+++ b/src/libprotocol/peermessage.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "framing.h"
+#include "libdecision/agentchoice.h"
+#include "libdecision/opengate.h"
+#include <peer_generated.h>
+
+namespace kingcuptrail {
+
+/// A message between processes, as it is read: views into the datagram that it came in.
+struct PeerMessage {
+    wire::PeerKind kind = wire::PeerKind::News;
+    FlowKey flow;
+    AgentLoad load;
+    OpenRefusal refusal = OpenRefusal::None;
+    ConfigVersion configVersion = 0;
+    std::span<const std::uint8_t> packet;
+    /// The rest, for the rare kinds.
+    const wire::PeerMessage* table = nullptr;
+};
+
+/// Reads a datagram; nothing when it is no message. The bytes are checked before any field is used, since they may come
+/// from anybody.
+std::optional<PeerMessage> decodePeerMessage(std::span<const std::uint8_t> datagram, FrameError& error);
+
+/// What a message about one flow says.
+struct FlowMessage {
+    wire::PeerKind kind = wire::PeerKind::Open;
+    FlowKey flow;
+    OpenRefusal refusal = OpenRefusal::None;
+    ConfigVersion configVersion = 0;
+    const AgentLoad* load = nullptr;
+    std::span<const std::uint8_t> packet;
+};
+
+/// What a process tells of what it knows.
+struct NewsMessage {
+    ConfigVersion configVersion = 0;
+    std::uint64_t digest = 0;
+    const OutageView* outages = nullptr;
+    std::vector<PeerEntry> entries;
+    bool wantsAnswer = false;
+};
+
+/// Encodes messages into a buffer that is used again and again, so that a packet costs no allocation. The bytes are valid
+/// until the next call.
+class PeerMessageEncoder {
+public:
+    std::span<const std::uint8_t> encode(const FlowMessage&);
+    std::span<const std::uint8_t> encode(const NewsMessage&);
+
+private:
+    flatbuffers::FlatBufferBuilder m_builder { 2048 };
+};
+
+/// The announcements that a News message carries.
+std::vector<PeerEntry> entriesOf(const PeerMessage&);
+/// The outages that a News message carries; nothing when it has none.
+std::optional<OutageView> outagesOf(const PeerMessage&);
+
+}
--- /dev/null
+++ b/src/libruntime/datagramsocket.cpp
@@ -0,0 +1,191 @@
+#include "datagramsocket.h"
+
+#include <array>
+#include <asio/post.hpp>
+#include <cstring>
+#include <sys/socket.h>
+#include <vector>
+
+namespace kingcuptrail {
+
+namespace {
+
+    /// Datagrams read or sent by one system call: enough to halve its cost several times, few enough that the first one of
+    /// a batch does not wait long for the last (32 x 10 us).
+    constexpr std::size_t batchSize = 32;
+    /// Largest datagram: a full packet of 1,236 bytes and the fields of a message around it; news of some announcements.
+    constexpr std::size_t maxDatagram = 2048;
+    /// What the host may hold while this process does not run, in bytes: a tenth of a second at 10 Mbit/s and more.
+    constexpr int receiveBuffer = 1024 * 1024;
+
+    struct Slot {
+        std::array<std::uint8_t, maxDatagram> bytes;
+        sockaddr_in address;
+        iovec vector;
+    };
+
+    struct Batch {
+        Batch()
+        {
+            for (std::size_t index = 0; index < batchSize; ++index) {
+                Slot& slot = slots[index];
+                slot.vector = { .iov_base = slot.bytes.data(), .iov_len = maxDatagram };
+                messages[index].msg_hdr = {};
+                messages[index].msg_hdr.msg_name = &slot.address;
+                messages[index].msg_hdr.msg_iov = &slot.vector;
+                messages[index].msg_hdr.msg_iovlen = 1;
+            }
+        }
+
+        std::vector<Slot> slots = std::vector<Slot>(batchSize);
+        std::array<mmsghdr, batchSize> messages {};
+        std::size_t used = 0;
+    };
+
+    asio::ip::udp::endpoint toEndpoint(const sockaddr_in& address)
+    {
+        return { asio::ip::address_v4(ntohl(address.sin_addr.s_addr)), ntohs(address.sin_port) };
+    }
+
+    class BatchedSocket : public DatagramSocket {
+    public:
+        BatchedSocket(asio::io_context& context, Handler handler)
+            : m_context(context)
+            , m_socket(context)
+            , m_handler(std::move(handler))
+        {
+        }
+
+        ~BatchedSocket() override { *m_isAlive = false; }
+
+        bool bind(const asio::ip::udp::endpoint& endpoint)
+        {
+            asio::error_code error;
+            m_socket.open(asio::ip::udp::v4(), error);
+            if (!error)
+                m_socket.bind(endpoint, error);
+            if (!error)
+                m_socket.non_blocking(true, error);
+            if (error)
+                return false;
+            // A smaller buffer than asked for only loses more while this process does not run.
+            asio::error_code ignored;
+            m_socket.set_option(asio::socket_base::receive_buffer_size(receiveBuffer), ignored);
+            waitForData();
+            return true;
+        }
+
+        void send(std::span<const std::uint8_t> datagram, const asio::ip::udp::endpoint& receiver) override
+        {
+            if (datagram.size() > maxDatagram) {
+                ++m_counts.sendFailed;
+                return;
+            }
+            if (m_out.used == batchSize)
+                flush();
+            Slot& slot = m_out.slots[m_out.used++];
+            std::memcpy(slot.bytes.data(), datagram.data(), datagram.size());
+            slot.vector.iov_len = datagram.size();
+            std::memcpy(&slot.address, receiver.data(), sizeof(slot.address));
+            if (!m_isInBatch)
+                scheduleFlush();
+        }
+
+        asio::ip::udp::endpoint localEndpoint() const override
+        {
+            asio::error_code error;
+            return m_socket.local_endpoint(error);
+        }
+
+        const DatagramCounts& counts() const override { return m_counts; }
+
+    private:
+        void waitForData()
+        {
+            m_socket.async_wait(asio::socket_base::wait_read, [this, isAlive = m_isAlive](asio::error_code error) {
+                if (!*isAlive || error == asio::error::operation_aborted)
+                    return;
+                readBatch();
+                if (*isAlive)
+                    waitForData();
+            });
+        }
+
+        void readBatch()
+        {
+            for (auto& message : m_in.messages)
+                message.msg_hdr.msg_namelen = sizeof(sockaddr_in);
+            // An error is news of a datagram that some host did not take (ECONNREFUSED); reading goes on.
+            const int count = recvmmsg(m_socket.native_handle(), m_in.messages.data(), batchSize, MSG_DONTWAIT, nullptr);
+            if (count <= 0)
+                return;
+            m_counts.received += static_cast<std::uint64_t>(count);
+            m_isInBatch = true;
+            const auto isAlive = m_isAlive;
+            for (int index = 0; index < count && *isAlive; ++index) {
+                const auto position = static_cast<std::size_t>(index);
+                m_handler({ m_in.slots[position].bytes.data(), m_in.messages[position].msg_len }, toEndpoint(m_in.slots[position].address));
+            }
+            if (!*isAlive)
+                return;
+            m_isInBatch = false;
+            flush();
+        }
+
+        void scheduleFlush()
+        {
+            if (m_isFlushScheduled)
+                return;
+            m_isFlushScheduled = true;
+            asio::post(m_context, [this, isAlive = m_isAlive] {
+                if (!*isAlive)
+                    return;
+                m_isFlushScheduled = false;
+                flush();
+            });
+        }
+
+        void flush()
+        {
+            std::size_t done = 0;
+            while (done < m_out.used) {
+                for (std::size_t index = done; index < m_out.used; ++index)
+                    m_out.messages[index].msg_hdr.msg_namelen = sizeof(sockaddr_in);
+                const int count = sendmmsg(m_socket.native_handle(), m_out.messages.data() + done, static_cast<unsigned>(m_out.used - done), MSG_DONTWAIT);
+                if (count <= 0) {
+                    // The first of the rest was not taken; the others may go elsewhere.
+                    ++m_counts.sendFailed;
+                    ++done;
+                    continue;
+                }
+                m_counts.sent += static_cast<std::uint64_t>(count);
+                done += static_cast<std::size_t>(count);
+            }
+            m_out.used = 0;
+        }
+
+        asio::io_context& m_context;
+        asio::ip::udp::socket m_socket;
+        Handler m_handler;
+        std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+        Batch m_in;
+        Batch m_out;
+        DatagramCounts m_counts;
+        bool m_isInBatch = false;
+        bool m_isFlushScheduled = false;
+    };
+
+}
+
+std::unique_ptr<DatagramSocket> DatagramSocket::open(asio::io_context& context, const asio::ip::udp::endpoint& endpoint, Handler handler, DatagramError& error)
+{
+    auto socket = std::make_unique<BatchedSocket>(context, std::move(handler));
+    if (!socket->bind(endpoint)) {
+        error = DatagramError::BindFailed;
+        return nullptr;
+    }
+    error = DatagramError::None;
+    return socket;
+}
+
+}
--- a/src/libruntime/events.cpp
+++ b/src/libruntime/events.cpp
@@ -1,7 +1,11 @@
 #include "events.h"
 
+#include "logsink.h"
+
 #include <algorithm>
 #include <array>
+#include <chrono>
+#include <nlohmann/json.hpp>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -48,6 +52,12 @@
             "Nothing." },
         { Event::Fenced, EventLevel::Error, "fenced", "Another process announced the same upstream later; this agent takes no new work.",
             "Two processes speak for one upstream, or this one was paused past its lease and replaced. Stop the older one; it finishes what it holds." },
+        { Event::PeerChanged, EventLevel::Info, "peerChanged", "A process announced itself, or its state changed.",
+            "Nothing." },
+        { Event::RoutesInForce, EventLevel::Info, "routesInForce", "A newer configuration of routes is in force on this process.",
+            "Nothing. The metric kingcuptrail_routes_version shows which processes have it." },
+        { Event::ForeignObject, EventLevel::Warning, "foreignObject", "An object in the store could not be read; it was passed over and the rest holds.",
+            "Find out who wrote the named object." },
         { Event::PlatformTrouble, EventLevel::Warning, "platformTrouble", "Calls to the platform fail; the last known state stands.",
             "Look at the platform's service. Flows go on; changes of configuration and membership wait." },
         { Event::PlatformBack, EventLevel::Info, "platformBack", "Calls to the platform succeed again.",
@@ -64,33 +74,74 @@
             "Look at the upstream's process. Its requests were refused as not run and go to others." },
         { Event::UpstreamReachable, EventLevel::Info, "upstreamReachable", "The upstream accepts connections again; it starts cold.",
             "Nothing." },
+        { Event::UpstreamReported, EventLevel::Info, "upstreamReported", "The upstream's report differs from the last one, or comes from a new process.",
+            "Nothing." },
+        { Event::UpstreamLeft, EventLevel::Info, "upstreamLeft", "The upstream said that it is gone.",
+            "Nothing." },
+        { Event::ForeignReport, EventLevel::Warning, "foreignReport", "A report to this agent could not be read; the last good one stands.",
+            "Look for another program that reports to this agent's address." },
+        { Event::ProcessPaused, EventLevel::Warning, "processPaused", "The process or its host stood still. No new flow is taken until news has come since.",
+            "Look at the host if it repeats: it is suspended or starved." },
         { Event::WrongServicePacket, EventLevel::Error, "wrongServicePacket", "A packet of another service arrived; it was refused before the upstream.",
             "The upstream was spared. Look for two services on one address, or a balancer on a very old configuration: compare the versions in kingcuptrailctl status." },
         { Event::OutcomeUnknown, EventLevel::Error, "outcomeUnknown", "A request may have run, but its answer is lost.",
             "The caller was told so. Where the work is not idempotent, have its owner check by the key whether it ran." },
         { Event::FlowsGivenUp, EventLevel::Warning, "flowsGivenUp", "Flows were given up, because their data centre is out or they were silent.",
             "Nothing if a data centre was taken out. Otherwise look for a network that loses track of connections." },
+        { Event::FlowOffered, EventLevel::Info, "flowOffered", "An opening was offered to an agent.",
+            "Nothing. atWork and loadAge are what the choice was made by." },
+        { Event::FlowRefused, EventLevel::Info, "flowRefused", "An opening was reset: there is no route, or no agent took it. The request has not run.",
+            "Look at lastRefusal and at the agents' openingRefused lines for the same flow." },
+        { Event::FlowAdmitted, EventLevel::Info, "flowAdmitted", "An opening was delivered to the upstream.",
+            "Nothing." },
+        { Event::OpeningRefused, EventLevel::Info, "openingRefused", "An agent did not admit an opening; the balancer offers it to the next.",
+            "Nothing for a few. reason says what the agent knew." },
+        { Event::HolderFound, EventLevel::Info, "holderFound", "The agent that holds a flow was found by asking.",
+            "Nothing. It follows a change of balancers." },
+        { Event::FlowLost, EventLevel::Info, "flowLost", "Every agent said that it does not hold the flow; its caller was told by a reset.",
+            "Look for the process that held it: its flowAdmitted line names the upstream." },
+        { Event::FlowLearnt, EventLevel::Info, "flowLearnt", "A restarted agent saw a flow that its upstream held before.",
+            "Nothing." },
+        { Event::LinesLeftOut, EventLevel::Warning, "linesLeftOut", "Lines about flows were left out, since more came than are written or the reader was slow.",
+            "Nothing. The counters have every one." },
     });
 
-    constexpr auto logPattern = "%Y-%m-%dT%H:%M:%S.%eZ %l %n %v";
+    constexpr auto textPattern = "%Y-%m-%dT%H:%M:%S.%eZ %l %n %v";
 
-    std::shared_ptr<spdlog::logger> makeLogger(std::string_view name)
+    struct LogState {
+        std::shared_ptr<spdlog::logger> logger;
+        LogFormat format = LogFormat::Text;
+        LineBudget flowLines;
+    };
+
+    std::shared_ptr<spdlog::logger> makeLogger(std::string_view name, LogFormat format)
     {
-        auto logger = std::make_shared<spdlog::logger>(std::string(name), std::make_shared<spdlog::sinks::stderr_sink_mt>());
-        logger->set_pattern(logPattern, spdlog::pattern_time_type::utc);
+        std::shared_ptr<spdlog::sinks::sink> sink;
+        if (format == LogFormat::Json)
+            sink = std::make_shared<NonBlockingSink>();
+        else
+            sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+        auto logger = std::make_shared<spdlog::logger>(std::string(name), std::move(sink));
+        logger->set_pattern(format == LogFormat::Json ? "%v" : textPattern, spdlog::pattern_time_type::utc);
         logger->flush_on(spdlog::level::info);
         return logger;
     }
 
     /// Before startLogging() only warnings and errors are written.
-    std::shared_ptr<spdlog::logger>& currentLogger()
+    LogState& currentLog()
     {
-        static std::shared_ptr<spdlog::logger> logger = [] {
-            auto made = makeLogger("kingcuptrail");
-            made->set_level(spdlog::level::warn);
+        static LogState state = [] {
+            LogState made { .logger = makeLogger("kingcuptrail", LogFormat::Text) };
+            made.logger->set_level(spdlog::level::warn);
             return made;
         }();
-        return logger;
+        return state;
+    }
+
+    std::uint64_t wallMillis()
+    {
+        const auto now = std::chrono::system_clock::now().time_since_epoch();
+        return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
     }
 
     spdlog::level::level_enum toLoggerLevel(EventLevel level)
@@ -145,6 +196,53 @@
         line.push_back('"');
     }
 
+    std::string textLine(const EventInfo& info, const FlowKey* flow, std::initializer_list<EventField> fields)
+    {
+        std::string line = fmt::format("E{} {}", static_cast<unsigned>(info.event), info.name);
+        if (flow)
+            line.append(" flow=").append(toString(*flow));
+        for (const EventField& field : fields) {
+            line.append(" ").append(field.name).append("=");
+            appendValue(line, field.value);
+        }
+        return line;
+    }
+
+    std::string jsonLine(const spdlog::logger& logger, const EventInfo& info, const FlowKey* flow, std::initializer_list<EventField> fields)
+    {
+        nlohmann::ordered_json line {
+            { "time", wallMillis() },
+            { "level", spdlog::level::to_string_view(toLoggerLevel(info.level)).data() },
+            { "process", logger.name() },
+            { "event", static_cast<unsigned>(info.event) },
+            { "name", info.name },
+        };
+        if (flow)
+            line["flow"] = toString(*flow);
+        for (const EventField& field : fields) {
+            if (field.number)
+                line[std::string(field.name)] = *field.number;
+            else
+                line[std::string(field.name)] = field.value;
+        }
+        return line.dump(-1, ' ', true, nlohmann::ordered_json::error_handler_t::replace);
+    }
+
+    void writeEvent(Event event, const FlowKey* flow, std::initializer_list<EventField> fields)
+    {
+        const EventInfo* info = findInfo(event);
+        if (!info)
+            return;
+        const auto level = toLoggerLevel(info->level);
+        const LogState& state = currentLog();
+        if (!state.logger->should_log(level))
+            return;
+        if (state.format == LogFormat::Json)
+            state.logger->log(level, "{}", jsonLine(*state.logger, *info, flow, fields));
+        else
+            state.logger->log(level, "{}", textLine(*info, flow, fields));
+    }
+
 }
 
 std::span<const EventInfo> eventTable()
@@ -161,34 +259,34 @@
 EventField::EventField(std::string_view fieldName, std::uint64_t fieldValue)
     : name(fieldName)
     , value(std::to_string(fieldValue))
+    , number(fieldValue)
 {
 }
 
 void logEvent(Event event, std::initializer_list<EventField> fields)
 {
-    const EventInfo* info = findInfo(event);
-    if (!info)
-        return;
-    const auto level = toLoggerLevel(info->level);
-    const auto& logger = currentLogger();
-    if (!logger->should_log(level))
+    writeEvent(event, nullptr, fields);
+}
+
+void logFlowEvent(Event event, const FlowKey& flow, std::initializer_list<EventField> fields)
+{
+    LineBudget& budget = currentLog().flowLines;
+    if (!budget.take(wallMillis()))
         return;
-    std::string line = fmt::format("E{} {}", static_cast<unsigned>(event), info->name);
-    for (const EventField& field : fields) {
-        line.append(" ").append(field.name).append("=");
-        appendValue(line, field.value);
-    }
-    logger->log(level, "{}", line);
+    if (const std::uint64_t leftOut = budget.takeLeftOut(); leftOut > 0)
+        writeEvent(Event::LinesLeftOut, nullptr, { { "lines", leftOut } });
+    writeEvent(event, &flow, fields);
 }
 
-bool startLogging(std::string_view processName, std::string_view level)
+bool startLogging(std::string_view processName, std::string_view level, LogFormat format)
 {
     const auto parsed = parseLevel(level);
     if (!parsed)
         return false;
-    auto logger = makeLogger(processName);
-    logger->set_level(*parsed);
-    currentLogger() = std::move(logger);
+    LogState& state = currentLog();
+    state.logger = makeLogger(processName, format);
+    state.logger->set_level(*parsed);
+    state.format = format;
     return true;
 }
 
--- a/src/libruntime/events.h
+++ b/src/libruntime/events.h
@@ -1,5 +1,9 @@
 #pragma once
 
+#include "libdecision/enumnames.h"
+#include "libdecision/packet.h"
+
+#include <array>
 #include <cstdint>
 #include <initializer_list>
 #include <optional>
@@ -33,6 +37,9 @@
     MemberLeft = 312,
     Announced = 320,
     Fenced = 321,
+    PeerChanged = 322,
+    RoutesInForce = 323,
+    ForeignObject = 324,
     PlatformTrouble = 330,
     PlatformBack = 331,
     // Load
@@ -42,10 +49,23 @@
     Saturated = 403,
     UpstreamUnreachable = 404,
     UpstreamReachable = 405,
+    UpstreamReported = 406,
+    UpstreamLeft = 407,
+    ForeignReport = 408,
+    ProcessPaused = 409,
     // Safety
     WrongServicePacket = 500,
     OutcomeUnknown = 501,
     FlowsGivenUp = 502,
+    // Flows of datagrams
+    FlowOffered = 600,
+    FlowRefused = 601,
+    FlowAdmitted = 602,
+    OpeningRefused = 603,
+    HolderFound = 604,
+    FlowLost = 605,
+    FlowLearnt = 606,
+    LinesLeftOut = 607,
 };
 
 enum class EventLevel : std::uint8_t {
@@ -73,12 +93,31 @@
 
     std::string_view name;
     std::string value;
+    /// Set for a number, which JSON writes without quotes.
+    std::optional<std::uint64_t> number;
 };
 
-/// Logs "E310 memberJoined upstream=board-1 dataCentre=north" at the event's level.
+/// Logs "E310 memberJoined upstream=board-1 dataCentre=north" at the event's level, or the same as a JSON object.
 void logEvent(Event event, std::initializer_list<EventField> fields = {});
 
-/// Sets up logging to standard error for this process; false when the level's name is unknown.
-bool startLogging(std::string_view processName, std::string_view level);
+/// Logs a decision about one flow, named by its id as the field "flow". Such lines come with each request: beyond a bound
+/// they are left out and counted, so that a flood of requests does not become a flood of lines.
+void logFlowEvent(Event event, const FlowKey& flow, std::initializer_list<EventField> fields = {});
+
+/// How log lines are written.
+enum class LogFormat : std::uint8_t {
+    /// Words, to standard error.
+    Text,
+    /// One JSON object a line, to standard output.
+    Json,
+};
+
+template <>
+struct EnumNames<LogFormat> {
+    static constexpr std::array<std::string_view, 2> names { "text", "json" };
+};
+
+/// Sets up logging for this process; false when the level's name is unknown.
+bool startLogging(std::string_view processName, std::string_view level, LogFormat format = LogFormat::Text);
 
 }
--- a/src/libruntime/settings.cpp
+++ b/src/libruntime/settings.cpp
@@ -41,12 +41,17 @@
             readText(m_document, "logLevel", settings.logLevel);
             readMillis(m_document, "heartbeatMs", settings.heartbeat);
             readMillis(m_document, "linkSilenceMs", settings.linkSilence);
+            if (m_document.contains("logFormat"))
+                settings.logFormat = fromName<LogFormat>(m_document["logFormat"].get<std::string>()).value_or(LogFormat::Text);
             settings.listen = readEndpoint(m_document, "", "listen", PortRule::MayBeZero);
             settings.admin = readEndpoint(m_document, "", "admin", PortRule::MayBeZero);
             settings.platform = readEndpoint(m_document, "", "platform", PortRule::MustBeSet);
             if (m_document.contains("agent"))
                 settings.agent = readAgent(m_document["agent"]);
+            if (m_document.contains("packets"))
+                settings.packets = readPackets(m_document["packets"]);
             crossCheck(settings);
+            crossCheckPackets(settings);
             return settings;
         }
 
@@ -98,13 +103,68 @@
             return agent;
         }
 
+        PacketSettings readPackets(const json& object)
+        {
+            PacketSettings packets;
+            readText(object, "service", packets.service);
+            readMillis(object, "reportMs", packets.report);
+            readMillis(object, "addressReuseMs", packets.addressReuse);
+            readMillis(object, "leaveMs", packets.leave);
+            packets.ready = readEndpoint(object, "/packets", "ready", PortRule::MayBeZero);
+            packets.ingress = readEndpoint(object, "/packets", "ingress", PortRule::MustBeSet);
+            readOptionalEndpoint(object, "upstream", packets.upstream);
+            readOptionalEndpoint(object, "outbound", packets.outbound);
+            readOptionalEndpoint(object, "control", packets.control);
+            if (object.contains("seeds"))
+                readSeeds(object["seeds"], packets.seeds);
+            return packets;
+        }
+
+        void readOptionalEndpoint(const json& object, const char* field, asio::ip::tcp::endpoint& target)
+        {
+            if (object.contains(field))
+                target = readEndpoint(object, "/packets", field, PortRule::MayBeZero);
+        }
+
+        void readSeeds(const json& list, std::vector<asio::ip::tcp::endpoint>& seeds)
+        {
+            for (std::size_t index = 0; index < list.size(); ++index) {
+                if (const auto seed = parseEndpoint(list[index].get<std::string>()))
+                    seeds.push_back(*seed);
+                else
+                    addFault(FaultKind::BadAddress, placeOf("/packets/seeds", index), "Must be an IP number and a port, as 127.0.0.1:80.");
+            }
+        }
+
+        void crossCheckPackets(const Settings& settings)
+        {
+            const bool hasPackets = m_document.contains("packets");
+            const bool needsPackets = settings.role == DaemonRole::PacketBalancer || settings.role == DaemonRole::PacketAgent;
+            if (hasPackets != needsPackets) {
+                addFault(hasPackets ? FaultKind::Inconsistent : FaultKind::MissingField, "/packets", "Goes with the roles for packets, and only with them.");
+                return;
+            }
+            if (!hasPackets)
+                return;
+            if (settings.role == DaemonRole::PacketBalancer)
+                return;
+            for (const char* field : { "upstream", "outbound", "control", "service" })
+                requirePacketField(field);
+        }
+
+        void requirePacketField(const char* field)
+        {
+            if (!m_document["packets"].contains(field))
+                addFault(FaultKind::MissingField, placeOf("/packets", field), "This role needs it.");
+        }
+
         void crossCheck(const Settings& settings)
         {
             const bool hasAgent = m_document.contains("agent");
             if (settings.role == DaemonRole::Agent && !hasAgent)
                 addFault(FaultKind::MissingField, "/agent", "The role agent needs it.");
-            if (settings.role == DaemonRole::Balancer && hasAgent)
-                addFault(FaultKind::Inconsistent, "/agent", "A balancer has none.");
+            if (settings.role != DaemonRole::Agent && hasAgent)
+                addFault(FaultKind::Inconsistent, "/agent", "Only the role agent has it.");
             if (settings.linkSilence <= heartbeatsInSilence * settings.heartbeat)
                 addFault(FaultKind::Inconsistent, "/linkSilenceMs", "Must be larger than two heartbeats.");
             checkOverlap("/admin", settings.admin, "/listen", settings.listen);
--- a/src/libruntime/settings.h
+++ b/src/libruntime/settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "events.h"
 #include "libplatform/config.h"
 
 #include <asio/ip/tcp.hpp>
@@ -12,11 +13,14 @@
 enum class DaemonRole : std::uint8_t {
     Balancer,
     Agent,
+    /// The same two for flows of plain datagrams, whose callers know nothing of this system.
+    PacketBalancer,
+    PacketAgent,
 };
 
 template <>
 struct EnumNames<DaemonRole> {
-    static constexpr std::array<std::string_view, 2> names { "balancer", "agent" };
+    static constexpr std::array<std::string_view, 4> names { "balancer", "agent", "packetBalancer", "packetAgent" };
 };
 
 /// What an agent needs beyond the common settings.
@@ -39,6 +43,28 @@
     Millis flowSilence = 90000;
 };
 
+/// What the roles for flows of plain datagrams need beyond the common settings.
+struct PacketSettings {
+    /// Where this host takes packets of flows: a balancer those of callers. Every caller takes its own at the same port.
+    asio::ip::tcp::endpoint ingress;
+    /// Where readiness is asked for (GET /ready).
+    asio::ip::tcp::endpoint ready;
+    /// Of an agent: where its upstream takes packets, where it sends them, and where its reports arrive.
+    asio::ip::tcp::endpoint upstream;
+    asio::ip::tcp::endpoint outbound;
+    asio::ip::tcp::endpoint control;
+    /// Of an agent: what its upstream serves.
+    std::string service;
+    /// Hosts that may know the others; any of them may be gone.
+    std::vector<asio::ip::tcp::endpoint> seeds;
+    /// How often an upstream reports.
+    Millis report = 1000;
+    /// After which time an address may belong to another upstream.
+    Millis addressReuse = 2000;
+    /// How long the process may take to leave.
+    Millis leave = 6000;
+};
+
 /// A daemon's settings; all times in milliseconds.
 struct Settings {
     DaemonRole role = DaemonRole::Balancer;
@@ -48,9 +74,11 @@
     asio::ip::tcp::endpoint admin;
     asio::ip::tcp::endpoint platform;
     std::string logLevel = "info";
+    LogFormat logFormat = LogFormat::Text;
     Millis heartbeat = 500;
     Millis linkSilence = 2500;
     AgentSettings agent;
+    PacketSettings packets;
 };
 
 /// Reads a settings file: schema by a library, then cross-checks. Nothing when there is any fault; `faults` lists all.
--- a/src/libruntime/settingsschema.cpp
+++ b/src/libruntime/settingsschema.cpp
@@ -12,13 +12,14 @@
 "additionalProperties": { "not": {} },
 "required": ["role", "name", "dataCentre", "listen", "admin", "platform"],
 "properties": {
-    "role": { "type": "string", "enum": ["balancer", "agent"] },
+    "role": { "type": "string", "enum": ["balancer", "agent", "packetBalancer", "packetAgent"] },
     "name": { "type": "string", "minLength": 1, "maxLength": 64, "pattern": "^[A-Za-z0-9][A-Za-z0-9._-]*$" },
     "dataCentre": { "type": "string", "minLength": 1, "maxLength": 64 },
     "listen": { "type": "string" },
     "admin": { "type": "string" },
     "platform": { "type": "string" },
     "logLevel": { "type": "string", "enum": ["info", "warning", "error", "off"] },
+    "logFormat": { "type": "string", "enum": ["text", "json"] },
     "heartbeatMs": { "type": "integer", "minimum": 10, "maximum": 10000 },
     "linkSilenceMs": { "type": "integer", "minimum": 30, "maximum": 60000 },
     "agent": {
@@ -37,6 +38,23 @@
             "drainLimitMs": { "type": "integer", "minimum": 0, "maximum": 86400000 },
             "flowSilenceMs": { "type": "integer", "minimum": 1000, "maximum": 3600000 }
         }
+    },
+    "packets": {
+        "type": "object",
+        "additionalProperties": { "not": {} },
+        "required": ["ingress", "ready"],
+        "properties": {
+            "ingress": { "type": "string" },
+            "ready": { "type": "string" },
+            "upstream": { "type": "string" },
+            "outbound": { "type": "string" },
+            "control": { "type": "string" },
+            "service": { "type": "string", "minLength": 1, "maxLength": 64 },
+            "seeds": { "type": "array", "items": { "type": "string" }, "maxItems": 16 },
+            "reportMs": { "type": "integer", "minimum": 100, "maximum": 60000 },
+            "addressReuseMs": { "type": "integer", "minimum": 200, "maximum": 600000 },
+            "leaveMs": { "type": "integer", "minimum": 500, "maximum": 600000 }
+        }
     }
 }
 })JSON";
--- a/tools/schema.sh
+++ b/tools/schema.sh
@@ -3,3 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 flatc --cpp --cpp-std c++17 --gen-object-api --scoped-enums -o src/libprotocol/generated src/libprotocol/schema/frame.fbs
+flatc --cpp --cpp-std c++17 --gen-object-api --scoped-enums -o src/libprotocol/generated src/libprotocol/schema/peer.fbs
