--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -188,11 +188,7 @@
 
 void PacketAgent::handleFind(const PeerMessage& message, std::uint32_t sender)
 {
-    DecodeError error = DecodeError::None;
-    const auto head = m_adapter.decodePacket(message.packet, error);
-    if (!head)
-        return;
-    switch (answerHolderQuestion(m_flows, message.flow, *head, m_role.clock.now())) {
+    switch (answerHolderQuestion(m_flows, message.flow, message.acknowledged, m_role.clock.now())) {
     case HolderAnswer::Held:
         reply(sender, { .kind = wire::PeerKind::Held, .flow = message.flow });
         break;
--- a/src/kingcuptraild/packets/packetbalancer.cpp
+++ b/src/kingcuptraild/packets/packetbalancer.cpp
@@ -238,7 +238,7 @@
 void PacketBalancer::ask(const FlowKey& flow, const WaitingSearch& waiting, const std::vector<std::uint32_t>& agents)
 {
     for (const std::uint32_t agent : agents)
-        m_network.send(agent, { .kind = wire::PeerKind::Find, .flow = flow, .configVersion = m_network.routes().version, .packet = std::span(waiting.packets.front()).first(bareHeadBytes) });
+        m_network.send(agent, { .kind = wire::PeerKind::Find, .flow = flow, .configVersion = m_network.routes().version, .acknowledged = waiting.acknowledged });
 }
 
 void PacketBalancer::settleSearch(const FlowKey& flow, SearchState state)
--- a/src/libdecision/agentflows.cpp
+++ b/src/libdecision/agentflows.cpp
@@ -32,11 +32,11 @@
 
     /// A copy of the opening packet may have been admitted at two upstreams. Only the one whose answer the caller
     /// acknowledges owns the flow; the other one would hand every packet back.
-    bool acknowledgesAnswerOf(const AgentFlow& flow, const PacketHead& head)
+    bool acknowledgesAnswerOf(const AgentFlow& flow, std::uint32_t acknowledged)
     {
         if (!flow.answerSequence)
             return false;
-        return head.acknowledged - *flow.answerSequence <= longestFirstStep;
+        return acknowledged - *flow.answerSequence <= longestFirstStep;
     }
 
     bool isOver(const AgentFlow& flow, const AgentFlowOptions& options, Millis now)
@@ -86,7 +86,7 @@
         return knowsAll(table, now) ? CallerPacketAction::NotHeld : CallerPacketAction::DeliverToLearn;
     AgentFlow& flow = found->second;
     if (flow.phase == FlowPhase::Opening) {
-        if (!head.flags.resets && !acknowledgesAnswerOf(flow, head))
+        if (!head.flags.resets && !acknowledgesAnswerOf(flow, head.acknowledged))
             return CallerPacketAction::NotHeld;
         setPhase(table, flow, FlowPhase::Open);
     }
@@ -171,13 +171,13 @@
         forgetFlow(table, key);
 }
 
-HolderAnswer answerHolderQuestion(AgentFlows& table, const FlowKey& key, const PacketHead& head, Millis now)
+HolderAnswer answerHolderQuestion(const AgentFlows& table, const FlowKey& key, std::uint32_t acknowledged, Millis now)
 {
     const auto found = table.flows.find(key);
     if (found == table.flows.end())
         return knowsAll(table, now) ? HolderAnswer::NotHeld : HolderAnswer::Unsure;
     const AgentFlow& flow = found->second;
-    if (flow.phase != FlowPhase::Opening || acknowledgesAnswerOf(flow, head))
+    if (flow.phase != FlowPhase::Opening || acknowledgesAnswerOf(flow, acknowledged))
         return HolderAnswer::Held;
     return HolderAnswer::NotHeld;
 }
--- a/src/libdecision/agentflows.h
+++ b/src/libdecision/agentflows.h
@@ -125,6 +125,6 @@
 };
 
 /// Answers a balancer that looks for the holder of a caller's packet.
-HolderAnswer answerHolderQuestion(AgentFlows&, const FlowKey&, const PacketHead&, Millis now);
+HolderAnswer answerHolderQuestion(const AgentFlows&, const FlowKey&, std::uint32_t acknowledged, Millis now);
 
 }
--- a/src/libprotocol/peermessage.cpp
+++ b/src/libprotocol/peermessage.cpp
@@ -47,7 +47,7 @@
         error = FrameError::NoBody;
         return std::nullopt;
     }
-    PeerMessage message { .kind = table->kind(), .configVersion = table->config_version(), .table = table };
+    PeerMessage message { .kind = table->kind(), .configVersion = table->config_version(), .acknowledged = table->acknowledged(), .table = table };
     if (const auto* flow = table->flow())
         message.flow = toFlow(*flow);
     if (const auto* load = table->load())
@@ -71,6 +71,7 @@
     builder.add_flow(&flow);
     builder.add_reason(static_cast<std::uint8_t>(message.refusal));
     builder.add_config_version(message.configVersion);
+    builder.add_acknowledged(message.acknowledged);
     if (message.load) {
         const wire::AgentLoad load(message.load->atWork, message.load->slots, message.load->isCold);
         builder.add_load(&load);
--- a/src/libprotocol/peermessage.h
+++ b/src/libprotocol/peermessage.h
@@ -14,6 +14,8 @@
     AgentLoad load;
     OpenRefusal refusal = OpenRefusal::None;
     ConfigVersion configVersion = 0;
+    /// Of Find: what the caller's packet acknowledges.
+    std::uint32_t acknowledged = 0;
     std::span<const std::uint8_t> packet;
     /// The rest, for the rare kinds.
     const wire::PeerMessage* table = nullptr;
@@ -29,6 +31,7 @@
     FlowKey flow;
     OpenRefusal refusal = OpenRefusal::None;
     ConfigVersion configVersion = 0;
+    std::uint32_t acknowledged = 0;
     const AgentLoad* load = nullptr;
     std::span<const std::uint8_t> packet;
 };
