--- a/src/kingcuptraild/packets/peernetwork.cpp
+++ b/src/kingcuptraild/packets/peernetwork.cpp
@@ -83,6 +83,8 @@
     if (!offerRoutes(m_view.routes, std::move(routes)))
         return;
     logEvent(Event::RoutesInForce, { { "version", m_view.routes.version }, { "previous", previous }, { "routes", m_view.routes.routes.size() } });
+    for (const ServiceLimits& limits : m_view.routes.services)
+        logEvent(Event::ServiceLimitsInForce, { { "service", limits.name }, { "flowLimit", limits.flowLimit }, { "warmUp", static_cast<std::uint64_t>(limits.warmUp) }, { "coldRate", static_cast<std::uint64_t>(limits.coldRate) } });
     tellSome(changeCount, {});
     m_handlers.onRoutes();
 }
--- a/src/libdecision/opengate.cpp
+++ b/src/libdecision/opengate.cpp
@@ -6,15 +6,11 @@
 
 namespace {
 
-    /// What a cold upstream of a service without a configured rate gets, in openings a second: the least that shows
-    /// whether it works at all.
-    constexpr double leastColdRate = 2.0;
-
     bool hasColdRoom(OpenGate& gate, double rate, Millis now)
     {
         while (!gate.coldOpenings.empty() && now - gate.coldOpenings.front() >= gate.options.coldWindow)
             gate.coldOpenings.pop_front();
-        return static_cast<double>(gate.coldOpenings.size()) + 1 <= std::max(rate, leastColdRate);
+        return static_cast<double>(gate.coldOpenings.size()) + 1 <= rate;
     }
 
     OpenRefusal refusalByState(const OpenGate& gate, const RouteTable& routes, const OutageView& outages, const OpenAttempt& attempt, Millis now)
@@ -49,8 +45,10 @@
         return OpenRefusal::FlowLimit;
     if (attempt.atWork >= gate.options.workPerSlot * gate.upstream->slots)
         return OpenRefusal::Busy;
-    if (now < gate.coldUntil) {
-        if (!hasColdRoom(gate, limits ? limits->coldRate : 0, now))
+    // Without a configured rate a cold upstream is only slow, and the bound on waiting work is enough. A bound of our own
+    // would refuse nearly everybody for a whole warm-up after every upstream has lost power at once.
+    if (now < gate.coldUntil && limits && limits->coldRate > 0) {
+        if (!hasColdRoom(gate, limits->coldRate, now))
             return OpenRefusal::Cold;
         gate.coldOpenings.push_back(now);
     }
--- a/src/libdecision/routetable.h
+++ b/src/libdecision/routetable.h
@@ -32,7 +32,7 @@
     std::uint32_t flowLimit = 0;
     /// How long an upstream is cold after its start, in milliseconds.
     Millis warmUp = 0;
-    /// New requests a second that a cold upstream bears.
+    /// New requests a second that a cold upstream bears; 0 means that no such bound is set.
     double coldRate = 0;
 
     bool operator==(const ServiceLimits&) const = default;
--- a/src/libruntime/events.cpp
+++ b/src/libruntime/events.cpp
@@ -58,6 +58,8 @@
             "Nothing. The metric kingcuptrail_routes_version shows which processes have it." },
         { Event::ForeignObject, EventLevel::Warning, "foreignObject", "An object in the store could not be read; it was passed over and the rest holds.",
             "Find out who wrote the named object." },
+        { Event::ServiceLimitsInForce, EventLevel::Info, "serviceLimitsInForce", "What one upstream of a service bears, by the configuration in force. A coldRate of 0 means that none is set.",
+            "Nothing." },
         { Event::PlatformTrouble, EventLevel::Warning, "platformTrouble", "Calls to the platform fail; the last known state stands.",
             "Look at the platform's service. Flows go on; changes of configuration and membership wait." },
         { Event::PlatformBack, EventLevel::Info, "platformBack", "Calls to the platform succeed again.",
--- a/src/libruntime/events.h
+++ b/src/libruntime/events.h
@@ -40,6 +40,7 @@
     PeerChanged = 322,
     RoutesInForce = 323,
     ForeignObject = 324,
+    ServiceLimitsInForce = 325,
     PlatformTrouble = 330,
     PlatformBack = 331,
     // Load
