--- a/src/kingcuptraild/packets/storefollower.cpp
+++ b/src/kingcuptraild/packets/storefollower.cpp
@@ -41,8 +41,7 @@
     return {
         .onList = [this](const ObjectList& list) {
             m_out.clear();
-            takeOutages(list);
-        },
+            takeOutages(list); },
         .onChanges = [this](const ObjectList& changes) { takeOutages(changes); },
         .onTrouble = [this](PlatformError) { noteTrouble(); },
     };
--- a/src/libdecision/agentchoice.cpp
+++ b/src/libdecision/agentchoice.cpp
@@ -1,5 +1,7 @@
 #include "agentchoice.h"
 
+#include "ranking.h"
+
 #include <algorithm>
 
 namespace kingcuptrail {
@@ -45,8 +47,7 @@
     const std::uint64_t hash = flowHash(flow);
     for (const AgentCandidate& candidate : candidates) {
         const double steps = std::max(0.0, scoreOf(candidate, options, now) + options.nearAllowance) / scoreStep;
-        // A multiplicative hash of flow and agent: cheap, and any order does for ties.
-        const std::uint64_t tie = (hash ^ candidate.address) * 0x9e3779b97f4a7c15ULL;
+        const std::uint64_t tie = rankWeight(hash, candidate.address);
         scored.push_back({ .address = candidate.address, .score = static_cast<double>(static_cast<std::uint64_t>(steps)), .tie = tie });
     }
     std::ranges::sort(scored, [](const Scored& left, const Scored& right) {
--- a/src/libdecision/agentflows.cpp
+++ b/src/libdecision/agentflows.cpp
@@ -53,6 +53,15 @@
         return acknowledged - *flow.answerSequence <= longestFirstStep;
     }
 
+    /// Notes that the caller has sent up to `end`; whether that is more than was known. Positions wrap around.
+    bool noteSent(AgentFlow& flow, std::uint32_t end)
+    {
+        if (flow.callerSent && static_cast<std::int32_t>(end - *flow.callerSent) <= 0)
+            return false;
+        flow.callerSent = end;
+        return true;
+    }
+
     bool isOver(const AgentFlow& flow, const AgentFlowOptions& options, Millis now)
     {
         const Millis silence = now - flow.lastPacketAt;
@@ -107,7 +116,8 @@
     flow.balancer = balancer;
     if (head.flags.acknowledges)
         flow.callerAcknowledged = head.acknowledged;
-    if (head.dataLength > 0 && flow.phase == FlowPhase::Open)
+    const bool isNewData = noteSent(flow, head.sequence + head.dataLength) && head.dataLength > 0;
+    if (isNewData && flow.phase == FlowPhase::Open)
         countWork(table, key, flow, now + table.options.requestWork);
     flow.callerEnded = flow.callerEnded || head.flags.ends;
     if (head.flags.resets || (flow.callerEnded && flow.upstreamEnded))
@@ -133,6 +143,8 @@
         flow.answerSequence = head.sequence;
     else if (flow.phase == FlowPhase::Opening)
         setPhase(table, flow, FlowPhase::Open);
+    if (head.flags.acknowledges)
+        noteSent(flow, head.acknowledged);
     if (news.isLearnt)
         flow.callerAcknowledged = head.sequence;
     if (head.dataLength > 0)
--- a/src/libdecision/agentflows.h
+++ b/src/libdecision/agentflows.h
@@ -29,6 +29,8 @@
     /// Sequence of the upstream's answer to the opening packet. A caller that was answered by two upstreams names the
     /// one it took by acknowledging it.
     std::optional<std::uint32_t> answerSequence;
+    /// End of what the caller is known to have sent; what it sends again is no new work.
+    std::optional<std::uint32_t> callerSent;
     /// What the caller last acknowledged; a reset that the caller is to accept carries it.
     std::uint32_t callerAcknowledged = 0;
     Millis openedAt = 0;
--- /dev/null
+++ b/tests/packets/testagentflows.cpp
@@ -0,0 +1,166 @@
+#include "packetfixtures.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace kingcuptrail;
+
+class TestAgentFlows : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(TestAgentFlows);
+    CPPUNIT_TEST(flowOpensAndCloses);
+    CPPUNIT_TEST(answerThatTheCallerDidNotTakeOwnsNothing);
+    CPPUNIT_TEST(restartedAgentAsksItsUpstream);
+    CPPUNIT_TEST(tableIsCompleteWhenWhatIsMissingMustBeIdle);
+    CPPUNIT_TEST(newUpstreamProcessLosesEveryFlow);
+    CPPUNIT_TEST(workIsCountedFromRequestToAnswer);
+    CPPUNIT_TEST(resentRequestsAreNoNewWork);
+    CPPUNIT_TEST(abandonedOpeningsDoNotKeepSlots);
+    CPPUNIT_TEST(sweepForgetsWhatIsOver);
+    CPPUNIT_TEST_SUITE_END();
+
+    static AgentFlows completeTable()
+    {
+        AgentFlows table;
+        table.isComplete = true;
+        return table;
+    }
+
+    void flowOpensAndCloses()
+    {
+        AgentFlows table = completeTable();
+        const FlowKey flow = flowOf(1);
+        openFlow(table, flow, 10);
+        CPPUNIT_ASSERT_EQUAL(1U, table.open);
+        PacketHead last = callerPacket(502);
+        last.flags.ends = true;
+        CPPUNIT_ASSERT(takeCallerPacket(table, flow, last, 1, 20) == CallerPacketAction::Deliver);
+        PacketHead lastBack = upstreamData(0);
+        lastBack.flags.ends = true;
+        takeUpstreamPacket(table, flow, lastBack, 21);
+        CPPUNIT_ASSERT_EQUAL(0U, table.open);
+        // The ends' late packets still find the flow.
+        CPPUNIT_ASSERT(takeCallerPacket(table, flow, last, 1, 30) == CallerPacketAction::Deliver);
+    }
+
+    // A caller's copy of its opening packet goes over another balancer and is admitted at a second upstream. The caller
+    // takes the answer of the first. Its request comes to the second agent: delivered there, the upstream hands every
+    // packet back and the caller sees its flow stall.
+    void answerThatTheCallerDidNotTakeOwnsNothing()
+    {
+        AgentFlows table = completeTable();
+        const FlowKey flow = flowOf(2);
+        beginFlow(table, flow, 10);
+        CPPUNIT_ASSERT(takeCallerPacket(table, flow, callerPacket(901), 1, 11) == CallerPacketAction::NotHeld);
+        takeUpstreamPacket(table, flow, upstreamAnswer(500), 12);
+        CPPUNIT_ASSERT(takeCallerPacket(table, flow, callerPacket(900000), 1, 13) == CallerPacketAction::NotHeld);
+        CPPUNIT_ASSERT(answerHolderQuestion(table, flow, 900000, 13) == HolderAnswer::NotHeld);
+        CPPUNIT_ASSERT(answerHolderQuestion(table, flow, 501, 13) == HolderAnswer::Held);
+        CPPUNIT_ASSERT(takeCallerPacket(table, flow, callerPacket(501), 1, 14) == CallerPacketAction::Deliver);
+    }
+
+    // An agent is killed and comes back beside an upstream that lives on with all its flows. Said to be unknown, they
+    // would be reset although their upstream holds them; so the upstream itself is asked, by the packet.
+    void restartedAgentAsksItsUpstream()
+    {
+        AgentFlows table;
+        table.completeAt = 20000;
+        const FlowKey flow = flowOf(3);
+        CPPUNIT_ASSERT(takeCallerPacket(table, flow, callerPacket(700, 50), 1, 10) == CallerPacketAction::DeliverToLearn);
+        CPPUNIT_ASSERT(answerHolderQuestion(table, flow, 700, 10) == HolderAnswer::Unsure);
+        CPPUNIT_ASSERT(takeUpstreamPacket(table, flow, upstreamData(50), 12).isLearnt);
+        CPPUNIT_ASSERT(takeCallerPacket(table, flow, callerPacket(750), 1, 13) == CallerPacketAction::Deliver);
+        CPPUNIT_ASSERT(answerHolderQuestion(table, flow, 750, 13) == HolderAnswer::Held);
+    }
+
+    void tableIsCompleteWhenWhatIsMissingMustBeIdle()
+    {
+        AgentFlows table;
+        table.completeAt = 20000;
+        CPPUNIT_ASSERT(answerHolderQuestion(table, flowOf(4), 1, 19999) == HolderAnswer::Unsure);
+        CPPUNIT_ASSERT(answerHolderQuestion(table, flowOf(4), 1, 20000) == HolderAnswer::NotHeld);
+    }
+
+    // An upstream's process ends and a new one reports. Callers with open flows would send into nothing until their
+    // deadline: all of their flows are certainly lost, and each reset carries what its caller last acknowledged.
+    void newUpstreamProcessLosesEveryFlow()
+    {
+        AgentFlows table;
+        openFlow(table, flowOf(5), 10);
+        takeCallerPacket(table, flowOf(5), callerPacket(640, 100), 1, 11);
+        beginFlow(table, flowOf(6), 12);
+        const auto lost = takeLostFlows(table);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, lost.size());
+        for (const LostFlow& flow : lost)
+            CPPUNIT_ASSERT(flow.flow != flowOf(5) || flow.callerAcknowledged == 640);
+        CPPUNIT_ASSERT_EQUAL(0U, table.open);
+        CPPUNIT_ASSERT_EQUAL(0U, table.atWork);
+        CPPUNIT_ASSERT(answerHolderQuestion(table, flowOf(5), 640, 20) == HolderAnswer::NotHeld);
+    }
+
+    void workIsCountedFromRequestToAnswer()
+    {
+        AgentFlows table = completeTable();
+        openFlow(table, flowOf(7), 10);
+        takeCallerPacket(table, flowOf(7), callerPacket(501, 900), 1, 11);
+        CPPUNIT_ASSERT_EQUAL(1U, table.atWork);
+        takeUpstreamPacket(table, flowOf(7), upstreamData(600), 50);
+        CPPUNIT_ASSERT_EQUAL(0U, table.atWork);
+        takeCallerPacket(table, flowOf(7), callerPacket(1101), 1, 51);
+        CPPUNIT_ASSERT_EQUAL(0U, table.atWork);
+    }
+
+    // Every agent is killed and back in half a second, its upstream still at work. Callers send their requests again, while
+    // the answers are under way already. Counted as new work that is never answered, they kept agents busy for 1.5 s,
+    // and openings expired beside idle upstreams.
+    void resentRequestsAreNoNewWork()
+    {
+        AgentFlows table;
+        table.completeAt = 20000;
+        PacketHead answer = upstreamData(600);
+        answer.acknowledged = 201;
+        takeUpstreamPacket(table, flowOf(8), answer, 10);
+        takeCallerPacket(table, flowOf(8), callerPacket(501, 100), 1, 11);
+        CPPUNIT_ASSERT_EQUAL(0U, table.atWork);
+        PacketHead next = callerPacket(1101, 100);
+        next.sequence = 201;
+        takeCallerPacket(table, flowOf(8), next, 1, 12);
+        CPPUNIT_ASSERT_EQUAL(1U, table.atWork);
+    }
+
+    // After an outage callers give up while their openings wait. Upstreams resend their answers to callers that have left,
+    // for ten seconds each. Counted as work for as long, such openings keep the agent busy, others wait and leave in
+    // turn: half of all requests failed for the rest of the day, though every upstream stood idle.
+    void abandonedOpeningsDoNotKeepSlots()
+    {
+        AgentFlows table = completeTable();
+        for (std::uint16_t caller = 1; caller <= 10; ++caller)
+            beginFlow(table, flowOf(caller), 10);
+        CPPUNIT_ASSERT_EQUAL(10U, table.atWork);
+        for (std::uint16_t caller = 1; caller <= 10; ++caller)
+            takeUpstreamPacket(table, flowOf(caller), upstreamAnswer(500), 150);
+        expireWork(table, 10 + table.options.openingWork);
+        CPPUNIT_ASSERT_EQUAL(0U, table.atWork);
+        openFlow(table, flowOf(11), 200);
+        takeCallerPacket(table, flowOf(11), callerPacket(501, 900), 1, 201);
+        expireWork(table, 201 + table.options.requestWork - 1);
+        CPPUNIT_ASSERT_EQUAL(1U, table.atWork);
+        expireWork(table, 201 + table.options.requestWork);
+        CPPUNIT_ASSERT_EQUAL(0U, table.atWork);
+    }
+
+    void sweepForgetsWhatIsOver()
+    {
+        AgentFlows table = completeTable();
+        for (std::uint16_t caller = 1; caller <= 100; ++caller)
+            openFlow(table, flowOf(caller), 10);
+        for (int turn = 0; turn < 64; ++turn)
+            sweepFlows(table, 10 + table.options.idleLimit);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 100 }, table.flows.size());
+        for (int turn = 0; turn < 64; ++turn)
+            sweepFlows(table, 11 + table.options.idleLimit);
+        CPPUNIT_ASSERT(table.flows.empty());
+        CPPUNIT_ASSERT_EQUAL(0U, table.open);
+        CPPUNIT_ASSERT_EQUAL(0U, table.atWork);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestAgentFlows);
--- /dev/null
+++ b/tests/packets/testbalancing.cpp
@@ -0,0 +1,105 @@
+#include "libdecision/agentchoice.h"
+#include "libdecision/holdersearch.h"
+#include "packetfixtures.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <map>
+
+using namespace kingcuptrail;
+
+class TestBalancing : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(TestBalancing);
+    CPPUNIT_TEST(nearAgentWhileItHasRoom);
+    CPPUNIT_TEST(silentAgentComesLast);
+    CPPUNIT_TEST(equalAgentsShareFlows);
+    CPPUNIT_TEST(flowIsLostOnlyWhenEverybodySaysSo);
+    CPPUNIT_TEST(holderEndsTheSearch);
+    CPPUNIT_TEST(newerEntryStands);
+    CPPUNIT_TEST(weightsShareFlows);
+    CPPUNIT_TEST_SUITE_END();
+
+    static AgentCandidate candidate(std::uint32_t address, bool isNear, std::uint32_t atWork)
+    {
+        return { .address = address, .isNear = isNear, .load = { .atWork = atWork, .slots = 5 } };
+    }
+
+    static std::uint32_t best(const std::vector<AgentCandidate>& candidates)
+    {
+        return chooseAgents(flowOf(1), candidates, {}, 0).front();
+    }
+
+    void nearAgentWhileItHasRoom()
+    {
+        CPPUNIT_ASSERT_EQUAL(1U, best({ candidate(1, true, 1), candidate(2, false, 0) }));
+        CPPUNIT_ASSERT_EQUAL(2U, best({ candidate(1, true, 4), candidate(2, false, 0) }));
+        CPPUNIT_ASSERT_EQUAL(2U, best({ candidate(1, true, 5), candidate(2, false, 4) }));
+    }
+
+    void silentAgentComesLast()
+    {
+        AgentCandidate silent = candidate(1, true, 0);
+        silent.load.unanswered = 1;
+        AgentCandidate refusing = candidate(2, true, 0);
+        refusing.load.refusesUntil = 50;
+        const auto order = chooseAgents(flowOf(1), std::vector { silent, refusing, candidate(3, false, 50) }, {}, 10);
+        CPPUNIT_ASSERT((order == std::vector<std::uint32_t> { 3, 2, 1 }));
+    }
+
+    void equalAgentsShareFlows()
+    {
+        std::map<std::uint32_t, int> chosen;
+        for (std::uint16_t caller = 0; caller < 3000; ++caller)
+            ++chosen[chooseAgents(flowOf(caller), std::vector { candidate(1, false, 0), candidate(2, false, 0), candidate(3, false, 0) }, {}, 0).front()];
+        for (const auto& [agent, flows] : chosen)
+            CPPUNIT_ASSERT(flows > 850 && flows < 1150);
+    }
+
+    // A balancer that does not know a flow asks. One agent is cut off with the flow still held behind it, and the others
+    // say that they do not hold it. A reset now would end a flow that its upstream holds.
+    void flowIsLostOnlyWhenEverybodySaysSo()
+    {
+        HolderSearch search = beginSearch({ 1, 2, 3 }, 0);
+        CPPUNIT_ASSERT(takeAnswer(search, 1, HolderAnswer::NotHeld) == SearchState::Asking);
+        CPPUNIT_ASSERT(takeAnswer(search, 2, HolderAnswer::Unsure) == SearchState::Asking);
+        CPPUNIT_ASSERT(takeAnswer(search, 9, HolderAnswer::NotHeld) == SearchState::Asking);
+        CPPUNIT_ASSERT(takeAnswer(search, 2, HolderAnswer::NotHeld) == SearchState::Asking);
+        CPPUNIT_ASSERT(takeAnswer(search, 3, HolderAnswer::NotHeld) == SearchState::HeldByNobody);
+        HolderSearch nobody = beginSearch({}, 0);
+        CPPUNIT_ASSERT(nobody.state == SearchState::Asking);
+    }
+
+    void holderEndsTheSearch()
+    {
+        HolderSearch search = beginSearch({ 1, 2 }, 0);
+        CPPUNIT_ASSERT(takeAnswer(search, 7, HolderAnswer::Held) == SearchState::Found);
+        CPPUNIT_ASSERT_EQUAL(7U, search.holder);
+        CPPUNIT_ASSERT(takeAnswer(search, 1, HolderAnswer::NotHeld) == SearchState::Found);
+    }
+
+    void newerEntryStands()
+    {
+        Directory directory;
+        CPPUNIT_ASSERT(offerEntry(directory, { .name = "a", .address = 1, .epoch = 5 }));
+        const std::uint64_t digest = digestOf(directory);
+        CPPUNIT_ASSERT(!offerEntry(directory, { .name = "a", .address = 2, .epoch = 5 }));
+        CPPUNIT_ASSERT_EQUAL(digest, digestOf(directory));
+        CPPUNIT_ASSERT(offerEntry(directory, { .name = "a", .address = 2, .state = PeerState::Gone, .epoch = 6 }));
+        CPPUNIT_ASSERT(digest != digestOf(directory));
+        CPPUNIT_ASSERT(!findByAddress(directory, 2));
+    }
+
+    void weightsShareFlows()
+    {
+        RouteTable table = routesTo("board", 1);
+        table.routes.front().shares = { { .service = "board", .weight = 90 }, { .service = "intake", .weight = 10 } };
+        int intake = 0;
+        for (std::uint16_t caller = 0; caller < 5000; ++caller)
+            intake += *serviceForFlow(table, flowOf(caller)) == "intake" ? 1 : 0;
+        CPPUNIT_ASSERT(intake > 400 && intake < 600);
+        CPPUNIT_ASSERT(allowsService(table, flowOf(1).service, "intake"));
+        CPPUNIT_ASSERT(!allowsService(table, { .address = 1, .port = 1 }, "intake"));
+        CPPUNIT_ASSERT(!serviceForFlow(table, { .caller = {}, .service = { .address = 1, .port = 1 } }));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestBalancing);
--- /dev/null
+++ b/tests/packets/testopenqueue.cpp
@@ -0,0 +1,116 @@
+#include "libdecision/openqueue.h"
+#include "packetfixtures.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <map>
+
+using namespace kingcuptrail;
+
+/// The pattern: after an outage of two seconds everybody who still waits returns within a tenth of a second, and new
+/// requests go on coming at half of what the upstreams can do. Slots, work and targets are those of a service with 7
+/// upstreams of 6 slots at 64 ms a request (cold), 340 new requests a second and a latency target of 200 ms.
+class TestOpenQueue : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(TestOpenQueue);
+    CPPUNIT_TEST(ordersByTimeLeftAndUrgency);
+    CPPUNIT_TEST(boundsWhatWaits);
+    CPPUNIT_TEST(copyDoesNotWaitTwice);
+    CPPUNIT_TEST(backlogDoesNotMakeNewRequestsLate);
+    CPPUNIT_TEST_SUITE_END();
+
+    static WaitingOpening openingAt(std::uint16_t caller, Millis arrivedAt, std::uint32_t priority = 1)
+    {
+        return { .flow = flowOf(caller), .arrivedAt = arrivedAt, .freshUntil = arrivedAt + 100, .priority = priority };
+    }
+
+    void ordersByTimeLeftAndUrgency()
+    {
+        OpenQueue queue;
+        enqueue(queue, openingAt(1, 0), 5);
+        enqueue(queue, openingAt(2, 10), 5);
+        enqueue(queue, openingAt(3, 200, 2), 5);
+        enqueue(queue, openingAt(4, 210, 1), 5);
+        enqueue(queue, openingAt(5, 220, 1), 5);
+        for (const std::uint16_t expected : { 5, 4, 3, 1, 2 })
+            CPPUNIT_ASSERT_EQUAL(expected, takeNext(queue, 250)->flow.caller.port);
+        CPPUNIT_ASSERT(!takeNext(queue, 250));
+    }
+
+    void boundsWhatWaits()
+    {
+        OpenQueue queue;
+        const std::size_t most = queue.options.waitingPerSlot;
+        for (std::size_t caller = 0; caller < most; ++caller)
+            CPPUNIT_ASSERT(enqueue(queue, openingAt(static_cast<std::uint16_t>(caller), 0), 1));
+        CPPUNIT_ASSERT(!enqueue(queue, openingAt(999, 0), 1));
+        CPPUNIT_ASSERT(takeExpired(queue, queue.options.longestWait).empty());
+        CPPUNIT_ASSERT_EQUAL(most, takeExpired(queue, queue.options.longestWait + 1).size());
+        CPPUNIT_ASSERT(queue.waiting.empty());
+    }
+
+    void copyDoesNotWaitTwice()
+    {
+        OpenQueue queue;
+        enqueue(queue, openingAt(1, 0), 5);
+        CPPUNIT_ASSERT(isWaiting(queue, flowOf(1)));
+        CPPUNIT_ASSERT(!isWaiting(queue, flowOf(2)));
+    }
+
+    struct Outcome {
+        int newInTime = 0;
+        int newAsked = 0;
+        int answered = 0;
+    };
+
+    /// Works the pattern off with one queue for all upstreams, in the order of `newestFirst` or of arrival.
+    static Outcome workOff(bool newestFirst)
+    {
+        constexpr Millis length = 3000;
+        constexpr Millis work = 64;
+        constexpr Millis target = 200;
+        constexpr std::size_t slots = 42;
+        constexpr std::uint16_t backlog = 680;
+        Outcome outcome;
+        OpenQueue queue;
+        queue.options.longestWait = newestFirst ? 1200 : length;
+        std::uint16_t caller = 0;
+        std::multimap<Millis, WaitingOpening> running;
+        for (Millis now = 0; now < length; ++now) {
+            const int arrivals = now < 100 ? backlog / 100 : 0;
+            for (int index = 0; index < arrivals; ++index)
+                enqueue(queue, openingAt(++caller, now), slots);
+            if (now % 3 == 0) {
+                WaitingOpening fresh = openingAt(++caller, now, 0);
+                fresh.freshUntil = newestFirst ? now + target / 2 : -1;
+                enqueue(queue, fresh, slots);
+                ++outcome.newAsked;
+            }
+            while (!running.empty() && running.begin()->first <= now) {
+                const WaitingOpening& done = running.begin()->second;
+                ++outcome.answered;
+                outcome.newInTime += done.priority == 0 && now - done.arrivedAt <= target ? 1 : 0;
+                running.erase(running.begin());
+            }
+            takeExpired(queue, now);
+            while (running.size() < slots) {
+                auto next = takeNext(queue, now);
+                if (!next)
+                    break;
+                running.emplace(now + work, *next);
+            }
+        }
+        return outcome;
+    }
+
+    // Callers come back after an outage. Worked off in the order of arrival, each new request waits behind the backlog
+    // and is late as well, for more than a second after everything is up again.
+    void backlogDoesNotMakeNewRequestsLate()
+    {
+        const Outcome inOrder = workOff(false);
+        const Outcome newestFirst = workOff(true);
+        CPPUNIT_ASSERT(newestFirst.newInTime > 9 * newestFirst.newAsked / 10);
+        CPPUNIT_ASSERT(inOrder.newInTime < 6 * inOrder.newAsked / 10);
+        CPPUNIT_ASSERT(newestFirst.answered > 9 * inOrder.answered / 10);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestOpenQueue);
--- /dev/null
+++ b/tests/packets/testpeermessage.cpp
@@ -0,0 +1,79 @@
+#include "libplatform/viewjson.h"
+#include "libprotocol/peermessage.h"
+#include "packetfixtures.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <random>
+
+using namespace kingcuptrail;
+
+class TestPeerMessage : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(TestPeerMessage);
+    CPPUNIT_TEST(flowMessageComesBackAsSent);
+    CPPUNIT_TEST(newsComesBackAsSent);
+    CPPUNIT_TEST(bytesFromAnybodyAreRefusedNotRead);
+    CPPUNIT_TEST(viewComesBackAsSent);
+    CPPUNIT_TEST_SUITE_END();
+
+    static PeerEntry entry()
+    {
+        return { .name = "agent-1", .role = PeerRole::Agent, .address = 7, .dataCentre = "north", .service = "board", .state = PeerState::Draining, .slots = 5, .epoch = 9 };
+    }
+
+    void flowMessageComesBackAsSent()
+    {
+        PeerMessageEncoder encoder;
+        const AgentLoad load { .atWork = 3, .slots = 5, .isCold = true };
+        const std::vector<std::uint8_t> packet { 1, 2, 3 };
+        const auto bytes = encoder.encode(FlowMessage { .kind = wire::PeerKind::Refused, .flow = flowOf(4), .refusal = OpenRefusal::Cold, .configVersion = 12, .acknowledged = 77, .load = &load, .packet = packet });
+        FrameError error = FrameError::None;
+        const auto message = decodePeerMessage(bytes, error);
+        CPPUNIT_ASSERT(message && message->kind == wire::PeerKind::Refused && message->flow == flowOf(4));
+        CPPUNIT_ASSERT(message->refusal == OpenRefusal::Cold && message->configVersion == 12 && message->acknowledged == 77);
+        CPPUNIT_ASSERT(message->load.atWork == 3 && message->load.slots == 5 && message->load.isCold);
+        CPPUNIT_ASSERT(std::ranges::equal(message->packet, packet));
+    }
+
+    void newsComesBackAsSent()
+    {
+        PeerMessageEncoder encoder;
+        const OutageView outages { .revision = 8, .out = { "south" } };
+        const auto bytes = encoder.encode(NewsMessage { .configVersion = 3, .digest = 5, .outages = &outages, .entries = { entry() }, .wantsAnswer = true });
+        FrameError error = FrameError::None;
+        const auto message = decodePeerMessage(bytes, error);
+        CPPUNIT_ASSERT(message && message->kind == wire::PeerKind::News && message->table->wants_answer());
+        CPPUNIT_ASSERT(outagesOf(*message) == outages);
+        CPPUNIT_ASSERT(entriesOf(*message) == std::vector { entry() });
+    }
+
+    void bytesFromAnybodyAreRefusedNotRead()
+    {
+        PeerMessageEncoder encoder;
+        const auto sent = encoder.encode(FlowMessage { .kind = wire::PeerKind::Open, .flow = flowOf(4), .packet = std::vector<std::uint8_t>(36) });
+        const std::vector<std::uint8_t> good(sent.begin(), sent.end());
+        std::minstd_rand random(20261203);
+        FrameError error = FrameError::None;
+        for (int round = 0; round < 20000; ++round) {
+            std::vector<std::uint8_t> bytes = good;
+            for (int change = 0; change < 3; ++change)
+                bytes[random() % bytes.size()] = static_cast<std::uint8_t>(random());
+            bytes.resize(bytes.size() - random() % 8);
+            if (const auto message = decodePeerMessage(bytes, error))
+                CPPUNIT_ASSERT(message->packet.size() <= bytes.size());
+        }
+        CPPUNIT_ASSERT(!decodePeerMessage({}, error));
+        CPPUNIT_ASSERT(error == FrameError::Malformed);
+    }
+
+    void viewComesBackAsSent()
+    {
+        const DeploymentView view { .routes = routesTo("board", 4), .outages = { .revision = 2, .out = { "south" } }, .entries = { entry() } };
+        CPPUNIT_ASSERT(parseView(toJson(view)) == view);
+        CPPUNIT_ASSERT(!parseView("{"));
+        CPPUNIT_ASSERT(!parseView(R"({"routes":{},"outages":{},"entries":[]})"));
+        CPPUNIT_ASSERT(parsePeerEntry(toJson(entry())) == entry());
+        CPPUNIT_ASSERT(!parsePeerEntry(R"({"name":"x","role":"nobody"})"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestPeerMessage);
--- /dev/null
+++ b/tests/trustplatform/testtrustplatform.cpp
@@ -0,0 +1,172 @@
+#include "platform/trustadapter.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <random>
+
+using namespace kingcuptrail;
+
+class TestTrustPlatform : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(TestTrustPlatform);
+    CPPUNIT_TEST(readsAPacketOfThePages);
+    CPPUNIT_TEST(marksComeOffWithoutATrace);
+    CPPUNIT_TEST(makesTheResetOfThePages);
+    CPPUNIT_TEST(cutPacketsHaveATypedError);
+    CPPUNIT_TEST(readsReports);
+    CPPUNIT_TEST(foreignReportsHaveATypedError);
+    CPPUNIT_TEST(readsTheConfiguration);
+    CPPUNIT_TEST(foreignConfigurationsHaveATypedError);
+    CPPUNIT_TEST(speaksTheStoresApi);
+    CPPUNIT_TEST(randomBytesNeverCrash);
+    CPPUNIT_TEST_SUITE_END();
+
+    const DeploymentAdapter& m_adapter = trustAdapter();
+
+    static std::vector<std::uint8_t> openingPacket()
+    {
+        return {
+            0x00, 0x00, 0xd5, 0xc3, 0xb2, 0xa1, 0x00, 0x00, 0x00, 0x00, 0x01, 0x00, 0x00, 0x00, 0x00, 0x00, 0x44, 0x33, 0x22, 0x11, 0x00, 0x00, 0x00, 0x00,
+            0x07, 0x00, 0x40, 0x64, 0x41, 0x9c, 0xbb, 0x01, 0x01, 0x00, 0x12, 0xc6
+        };
+    }
+
+    void readsAPacketOfThePages()
+    {
+        DecodeError error = DecodeError::None;
+        const auto head = m_adapter.decodePacket(openingPacket(), error);
+        CPPUNIT_ASSERT(head && isOpening(*head));
+        CPPUNIT_ASSERT_EQUAL(std::string("100.64.0.7:40001>198.18.0.1:443"), toString(flowFromCaller(*head)));
+        CPPUNIT_ASSERT_EQUAL(0x11223344U, head->sequence);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t { 0 }, head->dataLength);
+    }
+
+    void marksComeOffWithoutATrace()
+    {
+        std::vector<std::uint8_t> packet = openingPacket();
+        m_adapter.setMark(packet, 0xdeadbeef);
+        DecodeError error = DecodeError::None;
+        CPPUNIT_ASSERT_EQUAL(0xdeadbeefU, m_adapter.decodePacket(packet, error)->mark);
+        packet[10] |= 4;
+        CPPUNIT_ASSERT(m_adapter.decodePacket(packet, error)->flags.isReturned);
+        m_adapter.clearMarks(packet);
+        CPPUNIT_ASSERT(packet == openingPacket());
+    }
+
+    void makesTheResetOfThePages()
+    {
+        DecodeError error = DecodeError::None;
+        const FlowKey flow = flowFromCaller(*m_adapter.decodePacket(openingPacket(), error));
+        const std::array<std::uint8_t, bareHeadBytes> expected {
+            0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0x80, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0x01, 0x00, 0x12, 0xc6, 0xbb, 0x01, 0x41, 0x9c, 0x07, 0x00, 0x40, 0x64
+        };
+        CPPUNIT_ASSERT(m_adapter.encodeReset(flow, 0) == expected);
+    }
+
+    void cutPacketsHaveATypedError()
+    {
+        DecodeError error = DecodeError::None;
+        std::vector<std::uint8_t> packet = openingPacket();
+        packet.push_back(0);
+        CPPUNIT_ASSERT(!m_adapter.decodePacket(packet, error) && error == DecodeError::WrongLength);
+        packet.resize(35);
+        CPPUNIT_ASSERT(!m_adapter.decodePacket(packet, error) && error == DecodeError::TooShort);
+    }
+
+    UpstreamCall put(const std::string& body)
+    {
+        return m_adapter.readUpstreamCall({ .method = "PUT", .target = "/targets/i-7f", .body = body });
+    }
+
+    void readsReports()
+    {
+        const UpstreamCall call = put(R"({"service":"huvo","address":"10.1.0.9:8080","zone":"lj-a","version":"v1","slots":6,"state":"draining","warmup-left-ms":120.5,"sequence":4,"born":1790000000000,"new":1})");
+        CPPUNIT_ASSERT(call.kind == UpstreamCall::Kind::Report && call.report);
+        CPPUNIT_ASSERT_EQUAL(std::string("i-7f"), call.report->id);
+        CPPUNIT_ASSERT(call.report->isDraining && call.report->slots == 6 && call.report->coldLeft == 120 && call.report->born == 1790000000000);
+        CPPUNIT_ASSERT(m_adapter.readUpstreamCall({ .method = "DELETE", .target = "/targets/i-7f" }).kind == UpstreamCall::Kind::Farewell);
+        CPPUNIT_ASSERT(m_adapter.readUpstreamCall({ .method = "PUT", .target = "/targets/" }).kind == UpstreamCall::Kind::Unknown);
+        CPPUNIT_ASSERT(m_adapter.readUpstreamCall({ .method = "GET", .target = "/targets/i-7f" }).kind == UpstreamCall::Kind::Unknown);
+    }
+
+    void foreignReportsHaveATypedError()
+    {
+        CPPUNIT_ASSERT(put("\xff{").error == DecodeError::BadText);
+        CPPUNIT_ASSERT(put(R"({"service":"huvo"})").error == DecodeError::MissingField);
+        CPPUNIT_ASSERT(put(R"({"service":7,"zone":"a","slots":1,"state":"ready","warmup-left-ms":0,"sequence":1})").error == DecodeError::WrongType);
+        CPPUNIT_ASSERT(put(R"({"service":"s","zone":"a","slots":1,"state":"resting","warmup-left-ms":0,"sequence":1})").error == DecodeError::OutOfRange);
+        CPPUNIT_ASSERT(put(R"({"service":"s","zone":"a","slots":-1,"state":"ready","warmup-left-ms":0,"sequence":1})").error == DecodeError::OutOfRange);
+        CPPUNIT_ASSERT(!put("[]").report);
+    }
+
+    static std::string configText()
+    {
+        return R"({"version":7,"routes":[{"name":"r-a","host":"198.18.0.1","path-prefix":"/8443/","kind":"idempotent","timeout-ms":1000,"aim-ms":150,"priority":2,
+            "backends":[{"service":"huvo","weight":90},{"service":"wuno","weight":10}],"attempts":2},
+            {"name":"r-i","host":"198.18.0.2","path-prefix":"/80/","kind":"upload","timeout-ms":3000,"aim-ms":500,"priority":2,"service":"wuno"}],
+            "services":[{"name":"huvo","health-path":"/health","max-conns":2000,"warmup-s":2.0,"warmup-per-s":3.5}],
+            "limits":{"idle-timeout-ms":15000}})";
+    }
+
+    std::optional<RouteTable> readRoutes(const std::string& text, DecodeError& error)
+    {
+        return m_adapter.readRoutes({ .name = "main", .version = 12, .value = text }, error);
+    }
+
+    void readsTheConfiguration()
+    {
+        DecodeError error = DecodeError::None;
+        const auto table = readRoutes(configText(), error);
+        CPPUNIT_ASSERT(table && table->version == 7 && table->routes.size() == 2 && table->idleLimit == 15000);
+        CPPUNIT_ASSERT_EQUAL(std::string("198.18.0.1:8443"), toString(table->routes[0].address));
+        CPPUNIT_ASSERT(table->routes[0].shares.size() == 2 && table->routes[0].latencyTarget == 150 && table->routes[0].priority == 2);
+        CPPUNIT_ASSERT_EQUAL(std::string("wuno"), table->routes[1].shares[0].service);
+        CPPUNIT_ASSERT(table->services[0].flowLimit == 2000 && table->services[0].warmUp == 2000 && table->services[0].coldRate == 3.5);
+    }
+
+    void foreignConfigurationsHaveATypedError()
+    {
+        DecodeError error = DecodeError::None;
+        CPPUNIT_ASSERT(!readRoutes("{", error) && error == DecodeError::BadText);
+        CPPUNIT_ASSERT(!readRoutes(R"({"version":7})", error) && error == DecodeError::MissingField);
+        std::string text = configText();
+        text.replace(text.find("/8443/"), 6, "/x443/");
+        CPPUNIT_ASSERT(!readRoutes(text, error) && error == DecodeError::OutOfRange);
+        CPPUNIT_ASSERT(!m_adapter.readRoutes({ .name = "other", .value = configText() }, error) && error == DecodeError::None);
+    }
+
+    void speaksTheStoresApi()
+    {
+        const StoreDialect& store = *m_adapter.store;
+        CPPUNIT_ASSERT_EQUAL(std::string("POST"), store.put("agent", "a b", "{}", 0).method);
+        CPPUNIT_ASSERT_EQUAL(std::string("/objects/agent/a%20b"), store.put("agent", "a b", "{}", 9).target);
+        CPPUNIT_ASSERT_EQUAL(std::string("/objects/agent/a?revision=9"), store.remove("agent", "a", 9).target);
+        CPPUNIT_ASSERT_EQUAL(std::string("/objects/agent?watch=5&wait-ms=30000"), store.watch("agent", 5, 30000).target);
+        const auto page = store.readPage(R"({"items":[{"meta":{"name":"a","revision":3},"spec":{"x":1}}],"has-more":true,"as-of":8})");
+        CPPUNIT_ASSERT(page && page->hasMore && page->list.version == 8 && page->list.objects[0].value == R"({"x":1})");
+        const auto changes = store.readChanges(R"({"events":[{"deleted":true,"object":{"meta":{"name":"a","revision":9},"spec":{}}}],"as-of":9})");
+        CPPUNIT_ASSERT(changes && !changes->objects[0].value && changes->version == 9);
+        CPPUNIT_ASSERT(!store.readPage("junk") && !store.readObject(R"({"meta":{}})"));
+        CPPUNIT_ASSERT(store.errorOfStatus(201) == PlatformError::None && store.errorOfStatus(503) == PlatformError::Refused);
+        CPPUNIT_ASSERT(store.errorOfStatus(409) == PlatformError::Conflict && store.errorOfStatus(410) == PlatformError::Gone);
+    }
+
+    void randomBytesNeverCrash()
+    {
+        std::minstd_rand random(7);
+        DecodeError error = DecodeError::None;
+        const std::string config = configText();
+        for (int round = 0; round < 3000; ++round) {
+            std::string text = config;
+            for (int change = 0; change < 4; ++change)
+                text[random() % text.size()] = static_cast<char>(random());
+            readRoutes(text, error);
+            put(text);
+            m_adapter.store->readPage(text);
+            std::vector<std::uint8_t> packet(random() % 80);
+            for (auto& byte : packet)
+                byte = static_cast<std::uint8_t>(random());
+            m_adapter.decodePacket(packet, error);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestTrustPlatform);
