--- a/src/kingcuptraild/packets/flowholders.h
+++ b/src/kingcuptraild/packets/flowholders.h
@@ -38,8 +38,6 @@
     std::vector<PacketBytes> packets;
     /// What the caller last acknowledged, for a reset.
     std::uint32_t acknowledged = 0;
-    /// The agents beyond the route's own service were asked too.
-    bool askedEverybody = false;
 };
 
 }
--- a/src/kingcuptraild/packets/packetbalancer.cpp
+++ b/src/kingcuptraild/packets/packetbalancer.cpp
@@ -266,12 +266,10 @@
         m_searches.erase(found);
         return;
     }
-    if (!waiting.askedEverybody) {
-        // A configuration may have moved the route since the flow was opened.
-        waiting.askedEverybody = true;
-        std::vector<std::uint32_t> agents = holdersToAsk(nullptr);
-        waiting.search = beginSearch(agents, waiting.search.startedAt);
-        ask(flow, waiting, agents);
+    // A configuration may have moved the route since the flow was opened, and the directory may have grown since the search
+    // began: whoever is known by now has to say so too.
+    if (const auto missing = askMissing(waiting.search, holdersToAsk(nullptr)); !missing.empty()) {
+        ask(flow, waiting, missing);
         return;
     }
     if (canBeCertain()) {
--- a/src/libdecision/agentchoice.cpp
+++ b/src/libdecision/agentchoice.cpp
@@ -46,7 +46,9 @@
     scored.reserve(candidates.size());
     const std::uint64_t hash = flowHash(flow);
     for (const AgentCandidate& candidate : candidates) {
-        const double steps = std::max(0.0, scoreOf(candidate, options, now) + options.nearAllowance) / scoreStep;
+        // Half a thousandth keeps a sum of tenths from falling just below its step.
+        constexpr double rounding = 0.0005;
+        const double steps = std::max(0.0, scoreOf(candidate, options, now) + options.nearAllowance + rounding) / scoreStep;
         const std::uint64_t tie = rankWeight(hash, candidate.address);
         scored.push_back({ .address = candidate.address, .score = static_cast<double>(static_cast<std::uint64_t>(steps)), .tie = tie });
     }
--- a/src/libdecision/holdersearch.cpp
+++ b/src/libdecision/holdersearch.cpp
@@ -6,7 +6,23 @@
 
 HolderSearch beginSearch(std::vector<std::uint32_t> agents, Millis now)
 {
-    return { .startedAt = now, .awaited = std::move(agents) };
+    return { .startedAt = now, .asked = agents, .awaited = std::move(agents) };
+}
+
+// The list of agents may have grown since the search began: a process that has just started learns it piece by piece. What
+// the first few say of a flow says nothing about the others.
+std::vector<std::uint32_t> askMissing(HolderSearch& search, std::span<const std::uint32_t> agents)
+{
+    std::vector<std::uint32_t> missing;
+    for (const std::uint32_t agent : agents) {
+        if (std::ranges::find(search.asked, agent) == search.asked.end())
+            missing.push_back(agent);
+    }
+    search.asked.insert(search.asked.end(), missing.begin(), missing.end());
+    search.awaited.insert(search.awaited.end(), missing.begin(), missing.end());
+    if (!missing.empty() && search.state == SearchState::HeldByNobody)
+        search.state = SearchState::Asking;
+    return missing;
 }
 
 SearchState takeAnswer(HolderSearch& search, std::uint32_t agent, HolderAnswer answer)
--- a/src/libdecision/holdersearch.h
+++ b/src/libdecision/holdersearch.h
@@ -2,6 +2,7 @@
 
 #include "agentflows.h"
 
+#include <span>
 #include <vector>
 
 namespace kingcuptrail {
@@ -22,6 +23,8 @@
 /// A search for one flow's holder: every agent is asked, and a packet of the flow waits for the answer.
 struct HolderSearch {
     Millis startedAt = 0;
+    /// Every agent that was asked, whatever it said.
+    std::vector<std::uint32_t> asked;
     std::vector<std::uint32_t> awaited;
     /// Agents whose upstream may hold the flow from before their start; they get the packet itself.
     std::vector<std::uint32_t> unsure;
@@ -32,6 +35,10 @@
 /// Begins a search among `agents`. Without any there is nobody who could say that the flow is lost.
 HolderSearch beginSearch(std::vector<std::uint32_t> agents, Millis now);
 
+/// Asks further agents in the same search; those of `agents` that were not asked yet. Yields them; the search goes on when
+/// there are any.
+std::vector<std::uint32_t> askMissing(HolderSearch&, std::span<const std::uint32_t> agents);
+
 /// Takes one agent's answer; the state that the search is in then. Answers from agents that were not asked count only when
 /// they hold the flow.
 SearchState takeAnswer(HolderSearch&, std::uint32_t agent, HolderAnswer);
--- a/src/libdecision/packet.cpp
+++ b/src/libdecision/packet.cpp
@@ -24,11 +24,7 @@
 
 std::uint64_t flowHash(const FlowKey& flow)
 {
-    constexpr unsigned portBits = 16;
-    const std::array<std::uint64_t, 2> ends {
-        std::uint64_t { flow.caller.address } << portBits | flow.caller.port,
-        std::uint64_t { flow.service.address } << portBits | flow.service.port,
-    };
+    const std::array<ServiceAddress, 2> ends { toServiceAddress(flow.caller), toServiceAddress(flow.service) };
     return XXH3_64bits(ends.data(), sizeof(ends));
 }
 
--- a/src/libdecision/packet.h
+++ b/src/libdecision/packet.h
@@ -2,7 +2,6 @@
 
 #include "ids.h"
 
-#include <compare>
 #include <string>
 
 namespace kingcuptrail {
@@ -12,15 +11,22 @@
     std::uint32_t address = 0;
     std::uint16_t port = 0;
 
-    auto operator<=>(const PacketEndpoint&) const = default;
+    bool operator==(const PacketEndpoint&) const = default;
 };
 
+/// The endpoint as one number, which orders endpoints.
+inline ServiceAddress toServiceAddress(const PacketEndpoint& endpoint)
+{
+    constexpr unsigned portBits = 16;
+    return ServiceAddress { endpoint.address } << portBits | endpoint.port;
+}
+
 /// Names a flow of datagrams by its two ends. Nobody else's flow can have the same ends while it is open.
 struct FlowKey {
     PacketEndpoint caller;
     PacketEndpoint service;
 
-    auto operator<=>(const FlowKey&) const = default;
+    bool operator==(const FlowKey&) const = default;
 };
 
 /// "10.0.0.1:80".
--- a/src/libdecision/routetable.cpp
+++ b/src/libdecision/routetable.cpp
@@ -4,9 +4,18 @@
 
 namespace kingcuptrail {
 
+namespace {
+
+    ServiceAddress orderOf(const FlowRoute& route)
+    {
+        return toServiceAddress(route.address);
+    }
+
+}
+
 const FlowRoute* findRoute(const RouteTable& table, const PacketEndpoint& address)
 {
-    const auto found = std::ranges::lower_bound(table.routes, address, {}, &FlowRoute::address);
+    const auto found = std::ranges::lower_bound(table.routes, toServiceAddress(address), {}, orderOf);
     return found != table.routes.end() && found->address == address ? &*found : nullptr;
 }
 
@@ -50,7 +59,7 @@
 {
     if (next.version <= current.version)
         return false;
-    std::ranges::sort(next.routes, {}, &FlowRoute::address);
+    std::ranges::sort(next.routes, {}, orderOf);
     current = std::move(next);
     return true;
 }
--- a/tests/packets/testbalancing.cpp
+++ b/tests/packets/testbalancing.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(silentAgentComesLast);
     CPPUNIT_TEST(equalAgentsShareFlows);
     CPPUNIT_TEST(flowIsLostOnlyWhenEverybodySaysSo);
+    CPPUNIT_TEST(agentsHeardOfDuringTheSearchAreAskedToo);
     CPPUNIT_TEST(holderEndsTheSearch);
     CPPUNIT_TEST(newerEntryStands);
     CPPUNIT_TEST(weightsShareFlows);
@@ -68,6 +69,21 @@
         CPPUNIT_ASSERT(nobody.state == SearchState::Asking);
     }
 
+    // A balancer is restarted. A packet of a flow that its upstream holds comes 12 ms later, when the balancer has heard of
+    // one agent. That one does not hold the flow; by the time it has said so the list of agents is complete and confirmed,
+    // and the caller's flow was reset although the holder had never been asked.
+    void agentsHeardOfDuringTheSearchAreAskedToo()
+    {
+        HolderSearch search = beginSearch({ 1 }, 0);
+        CPPUNIT_ASSERT(takeAnswer(search, 1, HolderAnswer::NotHeld) == SearchState::HeldByNobody);
+        const std::vector<std::uint32_t> agents { 1, 2, 3 };
+        CPPUNIT_ASSERT((askMissing(search, agents) == std::vector<std::uint32_t> { 2, 3 }));
+        CPPUNIT_ASSERT(takeAnswer(search, 2, HolderAnswer::NotHeld) == SearchState::Asking);
+        CPPUNIT_ASSERT(takeAnswer(search, 3, HolderAnswer::Held) == SearchState::Found);
+        CPPUNIT_ASSERT_EQUAL(3U, search.holder);
+        CPPUNIT_ASSERT(askMissing(search, agents).empty());
+    }
+
     void holderEndsTheSearch()
     {
         HolderSearch search = beginSearch({ 1, 2 }, 0);
