--- a/src/kingcuptraild/packets/agentannouncement.cpp
+++ b/src/kingcuptraild/packets/agentannouncement.cpp
@@ -6,6 +6,16 @@
 
 namespace kingcuptrail {
 
+namespace {
+
+    bool saysTheSame(PeerEntry first, const PeerEntry& second)
+    {
+        first.epoch = second.epoch;
+        return first == second;
+    }
+
+}
+
 AgentAnnouncement::AgentAnnouncement(asio::io_context& context, const PlatformOptions& options)
     : m_client(context, options)
     , m_delay(context)
@@ -54,11 +64,15 @@
         }
         m_version = object ? object->version : 0;
         const auto found = object && object->value ? parsePeerEntry(*object->value) : std::nullopt;
-        if (found && found->epoch >= m_entry->epoch && *found != *m_entry && m_onFound)
-            m_onFound(*found);
+        if (found && found->epoch >= m_entry->epoch) {
+            m_entry->epoch = found->epoch + 1;
+            if (m_onFound)
+                m_onFound(*found);
+        }
         if (m_isBusy)
             return;
-        if (found && *found == *m_entry)
+        // An earlier process of this agent said the same; only its epoch differs, which processes tell each other.
+        if (found && saysTheSame(*found, *m_entry))
             m_isWritten = true;
         else
             put();
--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -71,9 +71,7 @@
                    } });
     m_announcement.setOnFound([this](const PeerEntry& found) {
         m_network.takeEntry(found);
-        m_self.epoch = found.epoch + 1;
-        m_self = m_network.announce(m_self);
-        m_announcement.write(m_self);
+        m_self = m_network.self();
     });
     turn();
 }
@@ -436,8 +434,8 @@
 void PacketAgent::followStoreIfAlone(Millis now)
 {
     const bool hasView = m_network.routes().version != 0 && m_network.outages().revision != 0;
-    const Millis patience = hasView ? newsPatience : startPatience;
-    const bool isAlone = now - std::max(m_network.lastNewsAt(), m_startedAt) > patience || (!hasView && now - m_startedAt > patience);
+    const bool hasNews = m_network.lastNewsAt() != 0;
+    const bool isAlone = now - std::max(m_network.lastNewsAt(), m_startedAt) > (hasNews ? newsPatience : startPatience);
     if (isAlone && !m_store)
         m_store = std::make_unique<StoreFollower>(m_role.context, m_role.platform, m_adapter, m_network);
     else if (!isAlone && hasView && m_store)
--- a/src/kingcuptraild/packets/packetbalancer.cpp
+++ b/src/kingcuptraild/packets/packetbalancer.cpp
@@ -65,7 +65,6 @@
     });
     if (!isStarted)
         logEvent(Event::ChildGaveUp, { { "child", "peers" }, { "reason", nameOf(ChildFailure::BindFailed) } });
-    m_store = std::make_unique<StoreFollower>(role.context, role.platform, adapter, m_network);
     openIngress();
     role.root.add({ .name = "ready", .make = [this](const FailureHandler& onFailure) {
                        return std::make_unique<HttpEndpoint>(
@@ -401,6 +400,7 @@
 {
     const Millis now = m_role.clock.now();
     m_network.isInDoubt();
+    followStore(now);
     offerUnansweredAgain(now);
     std::erase_if(m_searches, [now](const auto& item) { return now - item.second.search.startedAt > searchLimit; });
     if (now - m_pingedAt >= pingInterval)
@@ -410,6 +410,33 @@
     m_turnTimer.start(turnInterval, [this] { turn(); });
 }
 
+// A few balancers follow the store and tell all others, so that a change costs the store some calls and not one for each
+// process. Without any view a process reads at once: nobody else may know more.
+void PacketBalancer::followStore(Millis now)
+{
+    const bool hasView = m_network.routes().version != 0 && m_network.outages().revision != 0;
+    const bool isWanted = !m_isLeaving && (shouldRead(m_network.readers(), m_role.settings.name, m_store != nullptr, readerRank(), now) || !hasView);
+    if (isWanted && !m_store) {
+        m_store = std::make_unique<StoreFollower>(m_role.context, m_role.platform, m_adapter, m_network);
+        logEvent(Event::StoreFollowed, { { "follows", "yes" }, { "rank", readerRank() } });
+    } else if (!isWanted && m_store) {
+        m_storeCalls += m_store->callsMade();
+        m_store.reset();
+        logEvent(Event::StoreFollowed, { { "follows", "no" }, { "rank", readerRank() } });
+    }
+    m_network.setReading(m_store && m_store->isCurrent());
+}
+
+std::size_t PacketBalancer::readerRank() const
+{
+    std::size_t rank = 0;
+    for (const auto& [name, entry] : m_network.directory().entries) {
+        const bool isBefore = entry.role == PeerRole::Balancer && entry.state == PeerState::Ready && name < m_role.settings.name;
+        rank += isBefore ? 1 : 0;
+    }
+    return rank;
+}
+
 void PacketBalancer::offerUnansweredAgain(Millis now)
 {
     std::vector<FlowKey> late;
@@ -487,7 +514,8 @@
         { "out", m_network.outages().out },
         { "ready", isReady() },
         { "leaving", m_isLeaving },
-        { "platformTrouble", nameOf(m_store->lastReason()) },
+        { "followsStore", m_store != nullptr },
+        { "platformTrouble", nameOf(m_store ? m_store->lastReason() : PlatformError::None) },
     };
     const std::string text = status.dump();
     return text.substr(1, text.size() - 2);
@@ -501,7 +529,7 @@
     exposeCounters(out, "kingcuptrail_holder_searches_total", "Searches for the holder of a flow, by how they ended.", m_searchEnds);
     m_openingTimes.expose(out, "kingcuptrail_opening_milliseconds", "Time until an agent took an opening, in milliseconds.");
     exposeGauge(out, "kingcuptrail_cached_holders", "Flows whose holder is cached.", static_cast<double>(m_holders.size()));
-    exposeCounter(out, "kingcuptrail_store_calls_total", "Calls of the store.", m_store->callsMade());
+    exposeCounter(out, "kingcuptrail_store_calls_total", "Calls of the store.", m_storeCalls + (m_store ? m_store->callsMade() : 0));
     m_network.exposeMetrics(out);
 }
 
--- a/src/kingcuptraild/packets/packetbalancer.h
+++ b/src/kingcuptraild/packets/packetbalancer.h
@@ -78,11 +78,15 @@
     void sweepHolders(Millis now);
     bool isReady() const;
     void openIngress();
+    void followStore(Millis now);
+    std::size_t readerRank() const;
 
     const RoleContext m_role;
     const DeploymentAdapter& m_adapter;
     PeerNetwork m_network;
     std::unique_ptr<StoreFollower> m_store;
+    /// Calls of followers that ended.
+    std::uint64_t m_storeCalls = 0;
     std::unique_ptr<DatagramSocket> m_ingress;
     Delay m_turnTimer;
     Delay m_leaveTimer;
--- a/src/kingcuptraild/packets/peernetwork.cpp
+++ b/src/kingcuptraild/packets/peernetwork.cpp
@@ -191,6 +191,8 @@
         takeOutages(std::move(*outages));
     for (const PeerEntry& entry : entriesOf(message))
         takeEntry(entry);
+    for (const ReaderBeat& reader : readersOf(message))
+        takeBeat(m_readers, reader, m_lastNewsAt);
     if (message.table->digest() == m_digest)
         m_confirmedAt = m_clock.now();
     else if (message.table->wants_answer() || m_view.routes.version == 0)
@@ -202,6 +204,8 @@
 void PeerNetwork::tellPeriodically()
 {
     isInDoubt();
+    if (m_isReading)
+        beat(m_readers, m_self.name, m_clock.now());
     tellSome(tellCount, m_self.name.empty() ? std::vector<PeerEntry> {} : std::vector { m_self });
     const bool knowsLittle = m_view.routes.version == 0 || m_lastNewsAt == 0;
     m_tellTimer.start(knowsLittle ? firstTellInterval : std::max(tellInterval, runningInterval), [this] { tellPeriodically(); });
@@ -236,7 +240,7 @@
 
 void PeerNetwork::tell(std::uint32_t address, const std::vector<PeerEntry>& changed, bool wantsAnswer)
 {
-    NewsMessage news { .configVersion = m_view.routes.version, .digest = m_digest, .outages = &m_view.outages, .entries = changed, .wantsAnswer = wantsAnswer };
+    NewsMessage news { .configVersion = m_view.routes.version, .digest = m_digest, .outages = &m_view.outages, .entries = changed, .readers = freshBeats(m_readers, m_clock.now()), .wantsAnswer = wantsAnswer };
     std::erase_if(news.entries, [](const PeerEntry& entry) { return entry.name.empty(); });
     if (news.entries.size() > entriesInNews)
         news.entries.resize(entriesInNews);
--- a/src/kingcuptraild/packets/peernetwork.h
+++ b/src/kingcuptraild/packets/peernetwork.h
@@ -62,6 +62,11 @@
 
     /// Announces this process. Its epoch is set here, above every announcement under its name.
     const PeerEntry& announce(PeerEntry self);
+    const PeerEntry& self() const { return m_self; }
+
+    /// Who follows the store, as far as news tells; and whether this process is one of them.
+    StoreReaders& readers() { return m_readers; }
+    void setReading(bool isReading) { m_isReading = isReading; }
 
     void send(std::uint32_t address, const FlowMessage& message);
     /// Sends a packet as it is, to a caller or an upstream.
@@ -102,6 +107,8 @@
     PeerEntry m_self;
     DeploymentView m_view;
     Directory m_directory;
+    StoreReaders m_readers;
+    bool m_isReading = false;
     std::uint64_t m_digest = 0;
     PauseMeter m_pause;
     Millis m_lastNewsAt = 0;
--- a/src/kingcuptraild/packets/storefollower.cpp
+++ b/src/kingcuptraild/packets/storefollower.cpp
@@ -4,12 +4,20 @@
 
 namespace kingcuptrail {
 
+namespace {
+
+    /// How often the agents' announcements are read again, in milliseconds. Processes tell each other at once; the store is
+    /// for those that no peer has told.
+    constexpr Millis agentsInterval = 5000;
+
+}
+
 StoreFollower::StoreFollower(asio::io_context& context, const PlatformOptions& options, const DeploymentAdapter& adapter, PeerNetwork& network)
     : m_adapter(adapter)
     , m_network(network)
     , m_routes(context, options, std::string(adapter.routesKind), routesHandlers())
     , m_outages(context, options, std::string(adapter.outagesKind), outagesHandlers())
-    , m_agents(context, options, agentKind, agentsHandlers())
+    , m_agents(context, options, agentKind, agentsHandlers(), agentsInterval)
 {
 }
 
@@ -51,7 +59,7 @@
 {
     return {
         .onList = [this](const ObjectList& list) { takeAgents(list); },
-        .onChanges = [this](const ObjectList& changes) { takeAgents(changes); },
+        .onChanges = [](const ObjectList&) {},
         .onTrouble = [this](PlatformError) { noteTrouble(); },
     };
 }
@@ -83,17 +91,7 @@
 {
     noteAnswer();
     for (const PlatformObject& object : objects.objects) {
-        if (!object.value) {
-            const auto known = m_network.directory().entries.find(object.name);
-            if (known == m_network.directory().entries.end() || known->second.state == PeerState::Gone)
-                continue;
-            PeerEntry gone = known->second;
-            gone.state = PeerState::Gone;
-            ++gone.epoch;
-            m_network.takeEntry(gone);
-            continue;
-        }
-        const auto entry = parsePeerEntry(*object.value);
+        const auto entry = object.value ? parsePeerEntry(*object.value) : std::nullopt;
         if (entry && entry->name == object.name)
             m_network.takeEntry(*entry);
         else
--- a/src/kingcuptraild/packets/storefollower.h
+++ b/src/kingcuptraild/packets/storefollower.h
@@ -15,6 +15,9 @@
 public:
     StoreFollower(asio::io_context& context, const PlatformOptions& options, const DeploymentAdapter& adapter, PeerNetwork& network);
 
+    /// Whether what it told is what the store holds now, as far as a waiting watch can know.
+    bool isCurrent() const { return m_routes.isCurrent() && m_outages.isCurrent(); }
+
     /// The first of the watches' last failures, or None.
     PlatformError lastReason() const;
     std::uint64_t callsMade() const;
--- /dev/null
+++ b/src/libdecision/storereaders.cpp
@@ -0,0 +1,65 @@
+#include "storereaders.h"
+
+#include <algorithm>
+
+namespace kingcuptrail {
+
+namespace {
+
+    bool isFresh(const StoreReaders& state, const StoreReaders::Known& reader, Millis now)
+    {
+        return now - reader.grewAt <= state.options.freshness;
+    }
+
+}
+
+void takeBeat(StoreReaders& state, const ReaderBeat& beat, Millis now)
+{
+    StoreReaders::Known& known = state.readers[beat.name];
+    // A reader that was restarted counts from the beginning. While its old number is still passed around that one holds;
+    // a lower one after that is the new process's.
+    if (beat.beat <= known.beat && isFresh(state, known, now))
+        return;
+    if (beat.beat == known.beat)
+        return;
+    known = { .beat = beat.beat, .grewAt = now };
+}
+
+void beat(StoreReaders& state, const std::string& self, Millis now)
+{
+    takeBeat(state, { .name = self, .beat = state.readers[self].beat + 1 }, now);
+}
+
+std::vector<ReaderBeat> freshBeats(const StoreReaders& state, Millis now)
+{
+    std::vector<ReaderBeat> beats;
+    for (const auto& [name, reader] : state.readers) {
+        if (isFresh(state, reader, now))
+            beats.push_back({ .name = name, .beat = reader.beat });
+    }
+    return beats;
+}
+
+bool shouldRead(StoreReaders& state, const std::string& self, bool isReading, std::size_t rank, Millis now)
+{
+    std::size_t others = 0;
+    std::size_t othersBelow = 0;
+    for (const auto& [name, reader] : state.readers) {
+        if (name == self || !isFresh(state, reader, now))
+            continue;
+        ++others;
+        othersBelow += name < self ? 1 : 0;
+    }
+    if (isReading)
+        return othersBelow < state.options.wanted;
+    if (others >= state.options.wanted) {
+        state.tooFewSince = 0;
+        return false;
+    }
+    if (state.tooFewSince == 0)
+        state.tooFewSince = now;
+    const Millis wait = std::min(static_cast<Millis>(rank) * state.options.waitPerRank, state.options.longestWait);
+    return now - state.tooFewSince >= wait;
+}
+
+}
--- /dev/null
+++ b/src/libdecision/storereaders.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "ids.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace kingcuptrail {
+
+/// A sign of life of a process that follows the store; the number grows while what it follows is current.
+struct ReaderBeat {
+    std::string name;
+    std::uint64_t beat = 0;
+
+    bool operator==(const ReaderBeat&) const = default;
+};
+
+struct StoreReaderOptions {
+    /// Processes that follow the store. Each costs the store a call for each change; three of a fleet of any size are
+    /// enough for two to be lost at once.
+    std::size_t wanted = 3;
+    /// A reader whose sign of life did not grow for this long no longer counts, in milliseconds: news of it takes five
+    /// rounds of 250 ms to reach a hundred processes, and as many again are for lost datagrams.
+    Millis freshness = 2500;
+    /// A process that could be a reader waits this long for each one of lower name, in milliseconds, so that a lost reader
+    /// is not replaced by everybody.
+    Millis waitPerRank = 120;
+    /// The longest such wait: within a third of the time in which a change has to be in force everywhere (3 s).
+    Millis longestWait = 1000;
+};
+
+/// Which processes follow the store, as one process has heard. Nobody agrees on them: each decides for itself by what it
+/// hears, and with lost news there are more for a while, which costs calls and nothing else.
+struct StoreReaders {
+    struct Known {
+        std::uint64_t beat = 0;
+        Millis grewAt = 0;
+    };
+    StoreReaderOptions options;
+    std::map<std::string, Known> readers;
+    /// Since when too few are known; 0 while there are enough.
+    Millis tooFewSince = 0;
+};
+
+/// Takes a sign of life that news brought.
+void takeBeat(StoreReaders&, const ReaderBeat&, Millis now);
+
+/// Gives this process's own sign of life.
+void beat(StoreReaders&, const std::string& self, Millis now);
+
+/// The signs of life to pass on.
+std::vector<ReaderBeat> freshBeats(const StoreReaders&, Millis now);
+
+/// Whether `self` should follow the store: while it does, unless enough others of lower name do; while it does not, when too
+/// few have been heard of for as long as its rank among the candidates says.
+bool shouldRead(StoreReaders&, const std::string& self, bool isReading, std::size_t rank, Millis now);
+
+}
--- a/src/libplatform/kindwatcher.cpp
+++ b/src/libplatform/kindwatcher.cpp
@@ -2,19 +2,21 @@
 
 namespace kingcuptrail {
 
-KindWatcher::KindWatcher(asio::io_context& context, const PlatformOptions& options, std::string kind, Handlers handlers)
+KindWatcher::KindWatcher(asio::io_context& context, const PlatformOptions& options, std::string kind, Handlers handlers, Millis pollInterval)
     : m_kind(std::move(kind))
     , m_handlers(std::move(handlers))
     , m_client(context, options)
     , m_delay(context)
     , m_backoff(options.retryFirst, options.retryMax)
+    , m_pollInterval(pollInterval)
 {
     m_delay.start(0, [this] { list(); });
 }
 
 void KindWatcher::list()
 {
-    m_client.list(m_kind, [this](const std::optional<ObjectList>& listed, PlatformError reason) {
+    const bool mayBeOld = m_pollInterval > 0 && m_since;
+    const auto take = [this](const std::optional<ObjectList>& listed, PlatformError reason) {
         if (!listed) {
             retry(reason);
             return;
@@ -23,8 +25,12 @@
         m_lastReason = PlatformError::None;
         m_backoff.reset();
         m_handlers.onList(*listed);
-        watch();
-    });
+        if (m_pollInterval > 0)
+            m_delay.start(m_pollInterval, [this] { list(); });
+        else
+            watch();
+    };
+    m_client.list(m_kind, take, mayBeOld ? ListFreshness::MayBeOld : ListFreshness::Current);
 }
 
 void KindWatcher::watch()
@@ -51,7 +57,7 @@
     if (m_handlers.onTrouble)
         m_handlers.onTrouble(reason);
     m_delay.start(m_backoff.next(), [this] {
-        if (m_since)
+        if (m_since && m_pollInterval == 0)
             watch();
         else
             list();
--- a/src/libplatform/kindwatcher.h
+++ b/src/libplatform/kindwatcher.h
@@ -7,8 +7,9 @@
 
 namespace kingcuptrail {
 
-/// Follows every object of one kind: lists them, then watches; lists again when the store has dropped the history between.
-/// Tries for ever; what was last told stands meanwhile.
+/// Follows every object of one kind: lists them, then watches, and lists again when the store has dropped the history
+/// between; or, with an interval, lists them again and again, which tells nothing of what was removed. Tries for ever; what
+/// was last told stands meanwhile.
 class KindWatcher {
 public:
     struct Handlers {
@@ -20,7 +21,11 @@
         std::function<void(PlatformError)> onTrouble;
     };
 
-    KindWatcher(asio::io_context& context, const PlatformOptions& options, std::string kind, Handlers handlers);
+    /// `pollInterval` in milliseconds; 0 means to watch.
+    KindWatcher(asio::io_context& context, const PlatformOptions& options, std::string kind, Handlers handlers, Millis pollInterval = 0);
+
+    /// Whether the last call succeeded; what was told is then as new as the store, or as one interval.
+    bool isCurrent() const { return m_since && m_lastReason == PlatformError::None; }
 
     PlatformError lastReason() const { return m_lastReason; }
     std::uint64_t callsMade() const { return m_client.callsMade(); }
@@ -35,6 +40,7 @@
     PlatformClient m_client;
     Delay m_delay;
     Backoff m_backoff;
+    Millis m_pollInterval;
     std::optional<ObjectVersion> m_since;
     PlatformError m_lastReason = PlatformError::None;
 };
--- a/src/libplatform/platformclient.cpp
+++ b/src/libplatform/platformclient.cpp
@@ -23,7 +23,7 @@
     void call(HttpRequest request, Millis timeout, std::optional<Result> (*read)(const std::string&), Handler<Result> handler);
 
     const StoreDialect& dialect() const { return options.dialect ? *options.dialect : plainDialect(); }
-    void listPart(std::string kind, ObjectList listed, Handler<ObjectList> handler);
+    void listPart(std::string kind, ListFreshness freshness, ObjectList listed, Handler<ObjectList> handler);
 
     asio::io_context& context;
     PlatformOptions options;
@@ -76,12 +76,12 @@
 
 // A store answers a long list in parts. The list is as old as its first part: a watch from there sees again what changed
 // while the others were read.
-void PlatformClient::Private::listPart(std::string kind, ObjectList listed, Handler<ObjectList> handler)
+void PlatformClient::Private::listPart(std::string kind, ListFreshness freshness, ObjectList listed, Handler<ObjectList> handler)
 {
     const std::string after = listed.objects.empty() ? std::string() : listed.objects.back().name;
-    HttpRequest request = dialect().list(kind, after);
+    HttpRequest request = dialect().list(kind, after, freshness);
     call<ObjectPage>(std::move(request), options.callTimeout, dialect().readPage,
-        [this, kind = std::move(kind), listed = std::move(listed), handler = std::move(handler)](std::optional<ObjectPage> page, PlatformError error) mutable {
+        [this, freshness, kind = std::move(kind), listed = std::move(listed), handler = std::move(handler)](std::optional<ObjectPage> page, PlatformError error) mutable {
             if (!page) {
                 handler(std::nullopt, error);
                 return;
@@ -91,7 +91,7 @@
             const bool hasMore = page->hasMore && !page->list.objects.empty();
             std::move(page->list.objects.begin(), page->list.objects.end(), std::back_inserter(listed.objects));
             if (hasMore)
-                listPart(std::move(kind), std::move(listed), std::move(handler));
+                listPart(std::move(kind), freshness, std::move(listed), std::move(handler));
             else
                 handler(std::move(listed), PlatformError::None);
         });
@@ -103,9 +103,9 @@
     m_d->call<PlatformObject>(dialect.get(kind, name), m_d->options.callTimeout, dialect.readObject, std::move(handler));
 }
 
-void PlatformClient::list(const std::string& kind, Handler<ObjectList> handler)
+void PlatformClient::list(const std::string& kind, Handler<ObjectList> handler, ListFreshness freshness)
 {
-    m_d->listPart(kind, {}, std::move(handler));
+    m_d->listPart(kind, freshness, {}, std::move(handler));
 }
 
 void PlatformClient::put(const std::string& kind, const std::string& name, const std::string& value, ObjectVersion ifVersion, Handler<ObjectVersion> handler)
--- a/src/libplatform/platformclient.h
+++ b/src/libplatform/platformclient.h
@@ -79,6 +79,12 @@
     Millis retryMax = 3000;
 };
 
+/// Whether a listing has to show every acknowledged write, or may be some seconds old, which costs the store less.
+enum class ListFreshness : std::uint8_t {
+    Current,
+    MayBeOld,
+};
+
 /// Calls of the platform's object API, without retries: those are their callers' decisions. Lives in one io_context's thread.
 /// What goes over the wire is its dialect's (storedialect.h).
 class PlatformClient {
@@ -92,7 +98,7 @@
     PlatformClient& operator=(const PlatformClient&) = delete;
 
     void get(const std::string& kind, const std::string& name, Handler<PlatformObject> handler);
-    void list(const std::string& kind, Handler<ObjectList> handler);
+    void list(const std::string& kind, Handler<ObjectList> handler, ListFreshness freshness = ListFreshness::Current);
     /// Writes only when the object's version is `ifVersion`; yields the new version.
     void put(const std::string& kind, const std::string& name, const std::string& value, ObjectVersion ifVersion, Handler<ObjectVersion> handler);
     void remove(const std::string& kind, const std::string& name, ObjectVersion ifVersion, Handler<ObjectVersion> handler);
--- a/src/libplatform/storedialect.cpp
+++ b/src/libplatform/storedialect.cpp
@@ -58,7 +58,7 @@
         return { .target = objectTarget(kind, name) };
     }
 
-    HttpRequest listRequest(const std::string& kind, const std::string&)
+    HttpRequest listRequest(const std::string& kind, const std::string&, ListFreshness)
     {
         return { .target = "/objects/" + percentEncode(kind) };
     }
--- a/src/libplatform/storedialect.h
+++ b/src/libplatform/storedialect.h
@@ -16,7 +16,7 @@
 struct StoreDialect {
     HttpRequest (*get)(const std::string& kind, const std::string& name) = nullptr;
     /// The part of a listing behind the name `after`; empty for the first part.
-    HttpRequest (*list)(const std::string& kind, const std::string& after) = nullptr;
+    HttpRequest (*list)(const std::string& kind, const std::string& after, ListFreshness freshness) = nullptr;
     /// Writes on the condition that the object has this version; 0 means that there is none yet.
     HttpRequest (*put)(const std::string& kind, const std::string& name, const std::string& value, ObjectVersion ifVersion) = nullptr;
     HttpRequest (*remove)(const std::string& kind, const std::string& name, ObjectVersion ifVersion) = nullptr;
--- a/src/libprotocol/peermessage.cpp
+++ b/src/libprotocol/peermessage.cpp
@@ -89,6 +89,10 @@
     for (const PeerEntry& entry : message.entries)
         entries.push_back(pack(m_builder, entry));
     const auto packedEntries = m_builder.CreateVector(entries);
+    std::vector<flatbuffers::Offset<wire::StoreReader>> readers;
+    for (const ReaderBeat& reader : message.readers)
+        readers.push_back(wire::CreateStoreReaderDirect(m_builder, reader.name.c_str(), reader.beat));
+    const auto packedReaders = m_builder.CreateVector(readers);
     flatbuffers::Offset<wire::Outages> outages;
     if (message.outages)
         outages = wire::CreateOutages(m_builder, message.outages->revision, m_builder.CreateVectorOfStrings(message.outages->out));
@@ -99,6 +103,7 @@
     if (message.outages)
         builder.add_outages(outages);
     builder.add_entries(packedEntries);
+    builder.add_readers(packedReaders);
     builder.add_wants_answer(message.wantsAnswer);
     m_builder.Finish(builder.Finish());
     return finished(m_builder);
@@ -130,6 +135,16 @@
     return entries;
 }
 
+std::vector<ReaderBeat> readersOf(const PeerMessage& message)
+{
+    std::vector<ReaderBeat> readers;
+    if (const auto* packed = message.table->readers()) {
+        for (const wire::StoreReader* reader : *packed)
+            readers.push_back({ .name = textOf(reader->name()), .beat = reader->beat() });
+    }
+    return readers;
+}
+
 std::optional<OutageView> outagesOf(const PeerMessage& message)
 {
     const auto* packed = message.table->outages();
--- a/src/libprotocol/peermessage.h
+++ b/src/libprotocol/peermessage.h
@@ -3,6 +3,7 @@
 #include "framing.h"
 #include "libdecision/agentchoice.h"
 #include "libdecision/opengate.h"
+#include "libdecision/storereaders.h"
 #include <peer_generated.h>
 
 namespace kingcuptrail {
@@ -42,6 +43,7 @@
     std::uint64_t digest = 0;
     const OutageView* outages = nullptr;
     std::vector<PeerEntry> entries;
+    std::vector<ReaderBeat> readers;
     bool wantsAnswer = false;
 };
 
@@ -58,6 +60,8 @@
 
 /// The announcements that a News message carries.
 std::vector<PeerEntry> entriesOf(const PeerMessage&);
+/// The heartbeats of the store's readers that a News message carries.
+std::vector<ReaderBeat> readersOf(const PeerMessage&);
 /// The outages that a News message carries; nothing when it has none.
 std::optional<OutageView> outagesOf(const PeerMessage&);
 
--- a/src/libruntime/events.cpp
+++ b/src/libruntime/events.cpp
@@ -62,6 +62,8 @@
             "Find out who wrote the named object." },
         { Event::ServiceLimitsInForce, EventLevel::Info, "serviceLimitsInForce", "What one upstream of a service bears, by the configuration in force. A coldRate of 0 means that none is set.",
             "Nothing." },
+        { Event::StoreFollowed, EventLevel::Info, "storeFollowed", "This process began or ended to follow the store for the others.",
+            "Nothing. Some processes do at any time; storeFollowed of all of them in a row means that they do not hear of each other." },
         { Event::PlatformTrouble, EventLevel::Warning, "platformTrouble", "Calls to the platform fail; the last known state stands.",
             "Look at the platform's service. Flows go on; changes of configuration and membership wait." },
         { Event::PlatformBack, EventLevel::Info, "platformBack", "Calls to the platform succeed again.",
--- a/src/libruntime/events.h
+++ b/src/libruntime/events.h
@@ -42,6 +42,7 @@
     RoutesInForce = 323,
     ForeignObject = 324,
     ServiceLimitsInForce = 325,
+    StoreFollowed = 326,
     PlatformTrouble = 330,
     PlatformBack = 331,
     // Load
--- /dev/null
+++ b/tests/packets/teststorereaders.cpp
@@ -0,0 +1,97 @@
+#include "libdecision/storereaders.h"
+
+#include <algorithm>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace kingcuptrail;
+
+class TestStoreReaders : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(TestStoreReaders);
+    CPPUNIT_TEST(fleetSettlesOnAFewReaders);
+    CPPUNIT_TEST(lostReaderIsReplacedByOne);
+    CPPUNIT_TEST(restartedReaderIsHeardAgain);
+    CPPUNIT_TEST_SUITE_END();
+
+    static std::string nameOfProcess(std::size_t index)
+    {
+        return "b" + std::to_string(100 + index);
+    }
+
+    struct Fleet {
+        explicit Fleet(std::size_t size)
+            : states(size)
+            , isReading(size, true)
+            , isAlive(size, true)
+        {
+        }
+
+        /// One round of news in which everybody hears everybody, as after some real rounds.
+        void round(Millis now)
+        {
+            for (std::size_t reader = 0; reader < states.size(); ++reader) {
+                if (isReading[reader] && isAlive[reader])
+                    beat(states[reader], nameOfProcess(reader), now);
+            }
+            for (std::size_t teller = 0; teller < states.size(); ++teller) {
+                if (!isAlive[teller])
+                    continue;
+                for (StoreReaders& hearer : states) {
+                    for (const ReaderBeat& heard : freshBeats(states[teller], now))
+                        takeBeat(hearer, heard, now);
+                }
+            }
+            for (std::size_t index = 0; index < states.size(); ++index)
+                isReading[index] = isAlive[index] && shouldRead(states[index], nameOfProcess(index), isReading[index], index, now);
+        }
+
+        std::size_t readers() const { return static_cast<std::size_t>(std::count(isReading.begin(), isReading.end(), true)); }
+
+        std::vector<StoreReaders> states;
+        std::vector<bool> isReading;
+        std::vector<bool> isAlive;
+    };
+
+    void fleetSettlesOnAFewReaders()
+    {
+        Fleet fleet(20);
+        for (Millis now = 1000; now < 4000; now += 250)
+            fleet.round(now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, fleet.readers());
+        CPPUNIT_ASSERT(fleet.isReading[0] && fleet.isReading[2]);
+    }
+
+    // Two of the three processes that follow the store are cut off from it. Their signs of life end. One more process
+    // after the other begins to follow it, not all of the fleet at once, and a change is still in force in time.
+    void lostReaderIsReplacedByOne()
+    {
+        Fleet fleet(20);
+        Millis now = 1000;
+        for (; now < 4000; now += 250)
+            fleet.round(now);
+        fleet.isAlive[0] = false;
+        fleet.isAlive[1] = false;
+        for (; now < 8000; now += 250) {
+            fleet.round(now);
+            CPPUNIT_ASSERT(fleet.readers() >= 1 && fleet.readers() <= 6);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, fleet.readers());
+        CPPUNIT_ASSERT(fleet.isReading[3] && fleet.isReading[4]);
+    }
+
+    // A reader is restarted and counts from the beginning. Others know its old, higher number; refused for ever, its signs
+    // of life would never count and everybody else would follow the store.
+    void restartedReaderIsHeardAgain()
+    {
+        StoreReaders state;
+        takeBeat(state, { .name = "a", .beat = 900 }, 1000);
+        takeBeat(state, { .name = "a", .beat = 1 }, 1100);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 900 }, freshBeats(state, 1100).front().beat);
+        const Millis later = 1000 + state.options.freshness + 1;
+        CPPUNIT_ASSERT(freshBeats(state, later).empty());
+        takeBeat(state, { .name = "a", .beat = 2 }, later);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 2 }, freshBeats(state, later).front().beat);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestStoreReaders);
