--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -11,6 +11,8 @@
 namespace {
 
     constexpr Millis turnInterval = 100;
+    /// Between two looks at openings that wait, in milliseconds: a part of the time after which one is taken for left.
+    constexpr Millis queueInterval = 20;
     /// News of load goes to balancers at most this often, in milliseconds, and only when it changed.
     constexpr Millis loadInterval = 200;
     /// Balancers that have sent nothing for longer are not told, in milliseconds.
@@ -42,6 +44,7 @@
     , m_network(role.context, role.settings, role.clock)
     , m_announcement(role.context, role.platform)
     , m_turnTimer(role.context)
+    , m_queueTimer(role.context)
     , m_leaveTimer(role.context)
     , m_startedAt(role.clock.now())
 {
@@ -118,7 +121,7 @@
         admit(message.flow, message.packet, sender, 0);
         return;
     }
-    if (isWaiting(m_queue, message.flow)) {
+    if (takeCopy(m_queue, message.flow, now)) {
         reply(sender, { .kind = wire::PeerKind::Admitted, .flow = message.flow });
         return;
     }
@@ -171,12 +174,24 @@
         return;
     }
     reply(sender, { .kind = wire::PeerKind::Admitted, .flow = message.flow });
+    startQueueTimer();
+}
+
+// Room comes with the upstream's packets; only openings of callers that have left make room without any.
+void PacketAgent::startQueueTimer()
+{
+    m_queueTimer.start(queueInterval, [this] {
+        admitWaiting();
+        if (!m_queue.waiting.empty())
+            startQueueTimer();
+    });
 }
 
 // Fills the room at the upstream from those that wait. What no longer may be admitted goes back to its balancer.
 void PacketAgent::admitWaiting()
 {
     const Millis now = m_role.clock.now();
+    expireWork(m_flows, now);
     for (const WaitingOpening& expired : takeExpired(m_queue, now))
         refuse(expired.flow, expired.packet, expired.balancer, OpenRefusal::WaitedTooLong);
     while (!m_queue.waiting.empty()) {
--- a/src/kingcuptraild/packets/packetagent.h
+++ b/src/kingcuptraild/packets/packetagent.h
@@ -54,6 +54,7 @@
     OpenRefusal decide(const FlowKey& flow, ConfigVersion balancerVersion, Millis now);
     void admit(const FlowKey& flow, std::span<const std::uint8_t> packet, std::uint32_t balancer, Millis waited);
     void letWait(const PeerMessage& message, std::uint32_t sender);
+    void startQueueTimer();
     void admitWaiting();
     void refuse(const FlowKey& flow, std::span<const std::uint8_t> packet, std::uint32_t balancer, OpenRefusal refusal);
     void reply(std::uint32_t balancer, FlowMessage message);
@@ -82,6 +83,7 @@
     std::unique_ptr<StoreFollower> m_store;
     std::unique_ptr<DatagramSocket> m_outbound;
     Delay m_turnTimer;
+    Delay m_queueTimer;
     Delay m_leaveTimer;
     Millis m_startedAt;
     Millis m_leavingSince = 0;
--- a/src/kingcuptraild/packets/packetbalancer.cpp
+++ b/src/kingcuptraild/packets/packetbalancer.cpp
@@ -15,6 +15,9 @@
     /// An agent that has not answered an opening for this long is passed over, in milliseconds: several round trips between
     /// data centres and some turns of a busy agent; far below the 200 ms after which the caller sends a copy.
     constexpr Millis answerLimit = 60;
+    /// How long after its start a process may not know every agent, in milliseconds: after a loss of everything agents hear of
+    /// their upstreams within a heartbeat.
+    constexpr Millis learningTime = 2000;
     /// An opening that every agent refused for a passing reason is offered again after this long, in milliseconds.
     constexpr Millis againInterval = 40;
     /// Openings offered again in one turn: 600 a second, each to some agents, take a small balancer 2 % of a core.
@@ -54,6 +57,7 @@
     : m_role(role)
     , m_adapter(adapter)
     , m_network(role.context, role.settings, role.clock)
+    , m_startedAt(role.clock.now())
     , m_turnTimer(role.context)
     , m_leaveTimer(role.context)
 {
@@ -155,7 +159,9 @@
     }
     const std::vector<std::uint32_t> order = agentsFor(flow, *service);
     const auto next = std::ranges::find_if(order, [&](std::uint32_t agent) { return std::ranges::find(opening.tried, agent) == opening.tried.end(); });
-    if (next == order.end() && opening.mayTryAgain && now - opening.startedAt < openingLimit) {
+    // A process that has just started may not have heard of every agent yet.
+    const bool isNew = now - m_startedAt < learningTime;
+    if (next == order.end() && (opening.mayTryAgain || isNew) && now - opening.startedAt < openingLimit) {
         opening.tried.clear();
         opening.mayTryAgain = false;
         return;
--- a/src/kingcuptraild/packets/packetbalancer.h
+++ b/src/kingcuptraild/packets/packetbalancer.h
@@ -88,6 +88,7 @@
     /// Calls of followers that ended.
     std::uint64_t m_storeCalls = 0;
     std::unique_ptr<DatagramSocket> m_ingress;
+    Millis m_startedAt;
     Delay m_turnTimer;
     Delay m_leaveTimer;
 
--- a/src/kingcuptraild/packets/peernetwork.cpp
+++ b/src/kingcuptraild/packets/peernetwork.cpp
@@ -14,6 +14,8 @@
     constexpr std::size_t tellCount = 2;
     /// Peers told at once of a change: with eight each, 5,000 processes have heard after five rounds.
     constexpr std::size_t changeCount = 8;
+    /// Peers that an announcement is passed on to: with two each it reaches nearly everybody, and rounds of news the rest.
+    constexpr std::size_t relayCount = 2;
     /// While a process knows nothing yet it asks this often, in milliseconds: each round costs three datagrams, and the
     /// answer decides when the process begins to serve.
     constexpr Millis firstTellInterval = 50;
@@ -110,6 +112,28 @@
 }
 
 void PeerNetwork::takeEntry(const PeerEntry& entry)
+{
+    if (!noteEntry(entry))
+        return;
+    m_digest = digestOf(m_directory);
+    logEvent(Event::PeerChanged, { { "peer", entry.name }, { "role", nameOf(entry.role) }, { "state", nameOf(entry.state) }, { "epoch", entry.epoch } });
+    tellSome(relayCount, { entry });
+}
+
+// After a loss of everything each process learns of all others at once. Passed on and logged one by one, 84 entries in 84
+// processes kept balancers from answering for half a second; whoever lacks one of them finds out by the digest.
+void PeerNetwork::takeEntries(const std::vector<PeerEntry>& entries)
+{
+    std::size_t taken = 0;
+    for (const PeerEntry& entry : entries)
+        taken += noteEntry(entry) ? 1 : 0;
+    if (taken == 0)
+        return;
+    m_digest = digestOf(m_directory);
+    logEvent(Event::DirectoryTaken, { { "entries", entries.size() }, { "new", taken }, { "known", m_directory.entries.size() } });
+}
+
+bool PeerNetwork::noteEntry(const PeerEntry& entry)
 {
     if (entry.name == m_self.name && !m_self.name.empty()) {
         // An announcement from before this process's start that is not below its own: the time of day may have jumped.
@@ -117,14 +141,12 @@
             m_self.epoch = entry.epoch + 1;
             announce(m_self);
         }
-        return;
+        return false;
     }
     if (!offerEntry(m_directory, entry))
-        return;
-    m_digest = digestOf(m_directory);
-    logEvent(Event::PeerChanged, { { "peer", entry.name }, { "role", nameOf(entry.role) }, { "state", nameOf(entry.state) }, { "epoch", entry.epoch } });
-    tellSome(changeCount, { entry });
+        return false;
     m_handlers.onEntry(entry);
+    return true;
 }
 
 const PeerEntry& PeerNetwork::announce(PeerEntry self)
@@ -275,8 +297,7 @@
     m_lastNewsAt = m_clock.now();
     takeRoutes(view.routes);
     takeOutages(view.outages);
-    for (const PeerEntry& entry : view.entries)
-        takeEntry(entry);
+    takeEntries(view.entries);
 }
 
 void PeerNetwork::answerView(const std::shared_ptr<HttpResponder>& responder) const
--- a/src/kingcuptraild/packets/peernetwork.h
+++ b/src/kingcuptraild/packets/peernetwork.h
@@ -59,6 +59,8 @@
     void takeRoutes(RouteTable routes);
     void takeOutages(OutageView outages);
     void takeEntry(const PeerEntry& entry);
+    /// Many at once, as the store or a peer's view holds them.
+    void takeEntries(const std::vector<PeerEntry>& entries);
 
     /// Announces this process. Its epoch is set here, above every announcement under its name.
     const PeerEntry& announce(PeerEntry self);
@@ -81,6 +83,7 @@
     void exposeMetrics(std::string& out) const;
 
 private:
+    bool noteEntry(const PeerEntry& entry);
     void handleDatagram(std::span<const std::uint8_t> datagram, std::uint32_t sender);
     void handleNews(const PeerMessage& message, std::uint32_t sender);
     void tellPeriodically();
--- a/src/kingcuptraild/packets/storefollower.cpp
+++ b/src/kingcuptraild/packets/storefollower.cpp
@@ -90,13 +90,15 @@
 void StoreFollower::takeAgents(const ObjectList& objects)
 {
     noteAnswer();
+    std::vector<PeerEntry> entries;
     for (const PlatformObject& object : objects.objects) {
         const auto entry = object.value ? parsePeerEntry(*object.value) : std::nullopt;
         if (entry && entry->name == object.name)
-            m_network.takeEntry(*entry);
+            entries.push_back(*entry);
         else
             logEvent(Event::ForeignObject, { { "kind", agentKind }, { "object", object.name }, { "reason", nameOf(DecodeError::BadText) } });
     }
+    m_network.takeEntries(entries);
 }
 
 void StoreFollower::noteTrouble()
--- a/src/libdecision/agentflows.h
+++ b/src/libdecision/agentflows.h
@@ -54,7 +54,7 @@
     Millis closedLimit = 13000;
     /// How long an opening counts as work, in milliseconds: its caller completes it within two round trips or has given up.
     /// Counted for longer, openings of callers that have left would keep others out, who leave in turn.
-    Millis openingWork = 150;
+    Millis openingWork = 50;
     /// How long an unanswered request counts as work, in milliseconds: longer than work takes, and so short that requests
     /// that were abandoned midway do not keep the upstream's slots.
     Millis requestWork = 1500;
--- a/src/libdecision/openqueue.cpp
+++ b/src/libdecision/openqueue.cpp
@@ -13,7 +13,7 @@
         if (isLeftFresh != isRightFresh)
             return isLeftFresh;
         if (!isLeftFresh)
-            return left.arrivedAt < right.arrivedAt;
+            return left.seenAt > right.seenAt;
         if (left.priority != right.priority)
             return left.priority < right.priority;
         return left.arrivedAt > right.arrivedAt;
@@ -21,15 +21,20 @@
 
 }
 
-bool isWaiting(const OpenQueue& queue, const FlowKey& flow)
+bool takeCopy(OpenQueue& queue, const FlowKey& flow, Millis now)
 {
-    return std::ranges::find(queue.waiting, flow, &WaitingOpening::flow) != queue.waiting.end();
+    const auto found = std::ranges::find(queue.waiting, flow, &WaitingOpening::flow);
+    if (found == queue.waiting.end())
+        return false;
+    found->seenAt = now;
+    return true;
 }
 
 bool enqueue(OpenQueue& queue, WaitingOpening opening, std::uint32_t slots)
 {
     if (queue.waiting.size() >= std::size_t { queue.options.waitingPerSlot } * std::max(slots, 1U))
         return false;
+    opening.seenAt = opening.arrivedAt;
     queue.waiting.push_back(std::move(opening));
     return true;
 }
--- a/src/libdecision/openqueue.h
+++ b/src/libdecision/openqueue.h
@@ -11,6 +11,8 @@
 struct WaitingOpening {
     FlowKey flow;
     Millis arrivedAt = 0;
+    /// When the last copy of it came: its caller was still there.
+    Millis seenAt = 0;
     /// Until when an answer is likely to be within the route's latency target if the opening is admitted by then.
     Millis freshUntil = 0;
     /// 0 is the most urgent.
@@ -38,14 +40,15 @@
     std::vector<WaitingOpening> waiting;
 };
 
-/// Whether the flow's opening waits already; a copy of its packet changes nothing.
-bool isWaiting(const OpenQueue&, const FlowKey&);
+/// Notes a copy of an opening packet; whether that opening waits here.
+bool takeCopy(OpenQueue&, const FlowKey&, Millis now);
 
 /// Lets an opening wait; false when the queue is full.
 bool enqueue(OpenQueue&, WaitingOpening opening, std::uint32_t slots);
 
 /// The opening to admit next: of those that can still be in time the most urgent, and of these the newest; without any, the
-/// one that waits longest.
+/// one that was last heard of. Callers leave without a word when their deadline passes: taken from the oldest on, most
+/// places at the upstream would be kept for callers that have left.
 std::optional<WaitingOpening> takeNext(OpenQueue&, Millis now);
 
 /// Takes out the openings that have waited too long.
--- a/src/libruntime/events.cpp
+++ b/src/libruntime/events.cpp
@@ -64,6 +64,8 @@
             "Nothing." },
         { Event::StoreFollowed, EventLevel::Info, "storeFollowed", "This process began or ended to follow the store for the others.",
             "Nothing. Some processes do at any time; storeFollowed of all of them in a row means that they do not hear of each other." },
+        { Event::DirectoryTaken, EventLevel::Info, "directoryTaken", "Announcements were taken together from the store or from a peer.",
+            "Nothing." },
         { Event::PlatformTrouble, EventLevel::Warning, "platformTrouble", "Calls to the platform fail; the last known state stands.",
             "Look at the platform's service. Flows go on; changes of configuration and membership wait." },
         { Event::PlatformBack, EventLevel::Info, "platformBack", "Calls to the platform succeed again.",
--- a/src/libruntime/events.h
+++ b/src/libruntime/events.h
@@ -43,6 +43,7 @@
     ForeignObject = 324,
     ServiceLimitsInForce = 325,
     StoreFollowed = 326,
+    DirectoryTaken = 327,
     PlatformTrouble = 330,
     PlatformBack = 331,
     // Load
