--- a/src/kingcuptraild/packets/flowholders.h
+++ b/src/kingcuptraild/packets/flowholders.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <deque>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -32,10 +33,18 @@
     Millis usedAt = 0;
 };
 
+/// An agent that was asked for its whole data centre.
+struct Speaker {
+    std::uint32_t address = 0;
+    std::string dataCentre;
+};
+
 /// A search and the packets that wait for its end.
 struct WaitingSearch {
     HolderSearch search;
     std::vector<PacketBytes> packets;
+    /// Asked and not heard of yet.
+    std::vector<Speaker> speakers;
     /// What the caller last acknowledged, for a reset.
     std::uint32_t acknowledged = 0;
 };
--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -21,6 +21,8 @@
     /// start, several rounds of asking; later, some rounds of news in a row that did not come.
     constexpr Millis startPatience = 400;
     constexpr Millis newsPatience = 3000;
+    /// How long a search among neighbours may last, in milliseconds: the balancer has asked everybody itself long before.
+    constexpr Millis nearSearchLimit = 100;
     /// How long it waits for the upstream's word on a flow, in milliseconds.
     constexpr Millis learningLimit = 1000;
     /// How long a leaving agent goes on carrying open flows, in milliseconds: short requests end, and its host is back
@@ -86,6 +88,15 @@
 
 void PacketAgent::handleFlowMessage(const PeerMessage& message, std::uint32_t sender)
 {
+    const bool isFromNeighbour = message.kind == wire::PeerKind::Held || message.kind == wire::PeerKind::NotHeld || message.kind == wire::PeerKind::Unsure;
+    if (isFromNeighbour) {
+        handleNeighbourAnswer(message, sender);
+        return;
+    }
+    if (message.kind == wire::PeerKind::Find) {
+        handleFind(message, sender);
+        return;
+    }
     m_heardFrom[sender] = m_role.clock.now();
     switch (message.kind) {
     case wire::PeerKind::Open:
@@ -95,8 +106,8 @@
     case wire::PeerKind::Probe:
         handleForward(message, sender);
         break;
-    case wire::PeerKind::Find:
-        handleFind(message, sender);
+    case wire::PeerKind::FindNear:
+        handleFindNear(message, sender);
         break;
     case wire::PeerKind::Ping:
         reply(sender, { .kind = wire::PeerKind::Load });
@@ -271,6 +282,64 @@
     }
 }
 
+// A balancer that does not know a flow asks one agent in each data centre instead of all agents, so that a search costs it
+// some messages however many agents there are. This one asks its neighbours. Only when both know the same processes does
+// its no speak for all of them.
+void PacketAgent::handleFindNear(const PeerMessage& message, std::uint32_t sender)
+{
+    const Millis now = m_role.clock.now();
+    const HolderAnswer own = answerHolderQuestion(m_flows, message.flow, message.acknowledged, now);
+    if (own == HolderAnswer::Held) {
+        reply(sender, { .kind = wire::PeerKind::HeldNear, .flow = message.flow, .holder = m_self.address });
+        return;
+    }
+    const bool canSpeakForAll = own == HolderAnswer::NotHeld && message.digest == m_network.digest() && !m_nearSearches.contains(message.flow);
+    if (!canSpeakForAll) {
+        reply(sender, { .kind = wire::PeerKind::UnsureNear, .flow = message.flow });
+        return;
+    }
+    std::vector<std::uint32_t> neighbours;
+    for (const auto& [name, entry] : m_network.directory().entries) {
+        const bool isNeighbour = entry.role == PeerRole::Agent && entry.state != PeerState::Gone && entry.dataCentre == m_role.settings.dataCentre;
+        if (isNeighbour && entry.address != m_self.address)
+            neighbours.push_back(entry.address);
+    }
+    if (neighbours.empty()) {
+        reply(sender, { .kind = wire::PeerKind::NotHeldNear, .flow = message.flow });
+        return;
+    }
+    m_network.sendToAll(neighbours, { .kind = wire::PeerKind::Find, .flow = message.flow, .configVersion = m_network.routes().version, .acknowledged = message.acknowledged });
+    m_nearSearches[message.flow] = { .balancer = sender, .search = beginSearch(std::move(neighbours), now) };
+}
+
+void PacketAgent::handleNeighbourAnswer(const PeerMessage& message, std::uint32_t sender)
+{
+    const auto found = m_nearSearches.find(message.flow);
+    if (found == m_nearSearches.end())
+        return;
+    const HolderAnswer answer = holderAnswerOf(message.kind);
+    const SearchState state = takeAnswer(found->second.search, sender, answer);
+    if (state == SearchState::Found)
+        finishNearSearch(message.flow, wire::PeerKind::HeldNear, sender);
+    else if (state == SearchState::HeldByNobody)
+        finishNearSearch(message.flow, wire::PeerKind::NotHeldNear);
+    else if (answer == HolderAnswer::Unsure)
+        finishNearSearch(message.flow, wire::PeerKind::UnsureNear);
+}
+
+void PacketAgent::finishNearSearch(const FlowKey& flow, wire::PeerKind answer, std::uint32_t holder)
+{
+    const auto found = m_nearSearches.find(flow);
+    reply(found->second.balancer, { .kind = answer, .flow = flow, .holder = holder });
+    m_nearSearches.erase(found);
+}
+
+// A neighbour that stays silent makes the answer unsure; the balancer then asks each agent itself.
+void PacketAgent::expireNearSearches(Millis now)
+{
+    std::erase_if(m_nearSearches, [now](const auto& item) { return now - item.second.search.startedAt > nearSearchLimit; });
+}
+
 std::uint32_t PacketAgent::indexOf(std::uint32_t balancer)
 {
     const auto found = std::ranges::find(m_balancers, balancer);
@@ -424,6 +493,7 @@
     m_network.isInDoubt();
     expireWork(m_flows, now);
     sweepFlows(m_flows, now);
+    expireNearSearches(now);
     std::erase_if(m_learning, [now](const auto& item) { return now - item.second.since > learningLimit; });
     announceState();
     admitWaiting();
--- a/src/kingcuptraild/packets/packetagent.h
+++ b/src/kingcuptraild/packets/packetagent.h
@@ -4,6 +4,7 @@
 #include "kingcuptraild/role.h"
 #include "kingcuptraild/rolecontext.h"
 #include "libdecision/agentflows.h"
+#include "libdecision/holdersearch.h"
 #include "libdecision/opengate.h"
 #include "libdecision/openqueue.h"
 #include "libplatform/deploymentadapter.h"
@@ -47,10 +48,20 @@
         Millis since = 0;
     };
 
+    /// A search among the agents of the own data centre, made for a balancer.
+    struct NearSearch {
+        std::uint32_t balancer = 0;
+        HolderSearch search;
+    };
+
     void handleFlowMessage(const PeerMessage& message, std::uint32_t sender);
     void handleOpen(const PeerMessage& message, std::uint32_t sender);
     void handleForward(const PeerMessage& message, std::uint32_t sender);
     void handleFind(const PeerMessage& message, std::uint32_t sender);
+    void handleFindNear(const PeerMessage& message, std::uint32_t sender);
+    void handleNeighbourAnswer(const PeerMessage& message, std::uint32_t sender);
+    void finishNearSearch(const FlowKey& flow, wire::PeerKind answer, std::uint32_t holder = 0);
+    void expireNearSearches(Millis now);
     OpenRefusal decide(const FlowKey& flow, ConfigVersion balancerVersion, Millis now);
     void admit(const FlowKey& flow, std::span<const std::uint8_t> packet, std::uint32_t balancer, Millis waited);
     void letWait(const PeerMessage& message, std::uint32_t sender);
@@ -92,6 +103,7 @@
     OpenGate m_gate;
     OpenQueue m_queue;
     std::unordered_map<FlowKey, Learning> m_learning;
+    std::unordered_map<FlowKey, NearSearch> m_nearSearches;
     /// Hosts of balancers that have sent something; a packet's mark is an index into it, plus one.
     std::vector<std::uint32_t> m_balancers;
     std::unordered_map<std::uint32_t, Millis> m_heardFrom;
--- a/src/kingcuptraild/packets/packetbalancer.cpp
+++ b/src/kingcuptraild/packets/packetbalancer.cpp
@@ -4,6 +4,7 @@
 #include "libruntime/events.h"
 
 #include <algorithm>
+#include <map>
 #include <nlohmann/json.hpp>
 
 namespace kingcuptrail {
@@ -30,6 +31,11 @@
     constexpr Millis pingInterval = 200;
     /// A search is given up after this long, in milliseconds: the caller sends its packet again after 200 ms at the earliest.
     constexpr Millis searchLimit = 190;
+    /// In a data centre with so many agents one is asked for all of them: fewer messages from three on, and worth the second
+    /// round trip, which stays within the data centre.
+    constexpr std::size_t fewestForOne = 4;
+    /// How long that one agent may take, in milliseconds: several round trips.
+    constexpr Millis speakerLimit = 30;
     /// Packets of one flow that wait for a search: what a caller has in flight.
     constexpr std::size_t waitingPackets = 16;
     /// Searches at a time. Beyond it packets are dropped as in a full queue; at 1,200 bytes a packet and a few packets each
@@ -249,10 +255,92 @@
     ask(flow, waiting, agents);
 }
 
-void PacketBalancer::ask(const FlowKey& flow, const WaitingSearch& waiting, const std::vector<std::uint32_t>& agents)
+// Asks the awaited agents: in a data centre with several of them one agent, who asks the others, and elsewhere each.
+void PacketBalancer::ask(const FlowKey& flow, WaitingSearch& waiting, std::span<const std::uint32_t> agents)
 {
-    for (const std::uint32_t agent : agents)
-        m_network.send(agent, { .kind = wire::PeerKind::Find, .flow = flow, .configVersion = m_network.routes().version, .acknowledged = waiting.acknowledged });
+    const FlowMessage question { .kind = wire::PeerKind::Find, .flow = flow, .configVersion = m_network.routes().version, .acknowledged = waiting.acknowledged };
+    std::map<std::string, std::vector<std::uint32_t>> byDataCentre;
+    for (const auto& [name, entry] : m_network.directory().entries) {
+        if (std::ranges::find(agents, entry.address) != agents.end())
+            byDataCentre[entry.dataCentre].push_back(entry.address);
+    }
+    for (const auto& [dataCentre, members] : byDataCentre) {
+        if (members.size() < fewestForOne) {
+            m_network.sendToAll(members, question);
+            continue;
+        }
+        FlowMessage near = question;
+        near.kind = wire::PeerKind::FindNear;
+        near.digest = m_network.digest();
+        const std::uint32_t speaker = speakerOf(flow, members);
+        m_network.send(speaker, near);
+        waiting.speakers.push_back({ .address = speaker, .dataCentre = dataCentre });
+    }
+}
+
+// Any of them will do; the flow's hash spreads searches over all, and one that does not answer is passed over.
+std::uint32_t PacketBalancer::speakerOf(const FlowKey& flow, std::span<const std::uint32_t> members) const
+{
+    const std::size_t first = flowHash(flow) % members.size();
+    for (std::size_t step = 0; step < members.size(); ++step) {
+        const std::uint32_t member = members[(first + step) % members.size()];
+        const auto load = m_loads.find(member);
+        if (load == m_loads.end() || load->second.unanswered == 0)
+            return member;
+    }
+    return members[first];
+}
+
+// The word of one agent for its data centre.
+void PacketBalancer::handleNearAnswer(const PeerMessage& message, std::uint32_t sender)
+{
+    const auto found = m_searches.find(message.flow);
+    if (found == m_searches.end())
+        return;
+    WaitingSearch& waiting = found->second;
+    if (message.kind == wire::PeerKind::HeldNear) {
+        settleSearch(message.flow, takeAnswer(waiting.search, message.holder, HolderAnswer::Held));
+        return;
+    }
+    const auto speaker = std::ranges::find(waiting.speakers, sender, &Speaker::address);
+    if (speaker == waiting.speakers.end())
+        return;
+    const std::vector<std::uint32_t> members = awaitedIn(waiting.search, speaker->dataCentre);
+    waiting.speakers.erase(speaker);
+    if (message.kind == wire::PeerKind::UnsureNear) {
+        askDirectly(message.flow, waiting, members);
+        return;
+    }
+    SearchState state = SearchState::Asking;
+    for (const std::uint32_t member : members)
+        state = takeAnswer(waiting.search, member, HolderAnswer::NotHeld);
+    settleSearch(message.flow, state);
+}
+
+std::vector<std::uint32_t> PacketBalancer::awaitedIn(const HolderSearch& search, const std::string& dataCentre) const
+{
+    std::vector<std::uint32_t> members;
+    for (const auto& [name, entry] : m_network.directory().entries) {
+        if (entry.dataCentre == dataCentre && std::ranges::find(search.awaited, entry.address) != search.awaited.end())
+            members.push_back(entry.address);
+    }
+    return members;
+}
+
+void PacketBalancer::askDirectly(const FlowKey& flow, const WaitingSearch& waiting, std::span<const std::uint32_t> agents)
+{
+    m_network.sendToAll(agents, { .kind = wire::PeerKind::Find, .flow = flow, .configVersion = m_network.routes().version, .acknowledged = waiting.acknowledged });
+}
+
+// An agent that speaks for its data centre may be silent, or one of its neighbours: then each is asked.
+void PacketBalancer::askSilentDirectly(Millis now)
+{
+    for (auto& [flow, waiting] : m_searches) {
+        if (waiting.speakers.empty() || now - waiting.search.startedAt < speakerLimit)
+            continue;
+        waiting.speakers.clear();
+        askDirectly(flow, waiting, waiting.search.awaited);
+    }
 }
 
 void PacketBalancer::settleSearch(const FlowKey& flow, SearchState state)
@@ -306,6 +394,11 @@
     case wire::PeerKind::Unsure:
         handleHolderAnswer(message, sender);
         break;
+    case wire::PeerKind::HeldNear:
+    case wire::PeerKind::NotHeldNear:
+    case wire::PeerKind::UnsureNear:
+        handleNearAnswer(message, sender);
+        break;
     case wire::PeerKind::Load:
         noteLoad(message, sender);
         break;
@@ -367,9 +460,7 @@
 {
     if (const auto load = m_loads.find(sender); load != m_loads.end())
         load->second.unanswered = 0;
-    const auto answer = message.kind == wire::PeerKind::Held ? HolderAnswer::Held
-        : message.kind == wire::PeerKind::NotHeld            ? HolderAnswer::NotHeld
-                                                             : HolderAnswer::Unsure;
+    const HolderAnswer answer = holderAnswerOf(message.kind);
     const auto found = m_searches.find(message.flow);
     if (answer == HolderAnswer::NotHeld) {
         const auto holder = m_holders.find(message.flow);
@@ -408,6 +499,7 @@
     m_network.isInDoubt();
     followStore(now);
     offerUnansweredAgain(now);
+    askSilentDirectly(now);
     std::erase_if(m_searches, [now](const auto& item) { return now - item.second.search.startedAt > searchLimit; });
     if (now - m_pingedAt >= pingInterval)
         pingSilentAgents(now);
--- a/src/kingcuptraild/packets/packetbalancer.h
+++ b/src/kingcuptraild/packets/packetbalancer.h
@@ -61,7 +61,12 @@
 
     void handleFlowPacket(const FlowKey& flow, const PacketHead& head, std::span<const std::uint8_t> packet);
     void search(const FlowKey& flow, const PacketHead& head, std::span<const std::uint8_t> packet);
-    void ask(const FlowKey& flow, const WaitingSearch& waiting, const std::vector<std::uint32_t>& agents);
+    void ask(const FlowKey& flow, WaitingSearch& waiting, std::span<const std::uint32_t> agents);
+    void askDirectly(const FlowKey& flow, const WaitingSearch& waiting, std::span<const std::uint32_t> agents);
+    void askSilentDirectly(Millis now);
+    std::uint32_t speakerOf(const FlowKey& flow, std::span<const std::uint32_t> members) const;
+    std::vector<std::uint32_t> awaitedIn(const HolderSearch& search, const std::string& dataCentre) const;
+    void handleNearAnswer(const PeerMessage& message, std::uint32_t sender);
     void settleSearch(const FlowKey& flow, SearchState state);
     bool canBeCertain() const;
 
--- a/src/kingcuptraild/packets/peernetwork.cpp
+++ b/src/kingcuptraild/packets/peernetwork.cpp
@@ -168,6 +168,13 @@
     m_socket->send(m_encoder.encode(message), peerEndpoint(address));
 }
 
+void PeerNetwork::sendToAll(std::span<const std::uint32_t> addresses, const FlowMessage& message)
+{
+    const auto bytes = m_encoder.encode(message);
+    for (const std::uint32_t address : addresses)
+        m_socket->send(bytes, peerEndpoint(address));
+}
+
 void PeerNetwork::sendPacket(std::span<const std::uint8_t> packet, const asio::ip::udp::endpoint& receiver)
 {
     m_socket->send(packet, receiver);
--- a/src/kingcuptraild/packets/peernetwork.h
+++ b/src/kingcuptraild/packets/peernetwork.h
@@ -71,6 +71,9 @@
     void setReading(bool isReading) { m_isReading = isReading; }
 
     void send(std::uint32_t address, const FlowMessage& message);
+    /// The same message to several processes, encoded once.
+    void sendToAll(std::span<const std::uint32_t> addresses, const FlowMessage& message);
+    std::uint64_t digest() const { return m_digest; }
     /// Sends a packet as it is, to a caller or an upstream.
     void sendPacket(std::span<const std::uint8_t> packet, const asio::ip::udp::endpoint& receiver);
 
--- a/src/libprotocol/peermessage.cpp
+++ b/src/libprotocol/peermessage.cpp
@@ -47,7 +47,7 @@
         error = FrameError::NoBody;
         return std::nullopt;
     }
-    PeerMessage message { .kind = table->kind(), .configVersion = table->config_version(), .acknowledged = table->acknowledged(), .table = table };
+    PeerMessage message { .kind = table->kind(), .configVersion = table->config_version(), .acknowledged = table->acknowledged(), .digest = table->digest(), .holder = table->holder(), .table = table };
     if (const auto* flow = table->flow())
         message.flow = toFlow(*flow);
     if (const auto* load = table->load())
@@ -72,6 +72,8 @@
     builder.add_reason(static_cast<std::uint8_t>(message.refusal));
     builder.add_config_version(message.configVersion);
     builder.add_acknowledged(message.acknowledged);
+    builder.add_digest(message.digest);
+    builder.add_holder(message.holder);
     if (message.load) {
         const wire::AgentLoad load(message.load->atWork, message.load->slots, message.load->isCold);
         builder.add_load(&load);
@@ -109,6 +111,18 @@
     return finished(m_builder);
 }
 
+HolderAnswer holderAnswerOf(wire::PeerKind kind)
+{
+    switch (kind) {
+    case wire::PeerKind::Held:
+        return HolderAnswer::Held;
+    case wire::PeerKind::NotHeld:
+        return HolderAnswer::NotHeld;
+    default:
+        return HolderAnswer::Unsure;
+    }
+}
+
 std::vector<PeerEntry> entriesOf(const PeerMessage& message)
 {
     std::vector<PeerEntry> entries;
--- a/src/libprotocol/peermessage.h
+++ b/src/libprotocol/peermessage.h
@@ -2,6 +2,7 @@
 
 #include "framing.h"
 #include "libdecision/agentchoice.h"
+#include "libdecision/agentflows.h"
 #include "libdecision/opengate.h"
 #include "libdecision/storereaders.h"
 #include <peer_generated.h>
@@ -17,6 +18,10 @@
     ConfigVersion configVersion = 0;
     /// Of Find: what the caller's packet acknowledges.
     std::uint32_t acknowledged = 0;
+    /// Of FindNear: the digest of the sender's directory.
+    std::uint64_t digest = 0;
+    /// Of HeldNear: the address of the agent that holds the flow.
+    std::uint32_t holder = 0;
     std::span<const std::uint8_t> packet;
     /// The rest, for the rare kinds.
     const wire::PeerMessage* table = nullptr;
@@ -33,6 +38,8 @@
     OpenRefusal refusal = OpenRefusal::None;
     ConfigVersion configVersion = 0;
     std::uint32_t acknowledged = 0;
+    std::uint64_t digest = 0;
+    std::uint32_t holder = 0;
     const AgentLoad* load = nullptr;
     std::span<const std::uint8_t> packet;
 };
@@ -58,6 +65,9 @@
     flatbuffers::FlatBufferBuilder m_builder { 2048 };
 };
 
+/// What Held, NotHeld and Unsure say.
+HolderAnswer holderAnswerOf(wire::PeerKind kind);
+
 /// The announcements that a News message carries.
 std::vector<PeerEntry> entriesOf(const PeerMessage&);
 /// The heartbeats of the store's readers that a News message carries.
