--- a/src/kingcuptraild/packets/peernetwork.cpp
+++ b/src/kingcuptraild/packets/peernetwork.cpp
@@ -19,8 +19,17 @@
     /// While a process knows nothing yet it asks this often, in milliseconds: each round costs three datagrams, and the
     /// answer decides when the process begins to serve.
     constexpr Millis firstTellInterval = 50;
-    /// The view is fetched at most this often, in milliseconds: several peers name the same new version.
-    constexpr Millis fetchInterval = 30;
+    /// A configuration is fetched at most this often, in milliseconds: several peers name the same new version, and in a
+    /// quick series of versions each would be fetched for nothing. Below the 250 ms within which a process has to follow a
+    /// version whose effect was seen.
+    constexpr Millis routesInterval = 100;
+    /// For how long a difference between directories has to stay before it is mended, and how often that is tried, in
+    /// milliseconds. A fetch of 100 entries is 15 KB, and made at each difference it filled links of 10 Mbit/s.
+    constexpr Millis repairPatience = 400;
+    constexpr Millis repairInterval = 1000;
+    constexpr Millis firstRepairInterval = 150;
+    /// For so long after its start a process is taken to know little, in milliseconds.
+    constexpr Millis learningTime = 3000;
     /// A fetch that takes longer goes to another peer, in milliseconds: some round trips and 100 KB at 10 Mbit/s.
     constexpr Millis fetchTimeout = 400;
     /// How long a peer's word that it has the same directory holds, in milliseconds: several rounds of news.
@@ -45,6 +54,7 @@
     , m_tellTimer(context)
     , m_random(std::random_device {}())
     , m_ownAddress(settings.listen.address().to_v4().to_uint())
+    , m_startedAt(clock.now())
 {
 }
 
@@ -64,7 +74,7 @@
     asio::error_code error;
     m_viewServer = HttpServer::listen(
         m_context, m_settings.listen, { .maxBodyBytes = 0, .requestTimeout = 2000, .maxConnections = 256 },
-        [this](const HttpRequest&, const std::shared_ptr<HttpResponder>& responder) { answerView(responder); }, error);
+        [this](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) { answerView(request, responder); }, error);
     if (!m_socket || !m_viewServer)
         return false;
     tellPeriodically();
@@ -205,7 +215,7 @@
         return;
     }
     if (message->configVersion > m_view.routes.version)
-        fetchView(sender);
+        fetchView(sender, { .routes = true, .entries = m_view.routes.version == 0 });
     if (message->kind == wire::PeerKind::News)
         handleNews(*message, sender);
     else
@@ -222,10 +232,12 @@
         takeEntry(entry);
     for (const ReaderBeat& reader : readersOf(message))
         takeBeat(m_readers, reader, m_lastNewsAt);
-    if (message.table->digest() == m_digest)
+    if (message.table->digest() == m_digest) {
         m_confirmedAt = m_clock.now();
-    else if (message.table->wants_answer() || m_view.routes.version == 0)
-        fetchView(sender);
+        m_differsSince = 0;
+    } else {
+        repairDirectory(sender);
+    }
     if (message.table->wants_answer())
         tell(sender, { m_self }, false);
 }
@@ -276,12 +288,30 @@
     m_socket->send(m_encoder.encode(news), peerEndpoint(address));
 }
 
-void PeerNetwork::fetchView(std::uint32_t address)
+// Changes are told at once, so two directories mostly differ for the time that news is under way, and a fetch would bring
+// nothing. Only a difference that stays is mended so; soon after its start a process has much to learn and asks at once.
+void PeerNetwork::repairDirectory(std::uint32_t address)
+{
+    const Millis now = m_clock.now();
+    if (m_differsSince == 0)
+        m_differsSince = now;
+    const bool isNew = now - m_startedAt < learningTime;
+    const Millis patience = isNew ? 0 : repairPatience;
+    const Millis interval = isNew ? firstRepairInterval : repairInterval;
+    if (now - m_differsSince < patience || (m_entriesFetchedAt > 0 && now - m_entriesFetchedAt < interval))
+        return;
+    fetchView(address, { .routes = m_view.routes.version == 0, .entries = true });
+}
+
+void PeerNetwork::fetchView(std::uint32_t address, const ViewParts& parts)
 {
     const Millis now = m_clock.now();
-    if (m_fetch || (m_fetchedAt > 0 && now - m_fetchedAt < fetchInterval))
+    if (m_fetch || (parts.routes && m_routesFetchedAt > 0 && now - m_routesFetchedAt < routesInterval))
         return;
-    m_fetchedAt = now;
+    if (parts.routes)
+        m_routesFetchedAt = now;
+    if (parts.entries)
+        m_entriesFetchedAt = now;
     const asio::ip::tcp::endpoint server(asio::ip::address_v4(address), m_settings.listen.port());
     HttpCall::Handlers handlers;
     handlers.onDone = [this](const std::optional<HttpResponse>& response, const HttpOutcome&) {
@@ -296,7 +326,7 @@
         else
             m_trouble.increment(PeerTrouble::ViewMalformed);
     };
-    m_fetch = startHttpCall(m_context, server, { .target = "/view" }, { .connectTimeout = fetchTimeout, .timeout = fetchTimeout }, std::move(handlers));
+    m_fetch = startHttpCall(m_context, server, { .target = std::string("/view?routes=") + (parts.routes ? "1" : "0") + "&entries=" + (parts.entries ? "1" : "0") }, { .connectTimeout = fetchTimeout, .timeout = fetchTimeout }, std::move(handlers));
 }
 
 void PeerNetwork::takeView(const DeploymentView& view)
@@ -307,9 +337,10 @@
     takeEntries(view.entries);
 }
 
-void PeerNetwork::answerView(const std::shared_ptr<HttpResponder>& responder) const
+void PeerNetwork::answerView(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) const
 {
-    responder->respond({ .headers = { { "Content-Type", "application/json" } }, .body = toJson(view()) });
+    const ViewParts parts { .routes = queryValue(request.target, "routes") != "0", .entries = queryValue(request.target, "entries") != "0" };
+    responder->respond({ .headers = { { "Content-Type", "application/json" } }, .body = toJson(view(), parts) });
 }
 
 asio::ip::udp::endpoint PeerNetwork::peerEndpoint(std::uint32_t address) const
--- a/src/kingcuptraild/packets/peernetwork.h
+++ b/src/kingcuptraild/packets/peernetwork.h
@@ -93,9 +93,10 @@
     void tellSome(std::size_t count, const std::vector<PeerEntry>& changed);
     void tell(std::uint32_t address, const std::vector<PeerEntry>& changed, bool wantsAnswer);
     std::vector<std::uint32_t> knownPeers() const;
-    void fetchView(std::uint32_t address);
+    void repairDirectory(std::uint32_t address);
+    void fetchView(std::uint32_t address, const ViewParts& parts);
     void takeView(const DeploymentView& view);
-    void answerView(const std::shared_ptr<HttpResponder>& responder) const;
+    void answerView(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) const;
     asio::ip::udp::endpoint peerEndpoint(std::uint32_t address) const;
 
     asio::io_context& m_context;
@@ -119,7 +120,11 @@
     PauseMeter m_pause;
     Millis m_lastNewsAt = 0;
     Millis m_confirmedAt = 0;
-    Millis m_fetchedAt = 0;
+    Millis m_startedAt;
+    Millis m_routesFetchedAt = 0;
+    Millis m_entriesFetchedAt = 0;
+    /// Since when peers have named another directory; 0 after one named the same.
+    Millis m_differsSince = 0;
     EnumCounters<PeerTrouble> m_trouble;
 };
 
--- a/src/libplatform/viewjson.cpp
+++ b/src/libplatform/viewjson.cpp
@@ -100,22 +100,27 @@
         return items;
     }
 
-    DeploymentView viewOf(const json& document)
+    RouteTable tableOf(const json& document)
     {
-        const json& routes = document.at("routes");
-        const json& outages = document.at("outages");
         return {
-            .routes = {
-                .version = routes.at("version").get<ConfigVersion>(),
-                .routes = fromArray(routes.at("routes"), routeOf),
-                .services = fromArray(routes.at("services"), limitsOf),
-                .idleLimit = routes.at("idleLimitMs").get<Millis>(),
-            },
-            .outages = { .revision = outages.at("revision").get<std::uint64_t>(), .out = outages.at("out").get<std::vector<std::string>>() },
-            .entries = fromArray(document.at("entries"), entryOf),
+            .version = document.at("version").get<ConfigVersion>(),
+            .routes = fromArray(document.at("routes"), routeOf),
+            .services = fromArray(document.at("services"), limitsOf),
+            .idleLimit = document.at("idleLimitMs").get<Millis>(),
         };
     }
 
+    DeploymentView viewOf(const json& document)
+    {
+        const json& outages = document.at("outages");
+        DeploymentView view { .routes = {}, .outages = { .revision = outages.at("revision").get<std::uint64_t>(), .out = outages.at("out").get<std::vector<std::string>>() }, .entries = {} };
+        if (document.contains("routes"))
+            view.routes = tableOf(document.at("routes"));
+        if (document.contains("entries"))
+            view.entries = fromArray(document.at("entries"), entryOf);
+        return view;
+    }
+
     template <typename Result>
     std::optional<Result> parseAs(std::string_view text, Result (*read)(const json&))
     {
@@ -131,13 +136,13 @@
 
 }
 
-std::string toJson(const DeploymentView& view)
+std::string toJson(const DeploymentView& view, const ViewParts& parts)
 {
-    const json document {
-        { "routes", { { "version", view.routes.version }, { "routes", toArray(view.routes.routes) }, { "services", toArray(view.routes.services) }, { "idleLimitMs", view.routes.idleLimit } } },
-        { "outages", { { "revision", view.outages.revision }, { "out", view.outages.out } } },
-        { "entries", toArray(view.entries) },
-    };
+    json document { { "outages", { { "revision", view.outages.revision }, { "out", view.outages.out } } } };
+    if (parts.routes)
+        document["routes"] = { { "version", view.routes.version }, { "routes", toArray(view.routes.routes) }, { "services", toArray(view.routes.services) }, { "idleLimitMs", view.routes.idleLimit } };
+    if (parts.entries)
+        document["entries"] = toArray(view.entries);
     return document.dump();
 }
 
--- a/src/libplatform/viewjson.h
+++ b/src/libplatform/viewjson.h
@@ -18,8 +18,14 @@
     bool operator==(const DeploymentView&) const = default;
 };
 
-std::string toJson(const DeploymentView&);
-/// Reads a view; nothing when the text is not one.
+/// Which parts of a view are wanted; whoever asks leaves out what it has.
+struct ViewParts {
+    bool routes = true;
+    bool entries = true;
+};
+
+std::string toJson(const DeploymentView&, const ViewParts& parts = {});
+/// Reads a view; nothing when the text is not one. A part that was left out is as in a new view.
 std::optional<DeploymentView> parseView(std::string_view json);
 
 /// An announcement as the store holds it.
--- a/tests/packets/testpeermessage.cpp
+++ b/tests/packets/testpeermessage.cpp
@@ -69,6 +69,8 @@
     {
         const DeploymentView view { .routes = routesTo("board", 4), .outages = { .revision = 2, .out = { "south" } }, .entries = { entry() } };
         CPPUNIT_ASSERT(parseView(toJson(view)) == view);
+        const auto entriesOnly = parseView(toJson(view, { .routes = false }));
+        CPPUNIT_ASSERT(entriesOnly && entriesOnly->routes.version == 0 && entriesOnly->entries == view.entries);
         CPPUNIT_ASSERT(!parseView("{"));
         CPPUNIT_ASSERT(!parseView(R"({"routes":{},"outages":{},"entries":[]})"));
         CPPUNIT_ASSERT(parsePeerEntry(toJson(entry())) == entry());
