--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -4,6 +4,7 @@
 #include "libruntime/events.h"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace kingcuptrail {
@@ -18,6 +19,10 @@
     /// have room. At 200 ms throughout, news of 58 agents were half of what a small balancer received.
     constexpr Millis loadInterval = 1000;
     constexpr Millis fullLoadInterval = 200;
+    /// Part of each look (every 100 ms) in the smoothed load: half a second's worth, some ten requests of a slot.
+    constexpr float smoothing = 0.2F;
+    /// A smoothed load that changed by less is not told.
+    constexpr float loadStep = 0.1F;
     /// Balancers that have sent nothing for longer are not told, in milliseconds.
     constexpr Millis balancerIdleLimit = 2000;
     /// How long peers may leave this process without news before it turns to the store itself, in milliseconds: at its
@@ -242,7 +247,7 @@
 
 AgentLoad PacketAgent::load() const
 {
-    return { .atWork = m_flows.atWork + static_cast<std::uint32_t>(m_queue.waiting.size()), .slots = m_gate.upstream ? m_gate.upstream->slots : 1, .isCold = m_role.clock.now() < m_gate.coldUntil };
+    return { .atWork = m_flows.atWork + static_cast<std::uint32_t>(m_queue.waiting.size()), .slots = m_gate.upstream ? m_gate.upstream->slots : 1, .usual = m_usualLoad, .isCold = m_role.clock.now() < m_gate.coldUntil };
 }
 
 void PacketAgent::handleForward(const PeerMessage& message, std::uint32_t sender)
@@ -538,11 +543,12 @@
 
 void PacketAgent::tellLoad(Millis now)
 {
-    const std::uint32_t atWork = load().atWork;
+    const AgentLoad current = load();
+    m_usualLoad += (static_cast<float>(current.atWork) / static_cast<float>(std::max(current.slots, 1U)) - m_usualLoad) * smoothing;
     const bool isFull = !m_queue.waiting.empty();
-    if (m_toldAtWork == atWork || now - m_toldAt < (isFull ? fullLoadInterval : loadInterval))
+    if (std::abs(m_toldLoad - m_usualLoad) < loadStep || now - m_toldAt < (isFull ? fullLoadInterval : loadInterval))
         return;
-    m_toldAtWork = atWork;
+    m_toldLoad = m_usualLoad;
     m_toldAt = now;
     std::erase_if(m_heardFrom, [now](const auto& item) { return now - item.second > balancerIdleLimit; });
     for (const auto& [balancer, heardAt] : m_heardFrom)
--- a/src/kingcuptraild/packets/packetagent.h
+++ b/src/kingcuptraild/packets/packetagent.h
@@ -113,7 +113,8 @@
     /// Hosts of balancers that have sent something; a packet's mark is an index into it, plus one.
     std::vector<std::uint32_t> m_balancers;
     std::unordered_map<std::uint32_t, Millis> m_heardFrom;
-    std::uint32_t m_toldAtWork = 0;
+    float m_toldLoad = 0;
+    float m_usualLoad = 0;
     Millis m_toldAt = 0;
     PeerEntry m_self;
 
--- a/src/libdecision/agentchoice.cpp
+++ b/src/libdecision/agentchoice.cpp
@@ -19,9 +19,12 @@
     /// Requests that differ by less than this part of all slots count as equally loaded; the hash decides.
     constexpr double scoreStep = 0.2;
 
+    /// Openings that wait at an agent stay for longer than their news takes, so they count in full.
     double loadOf(const AgentLoad& load)
     {
-        return static_cast<double>(load.atWork + load.sentSince) / std::max(load.slots, 1U);
+        const double slots = std::max(load.slots, 1U);
+        const double waiting = load.atWork > 2 * load.slots ? static_cast<double>(load.atWork) / slots : 0;
+        return std::max(static_cast<double>(load.usual), waiting) + load.sentSince / slots;
     }
 
     double scoreOf(const AgentCandidate& candidate, const AgentChoiceOptions& options, Millis now)
--- a/src/libdecision/agentchoice.h
+++ b/src/libdecision/agentchoice.h
@@ -15,6 +15,9 @@
     /// Requests that the upstream works on or that wait there.
     std::uint32_t atWork = 0;
     std::uint32_t slots = 1;
+    /// Work for each slot, smoothed over some requests: what lasts of a load. The work of this moment is gone before its
+    /// news is old, and chosen by it all balancers take the same agent at once.
+    float usual = 0;
     bool isCold = false;
     Millis heardAt = 0;
     /// Openings that this balancer has sent there since it last heard.
--- a/src/libprotocol/peermessage.cpp
+++ b/src/libprotocol/peermessage.cpp
@@ -51,7 +51,7 @@
     if (const auto* flow = table->flow())
         message.flow = toFlow(*flow);
     if (const auto* load = table->load())
-        message.load = { .atWork = load->at_work(), .slots = load->slots(), .isCold = load->cold() };
+        message.load = { .atWork = load->at_work(), .slots = load->slots(), .usual = load->usual(), .isCold = load->cold() };
     message.refusal = fromNumber<OpenRefusal>(table->reason()).value_or(OpenRefusal::None);
     if (const auto* packet = table->packet())
         message.packet = { packet->data(), packet->size() };
@@ -75,7 +75,7 @@
     builder.add_digest(message.digest);
     builder.add_holder(message.holder);
     if (message.load) {
-        const wire::AgentLoad load(message.load->atWork, message.load->slots, message.load->isCold);
+        const wire::AgentLoad load(message.load->atWork, message.load->slots, message.load->usual, message.load->isCold);
         builder.add_load(&load);
     }
     if (!message.packet.empty())
--- a/tests/packets/testbalancing.cpp
+++ b/tests/packets/testbalancing.cpp
@@ -21,7 +21,7 @@
 
     static AgentCandidate candidate(std::uint32_t address, bool isNear, std::uint32_t atWork)
     {
-        return { .address = address, .isNear = isNear, .load = { .atWork = atWork, .slots = 5 } };
+        return { .address = address, .isNear = isNear, .load = { .atWork = atWork, .slots = 5, .usual = static_cast<float>(atWork) / 5 } };
     }
 
     static std::uint32_t best(const std::vector<AgentCandidate>& candidates)
--- a/tests/packets/testpeermessage.cpp
+++ b/tests/packets/testpeermessage.cpp
@@ -23,14 +23,14 @@
     void flowMessageComesBackAsSent()
     {
         PeerMessageEncoder encoder;
-        const AgentLoad load { .atWork = 3, .slots = 5, .isCold = true };
+        const AgentLoad load { .atWork = 3, .slots = 5, .usual = 0.5F, .isCold = true };
         const std::vector<std::uint8_t> packet { 1, 2, 3 };
         const auto bytes = encoder.encode(FlowMessage { .kind = wire::PeerKind::Refused, .flow = flowOf(4), .refusal = OpenRefusal::Cold, .configVersion = 12, .acknowledged = 77, .load = &load, .packet = packet });
         FrameError error = FrameError::None;
         const auto message = decodePeerMessage(bytes, error);
         CPPUNIT_ASSERT(message && message->kind == wire::PeerKind::Refused && message->flow == flowOf(4));
         CPPUNIT_ASSERT(message->refusal == OpenRefusal::Cold && message->configVersion == 12 && message->acknowledged == 77);
-        CPPUNIT_ASSERT(message->load.atWork == 3 && message->load.slots == 5 && message->load.isCold);
+        CPPUNIT_ASSERT(message->load.atWork == 3 && message->load.slots == 5 && message->load.usual == 0.5F && message->load.isCold);
         CPPUNIT_ASSERT(std::ranges::equal(message->packet, packet));
     }
 
