--- /dev/null
+++ b/tests/soak/fleet.cpp
@@ -0,0 +1,269 @@
+#include "fleet.h"
+
+#include <csignal>
+#include <fstream>
+
+namespace kingcuptrail {
+
+using nlohmann::json;
+
+namespace {
+
+    constexpr std::uint16_t peerPort = 7720;
+    constexpr std::uint16_t adminPort = 9464;
+    constexpr std::uint16_t ingressPort = 8172;
+    constexpr std::uint16_t readyPort = 8167;
+    constexpr std::uint16_t controlPort = 8166;
+    constexpr std::uint16_t outboundPort = 8162;
+    constexpr std::uint16_t appPort = 8165;
+
+    constexpr Millis readyInterval = 500;
+    constexpr int mostMisses = 2;
+    constexpr Millis grace = 6000;
+
+    constexpr PacketEndpoint boardAddress { .address = 0xc6120001, .port = 443 };
+    constexpr PacketEndpoint intakeAddress { .address = 0xc6120002, .port = 443 };
+
+    std::string endpointText(const asio::ip::address_v4& address, std::uint16_t port)
+    {
+        return address.to_string() + ":" + std::to_string(port);
+    }
+
+    json routeTo(const std::string& host, const std::string& service)
+    {
+        return { { "name", "r-" + service }, { "host", host }, { "path-prefix", "/443/" }, { "kind", "idempotent" }, { "timeout-ms", 1000 }, { "aim-ms", 150 }, { "priority", 1 }, { "service", service } };
+    }
+
+}
+
+Fleet::Fleet(asio::io_context& context, FleetOptions options, Promises& promises)
+    : m_context(context)
+    , m_options(std::move(options))
+    , m_promises(promises)
+    , m_store(context, m_options.seed)
+    , m_readyTimer(context)
+{
+    DatagramError error = DatagramError::None;
+    m_router = DatagramSocket::open(
+        context, { addressOf(1), 0 }, [](std::span<std::uint8_t>, const asio::ip::udp::endpoint&) {}, error);
+    m_promises.allow(boardAddress, "board");
+    m_promises.allow(intakeAddress, "intake");
+    changeConfiguration();
+    std::uint32_t number = 0;
+    for (const std::string dataCentre : { "north", "south" }) {
+        for (std::uint32_t index = 0; index < m_options.balancers; ++index)
+            addDaemon(dataCentre, 11 + number++, true, "");
+        for (std::uint32_t index = 0; index < m_options.agents; ++index)
+            addDaemon(dataCentre, 11 + number++, false, index + 1 < m_options.agents ? "board" : "intake");
+    }
+    for (std::uint32_t index = 0; index < m_options.callers; ++index) {
+        m_callers.push_back(std::make_unique<SoakCaller>(
+            context, addressOf(201 + index), ingressPort, std::vector { boardAddress, intakeAddress },
+            [this](const FlowKey& flow, std::span<const std::uint8_t> packet) { route(flow, packet); }, promises, m_options.seed * 31 + index));
+    }
+    pollReady();
+}
+
+Fleet::~Fleet()
+{
+    for (const auto& daemon : m_daemons) {
+        if (daemon->readyCall)
+            daemon->readyCall->cancel();
+    }
+}
+
+// A block of loopback addresses for each seed, so that runs side by side do not meet.
+asio::ip::address_v4 Fleet::addressOf(std::uint32_t number) const
+{
+    constexpr std::uint32_t loopback = 0x7f000000;
+    constexpr std::uint32_t block = 65536;
+    const std::uint32_t own = 16 + m_options.seed % 200;
+    return asio::ip::address_v4(loopback + own * block + number);
+}
+
+void Fleet::addDaemon(const std::string& dataCentre, std::uint32_t number, bool isBalancer, const std::string& service)
+{
+    auto daemon = std::make_unique<SoakDaemon>();
+    daemon->name = (isBalancer ? "balancer-" : "agent-") + std::to_string(number);
+    daemon->dataCentre = dataCentre;
+    daemon->address = addressOf(number);
+    daemon->isBalancer = isBalancer;
+    daemon->settingsPath = m_options.folder + "/" + daemon->name + ".json";
+    daemon->relay = std::make_unique<Relay>(m_context, m_store.openDoor(daemon->name, asio::ip::make_address("127.0.0.1")));
+    daemon->timer = std::make_unique<Delay>(m_context);
+    writeSettings(*daemon, service);
+    start(*daemon);
+    if (!isBalancer) {
+        UpstreamOptions options { .host = daemon->name, .service = service, .dataCentre = dataCentre, .address = daemon->address, .appPort = appPort, .outboundPort = outboundPort, .controlPort = controlPort };
+        m_upstreams.push_back(std::make_unique<SoakUpstream>(m_context, std::move(options), m_promises, m_options.seed + number));
+    }
+    m_daemons.push_back(std::move(daemon));
+}
+
+void Fleet::writeSettings(const SoakDaemon& daemon, const std::string& service) const
+{
+    json packets {
+        { "ingress", endpointText(daemon.address, ingressPort) },
+        { "ready", endpointText(daemon.address, readyPort) },
+        { "seeds", { endpointText(addressOf(11), controlPort), endpointText(addressOf(12), controlPort) } },
+        { "reportMs", 400 },
+        { "leaveMs", grace },
+    };
+    if (!daemon.isBalancer) {
+        packets["upstream"] = endpointText(daemon.address, appPort);
+        packets["outbound"] = endpointText(daemon.address, outboundPort);
+        packets["control"] = endpointText(daemon.address, controlPort);
+        packets["service"] = service;
+    }
+    const json settings {
+        { "role", daemon.isBalancer ? "packetBalancer" : "packetAgent" },
+        { "name", daemon.name },
+        { "dataCentre", daemon.dataCentre },
+        { "listen", endpointText(daemon.address, peerPort) },
+        { "admin", endpointText(daemon.address, adminPort) },
+        { "platform", "127.0.0.1:" + std::to_string(daemon.relay->port()) },
+        { "logFormat", "json" },
+        { "packets", packets },
+    };
+    std::ofstream(daemon.settingsPath) << settings.dump(2);
+}
+
+void Fleet::start(SoakDaemon& daemon)
+{
+    const auto log = std::make_shared<std::ofstream>(m_options.folder + "/" + daemon.name + ".log", std::ios::app);
+    daemon.process = ChildProcess::start(m_context, m_options.program, { "--settings=" + daemon.settingsPath }, [log](const std::string& line) { *log << line << "\n"; });
+    daemon.isEnding = false;
+    daemon.isStopped = false;
+    m_promises.noteDisturbed(daemon.name);
+}
+
+void Fleet::startLater(SoakDaemon& daemon, Millis after)
+{
+    daemon.timer->start(after, [this, &daemon] { start(daemon); });
+}
+
+void Fleet::kill(SoakDaemon& daemon, Millis downFor)
+{
+    if (daemon.isEnding)
+        return;
+    daemon.isEnding = true;
+    m_promises.noteDisturbed(daemon.name);
+    daemon.process->signal(SIGKILL);
+    startLater(daemon, downFor);
+}
+
+void Fleet::terminate(SoakDaemon& daemon)
+{
+    if (daemon.isEnding || daemon.isStopped)
+        return;
+    daemon.isEnding = true;
+    m_promises.noteDisturbed(daemon.name);
+    daemon.process->signal(SIGTERM);
+    daemon.timer->start(grace, [this, &daemon] {
+        daemon.process->signal(SIGKILL);
+        startLater(daemon, readyInterval);
+    });
+}
+
+void Fleet::pause(SoakDaemon& daemon, Millis time)
+{
+    if (daemon.isEnding || daemon.isStopped)
+        return;
+    daemon.isStopped = true;
+    m_promises.noteDisturbed(daemon.name);
+    daemon.process->signal(SIGSTOP);
+    daemon.timer->start(time, [this, &daemon] {
+        daemon.process->signal(SIGCONT);
+        daemon.isStopped = false;
+        m_promises.noteDisturbed(daemon.name);
+    });
+}
+
+void Fleet::takeOut(const std::string& dataCentre)
+{
+    m_store.write("evacuations", dataCentre, json::object());
+    m_promises.noteOut(dataCentre);
+}
+
+void Fleet::bringBack(const std::string& dataCentre)
+{
+    m_promises.noteBack(dataCentre);
+    m_store.remove("evacuations", dataCentre);
+}
+
+void Fleet::changeConfiguration()
+{
+    m_configVersion += 3;
+    const json services = { { { "name", "board" }, { "max-conns", 2000 }, { "warmup-s", 1.0 }, { "warmup-per-s", 0.0 } }, { { "name", "intake" }, { "max-conns", 2000 }, { "warmup-s", 1.0 }, { "warmup-per-s", 0.0 } } };
+    m_store.write("config", "main", { { "version", m_configVersion }, { "routes", { routeTo("198.18.0.1", "board"), routeTo("198.18.0.2", "intake") } }, { "services", services }, { "limits", { { "idle-timeout-ms", 15000 } } } });
+}
+
+// Ready is asked for twice a second; after two misses a balancer gets no packets until it answers again.
+void Fleet::pollReady()
+{
+    for (const auto& daemon : m_daemons) {
+        if (!daemon->isBalancer)
+            continue;
+        if (daemon->readyCall)
+            daemon->readyCall->cancel();
+        ++daemon->misses;
+        HttpCall::Handlers handlers;
+        handlers.onDone = [raw = daemon.get()](const std::optional<HttpResponse>& response, const HttpOutcome&) {
+            if (response && response->status == 200)
+                raw->misses = 0;
+        };
+        daemon->readyCall = startHttpCall(m_context, { daemon->address, readyPort }, { .target = "/ready" }, { .connectTimeout = 300, .timeout = 400 }, std::move(handlers));
+    }
+    m_readyTimer.start(readyInterval, [this] { pollReady(); });
+}
+
+void Fleet::route(const FlowKey& flow, std::span<const std::uint8_t> packet)
+{
+    SoakDaemon* best = nullptr;
+    std::uint64_t bestWeight = 0;
+    for (const bool anyWillDo : { false, true }) {
+        for (const auto& daemon : m_daemons) {
+            if (!daemon->isBalancer || (!anyWillDo && daemon->misses > mostMisses))
+                continue;
+            FlowKey mixed = flow;
+            mixed.service.address ^= daemon->address.to_uint() * 2654435761U;
+            const std::uint64_t weight = flowHash(mixed);
+            if (!best || weight > bestWeight) {
+                best = daemon.get();
+                bestWeight = weight;
+            }
+        }
+        if (best)
+            break;
+    }
+    m_router->send(packet, { best->address, ingressPort });
+}
+
+CallerCounts Fleet::counts() const
+{
+    CallerCounts sum;
+    for (const auto& caller : m_callers) {
+        sum.asked += caller->counts().asked;
+        sum.opened += caller->counts().opened;
+        sum.served += caller->counts().served;
+        sum.resets += caller->counts().resets;
+    }
+    return sum;
+}
+
+void Fleet::checkProcesses()
+{
+    for (const auto& daemon : m_daemons) {
+        if (!daemon->process || !daemon->process->exitCode())
+            continue;
+        if (!daemon->isEnding) {
+            m_promises.breakPromise(Promise::StaysUp, daemon->name + " ended with " + std::to_string(*daemon->process->exitCode()));
+            start(*daemon);
+        } else if (*daemon->process->exitCode() == 0) {
+            daemon->process.reset();
+            startLater(*daemon, readyInterval);
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/tests/soak/fleet.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "scenarios/runner/childprocess.h"
+#include "scenarios/runner/relay.h"
+#include "soakcaller.h"
+#include "soakupstream.h"
+#include "storestandin.h"
+
+namespace kingcuptrail {
+
+struct FleetOptions {
+    std::string program;
+    /// Where settings files and logs go.
+    std::string folder;
+    std::uint32_t seed = 1;
+    /// In each of two data centres.
+    std::uint32_t balancers = 2;
+    std::uint32_t agents = 3;
+    std::uint32_t callers = 2;
+};
+
+/// One daemon: how it is started and, while it runs, its process.
+struct SoakDaemon {
+    std::string name;
+    std::string dataCentre;
+    asio::ip::address_v4 address;
+    bool isBalancer = false;
+    std::string settingsPath;
+    std::unique_ptr<Relay> relay;
+    std::unique_ptr<ChildProcess> process;
+    std::unique_ptr<Delay> timer;
+    /// Ended by the soak, or about to be.
+    bool isEnding = false;
+    bool isStopped = false;
+    /// Of a balancer: what the routers think.
+    int misses = 2;
+    std::shared_ptr<HttpCall> readyCall;
+};
+
+/// Real daemons on loopback addresses of their own, with stand-ins for the store, the routers, the upstreams and the
+/// callers in this process. Ends only processes that it has started.
+class Fleet {
+public:
+    Fleet(asio::io_context& context, FleetOptions options, Promises& promises);
+    ~Fleet();
+
+    std::vector<std::unique_ptr<SoakDaemon>>& daemons() { return m_daemons; }
+    std::vector<std::unique_ptr<SoakUpstream>>& upstreams() { return m_upstreams; }
+    StoreStandIn& store() { return m_store; }
+
+    void kill(SoakDaemon& daemon, Millis downFor);
+    void terminate(SoakDaemon& daemon);
+    void pause(SoakDaemon& daemon, Millis time);
+    void takeOut(const std::string& dataCentre);
+    void bringBack(const std::string& dataCentre);
+    void changeConfiguration();
+    CallerCounts counts() const;
+    /// Looks for processes that ended by themselves.
+    void checkProcesses();
+
+private:
+    void addDaemon(const std::string& dataCentre, std::uint32_t number, bool isBalancer, const std::string& service);
+    void writeSettings(const SoakDaemon& daemon, const std::string& service) const;
+    void start(SoakDaemon& daemon);
+    void startLater(SoakDaemon& daemon, Millis after);
+    void pollReady();
+    void route(const FlowKey& flow, std::span<const std::uint8_t> packet);
+    asio::ip::address_v4 addressOf(std::uint32_t number) const;
+
+    asio::io_context& m_context;
+    FleetOptions m_options;
+    Promises& m_promises;
+    StoreStandIn m_store;
+    Delay m_readyTimer;
+    std::unique_ptr<DatagramSocket> m_router;
+    std::vector<std::unique_ptr<SoakDaemon>> m_daemons;
+    std::vector<std::unique_ptr<SoakUpstream>> m_upstreams;
+    std::vector<std::unique_ptr<SoakCaller>> m_callers;
+    std::uint64_t m_configVersion = 0;
+};
+
+}
--- /dev/null
+++ b/tests/soak/promises.cpp
@@ -0,0 +1,54 @@
+#include "promises.h"
+
+#include <sstream>
+
+namespace kingcuptrail {
+
+namespace {
+
+    /// The bounds of the platform's rules, in milliseconds.
+    constexpr Millis contact = 4000;
+    constexpr Millis drainBound = 3000;
+    constexpr Millis outageBound = 5000;
+    /// While the store is or was disturbed, news may take longer.
+    constexpr Millis disturbedStoreBound = 12000;
+
+}
+
+bool Promises::isCalm(const std::string& host) const
+{
+    const auto found = m_disturbedAt.find(host);
+    return found == m_disturbedAt.end() || m_clock.now() - found->second > contact;
+}
+
+void Promises::noteOpening(const std::string& upstream, const std::string& service, const std::string& dataCentre, const PacketEndpoint& address)
+{
+    const Millis now = m_clock.now();
+    const auto allowed = m_allowed.find(toServiceAddress(address));
+    if (allowed == m_allowed.end() || !allowed->second.contains(service))
+        breakPromise(Promise::RightService, toString(address) + " at " + upstream);
+    if (!isCalm(upstream))
+        return;
+    if (const auto draining = m_drainingSince.find(upstream); draining != m_drainingSince.end() && now - draining->second > drainBound)
+        breakPromise(Promise::DrainHeld, upstream + " after " + std::to_string(now - draining->second) + " ms");
+    const Millis bound = now - m_storeDisturbedAt < contact + disturbedStoreBound ? outageBound + disturbedStoreBound : outageBound;
+    if (const auto out = m_outSince.find(dataCentre); out != m_outSince.end() && now - out->second > bound)
+        breakPromise(Promise::OutageHeld, upstream + " after " + std::to_string(now - out->second) + " ms");
+}
+
+void Promises::noteReset(const std::string& flow, std::uint32_t sequence)
+{
+    const auto answers = m_answers.find(flow);
+    if (answers == m_answers.end() || !answers->second.contains(sequence))
+        return;
+    const Answerer& holder = answers->second.at(sequence);
+    if (m_processes[holder.upstream] == holder.process && isCalm(holder.upstream))
+        breakPromise(Promise::FlowKept, flow + " at " + holder.upstream);
+}
+
+void Promises::breakPromise(Promise promise, const std::string& what)
+{
+    m_broken[promise].push_back(std::to_string(m_clock.now()) + " " + what);
+}
+
+}
--- /dev/null
+++ b/tests/soak/soakcaller.cpp
@@ -0,0 +1,144 @@
+#include "soakcaller.h"
+
+#include "platform/trustadapter.h"
+
+#include <asio/post.hpp>
+
+namespace kingcuptrail {
+
+namespace {
+
+    constexpr Millis flowInterval = 40;
+    constexpr Millis resend = 200;
+    constexpr int openingSends = 4;
+    constexpr int requestSends = 12;
+    constexpr std::uint32_t firstSequence = 1000;
+
+}
+
+SoakCaller::SoakCaller(asio::io_context& context, asio::ip::address_v4 address, std::uint16_t port, std::vector<PacketEndpoint> services, Route route, Promises& promises, std::uint32_t seed)
+    : m_context(context)
+    , m_address(address)
+    , m_services(std::move(services))
+    , m_route(std::move(route))
+    , m_promises(promises)
+    , m_nextTimer(context)
+    , m_random(seed)
+{
+    DatagramError error = DatagramError::None;
+    m_socket = DatagramSocket::open(
+        context, { address, port }, [this](std::span<std::uint8_t> packet, const asio::ip::udp::endpoint&) { handlePacket(packet); }, error);
+    beginFlow();
+}
+
+void SoakCaller::beginFlow()
+{
+    m_nextTimer.start(flowInterval, [this] { beginFlow(); });
+    if (m_isStopped)
+        return;
+    const FlowKey key { .caller = { .address = m_address.to_uint(), .port = ++m_nextPort }, .service = m_services[m_random() % m_services.size()] };
+    Flow& flow = m_flows[toString(key)];
+    flow.key = key;
+    flow.requestsLeft = 1 + static_cast<int>(m_random() % 30);
+    flow.timer = std::make_unique<Delay>(m_context);
+    ++m_counts.asked;
+    sendOpening(flow);
+}
+
+void SoakCaller::sendOpening(Flow& flow)
+{
+    if (flow.sends++ == openingSends) {
+        endFlow(toString(flow.key));
+        return;
+    }
+    flow.sent = firstSequence;
+    transmit(flow, { .opens = true }, static_cast<std::uint32_t>(flow.sends - 1), {});
+    flow.timer->start(resend * flow.sends, [this, &flow] { sendOpening(flow); });
+}
+
+void SoakCaller::sendRequest(Flow& flow)
+{
+    flow.request = std::to_string(m_address.to_uint()) + "/" + std::to_string(++m_nextRequest);
+    flow.sends = 0;
+    sendAgain(flow);
+}
+
+void SoakCaller::sendAgain(Flow& flow)
+{
+    if (flow.sends++ == requestSends) {
+        endFlow(toString(flow.key));
+        return;
+    }
+    transmit(flow, { .acknowledges = true }, flow.answerSequence + 1, flow.request);
+    flow.timer->start(resend, [this, &flow] { sendAgain(flow); });
+}
+
+void SoakCaller::transmit(const Flow& flow, const PacketFlags& flags, std::uint32_t acknowledged, const std::string& data)
+{
+    m_route(flow.key, encodePacket({ .source = flow.key.caller, .destination = flow.key.service, .flags = flags, .sequence = flow.sent, .acknowledged = acknowledged, .data = data }));
+}
+
+void SoakCaller::handlePacket(std::span<const std::uint8_t> packet)
+{
+    DecodeError error = DecodeError::None;
+    const auto head = trustAdapter().decodePacket(packet, error);
+    if (!head)
+        return;
+    const std::string name = toString(flowFromUpstream(*head));
+    const auto found = m_flows.find(name);
+    if (found == m_flows.end())
+        return;
+    Flow& flow = found->second;
+    if (head->flags.resets) {
+        ++m_counts.resets;
+        if (flow.isOpen)
+            m_promises.noteReset(name, flow.answerSequence);
+        endFlow(name);
+        return;
+    }
+    if (!isUntouched(packet)) {
+        m_promises.breakPromise(Promise::Untouched, "at the caller of " + name);
+        return;
+    }
+    if (head->flags.opens && !flow.isOpen) {
+        flow.isOpen = true;
+        ++m_counts.opened;
+        flow.answerSequence = head->sequence;
+        flow.sent = firstSequence + 1;
+        sendRequest(flow);
+    } else if (head->flags.ends) {
+        endFlow(name);
+    } else if (flow.isOpen && head->dataLength > 0) {
+        handleAnswer(flow, dataOf(packet));
+    }
+}
+
+void SoakCaller::handleAnswer(Flow& flow, const std::string& data)
+{
+    if (flow.request.empty())
+        return;
+    if (data != "answer to " + flow.request) {
+        // The answer to the request before, sent again on the way, is no other's.
+        if (!data.starts_with("answer to " + std::to_string(m_address.to_uint()) + "/"))
+            m_promises.breakPromise(Promise::OwnAnswer, data + " for " + flow.request);
+        return;
+    }
+    flow.sent += static_cast<std::uint32_t>(flow.request.size());
+    flow.request.clear();
+    if (--flow.requestsLeft > 0) {
+        const Millis pause = m_random() % 2 == 0 ? 20 : 400;
+        flow.timer->start(pause, [this, &flow] { sendRequest(flow); });
+        return;
+    }
+    ++m_counts.served;
+    transmit(flow, { .acknowledges = true, .ends = true }, flow.answerSequence + 1, {});
+    flow.timer->start(resend, [this, name = toString(flow.key)] { endFlow(name); });
+}
+
+// Later, since the flow's own timer may be calling.
+void SoakCaller::endFlow(const std::string& name)
+{
+    asio::post(m_context, [this, name] { m_flows.erase(name); });
+}
+
+}
--- /dev/null
+++ b/tests/soak/soakupstream.cpp
@@ -0,0 +1,139 @@
+#include "soakupstream.h"
+
+#include "platform/trustadapter.h"
+
+#include <nlohmann/json.hpp>
+
+namespace kingcuptrail {
+
+namespace {
+
+    constexpr Millis reportInterval = 400;
+
+    std::uint64_t wallMillis()
+    {
+        return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+    }
+
+}
+
+SoakUpstream::SoakUpstream(asio::io_context& context, UpstreamOptions options, Promises& promises, std::uint32_t seed)
+    : m_context(context)
+    , m_options(std::move(options))
+    , m_promises(promises)
+    , m_reportTimer(context)
+    , m_random(seed)
+{
+    DatagramError error = DatagramError::None;
+    m_socket = DatagramSocket::open(
+        context, { m_options.address, m_options.appPort }, [this](std::span<std::uint8_t> packet, const asio::ip::udp::endpoint&) { handlePacket(packet); }, error);
+    restart();
+}
+
+void SoakUpstream::restart()
+{
+    m_flows.clear();
+    m_born = std::max(m_born + 1, wallMillis());
+    m_sequence = 0;
+    m_isDraining = false;
+    m_promises.noteProcess(m_options.host, ++m_process);
+    m_promises.noteRestarted(m_options.host);
+    report();
+}
+
+void SoakUpstream::startDraining()
+{
+    m_isDraining = true;
+    report();
+}
+
+void SoakUpstream::handlePacket(std::span<std::uint8_t> packet)
+{
+    DecodeError error = DecodeError::None;
+    const auto head = trustAdapter().decodePacket(packet, error);
+    if (!head || !isUntouched(packet)) {
+        m_promises.breakPromise(Promise::Untouched, "at " + m_options.host);
+        return;
+    }
+    const FlowKey flow = flowFromCaller(*head);
+    const std::string name = toString(flow);
+    if (isOpening(*head)) {
+        const auto [found, isNew] = m_flows.try_emplace(name, Flow { .sequence = static_cast<std::uint32_t>(m_random()) });
+        if (isNew)
+            m_promises.noteOpening(m_options.host, m_options.service, m_options.dataCentre, head->destination);
+        m_promises.noteAnswer(name, found->second.sequence, m_options.host, m_process);
+        send({ .source = flow.service, .destination = flow.caller, .flags = { .opens = true, .acknowledges = true }, .sequence = found->second.sequence, .acknowledged = head->sequence + 1 });
+        return;
+    }
+    const auto found = m_flows.find(name);
+    const bool isHeld = found != m_flows.end() && head->acknowledged - found->second.sequence < 100000;
+    if (!isHeld) {
+        handBack(packet);
+        return;
+    }
+    if (head->flags.ends) {
+        send({ .source = flow.service, .destination = flow.caller, .flags = { .acknowledges = true, .ends = true }, .sequence = found->second.sequence, .acknowledged = head->sequence + 1 });
+        return;
+    }
+    if (head->dataLength > 0)
+        answerData(flow, found->second, *head, dataOf(packet));
+}
+
+// A request is its own number; the answer names it and this process. Sent again, it is answered again.
+void SoakUpstream::answerData(const FlowKey& flow, Flow& state, const PacketHead& head, const std::string& data)
+{
+    state.received = head.sequence + head.dataLength;
+    send({
+        .source = flow.service,
+        .destination = flow.caller,
+        .flags = { .acknowledges = true },
+        .sequence = state.sequence + 1,
+        .acknowledged = state.received,
+        .data = "answer to " + data,
+    });
+}
+
+void SoakUpstream::handBack(std::span<std::uint8_t> packet)
+{
+    constexpr std::size_t flagsAt = 10;
+    constexpr std::uint8_t returnedBit = 4;
+    packet[flagsAt] |= returnedBit;
+    m_socket->send(packet, { m_options.address, m_options.outboundPort });
+}
+
+void SoakUpstream::send(const PacketDraft& draft)
+{
+    m_socket->send(encodePacket(draft), { m_options.address, m_options.outboundPort });
+}
+
+std::string SoakUpstream::body() const
+{
+    return nlohmann::json {
+        { "service", m_options.service },
+        { "zone", m_options.dataCentre },
+        { "version", "v1" },
+        { "slots", 5 },
+        { "state", m_isDraining ? "draining" : "ready" },
+        { "warmup-left-ms", 0 },
+        { "sequence", m_sequence },
+        { "born", m_born },
+    }
+        .dump();
+}
+
+void SoakUpstream::report()
+{
+    ++m_sequence;
+    if (m_call)
+        m_call->cancel();
+    HttpCall::Handlers handlers;
+    handlers.onDone = [this, isDraining = m_isDraining, process = m_process](const std::optional<HttpResponse>& response, const HttpOutcome&) {
+        if (response && response->status == 200 && isDraining && process == m_process && m_isDraining)
+            m_promises.noteDraining(m_options.host);
+    };
+    HttpRequest request { .method = "PUT", .target = "/targets/i-" + m_options.host + "-" + std::to_string(m_process), .headers = { { "Content-Type", "application/json" } }, .body = body() };
+    m_call = startHttpCall(m_context, { m_options.address, m_options.controlPort }, std::move(request), { .connectTimeout = 300, .timeout = 350 }, std::move(handlers));
+    m_reportTimer.start(reportInterval, [this] { report(); });
+}
+
+}
--- /dev/null
+++ b/tests/soak/soakupstream.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "libhttp/httpclient.h"
+#include "libplatform/delay.h"
+#include "libruntime/datagramsocket.h"
+#include "promises.h"
+#include "soakpackets.h"
+
+#include <map>
+#include <random>
+
+namespace kingcuptrail {
+
+struct UpstreamOptions {
+    std::string host;
+    std::string service;
+    std::string dataCentre;
+    asio::ip::address_v4 address;
+    std::uint16_t appPort = 0;
+    std::uint16_t outboundPort = 0;
+    std::uint16_t controlPort = 0;
+};
+
+/// A server beside an agent: takes flows, answers each request with its own text, hands back what it does not hold, and
+/// reports to its agent. Tells the promises what reached it.
+class SoakUpstream {
+public:
+    SoakUpstream(asio::io_context& context, UpstreamOptions options, Promises& promises, std::uint32_t seed);
+
+    /// The process ends and a new one is there at once; it holds nothing.
+    void restart();
+    void startDraining();
+    const UpstreamOptions& options() const { return m_options; }
+
+private:
+    struct Flow {
+        std::uint32_t sequence = 0;
+        std::uint32_t received = 0;
+    };
+
+    void handlePacket(std::span<std::uint8_t> packet);
+    void answerData(const FlowKey& flow, Flow& state, const PacketHead& head, const std::string& data);
+    void handBack(std::span<std::uint8_t> packet);
+    void send(const PacketDraft& draft);
+    void report();
+    std::string body() const;
+
+    asio::io_context& m_context;
+    UpstreamOptions m_options;
+    Promises& m_promises;
+    std::unique_ptr<DatagramSocket> m_socket;
+    Delay m_reportTimer;
+    std::shared_ptr<HttpCall> m_call;
+    std::map<std::string, Flow> m_flows;
+    std::minstd_rand m_random;
+    std::uint64_t m_born = 0;
+    std::uint64_t m_sequence = 0;
+    std::uint32_t m_process = 0;
+    bool m_isDraining = false;
+};
+
+}
--- /dev/null
+++ b/tests/soak/storestandin.cpp
@@ -0,0 +1,207 @@
+#include "storestandin.h"
+
+namespace kingcuptrail {
+
+using nlohmann::json;
+
+namespace {
+
+    constexpr Millis usualDelay = 4;
+    constexpr Millis slowDelay = 240;
+
+    HttpResponse reply(int status, const json& body)
+    {
+        return { .status = status, .headers = { { "Content-Type", "application/json" } }, .body = body.dump() };
+    }
+
+    struct Target {
+        std::string kind;
+        std::string name;
+    };
+
+    Target targetOf(const HttpRequest& request)
+    {
+        std::string path(pathOf(request.target));
+        path.erase(0, std::string("/objects/").size());
+        const auto slash = path.find('/');
+        if (slash == std::string::npos)
+            return { .kind = path, .name = {} };
+        return { .kind = path.substr(0, slash), .name = percentDecode(path.substr(slash + 1)) };
+    }
+
+}
+
+StoreStandIn::StoreStandIn(asio::io_context& context, std::uint32_t seed)
+    : m_context(context)
+    , m_random(seed)
+{
+}
+
+std::uint16_t StoreStandIn::openDoor(const std::string& host, const asio::ip::address& address)
+{
+    asio::error_code error;
+    m_doors.push_back(HttpServer::listen(
+        m_context, { address, 0 }, {}, [this, host](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) { handle(host, request, responder); }, error));
+    return m_doors.back()->localEndpoint().port();
+}
+
+void StoreStandIn::setFault(const std::string& host, StoreFault fault)
+{
+    m_faults[host] = fault;
+}
+
+StoreFault StoreStandIn::faultOf(const std::string& host) const
+{
+    const auto own = m_faults.find(host);
+    if (own != m_faults.end() && own->second != StoreFault::None)
+        return own->second;
+    const auto all = m_faults.find("");
+    return all != m_faults.end() ? all->second : StoreFault::None;
+}
+
+void StoreStandIn::dropHistory()
+{
+    m_historyFrom = m_revision;
+    m_events.clear();
+}
+
+void StoreStandIn::handle(const std::string& host, const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder)
+{
+    const StoreFault fault = faultOf(host);
+    if (fault == StoreFault::Reset) {
+        responder->abort();
+        return;
+    }
+    if (fault == StoreFault::Busy) {
+        responder->respond(reply(503, json::object()));
+        return;
+    }
+    std::erase_if(m_delays, [](const auto& delay) { return !delay; });
+    m_delays.push_back(std::make_unique<Delay>(m_context));
+    m_delays.back()->start(fault == StoreFault::Slow ? slowDelay : usualDelay, [this, host, request, responder] { answer(host, request, responder); });
+    constexpr std::size_t mostDelays = 4096;
+    if (m_delays.size() > mostDelays)
+        m_delays.erase(m_delays.begin(), m_delays.begin() + mostDelays / 2);
+}
+
+void StoreStandIn::answer(const std::string& host, const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder)
+{
+    const Target target = targetOf(request);
+    const StoreFault fault = faultOf(host);
+    if (request.method == "GET") {
+        if (fault == StoreFault::Silent)
+            m_waiting.push_back({ .responder = responder, .host = host, .kind = "(silent)", .since = 0 });
+        else
+            answerRead(host, request, target.kind, target.name, responder);
+        return;
+    }
+    const bool isLost = fault == StoreFault::Lost && m_random() % 3 == 0;
+    if (fault == StoreFault::Silent) {
+        m_waiting.push_back({ .responder = responder, .host = host, .kind = "(silent)", .since = 0 });
+        return;
+    }
+    const HttpResponse response = applyWrite(request, target.kind, target.name);
+    if (isLost)
+        m_waiting.push_back({ .responder = responder, .host = host, .kind = "(lost)", .since = 0 });
+    else
+        responder->respond(response);
+    wake();
+}
+
+void StoreStandIn::answerRead(const std::string& host, const HttpRequest& request, const std::string& kind, const std::string& name, const std::shared_ptr<HttpResponder>& responder)
+{
+    if (!name.empty()) {
+        const auto& objects = m_objects[kind];
+        const auto found = objects.find(name);
+        responder->respond(found == objects.end() ? reply(404, json::object()) : reply(200, found->second));
+        return;
+    }
+    const std::string watch = queryValue(request.target, "watch");
+    if (watch.empty()) {
+        json items = json::array();
+        for (const auto& [objectName, object] : m_objects[kind])
+            items.push_back(object);
+        responder->respond(reply(200, { { "items", items }, { "has-more", false }, { "as-of", m_revision } }));
+        return;
+    }
+    const std::uint64_t since = std::stoull(watch);
+    if (since < m_historyFrom)
+        responder->respond(reply(410, json::object()));
+    else
+        m_waiting.push_back({ .responder = responder, .host = host, .kind = kind, .since = since });
+    wake();
+}
+
+HttpResponse StoreStandIn::applyWrite(const HttpRequest& request, const std::string& kind, std::string name)
+{
+    const json body = json::parse(request.body, nullptr, false);
+    if (request.method == "POST")
+        name = body.at("meta").at("name").get<std::string>();
+    auto& objects = m_objects[kind];
+    const auto found = objects.find(name);
+    if (request.method == "POST")
+        return found != objects.end() ? reply(409, found->second) : reply(200, store(kind, name, body.at("spec")));
+    if (found == objects.end())
+        return reply(404, json::object());
+    const std::uint64_t held = found->second.at("meta").at("revision").get<std::uint64_t>();
+    const std::string condition = request.method == "DELETE" ? queryValue(request.target, "revision") : std::to_string(body.at("meta").value("revision", held));
+    if (!condition.empty() && std::stoull(condition) != held)
+        return reply(409, found->second);
+    if (request.method == "PUT")
+        return reply(200, store(kind, name, body.at("spec")));
+    json removed = found->second;
+    remove(kind, name);
+    return reply(200, removed);
+}
+
+json StoreStandIn::store(const std::string& kind, const std::string& name, const json& spec)
+{
+    json object { { "meta", { { "name", name }, { "revision", ++m_revision } } }, { "spec", spec } };
+    m_objects[kind][name] = object;
+    m_events.push_back({ .revision = m_revision, .kind = kind, .isDeleted = false, .object = object });
+    return object;
+}
+
+std::uint64_t StoreStandIn::write(const std::string& kind, const std::string& name, const json& spec)
+{
+    store(kind, name, spec);
+    wake();
+    return m_revision;
+}
+
+void StoreStandIn::remove(const std::string& kind, const std::string& name)
+{
+    json object = m_objects[kind][name];
+    object["meta"]["revision"] = ++m_revision;
+    m_objects[kind].erase(name);
+    m_events.push_back({ .revision = m_revision, .kind = kind, .isDeleted = true, .object = object });
+    wake();
+}
+
+json StoreStandIn::eventsSince(const std::string& kind, std::uint64_t since) const
+{
+    json events = json::array();
+    for (const Event& event : m_events) {
+        if (event.kind == kind && event.revision > since)
+            events.push_back({ { "deleted", event.isDeleted }, { "object", event.object } });
+    }
+    return events;
+}
+
+void StoreStandIn::wake()
+{
+    std::erase_if(m_waiting, [this](const Waiting& waiting) {
+        if (!waiting.responder->isOpen())
+            return true;
+        const StoreFault fault = faultOf(waiting.host);
+        if (waiting.kind.starts_with("(") || fault == StoreFault::Silent)
+            return false;
+        const json events = eventsSince(waiting.kind, waiting.since);
+        if (events.empty())
+            return false;
+        waiting.responder->respond(reply(200, { { "events", events }, { "as-of", m_revision } }));
+        return true;
+    });
+}
+
+}
--- /dev/null
+++ b/tests/soak/storestandin.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "libhttp/httpserver.h"
+#include "libplatform/delay.h"
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <random>
+
+namespace kingcuptrail {
+
+/// How the store stand-in misbehaves.
+enum class StoreFault : std::uint8_t {
+    None,
+    /// Answers nothing.
+    Silent,
+    Busy,
+    Reset,
+    /// Takes 60 times as long.
+    Slow,
+    /// Does what it is told, and does not answer a part of the writes.
+    Lost,
+};
+
+template <>
+struct EnumNames<StoreFault> {
+    static constexpr std::array<std::string_view, 6> names { "none", "silent", "busy", "reset", "slow", "lost" };
+};
+
+/// The platform's metadata store in memory: objects, revisions, conditional writes, lists and watches. Hosts reach it at
+/// addresses of their own, so that it can turn some away and serve the others.
+class StoreStandIn {
+public:
+    StoreStandIn(asio::io_context& context, std::uint32_t seed);
+
+    /// A way in for one host; its port.
+    std::uint16_t openDoor(const std::string& host, const asio::ip::address& address);
+
+    /// Misbehaves towards one host, or towards all with an empty name.
+    void setFault(const std::string& host, StoreFault fault);
+    /// Forgets what changed: watches from before have to list again.
+    void dropHistory();
+
+    /// As the operator writes; the revision is the acknowledgement.
+    std::uint64_t write(const std::string& kind, const std::string& name, const nlohmann::json& spec);
+    void remove(const std::string& kind, const std::string& name);
+
+private:
+    struct Waiting {
+        std::shared_ptr<HttpResponder> responder;
+        std::string host;
+        std::string kind;
+        std::uint64_t since = 0;
+    };
+    struct Event {
+        std::uint64_t revision = 0;
+        std::string kind;
+        bool isDeleted = false;
+        nlohmann::json object;
+    };
+
+    void handle(const std::string& host, const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
+    void answer(const std::string& host, const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
+    void answerRead(const std::string& host, const HttpRequest& request, const std::string& kind, const std::string& name, const std::shared_ptr<HttpResponder>& responder);
+    HttpResponse applyWrite(const HttpRequest& request, const std::string& kind, std::string name);
+    nlohmann::json store(const std::string& kind, const std::string& name, const nlohmann::json& spec);
+    nlohmann::json eventsSince(const std::string& kind, std::uint64_t since) const;
+    void wake();
+    StoreFault faultOf(const std::string& host) const;
+
+    asio::io_context& m_context;
+    std::vector<std::unique_ptr<HttpServer>> m_doors;
+    std::map<std::string, StoreFault> m_faults;
+    std::map<std::string, std::map<std::string, nlohmann::json>> m_objects;
+    std::vector<Event> m_events;
+    std::vector<Waiting> m_waiting;
+    std::vector<std::unique_ptr<Delay>> m_delays;
+    std::uint64_t m_revision = 1;
+    std::uint64_t m_historyFrom = 0;
+    std::minstd_rand m_random;
+};
+
+}
