--- a/src/kingcuptraild/packets/packetbalancer.cpp
+++ b/src/kingcuptraild/packets/packetbalancer.cpp
@@ -138,6 +138,11 @@
 void PacketBalancer::handleOpening(const FlowKey& flow, std::span<const std::uint8_t> packet)
 {
     const Millis now = m_role.clock.now();
+    // After a pause the socket holds openings whose callers have gone on over other balancers since.
+    if (m_network.isInDoubt()) {
+        m_fates.increment(PacketFate::NoView);
+        return;
+    }
     // A copy goes to the same agent, so that a flow is not opened at two; a silent agent is in doubt.
     if (const auto holder = m_holders.find(flow); holder != m_holders.end()) {
         if (m_loads[holder->second.agent].unanswered == 0) {
@@ -523,8 +528,11 @@
     if (const auto holder = m_holders.find(message.flow); holder != m_holders.end() && holder->second.agent == sender)
         m_holders.erase(holder);
     auto opening = m_openings.find(message.flow);
+    // A refusal that comes after the opening is settled is from an agent that stood still: the caller has long gone on.
+    if (opening == m_openings.end() && message.refusal != OpenRefusal::Returned && message.refusal != OpenRefusal::WaitedTooLong)
+        return;
     if (opening == m_openings.end()) {
-        // The copy of an opening that was admitted before: its upstream has handed it back since.
+        // An opening that was admitted before: its upstream has handed it back since, or it has waited in vain.
         opening = m_openings.try_emplace(message.flow).first;
         opening->second.packet = copyOf(message.packet);
         opening->second.startedAt = m_role.clock.now();
--- a/src/libdecision/agentflows.cpp
+++ b/src/libdecision/agentflows.cpp
@@ -181,7 +181,7 @@
 {
     std::vector<LostFlow> lost;
     for (const auto& [key, flow] : table.flows) {
-        if (flow.phase != FlowPhase::Closed)
+        if (flow.phase == FlowPhase::Open)
             lost.push_back({ .flow = key, .callerAcknowledged = flow.callerAcknowledged });
     }
     table.flows.clear();
--- a/src/libdecision/agentflows.h
+++ b/src/libdecision/agentflows.h
@@ -126,7 +126,8 @@
     std::uint32_t callerAcknowledged = 0;
 };
 
-/// Takes out every flow, since the upstream's process has ended; those that are open or opening are to be reset. From
+/// Takes out every flow, since the upstream's process has ended; those that are open are to be reset. An opening that its
+/// caller has not completed is not: the caller may have taken another upstream's answer and hold the flow there. From
 /// here on the table is complete: the new process holds nothing that is not seen from now on.
 std::vector<LostFlow> takeLostFlows(AgentFlows&);
 
