--- a/src/kingcuptraild/packets/flowholders.h
+++ b/src/kingcuptraild/packets/flowholders.h
@@ -47,9 +47,11 @@
     std::vector<PacketBytes> packets;
     /// Asked and not heard of yet.
     std::vector<Speaker> speakers;
-    /// Agents that are unsure and got the packets, and those that are to get them when the near ones have said no.
+    /// Agents that are unsure and got the packets; those that are to get them when the near ones have said no; and those
+    /// of other services, when everybody else has.
     std::vector<std::uint32_t> probed;
     std::vector<std::uint32_t> probeLater;
+    std::vector<std::uint32_t> probeLast;
     /// What the caller last acknowledged, for a reset.
     std::uint32_t acknowledged = 0;
 };
--- a/src/kingcuptraild/packets/packetbalancer.cpp
+++ b/src/kingcuptraild/packets/packetbalancer.cpp
@@ -349,27 +349,46 @@
     SearchState state = SearchState::Asking;
     for (const std::uint32_t member : members)
         state = takeAnswer(waiting.search, member, HolderAnswer::NotHeld);
+    if (state == SearchState::Asking)
+        probeNext(message.flow, waiting);
     settleSearch(message.flow, state);
 }
 
 // Agents that were restarted beside living upstreams know no flows; only the packet itself tells, delivered and handed back
 // or not. A copy to each of them would be some sixty of each packet just when every flow has to be found anew. Those of the
-// own data centre go first, where most flows are; of other services none, since a flow can be there only if its route
-// has moved.
+// own data centre go first, where most flows are; those of other services last, since a flow is there only if its route
+// has moved, and yet their no is needed before a flow is lost for certain.
 void PacketBalancer::takeUnsure(const FlowKey& flow, WaitingSearch& waiting, std::span<const std::uint32_t> agents)
 {
     const std::string* service = serviceForFlow(m_network.routes(), flow);
     std::vector<std::uint32_t> near;
     for (const std::uint32_t agent : agents) {
         const PeerEntry* entry = findByAddress(m_network.directory(), agent);
-        if (!entry || !service || entry->service != *service)
+        if (!entry)
             continue;
-        auto& target = entry->dataCentre == m_role.settings.dataCentre ? near : waiting.probeLater;
-        target.push_back(agent);
+        takeAnswer(waiting.search, agent, HolderAnswer::Unsure);
+        if (!service || entry->service != *service)
+            waiting.probeLast.push_back(agent);
+        else if (entry->dataCentre == m_role.settings.dataCentre)
+            near.push_back(agent);
+        else
+            waiting.probeLater.push_back(agent);
     }
     probe(flow, waiting, near);
-    if (!mayNearHold(waiting))
-        probeLaterOnes(flow, waiting);
+    probeNext(flow, waiting);
+}
+
+// Goes on to the next agents when those that have the packets have all said no.
+void PacketBalancer::probeNext(const FlowKey& flow, WaitingSearch& waiting)
+{
+    if (mayProbedHold(waiting, true))
+        return;
+    if (!waiting.probeLater.empty()) {
+        probe(flow, waiting, std::exchange(waiting.probeLater, {}));
+        return;
+    }
+    if (!waiting.probeLast.empty() && waiting.search.awaited.empty() && !mayProbedHold(waiting, false))
+        probe(flow, waiting, std::exchange(waiting.probeLast, {}));
 }
 
 void PacketBalancer::probe(const FlowKey& flow, WaitingSearch& waiting, std::span<const std::uint32_t> agents)
@@ -380,21 +399,15 @@
     m_fates.increment(PacketFate::Probed, waiting.packets.size() * agents.size());
 }
 
-void PacketBalancer::probeLaterOnes(const FlowKey& flow, WaitingSearch& waiting)
-{
-    const std::vector<std::uint32_t> agents = std::move(waiting.probeLater);
-    waiting.probeLater.clear();
-    probe(flow, waiting, agents);
-}
-
-bool PacketBalancer::mayNearHold(const WaitingSearch& waiting) const
+bool PacketBalancer::mayProbedHold(const WaitingSearch& waiting, bool nearOnly) const
 {
     const auto isNear = [this](std::uint32_t agent) {
         const PeerEntry* entry = findByAddress(m_network.directory(), agent);
         return entry && entry->dataCentre == m_role.settings.dataCentre;
     };
-    const auto isOpen = [&](std::uint32_t agent) { return std::ranges::find(waiting.search.awaited, agent) != waiting.search.awaited.end() || std::ranges::find(waiting.search.unsure, agent) != waiting.search.unsure.end(); };
-    return std::ranges::any_of(waiting.probed, [&](std::uint32_t agent) { return isNear(agent) && isOpen(agent); });
+    return std::ranges::any_of(waiting.probed, [&](std::uint32_t agent) {
+        return (!nearOnly || isNear(agent)) && std::ranges::find(waiting.search.unsure, agent) != waiting.search.unsure.end();
+    });
 }
 
 std::vector<std::uint32_t> PacketBalancer::awaitedIn(const HolderSearch& search, const std::string& dataCentre) const
@@ -417,7 +430,7 @@
 {
     for (auto& [flow, waiting] : m_searches) {
         if (!waiting.probeLater.empty() && now - waiting.search.startedAt >= speakerLimit)
-            probeLaterOnes(flow, waiting);
+            probe(flow, waiting, std::exchange(waiting.probeLater, {}));
         if (waiting.speakers.empty() || now - waiting.search.startedAt < speakerLimit)
             continue;
         waiting.speakers.clear();
@@ -584,8 +597,8 @@
         const std::array<std::uint32_t, 1> one { sender };
         if (answer == HolderAnswer::Unsure)
             takeUnsure(message.flow, found->second, one);
-        else if (!found->second.probeLater.empty() && !mayNearHold(found->second))
-            probeLaterOnes(message.flow, found->second);
+        else
+            probeNext(message.flow, found->second);
     }
     settleSearch(message.flow, state);
 }
--- a/src/kingcuptraild/packets/packetbalancer.h
+++ b/src/kingcuptraild/packets/packetbalancer.h
@@ -70,8 +70,8 @@
     std::vector<std::uint32_t> awaitedIn(const HolderSearch& search, const std::string& dataCentre) const;
     void takeUnsure(const FlowKey& flow, WaitingSearch& waiting, std::span<const std::uint32_t> agents);
     void probe(const FlowKey& flow, WaitingSearch& waiting, std::span<const std::uint32_t> agents);
-    void probeLaterOnes(const FlowKey& flow, WaitingSearch& waiting);
-    bool mayNearHold(const WaitingSearch& waiting) const;
+    void probeNext(const FlowKey& flow, WaitingSearch& waiting);
+    bool mayProbedHold(const WaitingSearch& waiting, bool nearOnly) const;
     void handleNearAnswer(const PeerMessage& message, std::uint32_t sender);
     void settleSearch(const FlowKey& flow, SearchState state);
     bool canBeCertain() const;
