--- a/src/kingcuptraild/packets/packetbalancer.cpp
+++ b/src/kingcuptraild/packets/packetbalancer.cpp
@@ -617,7 +617,8 @@
     followStore(now);
     offerUnansweredAgain(now);
     askSilentDirectly(now);
-    std::erase_if(m_searches, [now](const auto& item) { return now - item.second.search.startedAt > searchLimit; });
+    const std::size_t outOfTime = std::erase_if(m_searches, [now](const auto& item) { return now - item.second.search.startedAt > searchLimit; });
+    m_searchEnds.increment(SearchState::Asking, outOfTime);
     if (now - m_pingedAt >= pingInterval)
         pingSilentAgents(now);
     if (now - m_sweptAt >= sweepInterval)
