--- a/src/kingcuptrailctl/commands.cpp
+++ b/src/kingcuptrailctl/commands.cpp
@@ -14,6 +14,7 @@
         { "bring-back", "NAME", true, bringBack, "bring a data centre back" },
         { "status", "", true, showStatus, "show the configuration, the daemons and the upstreams" },
         { "explain", "CODE|REASON", false, explain, "say what an event number or a reason means and what to do" },
+        { "trace", "FLOW", false, traceFlow, "walk through the lines about one flow, from logs or standard input" },
         { "forget", "NAME", true, forgetDaemon, "remove the entry of a daemon that will not come back" },
     });
 
--- a/src/kingcuptrailctl/commands.h
+++ b/src/kingcuptrailctl/commands.h
@@ -16,6 +16,8 @@
     std::vector<asio::ip::tcp::endpoint> daemons;
     /// The one daemon that explain asks.
     std::optional<asio::ip::tcp::endpoint> daemon;
+    /// Log files that trace reads; empty means standard input.
+    std::vector<std::string> logs;
     /// Return only when the change is in force on every daemon.
     bool wait = false;
     /// Limit of a change, and of the wait for it to be in force, in milliseconds.
@@ -48,6 +50,7 @@
 CommandResult bringBack(const std::string& dataCentre, const CtlOptions& options);
 CommandResult showStatus(const std::string& argument, const CtlOptions& options);
 CommandResult explain(const std::string& code, const CtlOptions& options);
+CommandResult traceFlow(const std::string& flow, const CtlOptions& options);
 CommandResult forgetDaemon(const std::string& name, const CtlOptions& options);
 
 /// The platform's options for this tool.
--- a/src/kingcuptrailctl/explanations.cpp
+++ b/src/kingcuptrailctl/explanations.cpp
@@ -92,6 +92,22 @@
         { "The platform refused the write.", "Is the configuration over the platform's size limit?" },
     } };
 
+    constexpr Table<OpenRefusal> openings { {
+        { "No refusal.", nothing },
+        { "The agent has no report of a living upstream, or none for too long.", "Look at the upstream's process; reportAge in the agent's lines says since when it is silent." },
+        { "The upstream is leaving.", "Nothing during a planned drain." },
+        { "The agent's own process is stopping.", "Nothing during a restart." },
+        { "Operators have taken the data centre out.", "Nothing if it was meant; bring-back ends it." },
+        { "The agent's process stood still and has not heard since what changed.", "Look for processPaused of that agent." },
+        { "The agent knows no configuration yet.", "Expected for a moment after its start; else look at platformTrouble and whether its peers reach it." },
+        { "The configuration in force does not send the address to this agent's service.", "Compare the versions in the lines of balancer and agent." },
+        { "A cold upstream already gets what it bears.", "Nothing: it passes with the warm-up." },
+        { "The upstream holds as many flows as it may.", "Add upstreams, or raise the limit if their memory bears it." },
+        { "The upstream's slots are full.", "Nothing for a few; if many, add upstreams." },
+        { "The upstream handed the opening back.", "It is leaving or full: look at its own log." },
+        { "The opening waited at the agent for as long as its caller does.", "Add upstreams: more work comes than is done." },
+    } };
+
     constexpr Table<ChildFailure> children { {
         { "The part has not failed.", nothing },
         { "It could not listen on its address.", "Another process has the port, or the address is not this host's." },
@@ -145,6 +161,11 @@
     return entryOf(refusals, reason);
 }
 
+Explanation explanationOf(OpenRefusal refusal)
+{
+    return entryOf(openings, refusal);
+}
+
 Explanation explanationOf(LinkError error)
 {
     return entryOf(links, error);
@@ -175,6 +196,7 @@
     std::vector<FoundExplanation> found;
     findEvent(codeOrName, found);
     findIn<RefusalReason>(codeOrName, "refusal", found);
+    findIn<OpenRefusal>(codeOrName, "opening", found);
     findIn<LinkError>(codeOrName, "link", found);
     findIn<PlatformError>(codeOrName, "platform", found);
     findIn<ApplyError>(codeOrName, "apply", found);
--- a/tests/ctl/testcommands.cpp
+++ b/tests/ctl/testcommands.cpp
@@ -102,6 +102,7 @@
     CPPUNIT_TEST(waitEndsWhenInForceEverywhere);
     CPPUNIT_TEST(explainAsksADaemon);
     CPPUNIT_TEST(forgottenDaemonIsAskedNoMore);
+    CPPUNIT_TEST(traceOrdersLinesOfOneFlow);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<Surroundings> m_around;
@@ -239,6 +240,32 @@
         run(ExitCode::Success, { "forget", "old" });
         CPPUNIT_ASSERT(run(ExitCode::Success, { "status" }).at("daemons").empty());
     }
+
+    // Two processes' logs hold lines of two flows, junk and a line that was cut off; the flow's own come out in order.
+    void traceOrdersLinesOfOneFlow()
+    {
+        const std::string path = "trace-" + std::to_string(getpid()) + ".log";
+        std::ofstream(path) << R"(12.5 a1 {"time":20,"process":"a1","name":"openingRefused","flow":"1.1.1.1:5>2.2.2.2:80","reason":"busy"})"
+                            << "\n"
+                            << "not a line\n"
+                            << R"({"time":15,"process":"b1","name":"flowOffered","flow":"1.1.1.1:5>2.2.2.2:80","try":1})"
+                            << "\n"
+                            << R"({"time":16,"process":"b1","name":"flowOffered","flow":"1.1.1.1:55>2.2.2.2:80"})"
+                            << "\n"
+                            << R"({"time":17,"process":"b1","name":"flowOffered","flow":"1.1.1.1:5>2.2.2.2:80")"
+                            << "\n";
+        const CommandResult found = traceFlow("1.1.1.1:5>2.2.2.2:80", { .logs = { path } });
+        const CommandResult missing = traceFlow("9.9.9.9:5>2.2.2.2:80", { .logs = { path } });
+        const CommandResult unreadable = traceFlow("1.1.1.1:5>2.2.2.2:80", { .logs = { path + ".not-there" } });
+        unlink(path.c_str());
+        CPPUNIT_ASSERT(found.code == ExitCode::Success);
+        const json lines = json::parse(found.json).at("lines");
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, lines.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("flowOffered"), lines[0].at("name").get<std::string>());
+        CPPUNIT_ASSERT(found.text.find("reason busy") != std::string::npos);
+        CPPUNIT_ASSERT(missing.code == ExitCode::NotExplained);
+        CPPUNIT_ASSERT(unreadable.code == ExitCode::FileUnreadable);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestCommands);
