--- a/src/kingcuptraild/daemon.cpp
+++ b/src/kingcuptraild/daemon.cpp
@@ -113,6 +113,10 @@
 {
     logEvent(Event::DaemonStarted, { { "role", nameOf(m_settings.role) }, { "dataCentre", m_settings.dataCentre }, { "pid", static_cast<std::uint64_t>(getpid()) } });
     m_role = makeRole(m_roleContext);
+    if (!m_role->isStarted()) {
+        logEvent(Event::DaemonStopped, { { "exitCode", static_cast<std::uint64_t>(ExitCode::GaveUp) } });
+        return static_cast<int>(ExitCode::GaveUp);
+    }
     m_root.add({ .name = "admin", .make = [this](const FailureHandler& onFailure) { return makeAdminEndpoint(onFailure); } });
     // The processes of a packet deployment know each other without an object of their own in the store.
     if (!isPacketRole(m_settings.role))
--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -62,20 +62,21 @@
 {
     m_gate.options.reportLimit = role.settings.packets.addressReuse - reuseMargin;
     m_flows.completeAt = m_startedAt + m_flows.options.idleLimit;
-    const bool isStarted = m_network.start({
+    const bool hasPeers = m_network.start({
         .onFlowMessage = [this](const PeerMessage& message, std::uint32_t sender) { handleFlowMessage(message, sender); },
         .onRoutes = [] {},
         .onOutages = [this](const std::vector<std::string>& returned) { handleOutages(returned); },
         .onEntry = [](const PeerEntry&) {},
     });
-    if (!isStarted)
-        logEvent(Event::ChildGaveUp, { { "child", "peers" }, { "reason", nameOf(ChildFailure::BindFailed) } });
     const auto& outbound = role.settings.packets.outbound;
     DatagramError error = DatagramError::None;
     m_outbound = DatagramSocket::open(
         role.context, { outbound.address(), outbound.port() }, [this](std::span<std::uint8_t> packet, const asio::ip::udp::endpoint&) { handleUpstreamDatagram(packet); }, error);
-    if (error != DatagramError::None)
-        logEvent(Event::ChildGaveUp, { { "child", "outbound" }, { "reason", nameOf(error) } });
+    m_isStarted = hasPeers && m_outbound;
+    if (!m_isStarted) {
+        logEvent(Event::ChildGaveUp, { { "child", hasPeers ? "outbound" : "peers" }, { "reason", nameOf(ChildFailure::BindFailed) } });
+        return;
+    }
     role.root.add({ .name = "control", .make = [this](const FailureHandler& onFailure) {
                        return std::make_unique<HttpEndpoint>(
                            m_role.context, m_role.settings.packets.control, [this](const HttpRequest& request) { return handleUpstreamCall(request); }, onFailure);
--- a/src/kingcuptraild/packets/packetagent.h
+++ b/src/kingcuptraild/packets/packetagent.h
@@ -37,6 +37,7 @@
 public:
     PacketAgent(const RoleContext& role, const DeploymentAdapter& adapter);
 
+    bool isStarted() const override { return m_isStarted; }
     std::string statusMembers() const override;
     void exposeMetrics(std::string& out) const override;
     void shutDown(std::function<void()> done) override;
@@ -98,6 +99,7 @@
     AgentAnnouncement m_announcement;
     std::unique_ptr<StoreFollower> m_store;
     std::unique_ptr<DatagramSocket> m_outbound;
+    bool m_isStarted = false;
     Delay m_turnTimer;
     Delay m_queueTimer;
     Delay m_learningTimer;
--- a/src/kingcuptraild/packets/packetbalancer.cpp
+++ b/src/kingcuptraild/packets/packetbalancer.cpp
@@ -77,15 +77,18 @@
     , m_turnTimer(role.context)
     , m_leaveTimer(role.context)
 {
-    const bool isStarted = m_network.start({
+    const bool hasPeers = m_network.start({
         .onFlowMessage = [this](const PeerMessage& message, std::uint32_t sender) { handleFlowMessage(message, sender); },
         .onRoutes = [] {},
         .onOutages = [](const std::vector<std::string>&) {},
         .onEntry = [](const PeerEntry&) {},
     });
-    if (!isStarted)
-        logEvent(Event::ChildGaveUp, { { "child", "peers" }, { "reason", nameOf(ChildFailure::BindFailed) } });
     openIngress();
+    m_isStarted = hasPeers && m_ingress;
+    if (!m_isStarted) {
+        logEvent(Event::ChildGaveUp, { { "child", hasPeers ? "ingress" : "peers" }, { "reason", nameOf(ChildFailure::BindFailed) } });
+        return;
+    }
     role.root.add({ .name = "ready", .make = [this](const FailureHandler& onFailure) {
                        return std::make_unique<HttpEndpoint>(
                            m_role.context, m_role.settings.packets.ready, [this](const HttpRequest&) { return HttpResponse { .status = isReady() ? 200 : 503 }; }, onFailure);
@@ -105,8 +108,6 @@
     DatagramError error = DatagramError::None;
     m_ingress = DatagramSocket::open(
         m_role.context, { address.address(), address.port() }, [this](std::span<std::uint8_t> packet, const asio::ip::udp::endpoint&) { handleCallerDatagram(packet); }, error);
-    if (error != DatagramError::None)
-        logEvent(Event::ChildGaveUp, { { "child", "ingress" }, { "reason", nameOf(error) } });
 }
 
 bool PacketBalancer::isReady() const
--- a/src/kingcuptraild/packets/packetbalancer.h
+++ b/src/kingcuptraild/packets/packetbalancer.h
@@ -47,6 +47,7 @@
 public:
     PacketBalancer(const RoleContext& role, const DeploymentAdapter& adapter);
 
+    bool isStarted() const override { return m_isStarted; }
     std::string statusMembers() const override;
     void exposeMetrics(std::string& out) const override;
     void shutDown(std::function<void()> done) override;
@@ -101,6 +102,7 @@
     std::uint64_t m_storeCalls = 0;
     std::unique_ptr<DatagramSocket> m_ingress;
     Millis m_startedAt;
+    bool m_isStarted = false;
     Delay m_turnTimer;
     Delay m_leaveTimer;
 
--- a/src/kingcuptraild/role.h
+++ b/src/kingcuptraild/role.h
@@ -10,6 +10,9 @@
 public:
     virtual ~Role() = default;
 
+    /// Whether it has the addresses that it cannot work without. Otherwise the process ends, to be started again.
+    virtual bool isStarted() const { return true; }
+
     /// Fields of this role for the status page, as the members of a JSON object without its braces.
     virtual std::string statusMembers() const = 0;
 
--- a/src/libruntime/settings.cpp
+++ b/src/libruntime/settings.cpp
@@ -73,6 +73,13 @@
                 target = object[field].get<Millis>();
         }
 
+        static void readSeconds(const json& object, const char* field, Millis& target)
+        {
+            constexpr double millisPerSecond = 1000;
+            if (object.contains(field))
+                target = static_cast<Millis>(object[field].get<double>() * millisPerSecond);
+        }
+
         asio::ip::tcp::endpoint readEndpoint(const json& object, const std::string& parent, const char* field, PortRule rule)
         {
             const std::string place = parent + "/" + field;
@@ -106,10 +113,8 @@
         PacketSettings readPackets(const json& object)
         {
             PacketSettings packets;
-            readText(object, "service", packets.service);
-            readMillis(object, "reportMs", packets.report);
-            readMillis(object, "addressReuseMs", packets.addressReuse);
-            readMillis(object, "leaveMs", packets.leave);
+            readSeconds(object, "addressReuseSeconds", packets.addressReuse);
+            readSeconds(object, "leaveSeconds", packets.leave);
             packets.ready = readEndpoint(object, "/packets", "ready", PortRule::MayBeZero);
             packets.ingress = readEndpoint(object, "/packets", "ingress", PortRule::MustBeSet);
             readOptionalEndpoint(object, "upstream", packets.upstream);
@@ -148,7 +153,7 @@
                 return;
             if (settings.role == DaemonRole::PacketBalancer)
                 return;
-            for (const char* field : { "upstream", "outbound", "control", "service" })
+            for (const char* field : { "upstream", "outbound", "control" })
                 requirePacketField(field);
         }
 
--- a/src/libruntime/settings.h
+++ b/src/libruntime/settings.h
@@ -55,12 +55,8 @@
     asio::ip::tcp::endpoint upstream;
     asio::ip::tcp::endpoint outbound;
     asio::ip::tcp::endpoint control;
-    /// Of an agent: what its upstream serves.
-    std::string service;
     /// Hosts that may know the others; any of them may be gone.
     std::vector<asio::ip::tcp::endpoint> seeds;
-    /// How often an upstream reports.
-    Millis report = 1000;
     /// After which time an address may belong to another upstream.
     Millis addressReuse = 2000;
     /// How long the process may take to leave.
--- a/src/libruntime/settingsschema.cpp
+++ b/src/libruntime/settingsschema.cpp
@@ -49,11 +49,9 @@
             "upstream": { "type": "string" },
             "outbound": { "type": "string" },
             "control": { "type": "string" },
-            "service": { "type": "string", "minLength": 1, "maxLength": 64 },
             "seeds": { "type": "array", "items": { "type": "string" }, "maxItems": 16 },
-            "reportMs": { "type": "integer", "minimum": 100, "maximum": 60000 },
-            "addressReuseMs": { "type": "integer", "minimum": 200, "maximum": 600000 },
-            "leaveMs": { "type": "integer", "minimum": 500, "maximum": 600000 }
+            "addressReuseSeconds": { "type": "number", "minimum": 0.2, "maximum": 600 },
+            "leaveSeconds": { "type": "number", "minimum": 0.5, "maximum": 600 }
         }
     }
 }
--- a/tests/runtime/testsettings.cpp
+++ b/tests/runtime/testsettings.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(goodFilesAreRead);
     CPPUNIT_TEST(everyFaultIsListed);
     CPPUNIT_TEST(endpointsNeedNumberAndPort);
+    CPPUNIT_TEST(packetRolesNeedTheirFields);
     CPPUNIT_TEST_SUITE_END();
 
     static json balancer()
@@ -102,6 +103,27 @@
         for (const char* text : { "", ":", "127.0.0.1", "127.0.0.1:", "127.0.0.1:-1", "127.0.0.1:80x", "127.0.0.1:65536", "::1:80", "[127.0.0.1]:80", "localhost:80" })
             CPPUNIT_ASSERT_MESSAGE(text, !parseEndpoint(text));
     }
+
+    void packetRolesNeedTheirFields()
+    {
+        const std::string common = R"("name":"b","dataCentre":"north","listen":"10.0.0.1:7720","admin":"10.0.0.1:9464","platform":"10.0.0.2:80")";
+        const std::string balancer = R"({"role":"packetBalancer",)" + common + R"(,"packets":{"ingress":"10.0.0.1:8172","ready":"10.0.0.1:8167","seeds":["10.0.0.3:1"],"addressReuseSeconds":2.5}})";
+        std::vector<Fault> faults;
+        const auto settings = parseSettings(balancer, faults);
+        CPPUNIT_ASSERT(settings && settings->packets.addressReuse == 2500 && settings->packets.leave == 6000 && settings->packets.seeds.size() == 1);
+        std::string agent = balancer;
+        agent.replace(agent.find("packetBalancer"), 14, "packetAgent");
+        CPPUNIT_ASSERT(!parseSettings(agent, faults));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, faults.size());
+        faults.clear();
+        CPPUNIT_ASSERT(!parseSettings(R"({"role":"packetAgent",)" + common + "}", faults));
+        CPPUNIT_ASSERT(faults.front().kind == FaultKind::MissingField);
+        faults.clear();
+        std::string badSeed = balancer;
+        badSeed.replace(badSeed.find("10.0.0.3:1"), 10, "nobody:123");
+        CPPUNIT_ASSERT(!parseSettings(badSeed, faults));
+        CPPUNIT_ASSERT_EQUAL(std::string("/packets/seeds/0"), faults.front().place);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestSettings);
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -91,7 +91,7 @@
     daemon->settingsPath = m_options.folder + "/" + daemon->name + ".json";
     daemon->relay = std::make_unique<Relay>(m_context, m_store.openDoor(daemon->name, asio::ip::make_address("127.0.0.1")));
     daemon->timer = std::make_unique<Delay>(m_context);
-    writeSettings(*daemon, service);
+    writeSettings(*daemon);
     start(*daemon);
     if (!isBalancer) {
         UpstreamOptions options { .host = daemon->name, .service = service, .dataCentre = dataCentre, .address = daemon->address, .appPort = appPort, .outboundPort = outboundPort, .controlPort = controlPort };
@@ -100,20 +100,18 @@
     m_daemons.push_back(std::move(daemon));
 }
 
-void Fleet::writeSettings(const SoakDaemon& daemon, const std::string& service) const
+void Fleet::writeSettings(const SoakDaemon& daemon) const
 {
     json packets {
         { "ingress", endpointText(daemon.address, ingressPort) },
         { "ready", endpointText(daemon.address, readyPort) },
         { "seeds", { endpointText(addressOf(11), controlPort), endpointText(addressOf(12), controlPort) } },
-        { "reportMs", 400 },
-        { "leaveMs", grace },
+        { "leaveSeconds", grace / 1000 },
     };
     if (!daemon.isBalancer) {
         packets["upstream"] = endpointText(daemon.address, appPort);
         packets["outbound"] = endpointText(daemon.address, outboundPort);
         packets["control"] = endpointText(daemon.address, controlPort);
-        packets["service"] = service;
     }
     const json settings {
         { "role", daemon.isBalancer ? "packetBalancer" : "packetAgent" },
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -60,7 +60,7 @@
 
 private:
     void addDaemon(const std::string& dataCentre, std::uint32_t number, bool isBalancer, const std::string& service);
-    void writeSettings(const SoakDaemon& daemon, const std::string& service) const;
+    void writeSettings(const SoakDaemon& daemon) const;
     void start(SoakDaemon& daemon);
     void startLater(SoakDaemon& daemon, Millis after);
     void pollReady();
