--- /dev/null
+++ b/src/kingcuptraild/packets/admissiondesk.cpp
@@ -0,0 +1,146 @@
+#include "admissiondesk.h"
+
+#include "libruntime/events.h"
+
+namespace kingcuptrail {
+
+namespace {
+
+    /// Between two looks at openings that wait, in milliseconds: a part of the time after which one is taken for left.
+    constexpr Millis queueInterval = 20;
+
+}
+
+AdmissionDesk::AdmissionDesk(AgentState& state)
+    : m_state(state)
+    , m_queueTimer(state.role.context)
+{
+}
+
+void AdmissionDesk::open(const PeerMessage& message, std::uint32_t sender)
+{
+    DecodeError error = DecodeError::None;
+    const auto head = m_state.adapter.decodePacket(message.packet, error);
+    if (!head || !isOpening(*head) || flowFromCaller(*head) != message.flow) {
+        m_state.fates.increment(head ? AgentPacketFate::Forged : AgentPacketFate::Malformed);
+        return;
+    }
+    const Millis now = m_state.role.clock.now();
+    const auto known = m_state.flows.flows.find(message.flow);
+    const bool isCopy = known != m_state.flows.flows.end() && known->second.phase != FlowPhase::Closed;
+    if (isCopy) {
+        admit(message.flow, message.packet, sender, 0);
+        return;
+    }
+    if (takeCopy(m_queue, message.flow, now)) {
+        reply(m_state, sender, { .kind = wire::PeerKind::Admitted, .flow = message.flow });
+        return;
+    }
+    const OpenRefusal refusal = decide(message.flow, message.configVersion, message.needsFreeSlot, now);
+    if (refusal == OpenRefusal::None)
+        admit(message.flow, message.packet, sender, 0);
+    else if (refusal == OpenRefusal::Busy && !message.needsFreeSlot)
+        letWait(message, sender);
+    else
+        refuse(message.flow, message.packet, sender, refusal);
+}
+
+OpenRefusal AdmissionDesk::decide(const FlowKey& flow, ConfigVersion balancerVersion, bool needsFreeSlot, Millis now)
+{
+    m_state.gate.isViewInDoubt = m_state.network.isInDoubt();
+    const OpenAttempt attempt {
+        .address = flow.service,
+        .balancerVersion = balancerVersion,
+        .openFlows = m_state.flows.open,
+        .atWork = m_state.flows.atWork,
+        .needsFreeSlot = needsFreeSlot,
+    };
+    return decideOpen(m_state.gate, m_state.network.routes(), m_state.network.outages(), attempt, now);
+}
+
+void AdmissionDesk::admit(const FlowKey& flow, std::span<const std::uint8_t> packet, std::uint32_t balancer, Millis waited)
+{
+    const Millis now = m_state.role.clock.now();
+    logFlowEvent(Event::FlowAdmitted, flow, { { "upstream", m_state.gate.upstream->id }, { "atWork", m_state.flows.atWork }, { "open", m_state.flows.open }, { "waited", static_cast<std::uint64_t>(waited) }, { "reportAge", static_cast<std::uint64_t>(now - m_state.gate.reportedAt) }, { "version", m_state.network.routes().version }, { "outages", m_state.network.outages().revision } });
+    beginFlow(m_state.flows, flow, now);
+    deliver(m_state, packet, indexOf(m_state, balancer));
+    m_state.fates.increment(AgentPacketFate::Delivered);
+    m_waits.record(static_cast<double>(waited));
+    reply(m_state, balancer, { .kind = wire::PeerKind::Admitted, .flow = flow });
+}
+
+void AdmissionDesk::letWait(const PeerMessage& message, std::uint32_t sender)
+{
+    const Millis now = m_state.role.clock.now();
+    const FlowRoute* route = findRoute(m_state.network.routes(), message.flow.service);
+    WaitingOpening opening {
+        .flow = message.flow,
+        .arrivedAt = now,
+        .freshUntil = now + (route ? route->latencyTarget / 2 : 0),
+        .priority = route ? route->priority : 0,
+        .balancer = sender,
+        .packet = { message.packet.begin(), message.packet.end() },
+    };
+    const bool isQueued = enqueue(m_queue, std::move(opening), m_state.gate.upstream->slots);
+    noteWaiting();
+    if (!isQueued) {
+        refuse(message.flow, message.packet, sender, OpenRefusal::Busy);
+        return;
+    }
+    reply(m_state, sender, { .kind = wire::PeerKind::Admitted, .flow = message.flow });
+    startQueueTimer();
+}
+
+// Room comes with the upstream's packets; only openings of callers that have left make room without any.
+void AdmissionDesk::startQueueTimer()
+{
+    m_queueTimer.start(queueInterval, [this] {
+        admitWaiting();
+        if (!m_queue.waiting.empty())
+            startQueueTimer();
+    });
+}
+
+// Fills the room at the upstream from those that wait. What no longer may be admitted goes back to its balancer.
+void AdmissionDesk::admitWaiting()
+{
+    const Millis now = m_state.role.clock.now();
+    expireWork(m_state.flows, now);
+    const std::vector<WaitingOpening> overdue = takeExpired(m_queue, now);
+    noteWaiting();
+    for (const WaitingOpening& expired : overdue)
+        refuse(expired.flow, expired.packet, expired.balancer, OpenRefusal::WaitedTooLong);
+    while (!m_queue.waiting.empty()) {
+        const OpenRefusal refusal = decide(m_queue.waiting.front().flow, 0, false, now);
+        if (refusal == OpenRefusal::Busy)
+            return;
+        const auto next = takeNext(m_queue, now);
+        noteWaiting();
+        const OpenRefusal own = refusal == OpenRefusal::None ? decide(next->flow, 0, false, now) : refusal;
+        if (own == OpenRefusal::None)
+            admit(next->flow, next->packet, next->balancer, now - next->arrivedAt);
+        else
+            refuse(next->flow, next->packet, next->balancer, own);
+    }
+}
+
+void AdmissionDesk::refuse(const FlowKey& flow, std::span<const std::uint8_t> packet, std::uint32_t balancer, OpenRefusal refusal)
+{
+    m_state.refusals.increment(refusal);
+    m_state.fates.increment(AgentPacketFate::Refused);
+    const Millis now = m_state.role.clock.now();
+    logFlowEvent(Event::OpeningRefused, flow, { { "reason", nameOf(refusal) }, { "atWork", m_state.flows.atWork }, { "open", m_state.flows.open }, { "waiting", m_queue.waiting.size() }, { "reportAge", static_cast<std::uint64_t>(now - m_state.gate.reportedAt) }, { "version", m_state.network.routes().version }, { "outages", m_state.network.outages().revision } });
+    reply(m_state, balancer, { .kind = wire::PeerKind::Refused, .flow = flow, .refusal = refusal, .packet = packet });
+}
+
+void AdmissionDesk::noteWaiting()
+{
+    m_state.waiting = static_cast<std::uint32_t>(m_queue.waiting.size());
+}
+
+void AdmissionDesk::exposeMetrics(std::string& out) const
+{
+    m_waits.expose(out, "kingcuptrail_opening_wait_milliseconds", "How long admitted openings waited here, in milliseconds.");
+}
+
+}
--- /dev/null
+++ b/src/kingcuptraild/packets/admissiondesk.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "agentstate.h"
+#include "libdecision/openqueue.h"
+#include "libplatform/delay.h"
+
+namespace kingcuptrail {
+
+/// Where an agent admits openings to its upstream, lets them wait for room, or refuses them.
+class AdmissionDesk {
+public:
+    explicit AdmissionDesk(AgentState& state);
+
+    /// An opening that a balancer offers.
+    void open(const PeerMessage& message, std::uint32_t sender);
+    /// Fills the room at the upstream from those that wait.
+    void admitWaiting();
+    void refuse(const FlowKey& flow, std::span<const std::uint8_t> packet, std::uint32_t balancer, OpenRefusal refusal);
+
+    void exposeMetrics(std::string& out) const;
+
+private:
+    OpenRefusal decide(const FlowKey& flow, ConfigVersion balancerVersion, bool needsFreeSlot, Millis now);
+    void admit(const FlowKey& flow, std::span<const std::uint8_t> packet, std::uint32_t balancer, Millis waited);
+    void letWait(const PeerMessage& message, std::uint32_t sender);
+    void startQueueTimer();
+    void noteWaiting();
+
+    AgentState& m_state;
+    OpenQueue m_queue;
+    Delay m_queueTimer;
+    LatencyHistogram m_waits;
+};
+
+}
--- /dev/null
+++ b/src/kingcuptraild/packets/agentstate.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "kingcuptraild/rolecontext.h"
+#include "libdecision/agentflows.h"
+#include "libdecision/opengate.h"
+#include "libplatform/deploymentadapter.h"
+#include "libruntime/metrics.h"
+#include "peernetwork.h"
+
+namespace kingcuptrail {
+
+/// What an agent did with a packet; one counter each.
+enum class AgentPacketFate : std::uint8_t {
+    Delivered,
+    DeliveredToLearn,
+    HandedBack,
+    Refused,
+    ToCaller,
+    Returned,
+    Malformed,
+    Forged,
+};
+
+template <>
+struct EnumNames<AgentPacketFate> {
+    static constexpr std::array<std::string_view, 8> names { "delivered", "deliveredToLearn", "handedBack", "refused", "toCaller", "returned", "malformed", "forged" };
+};
+
+/// What the parts of an agent share.
+struct AgentState {
+    AgentState(const RoleContext& roleContext, const DeploymentAdapter& deployment)
+        : role(roleContext)
+        , adapter(deployment)
+        , network(roleContext.context, roleContext.settings, roleContext.clock)
+        , startedAt(roleContext.clock.now())
+    {
+    }
+
+    const RoleContext role;
+    const DeploymentAdapter& adapter;
+    PeerNetwork network;
+    Millis startedAt;
+    AgentFlows flows;
+    OpenGate gate;
+    /// What this agent announces of itself.
+    PeerEntry self;
+    /// Openings that wait here.
+    std::uint32_t waiting = 0;
+    float usualLoad = 0;
+    /// Hosts of balancers that have sent something; a packet's mark is an index into it, plus one.
+    std::vector<std::uint32_t> balancers;
+    std::vector<std::uint8_t> scratch;
+    EnumCounters<AgentPacketFate> fates;
+    EnumCounters<OpenRefusal> refusals;
+};
+
+/// Answers a balancer, with this agent's load.
+void reply(AgentState&, std::uint32_t balancer, FlowMessage message);
+
+/// How loaded the upstream is.
+AgentLoad loadOf(const AgentState&);
+
+/// The mark by which a packet that comes back is known to be this balancer's.
+std::uint32_t indexOf(AgentState&, std::uint32_t balancer);
+
+/// Sends a caller's packet to the upstream, as its sender wrote it.
+void deliver(AgentState&, std::span<const std::uint8_t> packet, std::uint32_t mark);
+
+}
--- /dev/null
+++ b/src/kingcuptraild/packets/balancerstate.cpp
@@ -0,0 +1,21 @@
+#include "balancerstate.h"
+
+namespace kingcuptrail {
+
+void sendReset(BalancerState& state, const FlowKey& flow, std::uint32_t sequence, ResetReason reason)
+{
+    state.resets.increment(reason);
+    const auto packet = state.adapter.encodeReset(flow, sequence);
+    state.network.sendPacket(packet, { asio::ip::address_v4(flow.caller.address), state.role.settings.packets.ingress.port() });
+}
+
+void noteLoad(BalancerState& state, const PeerMessage& message, std::uint32_t sender)
+{
+    AgentLoad& load = state.loads[sender];
+    const Millis refusesUntil = load.refusesUntil;
+    load = message.load;
+    load.heardAt = state.role.clock.now();
+    load.refusesUntil = refusesUntil;
+}
+
+}
--- /dev/null
+++ b/src/kingcuptraild/packets/holderfinder.cpp
@@ -0,0 +1,297 @@
+#include "holderfinder.h"
+
+#include "libruntime/events.h"
+
+#include <algorithm>
+#include <map>
+
+namespace kingcuptrail {
+
+namespace {
+
+    /// A search is given up after this long, in milliseconds: the caller sends its packet again after 200 ms at the earliest.
+    constexpr Millis searchLimit = 190;
+    /// In a data centre with so many agents one is asked for all of them: fewer messages from three on, and worth the second
+    /// round trip, which stays within the data centre.
+    constexpr std::size_t fewestForOne = 4;
+    /// How long that one agent may take, in milliseconds: several round trips.
+    constexpr Millis speakerLimit = 30;
+    /// Packets of one flow that wait for a search: what a caller has in flight.
+    constexpr std::size_t waitingPackets = 16;
+    /// Searches at a time. Beyond it packets are dropped as in a full queue; at 1,200 bytes a packet and a few packets each
+    /// it bounds the memory at some 10 MB.
+    constexpr std::size_t maxSearches = 4096;
+
+}
+
+HolderFinder::HolderFinder(BalancerState& state)
+    : m_state(state)
+{
+}
+
+// The cache does not know the flow: another balancer opened it, or this process has started since. Each agent of the
+// service is asked; the one that holds the flow says so within a round trip, and the packet goes there.
+void HolderFinder::search(const FlowKey& flow, const PacketHead& head, std::span<const std::uint8_t> packet)
+{
+    if (m_searches.size() >= maxSearches) {
+        m_state.fates.increment(PacketFate::SearchFull);
+        return;
+    }
+    const auto [found, isNew] = m_searches.try_emplace(flow);
+    WaitingSearch& waiting = found->second;
+    waiting.acknowledged = head.acknowledged;
+    if (waiting.packets.size() < waitingPackets)
+        waiting.packets.push_back(copyOf(packet));
+    m_state.fates.increment(PacketFate::Waiting);
+    if (!isNew) {
+        for (const std::uint32_t agent : waiting.probed)
+            m_state.network.send(agent, { .kind = wire::PeerKind::Probe, .flow = flow, .configVersion = m_state.network.routes().version, .packet = packet });
+        return;
+    }
+    std::vector<std::uint32_t> agents = holdersToAsk(serviceForFlow(m_state.network.routes(), flow));
+    waiting.search = beginSearch(agents, m_state.role.clock.now());
+    ask(flow, waiting, agents);
+}
+
+std::vector<std::uint32_t> HolderFinder::holdersToAsk(const std::string* service) const
+{
+    std::vector<std::uint32_t> agents;
+    for (const auto& [name, entry] : m_state.network.directory().entries) {
+        if (entry.role == PeerRole::Agent && entry.state != PeerState::Gone && (!service || entry.service == *service))
+            agents.push_back(entry.address);
+    }
+    return agents;
+}
+
+// Asks the awaited agents: in a data centre with several of them one agent, who asks the others, and elsewhere each.
+void HolderFinder::ask(const FlowKey& flow, WaitingSearch& waiting, std::span<const std::uint32_t> agents)
+{
+    const FlowMessage question { .kind = wire::PeerKind::Find, .flow = flow, .configVersion = m_state.network.routes().version, .acknowledged = waiting.acknowledged };
+    std::map<std::string, std::vector<std::uint32_t>> byDataCentre;
+    for (const auto& [name, entry] : m_state.network.directory().entries) {
+        if (std::ranges::find(agents, entry.address) != agents.end())
+            byDataCentre[entry.dataCentre].push_back(entry.address);
+    }
+    for (const auto& [dataCentre, members] : byDataCentre) {
+        if (members.size() < fewestForOne) {
+            m_state.network.sendToAll(members, question);
+            continue;
+        }
+        FlowMessage near = question;
+        near.kind = wire::PeerKind::FindNear;
+        near.digest = m_state.network.digest();
+        const std::uint32_t speaker = speakerOf(flow, members);
+        m_state.network.send(speaker, near);
+        waiting.speakers.push_back({ .address = speaker, .dataCentre = dataCentre });
+    }
+}
+
+// Any of them will do; the flow's hash spreads searches over all, and one that does not answer is passed over.
+std::uint32_t HolderFinder::speakerOf(const FlowKey& flow, std::span<const std::uint32_t> members) const
+{
+    const std::size_t first = flowHash(flow) % members.size();
+    for (std::size_t step = 0; step < members.size(); ++step) {
+        const std::uint32_t member = members[(first + step) % members.size()];
+        const auto load = m_state.loads.find(member);
+        if (load == m_state.loads.end() || load->second.unanswered == 0)
+            return member;
+    }
+    return members[first];
+}
+
+// The word of one agent for its data centre.
+void HolderFinder::handleNearAnswer(const PeerMessage& message, std::uint32_t sender)
+{
+    const auto found = m_searches.find(message.flow);
+    if (found == m_searches.end())
+        return;
+    WaitingSearch& waiting = found->second;
+    if (message.kind == wire::PeerKind::HeldNear) {
+        settleSearch(message.flow, takeAnswer(waiting.search, message.holder, HolderAnswer::Held));
+        return;
+    }
+    const auto speaker = std::ranges::find(waiting.speakers, sender, &Speaker::address);
+    if (speaker == waiting.speakers.end())
+        return;
+    const std::vector<std::uint32_t> members = awaitedIn(waiting.search, speaker->dataCentre);
+    waiting.speakers.erase(speaker);
+    if (message.kind == wire::PeerKind::UnsureNear) {
+        takeUnsure(message.flow, waiting, members);
+        return;
+    }
+    SearchState state = SearchState::Asking;
+    for (const std::uint32_t member : members)
+        state = takeAnswer(waiting.search, member, HolderAnswer::NotHeld);
+    if (state == SearchState::Asking)
+        probeNext(message.flow, waiting);
+    settleSearch(message.flow, state);
+}
+
+// Agents that were restarted beside living upstreams know no flows; only the packet itself tells, delivered and handed back
+// or not. A copy to each of them would be some sixty of each packet just when every flow has to be found anew. Those of the
+// own data centre go first, where most flows are; those of other services last, since a flow is there only if its route
+// has moved, and yet their no is needed before a flow is lost for certain.
+void HolderFinder::takeUnsure(const FlowKey& flow, WaitingSearch& waiting, std::span<const std::uint32_t> agents)
+{
+    const std::string* service = serviceForFlow(m_state.network.routes(), flow);
+    std::vector<std::uint32_t> near;
+    for (const std::uint32_t agent : agents) {
+        const PeerEntry* entry = findByAddress(m_state.network.directory(), agent);
+        if (!entry)
+            continue;
+        takeAnswer(waiting.search, agent, HolderAnswer::Unsure);
+        if (!service || entry->service != *service)
+            waiting.probeLast.push_back(agent);
+        else if (entry->dataCentre == m_state.role.settings.dataCentre)
+            near.push_back(agent);
+        else
+            waiting.probeLater.push_back(agent);
+    }
+    probe(flow, waiting, near);
+    probeNext(flow, waiting);
+}
+
+void HolderFinder::probe(const FlowKey& flow, WaitingSearch& waiting, std::span<const std::uint32_t> agents)
+{
+    for (const PacketBytes& packet : waiting.packets)
+        m_state.network.sendToAll(agents, { .kind = wire::PeerKind::Probe, .flow = flow, .configVersion = m_state.network.routes().version, .packet = packet });
+    waiting.probed.insert(waiting.probed.end(), agents.begin(), agents.end());
+    m_state.fates.increment(PacketFate::Probed, waiting.packets.size() * agents.size());
+}
+
+// Goes on to the next agents when those that have the packets have all said no.
+void HolderFinder::probeNext(const FlowKey& flow, WaitingSearch& waiting)
+{
+    if (mayProbedHold(waiting, true))
+        return;
+    if (!waiting.probeLater.empty()) {
+        probe(flow, waiting, std::exchange(waiting.probeLater, {}));
+        return;
+    }
+    if (!waiting.probeLast.empty() && waiting.search.awaited.empty() && !mayProbedHold(waiting, false))
+        probe(flow, waiting, std::exchange(waiting.probeLast, {}));
+}
+
+bool HolderFinder::mayProbedHold(const WaitingSearch& waiting, bool nearOnly) const
+{
+    const auto isNear = [this](std::uint32_t agent) {
+        const PeerEntry* entry = findByAddress(m_state.network.directory(), agent);
+        return entry && entry->dataCentre == m_state.role.settings.dataCentre;
+    };
+    return std::ranges::any_of(waiting.probed, [&](std::uint32_t agent) {
+        return (!nearOnly || isNear(agent)) && std::ranges::find(waiting.search.unsure, agent) != waiting.search.unsure.end();
+    });
+}
+
+std::vector<std::uint32_t> HolderFinder::awaitedIn(const HolderSearch& search, const std::string& dataCentre) const
+{
+    std::vector<std::uint32_t> members;
+    for (const auto& [name, entry] : m_state.network.directory().entries) {
+        if (entry.dataCentre == dataCentre && std::ranges::find(search.awaited, entry.address) != search.awaited.end())
+            members.push_back(entry.address);
+    }
+    return members;
+}
+
+void HolderFinder::askDirectly(const FlowKey& flow, const WaitingSearch& waiting, std::span<const std::uint32_t> agents)
+{
+    m_state.network.sendToAll(agents, { .kind = wire::PeerKind::Find, .flow = flow, .configVersion = m_state.network.routes().version, .acknowledged = waiting.acknowledged });
+}
+
+// An agent that speaks for its data centre may be silent, or one of its neighbours: then each is asked.
+void HolderFinder::askSilentDirectly(Millis now)
+{
+    for (auto& [flow, waiting] : m_searches) {
+        if (!waiting.probeLater.empty() && now - waiting.search.startedAt >= speakerLimit)
+            probe(flow, waiting, std::exchange(waiting.probeLater, {}));
+        if (waiting.speakers.empty() || now - waiting.search.startedAt < speakerLimit)
+            continue;
+        waiting.speakers.clear();
+        askDirectly(flow, waiting, waiting.search.awaited);
+    }
+}
+
+void HolderFinder::settleSearch(const FlowKey& flow, SearchState state)
+{
+    const auto found = m_searches.find(flow);
+    if (found == m_searches.end() || state == SearchState::Asking)
+        return;
+    WaitingSearch& waiting = found->second;
+    if (state == SearchState::Found) {
+        const Millis now = m_state.role.clock.now();
+        m_state.holders[flow] = { .agent = waiting.search.holder, .usedAt = now };
+        logFlowEvent(Event::HolderFound, flow, { { "agent", toString(PacketEndpoint { waiting.search.holder, 0 }) }, { "milliseconds", static_cast<std::uint64_t>(now - waiting.search.startedAt) } });
+        // A holder that was unsure has the packets already.
+        const bool hasPackets = std::ranges::find(waiting.probed, waiting.search.holder) != waiting.probed.end();
+        for (const PacketBytes& packet : hasPackets ? std::vector<PacketBytes> {} : waiting.packets)
+            m_state.network.send(waiting.search.holder, { .kind = wire::PeerKind::Forward, .flow = flow, .configVersion = m_state.network.routes().version, .packet = packet });
+        m_searchEnds.increment(state);
+        m_searches.erase(found);
+        return;
+    }
+    // A configuration may have moved the route since the flow was opened, and the directory may have grown since the search
+    // began: whoever is known by now has to say so too.
+    if (const auto missing = askMissing(waiting.search, holdersToAsk(nullptr)); !missing.empty()) {
+        ask(flow, waiting, missing);
+        return;
+    }
+    if (canBeCertain()) {
+        logFlowEvent(Event::FlowLost, flow, { { "directory", m_state.network.directory().entries.size() } });
+        sendReset(m_state, flow, waiting.acknowledged, ResetReason::HeldByNobody);
+    }
+    m_searchEnds.increment(state);
+    m_searches.erase(found);
+}
+
+// A balancer that has not heard of every agent could take a flow for lost that one of them holds: another balancer may have
+// opened it there. The directory is complete when a peer has lately named the same one.
+bool HolderFinder::canBeCertain() const
+{
+    return m_state.network.isDirectoryConfirmed();
+}
+
+void HolderFinder::handleHolderAnswer(const PeerMessage& message, std::uint32_t sender)
+{
+    if (const auto load = m_state.loads.find(sender); load != m_state.loads.end())
+        load->second.unanswered = 0;
+    const HolderAnswer answer = holderAnswerOf(message.kind);
+    const auto found = m_searches.find(message.flow);
+    if (answer == HolderAnswer::NotHeld) {
+        const auto holder = m_state.holders.find(message.flow);
+        const bool wasCached = holder != m_state.holders.end() && holder->second.agent == sender;
+        if (wasCached)
+            m_state.holders.erase(holder);
+        // A packet that comes back from the cached holder is looked after anew.
+        if (wasCached && found == m_searches.end() && !message.packet.empty()) {
+            DecodeError error = DecodeError::None;
+            if (const auto head = m_state.adapter.decodePacket(message.packet, error))
+                search(message.flow, *head, message.packet);
+            return;
+        }
+    }
+    if (found == m_searches.end())
+        return;
+    const SearchState state = takeAnswer(found->second.search, sender, answer);
+    if (state == SearchState::Asking) {
+        const std::array<std::uint32_t, 1> one { sender };
+        if (answer == HolderAnswer::Unsure)
+            takeUnsure(message.flow, found->second, one);
+        else
+            probeNext(message.flow, found->second);
+    }
+    settleSearch(message.flow, state);
+}
+
+void HolderFinder::turn(Millis now)
+{
+    askSilentDirectly(now);
+    const std::size_t outOfTime = std::erase_if(m_searches, [now](const auto& item) { return now - item.second.search.startedAt > searchLimit; });
+    m_searchEnds.increment(SearchState::Asking, outOfTime);
+}
+
+void HolderFinder::exposeMetrics(std::string& out) const
+{
+    exposeCounters(out, "kingcuptrail_holder_searches_total", "Searches for the holder of a flow, by how they ended; asking: out of time.", m_searchEnds);
+}
+
+}
--- /dev/null
+++ b/src/kingcuptraild/packets/holderfinder.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "balancerstate.h"
+
+namespace kingcuptrail {
+
+/// Finds the agents that hold flows which the balancer's cache does not know; packets wait here until one is found.
+class HolderFinder {
+public:
+    explicit HolderFinder(BalancerState& state);
+
+    /// Looks for the holder of a packet's flow, or lets the packet wait for the search that is under way.
+    void search(const FlowKey& flow, const PacketHead& head, std::span<const std::uint8_t> packet);
+    /// An agent's word for itself, and for its data centre.
+    void handleHolderAnswer(const PeerMessage& message, std::uint32_t sender);
+    void handleNearAnswer(const PeerMessage& message, std::uint32_t sender);
+    /// Asks further where an answer is late, and ends what took too long.
+    void turn(Millis now);
+
+    void exposeMetrics(std::string& out) const;
+
+private:
+    std::vector<std::uint32_t> holdersToAsk(const std::string* service) const;
+    void ask(const FlowKey& flow, WaitingSearch& waiting, std::span<const std::uint32_t> agents);
+    void askDirectly(const FlowKey& flow, const WaitingSearch& waiting, std::span<const std::uint32_t> agents);
+    void askSilentDirectly(Millis now);
+    std::uint32_t speakerOf(const FlowKey& flow, std::span<const std::uint32_t> members) const;
+    std::vector<std::uint32_t> awaitedIn(const HolderSearch& search, const std::string& dataCentre) const;
+    void takeUnsure(const FlowKey& flow, WaitingSearch& waiting, std::span<const std::uint32_t> agents);
+    void probe(const FlowKey& flow, WaitingSearch& waiting, std::span<const std::uint32_t> agents);
+    void probeNext(const FlowKey& flow, WaitingSearch& waiting);
+    bool mayProbedHold(const WaitingSearch& waiting, bool nearOnly) const;
+    void settleSearch(const FlowKey& flow, SearchState state);
+    bool canBeCertain() const;
+
+    BalancerState& m_state;
+    std::unordered_map<FlowKey, WaitingSearch> m_searches;
+    EnumCounters<SearchState> m_searchEnds;
+};
+
+}
--- /dev/null
+++ b/src/kingcuptraild/packets/neighboursearches.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "agentstate.h"
+#include "libdecision/holdersearch.h"
+
+namespace kingcuptrail {
+
+/// Searches among the agents of the own data centre that an agent makes for balancers.
+class NeighbourSearches {
+public:
+    explicit NeighbourSearches(AgentState& state);
+
+    /// A balancer asks for the whole data centre.
+    void begin(const PeerMessage& message, std::uint32_t sender);
+    /// A neighbour's answer.
+    void handleAnswer(const PeerMessage& message, std::uint32_t sender);
+    void expire(Millis now);
+
+private:
+    struct NearSearch {
+        std::uint32_t balancer = 0;
+        HolderSearch search;
+    };
+
+    void finish(const FlowKey& flow, wire::PeerKind answer, std::uint32_t holder = 0);
+
+    AgentState& m_state;
+    std::unordered_map<FlowKey, NearSearch> m_searches;
+};
+
+}
--- /dev/null
+++ b/src/kingcuptraild/packets/openingdesk.cpp
@@ -0,0 +1,235 @@
+#include "openingdesk.h"
+
+#include "libruntime/events.h"
+
+#include <algorithm>
+
+namespace kingcuptrail {
+
+namespace {
+
+    /// An agent that has not answered an opening for this long is passed over, in milliseconds: several round trips between
+    /// data centres and some turns of a busy agent; far below the 200 ms after which the caller sends a copy.
+    constexpr Millis answerLimit = 60;
+    /// How long after its start a process may not know every agent, in milliseconds: after a loss of everything agents hear of
+    /// their upstreams within a heartbeat.
+    constexpr Millis learningTime = 2000;
+    /// An opening that every agent refused for a passing reason is offered again after this long, in milliseconds.
+    constexpr Millis againInterval = 40;
+    /// Openings offered again in one turn: 600 a second, each to some agents, take a small balancer 2 % of a core.
+    constexpr std::size_t offersInTurn = 12;
+    /// An opening is given up after this long, in milliseconds, just before its caller gives it up (1.4 s).
+    constexpr Millis openingLimit = 1300;
+    /// Agents that are asked for a free slot before an opening waits at one of them. Of agents chosen by news that is up to
+    /// a second old every other one was full on a day of two thirds load; a second question costs a round trip of some
+    /// milliseconds and saves a wait of 50.
+    constexpr std::uint32_t agentsAskedForASlot = 2;
+    /// Part of openings without a free slot from which on none is asked for, and the part of each opening in that figure.
+    constexpr double mostlyBusy = 0.8;
+    constexpr double busySmoothing = 0.05;
+    /// How long an agent's refusal keeps it behind the others, in milliseconds: it counts again within one latency target.
+    constexpr Millis refusalTime = 100;
+
+}
+
+OpeningDesk::OpeningDesk(BalancerState& state)
+    : m_state(state)
+{
+}
+
+void OpeningDesk::open(const FlowKey& flow, std::span<const std::uint8_t> packet)
+{
+    const Millis now = m_state.role.clock.now();
+    // After a pause the socket holds openings whose callers have gone on over other balancers since.
+    if (m_state.network.isInDoubt()) {
+        m_state.fates.increment(PacketFate::NoView);
+        return;
+    }
+    // A copy goes to the same agent, so that a flow is not opened at two; a silent agent is in doubt.
+    if (const auto holder = m_state.holders.find(flow); holder != m_state.holders.end()) {
+        if (m_state.loads[holder->second.agent].unanswered == 0) {
+            holder->second.usedAt = now;
+            m_state.network.send(holder->second.agent, { .kind = wire::PeerKind::Open, .flow = flow, .configVersion = m_state.network.routes().version, .packet = packet });
+            m_state.fates.increment(PacketFate::Offered);
+            return;
+        }
+        m_state.holders.erase(holder);
+    }
+    const auto [found, isNew] = m_openings.try_emplace(flow);
+    Opening& opening = found->second;
+    opening.packet = copyOf(packet);
+    if (!isNew)
+        return;
+    opening.startedAt = now;
+    offerToNext(flow, opening);
+}
+
+// Offers an opening to the best agent that has not had it yet. Without a configuration or agents it waits: a process that
+// has just started learns both within some round trips, and its callers' copies would come 200 ms later.
+void OpeningDesk::offerToNext(const FlowKey& flow, Opening& opening)
+{
+    const Millis now = m_state.role.clock.now();
+    opening.agent = 0;
+    opening.offeredAt = now;
+    if (m_state.network.routes().version == 0 || m_state.network.isInDoubt()) {
+        m_state.fates.increment(PacketFate::NoView);
+        return;
+    }
+    const std::string* service = serviceForFlow(m_state.network.routes(), flow);
+    if (!service) {
+        finishRefused(flow, opening, ResetReason::NoRoute);
+        return;
+    }
+    const std::vector<std::uint32_t> order = agentsFor(flow, *service);
+    const auto next = std::ranges::find_if(order, [&](std::uint32_t agent) { return std::ranges::find(opening.tried, agent) == opening.tried.end(); });
+    // A process that has just started may not have heard of every agent yet.
+    const bool isNew = now - m_state.startedAt < learningTime;
+    if (next == order.end() && (opening.mayTryAgain || isNew) && now - opening.startedAt < openingLimit) {
+        opening.tried.clear();
+        opening.mayTryAgain = false;
+        return;
+    }
+    if (next == order.end()) {
+        finishRefused(flow, opening, opening.tried.empty() ? ResetReason::NoAgent : ResetReason::RefusedByAll);
+        return;
+    }
+    opening.tried.push_back(*next);
+    offerTo(*next, flow, opening);
+    const AgentLoad& load = m_state.loads[*next];
+    logFlowEvent(Event::FlowOffered, flow, { { "agent", toString(PacketEndpoint { *next, 0 }) }, { "service", *service }, { "atWork", load.atWork }, { "loadAge", static_cast<std::uint64_t>(now - load.heardAt) }, { "candidates", order.size() }, { "try", opening.tried.size() }, { "version", m_state.network.routes().version } });
+}
+
+void OpeningDesk::offerTo(std::uint32_t agent, const FlowKey& flow, Opening& opening)
+{
+    // When hardly anybody has a free slot, asking for one only costs messages at the moment in which everybody is busy.
+    const bool isWorthAsking = m_busyShare < mostlyBusy;
+    const bool needsFreeSlot = isWorthAsking && opening.busyAgents < agentsAskedForASlot;
+    opening.agent = agent;
+    ++m_state.loads[agent].sentSince;
+    m_state.network.send(agent, { .kind = wire::PeerKind::Open, .flow = flow, .configVersion = m_state.network.routes().version, .needsFreeSlot = needsFreeSlot, .packet = opening.packet });
+    m_state.fates.increment(PacketFate::Offered);
+}
+
+// Nobody who was asked has a free slot: the opening waits at the one with the least work, by what they have just said.
+void OpeningDesk::offerToWait(const FlowKey& flow, Opening& opening)
+{
+    const auto workOf = [this](std::uint32_t agent) {
+        const AgentLoad& load = m_state.loads[agent];
+        return static_cast<double>(load.atWork) / std::max(load.slots, 1U);
+    };
+    const auto least = std::ranges::min_element(opening.tried, {}, workOf);
+    opening.offeredAt = m_state.role.clock.now();
+    offerTo(*least, flow, opening);
+}
+
+// The opening is the caller's of `flow`; it is gone after this.
+void OpeningDesk::finishRefused(const FlowKey& flow, const Opening& opening, ResetReason reason)
+{
+    logFlowEvent(Event::FlowRefused, flow, { { "reason", nameOf(reason) }, { "lastRefusal", nameOf(opening.lastRefusal) }, { "tried", opening.tried.size() }, { "version", m_state.network.routes().version } });
+    sendReset(m_state, flow, 0, reason);
+    m_openings.erase(flow);
+}
+
+std::vector<std::uint32_t> OpeningDesk::agentsFor(const FlowKey& flow, const std::string& service) const
+{
+    std::vector<AgentCandidate> candidates;
+    for (const auto& [name, entry] : m_state.network.directory().entries) {
+        const bool isUsable = entry.role == PeerRole::Agent && entry.state == PeerState::Ready && entry.service == service;
+        if (!isUsable || isOut(m_state.network.outages(), entry.dataCentre))
+            continue;
+        AgentCandidate candidate { .address = entry.address, .isNear = entry.dataCentre == m_state.role.settings.dataCentre, .load = {} };
+        if (const auto load = m_state.loads.find(entry.address); load != m_state.loads.end())
+            candidate.load = load->second;
+        candidate.load.slots = std::max(entry.slots, 1U);
+        candidates.push_back(candidate);
+    }
+    return chooseAgents(flow, candidates, m_choice, m_state.role.clock.now());
+}
+
+void OpeningDesk::handleAdmitted(const PeerMessage& message, std::uint32_t sender)
+{
+    noteLoad(m_state, message, sender);
+    const Millis now = m_state.role.clock.now();
+    const auto opening = m_openings.find(message.flow);
+    if (opening != m_openings.end()) {
+        m_openingTimes.record(static_cast<double>(now - opening->second.startedAt));
+        if (opening->second.busyAgents == 0)
+            noteBusy(0.0);
+        m_openings.erase(opening);
+        m_state.holders[message.flow] = { .agent = sender, .usedAt = now };
+        return;
+    }
+    m_state.holders.try_emplace(message.flow, Holder { .agent = sender, .usedAt = now });
+}
+
+void OpeningDesk::handleRefused(const PeerMessage& message, std::uint32_t sender)
+{
+    noteLoad(m_state, message, sender);
+    m_state.refusals.increment(message.refusal);
+    if (const auto holder = m_state.holders.find(message.flow); holder != m_state.holders.end() && holder->second.agent == sender)
+        m_state.holders.erase(holder);
+    auto opening = m_openings.find(message.flow);
+    // A refusal that comes after the opening is settled is from an agent that stood still: the caller has long gone on.
+    if (opening == m_openings.end() && message.refusal != OpenRefusal::Returned && message.refusal != OpenRefusal::WaitedTooLong)
+        return;
+    if (opening == m_openings.end()) {
+        // An opening that was admitted before: its upstream has handed it back since, or it has waited in vain.
+        opening = m_openings.try_emplace(message.flow).first;
+        opening->second.packet = copyOf(message.packet);
+        opening->second.startedAt = m_state.role.clock.now();
+        opening->second.tried.push_back(sender);
+        opening->second.agent = sender;
+    }
+    opening->second.lastRefusal = message.refusal;
+    if (message.refusal == OpenRefusal::WaitedTooLong) {
+        finishRefused(message.flow, opening->second, ResetReason::RefusedByAll);
+        return;
+    }
+    if (message.refusal == OpenRefusal::Busy) {
+        noteBusy(1.0);
+        if (++opening->second.busyAgents == agentsAskedForASlot) {
+            offerToWait(message.flow, opening->second);
+            return;
+        }
+    } else {
+        m_state.loads[sender].refusesUntil = m_state.role.clock.now() + refusalTime;
+    }
+    opening->second.mayTryAgain = opening->second.mayTryAgain || isPassing(message.refusal);
+    if (opening->second.agent == sender)
+        offerToNext(message.flow, opening->second);
+}
+
+void OpeningDesk::noteBusy(double isBusy)
+{
+    m_busyShare += (isBusy - m_busyShare) * busySmoothing;
+}
+
+void OpeningDesk::offerAgain(Millis now)
+{
+    std::vector<FlowKey> late;
+    for (const auto& [flow, opening] : m_openings) {
+        if (now - opening.offeredAt >= (opening.agent == 0 ? againInterval : answerLimit))
+            late.push_back(flow);
+    }
+    // The newest first: it can still be answered in time. Few at once, since each may go to several agents.
+    std::ranges::sort(late, std::greater(), [this](const FlowKey& flow) { return m_openings.at(flow).startedAt; });
+    if (late.size() > offersInTurn)
+        late.resize(offersInTurn);
+    for (const FlowKey& flow : late) {
+        Opening& opening = m_openings.at(flow);
+        if (now - opening.startedAt > openingLimit) {
+            finishRefused(flow, opening, ResetReason::NoAgent);
+            continue;
+        }
+        if (opening.agent != 0)
+            ++m_state.loads[opening.agent].unanswered;
+        offerToNext(flow, opening);
+    }
+}
+
+void OpeningDesk::exposeMetrics(std::string& out) const
+{
+    m_openingTimes.expose(out, "kingcuptrail_opening_milliseconds", "Time until an agent took an opening, in milliseconds.");
+}
+
+}
--- /dev/null
+++ b/src/kingcuptraild/packets/openingdesk.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "balancerstate.h"
+
+namespace kingcuptrail {
+
+/// The openings that a balancer is bringing to agents: offered to one after the other until one takes it, or reset.
+class OpeningDesk {
+public:
+    explicit OpeningDesk(BalancerState& state);
+
+    /// A caller's opening packet, the first or a copy.
+    void open(const FlowKey& flow, std::span<const std::uint8_t> packet);
+    /// Answers of agents.
+    void handleAdmitted(const PeerMessage& message, std::uint32_t sender);
+    void handleRefused(const PeerMessage& message, std::uint32_t sender);
+    /// Offers again what was not answered in time, and what everybody refused for a passing reason.
+    void offerAgain(Millis now);
+
+    bool isEmpty() const { return m_openings.empty(); }
+    void exposeMetrics(std::string& out) const;
+
+private:
+    void offerToNext(const FlowKey& flow, Opening& opening);
+    void offerTo(std::uint32_t agent, const FlowKey& flow, Opening& opening);
+    void offerToWait(const FlowKey& flow, Opening& opening);
+    void finishRefused(const FlowKey& flow, const Opening& opening, ResetReason reason);
+    std::vector<std::uint32_t> agentsFor(const FlowKey& flow, const std::string& service) const;
+    void noteBusy(double isBusy);
+
+    BalancerState& m_state;
+    AgentChoiceOptions m_choice;
+    /// Part of the last openings that found no free slot at their first agent.
+    double m_busyShare = 0;
+    std::unordered_map<FlowKey, Opening> m_openings;
+    LatencyHistogram m_openingTimes;
+};
+
+}
