--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -1,5 +1,6 @@
 #include "fleet.h"
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 
@@ -215,26 +216,30 @@
     m_readyTimer.start(readyInterval, [this] { pollReady(); });
 }
 
-void Fleet::route(const FlowKey& flow, std::span<const std::uint8_t> packet)
+std::vector<SoakDaemon*> Fleet::rotation() const
 {
-    SoakDaemon* best = nullptr;
-    std::uint64_t bestWeight = 0;
-    for (const bool anyWillDo : { false, true }) {
-        for (const auto& daemon : m_daemons) {
-            if (!daemon->isBalancer || (!anyWillDo && daemon->misses > mostMisses))
-                continue;
-            FlowKey mixed = flow;
-            mixed.service.address ^= daemon->address.to_uint() * 2654435761U;
-            const std::uint64_t weight = flowHash(mixed);
-            if (!best || weight > bestWeight) {
-                best = daemon.get();
-                bestWeight = weight;
-            }
-        }
-        if (best)
-            break;
+    std::vector<SoakDaemon*> ready;
+    std::vector<SoakDaemon*> all;
+    for (const auto& daemon : m_daemons) {
+        if (!daemon->isBalancer)
+            continue;
+        all.push_back(daemon.get());
+        if (daemon->misses <= mostMisses)
+            ready.push_back(daemon.get());
     }
-    m_router->send(packet, { best->address, ingressPort });
+    return ready.empty() ? all : ready;
+}
+
+void Fleet::route(const FlowKey& flow, std::span<const std::uint8_t> packet)
+{
+    const std::vector<SoakDaemon*> balancers = rotation();
+    const auto weightOf = [&flow](const SoakDaemon* daemon) {
+        FlowKey mixed = flow;
+        mixed.service.address ^= daemon->address.to_uint() * 2654435761U;
+        return flowHash(mixed);
+    };
+    const SoakDaemon* chosen = m_options.isModulo ? balancers[flowHash(flow) % balancers.size()] : *std::ranges::max_element(balancers, {}, weightOf);
+    m_router->send(packet, { chosen->address, ingressPort });
 }
 
 CallerCounts Fleet::counts() const
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -17,6 +17,8 @@
     std::uint32_t balancers = 2;
     std::uint32_t agents = 3;
     std::uint32_t callers = 2;
+    /// Routers take the flow's hash modulo the balancers in rotation: nearly every flow moves when one leaves or joins.
+    bool isModulo = false;
 };
 
 /// One daemon: how it is started and, while it runs, its process.
@@ -64,6 +66,7 @@
     void start(SoakDaemon& daemon);
     void startLater(SoakDaemon& daemon, Millis after);
     void pollReady();
+    std::vector<SoakDaemon*> rotation() const;
     void route(const FlowKey& flow, std::span<const std::uint8_t> packet);
     asio::ip::address_v4 addressOf(std::uint32_t number) const;
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -11,6 +11,7 @@
 ABSL_FLAG(unsigned, seconds, 14, "how long faults are made");
 ABSL_FLAG(unsigned, balancers, 2, "balancers in each of two data centres");
 ABSL_FLAG(unsigned, agents, 3, "agents in each of two data centres");
+ABSL_FLAG(bool, modulo, false, "routers hash modulo the balancers in rotation");
 ABSL_FLAG(std::string, program, PROGRAM_KINGCUPTRAILD, "the daemon");
 ABSL_FLAG(std::string, folder, "", "where settings and logs go; kept when a promise is broken");
 
@@ -224,7 +225,7 @@
     asio::io_context context;
     const Clock clock;
     Promises promises(clock);
-    Fleet fleet(context, { .program = absl::GetFlag(FLAGS_program), .folder = folder, .seed = seed, .balancers = absl::GetFlag(FLAGS_balancers), .agents = absl::GetFlag(FLAGS_agents) }, promises);
+    Fleet fleet(context, { .program = absl::GetFlag(FLAGS_program), .folder = folder, .seed = seed, .balancers = absl::GetFlag(FLAGS_balancers), .agents = absl::GetFlag(FLAGS_agents), .isModulo = absl::GetFlag(FLAGS_modulo) }, promises);
     Faults faults(context, fleet, promises, seed);
     runFor(context, fleet, startTime);
     faults.start();
