--- a/src/kingcuptraild/packets/peernetwork.cpp
+++ b/src/kingcuptraild/packets/peernetwork.cpp
@@ -28,6 +28,9 @@
     constexpr Millis repairPatience = 400;
     constexpr Millis repairInterval = 1000;
     constexpr Millis firstRepairInterval = 150;
+    /// For each entry of the directory a repair is made rarer by so much, in milliseconds, so that it takes 10 KB/s at the
+    /// most however large the fleet is.
+    constexpr Millis repairPerEntry = 10;
     /// For so long after its start a process is taken to know little, in milliseconds.
     constexpr Millis learningTime = 3000;
     /// A fetch that takes longer goes to another peer, in milliseconds: some round trips and 100 KB at 10 Mbit/s.
@@ -247,11 +250,34 @@
     isInDoubt();
     if (m_isReading)
         beat(m_readers, m_self.name, m_clock.now());
-    tellSome(tellCount, m_self.name.empty() ? std::vector<PeerEntry> {} : std::vector { m_self });
+    tellNearAndFar();
     const bool knowsLittle = m_view.routes.version == 0 || m_lastNewsAt == 0;
     m_tellTimer.start(knowsLittle ? firstTellInterval : std::max(tellInterval, runningInterval), [this] { tellPeriodically(); });
 }
 
+std::vector<std::uint32_t> PeerNetwork::nearPeers() const
+{
+    std::vector<std::uint32_t> near;
+    for (const auto& [name, entry] : m_directory.entries) {
+        if (entry.state != PeerState::Gone && entry.address != m_ownAddress && entry.dataCentre == m_settings.dataCentre)
+            near.push_back(entry.address);
+    }
+    return near;
+}
+
+// One neighbour and one process anywhere: news crosses data centres as often as before, and half of its bytes stay within.
+void PeerNetwork::tellNearAndFar()
+{
+    const std::vector<PeerEntry> own = m_self.name.empty() ? std::vector<PeerEntry> {} : std::vector { m_self };
+    const std::vector<std::uint32_t> near = nearPeers();
+    if (near.empty()) {
+        tellSome(tellCount, own);
+        return;
+    }
+    tell(near[m_random() % near.size()], own, true);
+    tellSome(tellCount - 1, own);
+}
+
 std::vector<std::uint32_t> PeerNetwork::knownPeers() const
 {
     std::vector<std::uint32_t> peers;
@@ -297,7 +323,12 @@
         m_differsSince = now;
     const bool isNew = now - m_startedAt < learningTime;
     const Millis patience = isNew ? 0 : repairPatience;
-    const Millis interval = isNew ? firstRepairInterval : repairInterval;
+    const Millis interval = isNew ? firstRepairInterval : std::max(repairInterval, static_cast<Millis>(m_directory.entries.size()) * repairPerEntry);
+    // Bytes between data centres are dear, and a neighbour knows as much.
+    const std::vector<std::uint32_t> near = nearPeers();
+    const bool isNear = near.empty() || std::ranges::find(near, address) != near.end();
+    if (!isNew && !isNear)
+        return;
     if (now - m_differsSince < patience || (m_entriesFetchedAt > 0 && now - m_entriesFetchedAt < interval))
         return;
     fetchView(address, { .routes = m_view.routes.version == 0, .entries = true });
--- a/src/kingcuptraild/packets/peernetwork.h
+++ b/src/kingcuptraild/packets/peernetwork.h
@@ -93,6 +93,8 @@
     void tell(std::uint32_t address, const std::vector<PeerEntry>& changed, bool wantsAnswer);
     std::vector<std::uint32_t> knownPeers() const;
     void repairDirectory(std::uint32_t address);
+    std::vector<std::uint32_t> nearPeers() const;
+    void tellNearAndFar();
     void fetchView(std::uint32_t address, const ViewParts& parts);
     void takeView(const DeploymentView& view);
     void answerView(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) const;
