--- a/src/libdecision/holdersearch.cpp
+++ b/src/libdecision/holdersearch.cpp
@@ -6,7 +6,9 @@
 
 HolderSearch beginSearch(std::vector<std::uint32_t> agents, Millis now)
 {
-    return { .startedAt = now, .asked = agents, .awaited = std::move(agents) };
+    HolderSearch search { .startedAt = now, .asked = agents };
+    search.awaited = std::move(agents);
+    return search;
 }
 
 // The list of agents may have grown since the search began: a process that has just started learns it piece by piece. What
--- a/tests/soak/soakcaller.cpp
+++ b/tests/soak/soakcaller.cpp
@@ -16,7 +16,7 @@
 
 }
 
-SoakCaller::SoakCaller(asio::io_context& context, asio::ip::address_v4 address, std::uint16_t port, std::vector<PacketEndpoint> services, Route route, Promises& promises, std::uint32_t seed)
+SoakCaller::SoakCaller(asio::io_context& context, const asio::ip::address_v4& address, std::uint16_t port, std::vector<PacketEndpoint> services, Route route, Promises& promises, std::uint32_t seed)
     : m_context(context)
     , m_address(address)
     , m_services(std::move(services))
--- a/tests/soak/soakcaller.h
+++ b/tests/soak/soakcaller.h
@@ -25,7 +25,7 @@
     /// Hands a caller's packet to a balancer, as the routers would.
     using Route = std::function<void(const FlowKey&, std::span<const std::uint8_t>)>;
 
-    SoakCaller(asio::io_context& context, asio::ip::address_v4 address, std::uint16_t port, std::vector<PacketEndpoint> services, Route route, Promises& promises, std::uint32_t seed);
+    SoakCaller(asio::io_context& context, const asio::ip::address_v4& address, std::uint16_t port, std::vector<PacketEndpoint> services, Route route, Promises& promises, std::uint32_t seed);
 
     const CallerCounts& counts() const { return m_counts; }
     void stop() { m_isStopped = true; }
