--- a/src/kingcuptraild/packets/admissiondesk.cpp
+++ b/src/kingcuptraild/packets/admissiondesk.cpp
@@ -94,7 +94,11 @@
 // Room comes with the upstream's packets; only openings of callers that have left make room without any.
 void AdmissionDesk::startQueueTimer()
 {
+    if (m_isQueueTimerOn)
+        return;
+    m_isQueueTimerOn = true;
     m_queueTimer.start(queueInterval, [this] {
+        m_isQueueTimerOn = false;
         admitWaiting();
         if (!m_queue.waiting.empty())
             startQueueTimer();
--- a/src/kingcuptraild/packets/admissiondesk.h
+++ b/src/kingcuptraild/packets/admissiondesk.h
@@ -29,6 +29,7 @@
     AgentState& m_state;
     OpenQueue m_queue;
     Delay m_queueTimer;
+    bool m_isQueueTimerOn = false;
     LatencyHistogram m_waits;
 };
 
--- a/src/kingcuptraild/packets/holderfinder.cpp
+++ b/src/kingcuptraild/packets/holderfinder.cpp
@@ -220,7 +220,7 @@
     if (state == SearchState::Found) {
         const Millis now = m_state.role.clock.now();
         m_state.holders[flow] = { .agent = waiting.search.holder, .usedAt = now };
-        logFlowEvent(Event::HolderFound, flow, { { "agent", toString(PacketEndpoint { waiting.search.holder, 0 }) }, { "milliseconds", static_cast<std::uint64_t>(now - waiting.search.startedAt) } });
+        logFlowEvent(Event::HolderFound, flow, { { "agent", addressText(waiting.search.holder) }, { "milliseconds", static_cast<std::uint64_t>(now - waiting.search.startedAt) } });
         // A holder that was unsure has the packets already.
         const bool hasPackets = std::ranges::find(waiting.probed, waiting.search.holder) != waiting.probed.end();
         for (const PacketBytes& packet : hasPackets ? std::vector<PacketBytes> {} : waiting.packets)
--- a/src/kingcuptraild/packets/openingdesk.cpp
+++ b/src/kingcuptraild/packets/openingdesk.cpp
@@ -96,7 +96,7 @@
     opening.tried.push_back(*next);
     offerTo(*next, flow, opening);
     const AgentLoad& load = m_state.loads[*next];
-    logFlowEvent(Event::FlowOffered, flow, { { "agent", toString(PacketEndpoint { *next, 0 }) }, { "service", *service }, { "atWork", load.atWork }, { "loadAge", static_cast<std::uint64_t>(now - load.heardAt) }, { "candidates", order.size() }, { "try", opening.tried.size() }, { "version", m_state.network.routes().version } });
+    logFlowEvent(Event::FlowOffered, flow, { { "agent", addressText(*next) }, { "service", *service }, { "atWork", load.atWork }, { "loadAge", static_cast<std::uint64_t>(now - load.heardAt) }, { "candidates", order.size() }, { "try", opening.tried.size() }, { "version", m_state.network.routes().version } });
 }
 
 void OpeningDesk::offerTo(std::uint32_t agent, const FlowKey& flow, Opening& opening)
--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -150,9 +150,14 @@
     }
 }
 
+// One that runs is left as it is: started anew by each packet, it would not end while packets come.
 void PacketAgent::startLearningTimer()
 {
+    if (m_isLearningTimerOn)
+        return;
+    m_isLearningTimerOn = true;
     m_learningTimer.start(returnTime, [this] {
+        m_isLearningTimerOn = false;
         settleLearning();
         if (!m_learning.empty())
             startLearningTimer();
--- a/src/kingcuptraild/packets/packetagent.h
+++ b/src/kingcuptraild/packets/packetagent.h
@@ -58,6 +58,7 @@
     bool m_isStarted = false;
     Delay m_turnTimer;
     Delay m_learningTimer;
+    bool m_isLearningTimerOn = false;
     Delay m_leaveTimer;
     Millis m_leavingSince = 0;
 
--- a/src/libdecision/packet.cpp
+++ b/src/libdecision/packet.cpp
@@ -5,16 +5,22 @@
 
 namespace kingcuptrail {
 
-std::string toString(const PacketEndpoint& endpoint)
+std::string addressText(std::uint32_t address)
 {
-    constexpr unsigned byteBits = 8;
+    constexpr int byteBits = 8;
+    constexpr int highestByte = 24;
     constexpr unsigned byteMask = 0xff;
     std::string text;
-    for (int shift = 24; shift >= 0; shift -= static_cast<int>(byteBits)) {
-        text += std::to_string((endpoint.address >> shift) & byteMask);
-        text += shift > 0 ? "." : ":";
+    for (int shift = highestByte; shift >= 0; shift -= byteBits) {
+        text += std::to_string((address >> shift) & byteMask);
+        text += shift > 0 ? "." : "";
     }
-    return text + std::to_string(endpoint.port);
+    return text;
+}
+
+std::string toString(const PacketEndpoint& endpoint)
+{
+    return addressText(endpoint.address) + ":" + std::to_string(endpoint.port);
 }
 
 std::string toString(const FlowKey& flow)
--- a/src/libdecision/packet.h
+++ b/src/libdecision/packet.h
@@ -29,6 +29,8 @@
     bool operator==(const FlowKey&) const = default;
 };
 
+/// "10.0.0.1".
+std::string addressText(std::uint32_t address);
 /// "10.0.0.1:80".
 std::string toString(const PacketEndpoint& endpoint);
 /// "10.0.0.1:80>10.0.0.2:443", caller first; the id of a flow in logs.
