--- a/src/kingcuptraild/packets/openingdesk.cpp
+++ b/src/kingcuptraild/packets/openingdesk.cpp
@@ -16,7 +16,8 @@
     constexpr Millis learningTime = 2000;
     /// An opening that every agent refused for a passing reason is offered again after this long, in milliseconds.
     constexpr Millis againInterval = 40;
-    /// Openings offered again in one turn: 600 a second, each to some agents, take a small balancer 2 % of a core.
+    /// Openings offered again in one turn: 600 a second at the most, so that a backlog cannot keep a small balancer
+    /// from its packets; estimated, not measured.
     constexpr std::size_t offersInTurn = 12;
     /// An opening is given up after this long, in milliseconds, just before its caller gives it up (1.4 s).
     constexpr Millis openingLimit = 1300;
--- a/src/libprotocol/viewcodec.h
+++ b/src/libprotocol/viewcodec.h
@@ -22,7 +22,7 @@
     bool entries = true;
 };
 
-/// The view as bytes: some 40 a route and 100 an entry, a quarter of the same as text.
+/// The view as bytes; by estimate some 40 a route and 100 an entry.
 std::string encodeView(const DeploymentView&, const ViewParts& parts = {});
 
 /// Reads a view; nothing when the bytes are not one. A part that was left out is as in a new view.
