--- a/src/kingcuptraild/packets/agentstate.h
+++ b/src/kingcuptraild/packets/agentstate.h
@@ -1,11 +1,9 @@
 #pragma once
 
-#include "kingcuptraild/rolecontext.h"
 #include "libdecision/agentflows.h"
 #include "libdecision/opengate.h"
-#include "libplatform/deploymentadapter.h"
 #include "libruntime/metrics.h"
-#include "peernetwork.h"
+#include "packetrolestate.h"
 
 namespace kingcuptrail {
 
@@ -27,19 +25,9 @@
 };
 
 /// What the parts of an agent share.
-struct AgentState {
-    AgentState(const RoleContext& roleContext, const DeploymentAdapter& deployment)
-        : role(roleContext)
-        , adapter(deployment)
-        , network(roleContext.context, roleContext.settings, roleContext.clock)
-        , startedAt(roleContext.clock.now())
-    {
-    }
+struct AgentState : PacketRoleState {
+    using PacketRoleState::PacketRoleState;
 
-    const RoleContext role;
-    const DeploymentAdapter& adapter;
-    PeerNetwork network;
-    Millis startedAt;
     AgentFlows flows;
     OpenGate gate;
     /// What this agent announces of itself.
--- a/src/kingcuptraild/packets/balancerstate.h
+++ b/src/kingcuptraild/packets/balancerstate.h
@@ -1,11 +1,9 @@
 #pragma once
 
 #include "flowholders.h"
-#include "kingcuptraild/rolecontext.h"
 #include "libdecision/agentchoice.h"
-#include "libplatform/deploymentadapter.h"
 #include "libruntime/metrics.h"
-#include "peernetwork.h"
+#include "packetrolestate.h"
 
 namespace kingcuptrail {
 
@@ -40,19 +38,9 @@
 };
 
 /// What the parts of a balancer share.
-struct BalancerState {
-    BalancerState(const RoleContext& roleContext, const DeploymentAdapter& deployment)
-        : role(roleContext)
-        , adapter(deployment)
-        , network(roleContext.context, roleContext.settings, roleContext.clock)
-        , startedAt(roleContext.clock.now())
-    {
-    }
+struct BalancerState : PacketRoleState {
+    using PacketRoleState::PacketRoleState;
 
-    const RoleContext role;
-    const DeploymentAdapter& adapter;
-    PeerNetwork network;
-    Millis startedAt;
     /// By the agent's address.
     std::unordered_map<std::uint32_t, AgentLoad> loads;
     /// A cache of who holds which flow.
--- a/src/kingcuptraild/packets/flowholders.h
+++ b/src/kingcuptraild/packets/flowholders.h
@@ -3,8 +3,6 @@
 #include "libdecision/holdersearch.h"
 #include "libdecision/opengate.h"
 
-#include <array>
-#include <deque>
 #include <string>
 #include <unordered_map>
 #include <vector>
--- a/src/kingcuptraild/packets/openingdesk.cpp
+++ b/src/kingcuptraild/packets/openingdesk.cpp
@@ -134,14 +134,13 @@
 std::vector<std::uint32_t> OpeningDesk::agentsFor(const FlowKey& flow, const std::string& service) const
 {
     std::vector<AgentCandidate> candidates;
-    for (const auto& [name, entry] : m_state.network.directory().entries) {
-        const bool isUsable = entry.role == PeerRole::Agent && entry.state == PeerState::Ready && entry.service == service;
-        if (!isUsable || isOut(m_state.network.outages(), entry.dataCentre))
+    for (const PeerEntry* entry : readyAgentsOf(m_state.network.directory(), service)) {
+        if (isOut(m_state.network.outages(), entry->dataCentre))
             continue;
-        AgentCandidate candidate { .address = entry.address, .isNear = entry.dataCentre == m_state.role.settings.dataCentre, .load = {} };
-        if (const auto load = m_state.loads.find(entry.address); load != m_state.loads.end())
+        AgentCandidate candidate { .address = entry->address, .isNear = entry->dataCentre == m_state.role.settings.dataCentre, .load = {} };
+        if (const auto load = m_state.loads.find(entry->address); load != m_state.loads.end())
             candidate.load = load->second;
-        candidate.load.slots = std::max(entry.slots, 1U);
+        candidate.load.slots = std::max(entry->slots, 1U);
         candidates.push_back(candidate);
     }
     return chooseAgents(flow, candidates, m_choice, m_state.role.clock.now());
--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -58,9 +58,7 @@
     m_state.flows.completeAt = m_state.startedAt + m_state.flows.options.idleLimit;
     const bool hasPeers = m_state.network.start({
         .onFlowMessage = [this](const PeerMessage& message, std::uint32_t sender) { handleFlowMessage(message, sender); },
-        .onRoutes = [] {},
         .onOutages = [this](const std::vector<std::string>& returned) { handleOutages(returned); },
-        .onEntry = [](const PeerEntry&) {},
     });
     const auto& outbound = role.settings.packets.outbound;
     DatagramError error = DatagramError::None;
@@ -132,7 +130,7 @@
     }
     const Millis now = m_state.role.clock.now();
     const std::uint32_t index = indexOf(m_state, sender);
-    switch (takeCallerPacket(m_state.flows, message.flow, *head, index, now)) {
+    switch (takeCallerPacket(m_state.flows, message.flow, *head, now)) {
     case CallerPacketAction::Deliver:
         m_state.fates.increment(AgentPacketFate::Delivered);
         deliver(m_state, message.packet, index);
--- a/src/kingcuptraild/packets/packetbalancer.cpp
+++ b/src/kingcuptraild/packets/packetbalancer.cpp
@@ -38,9 +38,7 @@
 {
     const bool hasPeers = m_state.network.start({
         .onFlowMessage = [this](const PeerMessage& message, std::uint32_t sender) { handleFlowMessage(message, sender); },
-        .onRoutes = [] {},
         .onOutages = [](const std::vector<std::string>&) {},
-        .onEntry = [](const PeerEntry&) {},
     });
     openIngress();
     m_isStarted = hasPeers && m_ingress;
--- a/src/kingcuptraild/packets/peernetwork.cpp
+++ b/src/kingcuptraild/packets/peernetwork.cpp
@@ -101,7 +101,6 @@
     for (const ServiceLimits& limits : m_view.routes.services)
         logEvent(Event::ServiceLimitsInForce, { { "service", limits.name }, { "flowLimit", limits.flowLimit }, { "warmUp", static_cast<std::uint64_t>(limits.warmUp) }, { "coldRate", static_cast<std::uint64_t>(limits.coldRate) } });
     tellSome(changeCount, {});
-    m_handlers.onRoutes();
 }
 
 void PeerNetwork::takeOutages(OutageView outages)
@@ -156,10 +155,7 @@
         }
         return false;
     }
-    if (!offerEntry(m_directory, entry))
-        return false;
-    m_handlers.onEntry(entry);
-    return true;
+    return offerEntry(m_directory, entry);
 }
 
 const PeerEntry& PeerNetwork::announce(PeerEntry self)
@@ -170,7 +166,7 @@
     if (m_self.epoch == 0)
         self.epoch = std::max(self.epoch, wallMillis());
     m_self = std::move(self);
-    m_directory.entries[m_self.name] = m_self;
+    offerEntry(m_directory, m_self);
     m_digest = digestOf(m_directory);
     tellSome(changeCount, { m_self });
     return m_self;
--- a/src/kingcuptraild/packets/peernetwork.h
+++ b/src/kingcuptraild/packets/peernetwork.h
@@ -35,10 +35,8 @@
     struct Handlers {
         /// A message about a flow, from the host with this address.
         std::function<void(const PeerMessage&, std::uint32_t sender)> onFlowMessage;
-        std::function<void()> onRoutes;
         /// `returned` names the data centres that were out and are no more.
         std::function<void(const std::vector<std::string>& returned)> onOutages;
-        std::function<void(const PeerEntry&)> onEntry;
     };
 
     PeerNetwork(asio::io_context& context, const Settings& settings, const Clock& clock);
--- a/src/libdecision/agentflows.cpp
+++ b/src/libdecision/agentflows.cpp
@@ -101,7 +101,7 @@
     flow.lastPacketAt = now;
 }
 
-CallerPacketAction takeCallerPacket(AgentFlows& table, const FlowKey& key, const PacketHead& head, std::uint32_t balancer, Millis now)
+CallerPacketAction takeCallerPacket(AgentFlows& table, const FlowKey& key, const PacketHead& head, Millis now)
 {
     const auto found = table.flows.find(key);
     if (found == table.flows.end())
@@ -113,7 +113,6 @@
         setPhase(table, flow, FlowPhase::Open);
     }
     flow.lastPacketAt = now;
-    flow.balancer = balancer;
     if (head.flags.acknowledges)
         flow.callerAcknowledged = head.acknowledged;
     const bool isNewData = noteSent(flow, head.sequence + head.dataLength) && head.dataLength > 0;
--- a/src/libdecision/agentflows.h
+++ b/src/libdecision/agentflows.h
@@ -40,8 +40,6 @@
     /// The flow counts as work of the upstream until then: it is being opened, or its caller has sent data that the upstream
     /// has not answered. 0 when it does not count.
     Millis workUntil = 0;
-    /// Which balancer sent the flow's last packet; an index into the agent's list of balancers.
-    std::uint32_t balancer = 0;
 };
 
 struct AgentFlowOptions {
@@ -101,7 +99,7 @@
 void beginFlow(AgentFlows&, const FlowKey&, Millis now);
 
 /// Decides on a caller's packet that does not open a flow, and notes what it tells.
-CallerPacketAction takeCallerPacket(AgentFlows&, const FlowKey&, const PacketHead&, std::uint32_t balancer, Millis now);
+CallerPacketAction takeCallerPacket(AgentFlows&, const FlowKey&, const PacketHead&, Millis now);
 
 /// What a packet from the upstream told about a flow.
 struct UpstreamPacketNews {
--- a/src/libdecision/directory.cpp
+++ b/src/libdecision/directory.cpp
@@ -5,17 +5,46 @@
 
 namespace kingcuptrail {
 
+namespace {
+
+    void removeFromService(Directory& directory, const PeerEntry& entry)
+    {
+        const auto service = directory.readyAgents.find(entry.service);
+        if (service == directory.readyAgents.end())
+            return;
+        service->second.erase(entry.name);
+        if (service->second.empty())
+            directory.readyAgents.erase(service);
+    }
+
+}
+
 bool offerEntry(Directory& directory, PeerEntry entry)
 {
-    const auto [found, isNew] = directory.entries.try_emplace(entry.name, entry);
-    if (isNew)
-        return true;
-    if (entry.epoch <= found->second.epoch)
-        return false;
-    found->second = std::move(entry);
+    const auto known = directory.entries.find(entry.name);
+    if (known != directory.entries.end()) {
+        if (entry.epoch <= known->second.epoch)
+            return false;
+        removeFromService(directory, known->second);
+    }
+    if (entry.role == PeerRole::Agent && entry.state == PeerState::Ready)
+        directory.readyAgents[entry.service].insert(entry.name);
+    directory.entries.insert_or_assign(entry.name, std::move(entry));
     return true;
 }
 
+std::vector<const PeerEntry*> readyAgentsOf(const Directory& directory, std::string_view service)
+{
+    std::vector<const PeerEntry*> agents;
+    const auto found = directory.readyAgents.find(service);
+    if (found == directory.readyAgents.end())
+        return agents;
+    agents.reserve(found->second.size());
+    for (const std::string& name : found->second)
+        agents.push_back(&directory.entries.at(name));
+    return agents;
+}
+
 std::uint64_t digestOf(const Directory& directory)
 {
     std::uint64_t digest = 0;
--- a/src/libdecision/directory.h
+++ b/src/libdecision/directory.h
@@ -4,7 +4,7 @@
 #include "packet.h"
 
 #include <map>
-#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -54,6 +54,9 @@
 /// Every process that is known, by name. The same everywhere after some rounds of news; not a list of who lives.
 struct Directory {
     std::map<std::string, PeerEntry, std::less<>> entries;
+    /// Names of the agents that take new flows, by service: each opening looks at its service's agents only, however many
+    /// there are in all.
+    std::map<std::string, std::set<std::string>, std::less<>> readyAgents;
 };
 
 /// Takes an announcement unless one at least as new is known; whether it was taken.
@@ -62,6 +65,9 @@
 /// A number that is the same in all processes that know the same entries in the same epochs.
 std::uint64_t digestOf(const Directory&);
 
+/// The agents that take new flows for a service, as they announce it; in the order of their names.
+std::vector<const PeerEntry*> readyAgentsOf(const Directory&, std::string_view service);
+
 const PeerEntry* findByAddress(const Directory&, std::uint32_t address);
 
 }
--- a/tests/packets/packetfixtures.h
+++ b/tests/packets/packetfixtures.h
@@ -37,7 +37,7 @@
 {
     beginFlow(table, flow, now);
     takeUpstreamPacket(table, flow, upstreamAnswer(500), now);
-    takeCallerPacket(table, flow, callerPacket(501), 1, now);
+    takeCallerPacket(table, flow, callerPacket(501), now);
 }
 
 inline RouteTable routesTo(const std::string& service, ConfigVersion version)
--- a/tests/packets/testagentflows.cpp
+++ b/tests/packets/testagentflows.cpp
@@ -34,13 +34,13 @@
         CPPUNIT_ASSERT_EQUAL(1U, table.open);
         PacketHead last = callerPacket(502);
         last.flags.ends = true;
-        CPPUNIT_ASSERT(takeCallerPacket(table, flow, last, 1, 20) == CallerPacketAction::Deliver);
+        CPPUNIT_ASSERT(takeCallerPacket(table, flow, last, 20) == CallerPacketAction::Deliver);
         PacketHead lastBack = upstreamData(0);
         lastBack.flags.ends = true;
         takeUpstreamPacket(table, flow, lastBack, 21);
         CPPUNIT_ASSERT_EQUAL(0U, table.open);
         // The ends' late packets still find the flow.
-        CPPUNIT_ASSERT(takeCallerPacket(table, flow, last, 1, 30) == CallerPacketAction::Deliver);
+        CPPUNIT_ASSERT(takeCallerPacket(table, flow, last, 30) == CallerPacketAction::Deliver);
     }
 
     // A caller's copy of its opening packet goes over another balancer and is admitted at a second upstream. The caller
@@ -51,12 +51,12 @@
         AgentFlows table = completeTable();
         const FlowKey flow = flowOf(2);
         beginFlow(table, flow, 10);
-        CPPUNIT_ASSERT(takeCallerPacket(table, flow, callerPacket(901), 1, 11) == CallerPacketAction::NotHeld);
+        CPPUNIT_ASSERT(takeCallerPacket(table, flow, callerPacket(901), 11) == CallerPacketAction::NotHeld);
         takeUpstreamPacket(table, flow, upstreamAnswer(500), 12);
-        CPPUNIT_ASSERT(takeCallerPacket(table, flow, callerPacket(900000), 1, 13) == CallerPacketAction::NotHeld);
+        CPPUNIT_ASSERT(takeCallerPacket(table, flow, callerPacket(900000), 13) == CallerPacketAction::NotHeld);
         CPPUNIT_ASSERT(answerHolderQuestion(table, flow, 900000, 13) == HolderAnswer::NotHeld);
         CPPUNIT_ASSERT(answerHolderQuestion(table, flow, 501, 13) == HolderAnswer::Held);
-        CPPUNIT_ASSERT(takeCallerPacket(table, flow, callerPacket(501), 1, 14) == CallerPacketAction::Deliver);
+        CPPUNIT_ASSERT(takeCallerPacket(table, flow, callerPacket(501), 14) == CallerPacketAction::Deliver);
     }
 
     // An agent is killed and comes back beside an upstream that lives on with all its flows. Said to be unknown, they
@@ -66,10 +66,10 @@
         AgentFlows table;
         table.completeAt = 20000;
         const FlowKey flow = flowOf(3);
-        CPPUNIT_ASSERT(takeCallerPacket(table, flow, callerPacket(700, 50), 1, 10) == CallerPacketAction::DeliverToLearn);
+        CPPUNIT_ASSERT(takeCallerPacket(table, flow, callerPacket(700, 50), 10) == CallerPacketAction::DeliverToLearn);
         CPPUNIT_ASSERT(answerHolderQuestion(table, flow, 700, 10) == HolderAnswer::Unsure);
         CPPUNIT_ASSERT(takeUpstreamPacket(table, flow, upstreamData(50), 12).isLearnt);
-        CPPUNIT_ASSERT(takeCallerPacket(table, flow, callerPacket(750), 1, 13) == CallerPacketAction::Deliver);
+        CPPUNIT_ASSERT(takeCallerPacket(table, flow, callerPacket(750), 13) == CallerPacketAction::Deliver);
         CPPUNIT_ASSERT(answerHolderQuestion(table, flow, 750, 13) == HolderAnswer::Held);
     }
 
@@ -79,7 +79,7 @@
         AgentFlows table;
         table.completeAt = 20000;
         learnFlow(table, flowOf(3), 640, 10);
-        CPPUNIT_ASSERT(takeCallerPacket(table, flowOf(3), callerPacket(640, 10), 1, 11) == CallerPacketAction::Deliver);
+        CPPUNIT_ASSERT(takeCallerPacket(table, flowOf(3), callerPacket(640, 10), 11) == CallerPacketAction::Deliver);
         CPPUNIT_ASSERT_EQUAL(1U, table.open);
         CPPUNIT_ASSERT_EQUAL(640U, takeLostFlows(table).front().callerAcknowledged);
     }
@@ -98,7 +98,7 @@
     {
         AgentFlows table;
         openFlow(table, flowOf(5), 10);
-        takeCallerPacket(table, flowOf(5), callerPacket(640, 100), 1, 11);
+        takeCallerPacket(table, flowOf(5), callerPacket(640, 100), 11);
         const auto lost = takeLostFlows(table);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, lost.size());
         CPPUNIT_ASSERT(lost.front().flow == flowOf(5) && lost.front().callerAcknowledged == 640);
@@ -122,11 +122,11 @@
     {
         AgentFlows table = completeTable();
         openFlow(table, flowOf(7), 10);
-        takeCallerPacket(table, flowOf(7), callerPacket(501, 900), 1, 11);
+        takeCallerPacket(table, flowOf(7), callerPacket(501, 900), 11);
         CPPUNIT_ASSERT_EQUAL(1U, table.atWork);
         takeUpstreamPacket(table, flowOf(7), upstreamData(600), 50);
         CPPUNIT_ASSERT_EQUAL(0U, table.atWork);
-        takeCallerPacket(table, flowOf(7), callerPacket(1101), 1, 51);
+        takeCallerPacket(table, flowOf(7), callerPacket(1101), 51);
         CPPUNIT_ASSERT_EQUAL(0U, table.atWork);
     }
 
@@ -140,11 +140,11 @@
         PacketHead answer = upstreamData(600);
         answer.acknowledged = 201;
         takeUpstreamPacket(table, flowOf(8), answer, 10);
-        takeCallerPacket(table, flowOf(8), callerPacket(501, 100), 1, 11);
+        takeCallerPacket(table, flowOf(8), callerPacket(501, 100), 11);
         CPPUNIT_ASSERT_EQUAL(0U, table.atWork);
         PacketHead next = callerPacket(1101, 100);
         next.sequence = 201;
-        takeCallerPacket(table, flowOf(8), next, 1, 12);
+        takeCallerPacket(table, flowOf(8), next, 12);
         CPPUNIT_ASSERT_EQUAL(1U, table.atWork);
     }
 
@@ -162,7 +162,7 @@
         expireWork(table, 10 + table.options.openingWork);
         CPPUNIT_ASSERT_EQUAL(0U, table.atWork);
         openFlow(table, flowOf(11), 200);
-        takeCallerPacket(table, flowOf(11), callerPacket(501, 900), 1, 201);
+        takeCallerPacket(table, flowOf(11), callerPacket(501, 900), 201);
         expireWork(table, 201 + table.options.requestWork - 1);
         CPPUNIT_ASSERT_EQUAL(1U, table.atWork);
         expireWork(table, 201 + table.options.requestWork);
--- a/tests/packets/testbalancing.cpp
+++ b/tests/packets/testbalancing.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(agentsHeardOfDuringTheSearchAreAskedToo);
     CPPUNIT_TEST(holderEndsTheSearch);
     CPPUNIT_TEST(newerEntryStands);
+    CPPUNIT_TEST(agentsAreListedUnderTheirService);
     CPPUNIT_TEST(weightsShareFlows);
     CPPUNIT_TEST_SUITE_END();
 
@@ -104,6 +105,26 @@
         CPPUNIT_ASSERT(!findByAddress(directory, 2));
     }
 
+    // An agent takes flows of one service, is given to another, drains and comes back. A balancer that still listed it under
+    // the first service would bring openings there that can only be refused, and callers would wait for the round trip.
+    void agentsAreListedUnderTheirService()
+    {
+        Directory directory;
+        offerEntry(directory, { .name = "a", .address = 1, .service = "board", .epoch = 1 });
+        offerEntry(directory, { .name = "b", .address = 2, .service = "board", .epoch = 1 });
+        offerEntry(directory, { .name = "front", .role = PeerRole::Balancer, .address = 3, .epoch = 1 });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, readyAgentsOf(directory, "board").size());
+        offerEntry(directory, { .name = "a", .address = 1, .service = "intake", .epoch = 2 });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, readyAgentsOf(directory, "board").size());
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), readyAgentsOf(directory, "intake").front()->name);
+        offerEntry(directory, { .name = "a", .address = 1, .service = "intake", .state = PeerState::Draining, .epoch = 3 });
+        CPPUNIT_ASSERT(readyAgentsOf(directory, "intake").empty());
+        CPPUNIT_ASSERT(!offerEntry(directory, { .name = "a", .address = 1, .service = "intake", .epoch = 2 }));
+        CPPUNIT_ASSERT(readyAgentsOf(directory, "intake").empty());
+        offerEntry(directory, { .name = "a", .address = 1, .service = "intake", .epoch = 4 });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, readyAgentsOf(directory, "intake").size());
+    }
+
     void weightsShareFlows()
     {
         RouteTable table = routesTo("board", 1);
