--- a/src/kingcuptraild/packets/storefollower.cpp
+++ b/src/kingcuptraild/packets/storefollower.cpp
@@ -10,6 +10,11 @@
     /// for those that no peer has told.
     constexpr Millis agentsInterval = 5000;
 
+    void logForeignObject(std::string_view kind, const std::string& object, DecodeError error)
+    {
+        logEvent(Event::ForeignObject, { { "kind", kind }, { "object", object }, { "reason", nameOf(error) } });
+    }
+
 }
 
 StoreFollower::StoreFollower(asio::io_context& context, const PlatformOptions& options, const DeploymentAdapter& adapter, PeerNetwork& network)
@@ -72,7 +77,7 @@
         if (auto routes = m_adapter.readRoutes(object, error))
             m_network.takeRoutes(std::move(*routes));
         else if (error != DecodeError::None)
-            logEvent(Event::ForeignObject, { { "kind", m_adapter.routesKind }, { "object", object.name }, { "reason", nameOf(error) } });
+            logForeignObject(m_adapter.routesKind, object.name, error);
     }
 }
 
@@ -80,6 +85,10 @@
 {
     noteAnswer();
     for (const PlatformObject& object : changes.objects) {
+        if (object.name.empty()) {
+            logForeignObject(m_adapter.outagesKind, object.name, DecodeError::BadText);
+            continue;
+        }
         std::erase(m_out, object.name);
         if (object.value)
             m_out.push_back(object.name);
@@ -96,7 +105,7 @@
         if (entry && entry->name == object.name)
             entries.push_back(*entry);
         else
-            logEvent(Event::ForeignObject, { { "kind", agentKind }, { "object", object.name }, { "reason", nameOf(DecodeError::BadText) } });
+            logForeignObject(agentKind, object.name, DecodeError::BadText);
     }
     m_network.takeEntries(entries);
 }
--- a/tests/trustplatform/testtrustplatform.cpp
+++ b/tests/trustplatform/testtrustplatform.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST(readsTheConfiguration);
     CPPUNIT_TEST(foreignConfigurationsHaveATypedError);
     CPPUNIT_TEST(speaksTheStoresApi);
+    CPPUNIT_TEST(oneForeignObjectLeavesTheOthers);
+    CPPUNIT_TEST(timesBeyondAllBoundsAreRefused);
     CPPUNIT_TEST(randomBytesNeverCrash);
     CPPUNIT_TEST_SUITE_END();
 
@@ -149,6 +151,35 @@
         CPPUNIT_ASSERT(store.errorOfStatus(409) == PlatformError::Conflict && store.errorOfStatus(410) == PlatformError::Gone);
     }
 
+    // Another writer leaves an object of a kind of ours in the store: without a spec, without a name, or no object at all.
+    // Read as part of a listing it made the whole listing unreadable, so that a process which no peer had told anything
+    // never learnt of any agent, and refused every caller.
+    void oneForeignObjectLeavesTheOthers()
+    {
+        const StoreDialect& store = *m_adapter.store;
+        const auto page = store.readPage(R"({"items":[{"meta":{"name":"a","revision":3}},{"meta":{"revision":"x"},"spec":{}},7,{"meta":{"name":"b","revision":4},"spec":{"x":1}}],"as-of":8})");
+        CPPUNIT_ASSERT(page.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 4 }, page->list.objects.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), page->list.objects[0].name);
+        CPPUNIT_ASSERT_EQUAL(std::string("null"), *page->list.objects[0].value);
+        CPPUNIT_ASSERT(page->list.objects[1].name.empty() && page->list.objects[2].name.empty());
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"x":1})"), *page->list.objects[3].value);
+        const auto changes = store.readChanges(R"({"events":[7,{"object":{"meta":{"name":"b","revision":9},"spec":{"x":1}}}],"as-of":9})");
+        CPPUNIT_ASSERT(changes && changes->objects.size() == 2 && changes->objects[1].name == "b");
+    }
+
+    // A report says that its upstream stays cold for longer than any number of milliseconds holds. Converted unchecked, the
+    // time is undefined: the upstream was taken for cold for ever, or for never. One that has passed is no time at all.
+    void timesBeyondAllBoundsAreRefused()
+    {
+        const auto putCold = [this](const std::string& time) {
+            return put(R"({"service":"s","address":"10.0.0.1:1","zone":"z","slots":1,"state":"ready","sequence":1,"warmup-left-ms":)" + time + "}");
+        };
+        CPPUNIT_ASSERT(!putCold("1e300").report);
+        CPPUNIT_ASSERT(putCold("1e300").error == DecodeError::OutOfRange);
+        CPPUNIT_ASSERT_EQUAL(Millis { 0 }, putCold("-1e300").report->coldLeft);
+    }
+
     void randomBytesNeverCrash()
     {
         std::minstd_rand random(7);
