--- /dev/null
+++ b/tests/fuzz/fuzzpacket.cpp
@@ -0,0 +1,30 @@
+#include "platform/trustadapter.h"
+
+#include <cstdlib>
+
+#include <cstddef>
+#include <cstdint>
+
+using namespace kingcuptrail;
+
+/// Datagrams of callers and upstreams. A packet that was read and marked comes out as it was when the mark is taken off.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    std::vector<std::uint8_t> packet(data, data + size);
+    DecodeError error = DecodeError::None;
+    const auto head = trustAdapter().decodePacket(packet, error);
+    if (head.has_value() != (error == DecodeError::None))
+        std::abort();
+    if (!head)
+        return 0;
+    trustAdapter().clearMarks(packet);
+    const std::vector<std::uint8_t> bare = packet;
+    constexpr std::uint32_t mark = 77;
+    trustAdapter().setMark(packet, mark);
+    if (trustAdapter().decodePacket(packet, error)->mark != mark)
+        std::abort();
+    trustAdapter().clearMarks(packet);
+    if (packet != bare)
+        std::abort();
+    return 0;
+}
--- /dev/null
+++ b/tests/fuzz/fuzzreport.cpp
@@ -0,0 +1,20 @@
+#include "platform/trustadapter.h"
+
+#include <cstdlib>
+
+#include <cstddef>
+#include <cstdint>
+
+using namespace kingcuptrail;
+
+/// Bodies of upstream reports. One that was not taken has a reason.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    const HttpRequest request { .method = "PUT", .target = "/targets/i-1", .body = std::string(data, data + size) };
+    const UpstreamCall call = trustAdapter().readUpstreamCall(request);
+    if (call.report.has_value() != (call.error == DecodeError::None))
+        std::abort();
+    if (call.report && call.report->coldLeft < 0)
+        std::abort();
+    return 0;
+}
--- /dev/null
+++ b/tests/fuzz/fuzzstore.cpp
@@ -0,0 +1,28 @@
+#include "libplatform/peerentryjson.h"
+#include "platform/trustadapter.h"
+
+#include <cstdlib>
+
+#include <cstddef>
+#include <cstdint>
+
+using namespace kingcuptrail;
+
+/// Answers of the store, and the announcements in them. An announcement that was read is written as one that reads the same.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    const std::string body(data, data + size);
+    const StoreDialect& store = *trustAdapter().store;
+    store.readObject(body);
+    store.readVersion(body);
+    store.readChanges(body);
+    const auto page = store.readPage(body);
+    if (!page)
+        return 0;
+    for (const PlatformObject& object : page->list.objects) {
+        const auto entry = parsePeerEntry(object.value.value_or(""));
+        if (entry && parsePeerEntry(toJson(*entry)) != entry)
+            std::abort();
+    }
+    return 0;
+}
