--- a/src/kingcuptraild/packets/holderfinder.cpp
+++ b/src/kingcuptraild/packets/holderfinder.cpp
@@ -238,8 +238,10 @@
     if (canBeCertain()) {
         logFlowEvent(Event::FlowLost, flow, { { "directory", m_state.network.directory().entries.size() } });
         sendReset(m_state, flow, waiting.acknowledged, ResetReason::HeldByNobody);
+        m_searchEnds.increment(state);
+    } else {
+        noteUncertain(flow, waiting.search, m_state.role.clock.now());
     }
-    m_searchEnds.increment(state);
     m_searches.erase(found);
 }
 
@@ -285,8 +287,21 @@
 void HolderFinder::turn(Millis now)
 {
     askSilentDirectly(now);
-    const std::size_t outOfTime = std::erase_if(m_searches, [now](const auto& item) { return now - item.second.search.startedAt > searchLimit; });
-    m_searchEnds.increment(SearchState::Asking, outOfTime);
+    std::erase_if(m_searches, [&](const auto& item) {
+        const bool isOver = now - item.second.search.startedAt > searchLimit;
+        if (isOver)
+            noteUncertain(item.first, item.second.search, now);
+        return isOver;
+    });
+}
+
+// Nothing can be said to the caller: it sends its packet again, and the next search may end otherwise.
+void HolderFinder::noteUncertain(const FlowKey& flow, const HolderSearch& search, Millis now)
+{
+    m_searchEnds.increment(SearchState::Asking);
+    const std::uint32_t waitsFor = !search.awaited.empty() ? search.awaited.front() : search.unsure.empty() ? 0
+                                                                                                            : search.unsure.front();
+    logFlowEvent(Event::SearchUncertain, flow, { { "silent", search.awaited.size() }, { "unsure", search.unsure.size() }, { "waitsFor", addressText(waitsFor) }, { "directoryConfirmed", canBeCertain() ? "yes" : "no" }, { "milliseconds", static_cast<std::uint64_t>(now - search.startedAt) } });
 }
 
 void HolderFinder::exposeMetrics(std::string& out) const
--- a/src/libruntime/events.h
+++ b/src/libruntime/events.h
@@ -69,6 +69,7 @@
     OpeningRefused = 603,
     HolderFound = 604,
     FlowLost = 605,
+    SearchUncertain = 608,
     FlowLearnt = 606,
     LinesLeftOut = 607,
 };
