--- a/src/libruntime/events.cpp
+++ b/src/libruntime/events.cpp
@@ -112,10 +112,10 @@
             "Look for the process that held it: its flowAdmitted line names the upstream." },
         { Event::FlowLearnt, EventLevel::Info, "flowLearnt", "A restarted agent saw a flow that its upstream held before.",
             "Nothing." },
-        { Event::SearchUncertain, EventLevel::Info, "searchUncertain", "Nobody said that it holds the flow, and not everybody that it does not; its caller was told nothing.",
-            "Look at the agent in waitsFor: it is silent, or knows no upstream yet. Unconfirmed directories mend themselves." },
         { Event::LinesLeftOut, EventLevel::Warning, "linesLeftOut", "Lines about flows were left out, since more came than are written or the reader was slow.",
             "Nothing. The counters have every one." },
+        { Event::SearchUncertain, EventLevel::Info, "searchUncertain", "Nobody said that it holds the flow, and not everybody that it does not; its caller was told nothing.",
+            "Look at the agent in waitsFor: it is silent, or knows no upstream yet. Unconfirmed directories mend themselves." },
     });
 
     constexpr auto textPattern = "%Y-%m-%dT%H:%M:%S.%eZ %l %n %v";
