--- a/src/kingcuptraild/packets/agentannouncement.cpp
+++ b/src/kingcuptraild/packets/agentannouncement.cpp
@@ -88,20 +88,47 @@
     });
 }
 
-void AgentAnnouncement::withdraw(std::function<void()> done)
+void AgentAnnouncement::withdraw(const std::string& name, std::function<void()> done)
 {
     m_delay.cancel();
     m_client.cancelAll();
-    if (!m_entry || m_version == 0) {
-        done();
-        return;
-    }
     m_isBusy = true;
-    m_client.remove(agentKind, m_entry->name, m_version, [done = std::move(done)](const std::optional<ObjectVersion>&, PlatformError reason) {
-        if (reason != PlatformError::None)
-            logEvent(Event::PlatformTrouble, { { "reason", nameOf(reason) }, { "call", "withdrawal" } });
-        done();
+    m_leavingName = name;
+    m_onWithdrawn = std::move(done);
+    if (m_version != 0)
+        remove(m_version);
+    else
+        findToRemove();
+}
+
+// An earlier process of this agent may have written the entry, or this one without hearing the answer. Left there, it would
+// name an agent to every process that starts later.
+void AgentAnnouncement::findToRemove()
+{
+    m_client.get(agentKind, m_leavingName, [this](const std::optional<PlatformObject>& object, PlatformError reason) {
+        if (object)
+            remove(object->version);
+        else if (reason == PlatformError::NotFound)
+            m_onWithdrawn();
+        else
+            retryRemoval(reason);
     });
 }
 
+void AgentAnnouncement::remove(ObjectVersion version)
+{
+    m_client.remove(agentKind, m_leavingName, version, [this](const std::optional<ObjectVersion>&, PlatformError reason) {
+        if (reason == PlatformError::None || reason == PlatformError::NotFound)
+            m_onWithdrawn();
+        else
+            retryRemoval(reason);
+    });
+}
+
+void AgentAnnouncement::retryRemoval(PlatformError reason)
+{
+    logEvent(Event::PlatformTrouble, { { "reason", nameOf(reason) }, { "call", "withdrawal" } });
+    m_delay.start(m_backoff.next(), [this] { findToRemove(); });
+}
+
 }
--- a/src/kingcuptraild/packets/agentannouncement.h
+++ b/src/kingcuptraild/packets/agentannouncement.h
@@ -14,8 +14,8 @@
 
     /// Writes the entry, unless it stands there already.
     void write(const PeerEntry& entry);
-    /// Takes the entry out; `done` is called when it is out, or when the store has not answered in time.
-    void withdraw(std::function<void()> done);
+    /// Takes the entry of this name out, whichever process wrote it; `done` is called when it is out. Tries for ever.
+    void withdraw(const std::string& name, std::function<void()> done);
 
     /// Called with the entry of another process under the same name that is found in the store.
     void setOnFound(std::function<void(const PeerEntry&)> onFound) { m_onFound = std::move(onFound); }
@@ -26,12 +26,17 @@
     void put();
     void read();
     void retry(PlatformError reason);
+    void findToRemove();
+    void remove(ObjectVersion version);
+    void retryRemoval(PlatformError reason);
 
     PlatformClient m_client;
     Delay m_delay;
     Backoff m_backoff;
     std::optional<PeerEntry> m_entry;
     std::function<void(const PeerEntry&)> m_onFound;
+    std::string m_leavingName;
+    std::function<void()> m_onWithdrawn;
     ObjectVersion m_version = 0;
     bool m_isBusy = false;
     bool m_isWritten = false;
--- a/src/kingcuptraild/packets/balancerstate.h
+++ b/src/kingcuptraild/packets/balancerstate.h
@@ -2,6 +2,7 @@
 
 #include "flowholders.h"
 #include "libdecision/agentchoice.h"
+#include "libdecision/silentagents.h"
 #include "libruntime/metrics.h"
 #include "packetrolestate.h"
 
@@ -43,6 +44,7 @@
 
     /// By the agent's address.
     std::unordered_map<std::uint32_t, AgentLoad> loads;
+    SilentAgents silent;
     /// A cache of who holds which flow.
     std::unordered_map<FlowKey, Holder> holders;
     EnumCounters<PacketFate> fates;
--- a/src/kingcuptraild/packets/holderfinder.cpp
+++ b/src/kingcuptraild/packets/holderfinder.cpp
@@ -56,8 +56,10 @@
 std::vector<std::uint32_t> HolderFinder::holdersToAsk(const std::string* service) const
 {
     std::vector<std::uint32_t> agents;
+    const Millis now = m_state.role.clock.now();
     for (const auto& [name, entry] : m_state.network.directory().entries) {
-        if (entry.role == PeerRole::Agent && entry.state != PeerState::Gone && (!service || entry.service == *service))
+        const bool mayHold = entry.role == PeerRole::Agent && entry.state != PeerState::Gone && !isGivenUp(m_state.silent, entry.address, now);
+        if (mayHold && (!service || entry.service == *service))
             agents.push_back(entry.address);
     }
     return agents;
@@ -290,11 +292,19 @@
     std::erase_if(m_searches, [&](const auto& item) {
         const bool isOver = now - item.second.search.startedAt > searchLimit;
         if (isOver)
-            noteUncertain(item.first, item.second.search, now);
+            endUncertain(item.first, item.second.search, now);
         return isOver;
     });
 }
 
+// Whoever was asked and did not answer may be gone for good.
+void HolderFinder::endUncertain(const FlowKey& flow, const HolderSearch& search, Millis now)
+{
+    for (const std::uint32_t agent : search.awaited)
+        noteUnanswered(m_state.silent, agent, search.startedAt);
+    noteUncertain(flow, search, now);
+}
+
 // Nothing can be said to the caller: it sends its packet again, and the next search may end otherwise.
 void HolderFinder::noteUncertain(const FlowKey& flow, const HolderSearch& search, Millis now)
 {
--- a/src/kingcuptraild/packets/holderfinder.h
+++ b/src/kingcuptraild/packets/holderfinder.h
@@ -32,6 +32,7 @@
     bool mayProbedHold(const WaitingSearch& waiting, bool nearOnly) const;
     void settleSearch(const FlowKey& flow, SearchState state);
     bool canBeCertain() const;
+    void endUncertain(const FlowKey& flow, const HolderSearch& search, Millis now);
     void noteUncertain(const FlowKey& flow, const HolderSearch& search, Millis now);
 
     BalancerState& m_state;
--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -398,17 +398,36 @@
         m_leaveTimer.start(turnInterval, [this, done = std::move(done)] { shutDown(done); });
         return;
     }
-    // Only an upstream that is gone is taken out of the store: one that lives is announced again as soon as its agent is back.
-    if (isServing(m_state.gate, now)) {
+    if (!isUpstreamOver(now)) {
         done();
         return;
     }
-    if (!m_state.self.name.empty()) {
-        m_state.self.state = PeerState::Gone;
-        m_state.self = m_state.network.announce(m_state.self);
+    PeerEntry gone = lastEntry();
+    if (gone.name.empty()) {
+        done();
+        return;
     }
+    gone.state = PeerState::Gone;
+    m_state.self = m_state.network.announce(gone);
     m_leaveTimer.start(std::max<Millis>(m_state.role.settings.packets.leave - leaveMargin - leaveTime, 0), [done] { done(); });
-    m_announcement.withdraw(done);
+    m_announcement.withdraw(gone.name, done);
+}
+
+// Only an upstream that is gone is taken out of the directory and the store: one that lives is announced again as soon as
+// its agent is back.
+bool PacketAgent::isUpstreamOver(Millis now) const
+{
+    return m_former.hasReport ? !isServing(m_state.gate, now) : isUpstreamGone(m_former);
+}
+
+// What stands under this agent's name: its own announcement, or that of a process before it whose upstream never came back.
+PeerEntry PacketAgent::lastEntry() const
+{
+    if (!m_state.self.name.empty())
+        return m_state.self;
+    const auto& entries = m_state.network.directory().entries;
+    const auto known = entries.find(m_state.role.settings.name);
+    return known != entries.end() ? known->second : PeerEntry {};
 }
 
 std::string PacketAgent::statusMembers() const
--- a/src/kingcuptraild/packets/packetagent.h
+++ b/src/kingcuptraild/packets/packetagent.h
@@ -50,6 +50,8 @@
     void tellLoad(Millis now);
     void followStoreIfAlone(Millis now);
     bool isServingNow() const;
+    bool isUpstreamOver(Millis now) const;
+    PeerEntry lastEntry() const;
 
     AgentState m_state;
     AdmissionDesk m_admission;
--- a/src/kingcuptraild/packets/packetbalancer.cpp
+++ b/src/kingcuptraild/packets/packetbalancer.cpp
@@ -107,6 +107,7 @@
 
 void PacketBalancer::handleFlowMessage(const PeerMessage& message, std::uint32_t sender)
 {
+    noteHeard(m_state.silent, sender);
     switch (message.kind) {
     case wire::PeerKind::Admitted:
         m_openings.handleAdmitted(message, sender);
@@ -135,7 +136,8 @@
 void PacketBalancer::turn()
 {
     const Millis now = m_state.role.clock.now();
-    m_state.network.isInDoubt();
+    if (m_state.network.isInDoubt())
+        forgetSilence(m_state.silent);
     followStore(now);
     m_openings.offerAgain(now);
     m_finder.turn(now);
@@ -180,10 +182,14 @@
 void PacketBalancer::pingSilentAgents(Millis now)
 {
     m_pingedAt = now;
+    std::vector<std::uint32_t> quiet;
     for (const auto& [address, load] : m_state.loads) {
-        if (load.unanswered > 0)
-            m_state.network.send(address, { .kind = wire::PeerKind::Ping, .configVersion = m_state.network.routes().version });
+        if (load.unanswered > 0 && !m_state.silent.silentSince.contains(address))
+            quiet.push_back(address);
     }
+    for (const auto& [address, since] : m_state.silent.silentSince)
+        quiet.push_back(address);
+    m_state.network.sendToAll(quiet, { .kind = wire::PeerKind::Ping, .configVersion = m_state.network.routes().version });
 }
 
 void PacketBalancer::sweepHolders(Millis now)
--- /dev/null
+++ b/src/libdecision/silentagents.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "ids.h"
+
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+namespace kingcuptrail {
+
+struct SilentAgentsOptions {
+    /// An agent that has left every question unanswered for this long speaks for nothing any more, in milliseconds. Longer
+    /// than an agent's restart, than callers wait for an answer to most requests (1 to 4 s), and than an upstream resends
+    /// to a caller that does not answer (9.4 s): what it may still hold no end waits for.
+    Millis limit = 10000;
+};
+
+/// The agents that have left questions about flows unanswered, by their address, as one balancer knows.
+/// Load: a host is taken away without a word and its agent is in the directory for good. Harm: no search for a lost flow
+/// ends for certain again, and callers of flows that are lost later wait for their deadlines. An agent that is cut off
+/// comes back into the count with its first message.
+struct SilentAgents {
+    SilentAgentsOptions options;
+    std::unordered_map<std::uint32_t, Millis> silentSince;
+};
+
+/// An agent has left a question unanswered that was asked at `askedAt`.
+void noteUnanswered(SilentAgents&, std::uint32_t agent, Millis askedAt);
+
+/// An agent has said something.
+void noteHeard(SilentAgents&, std::uint32_t agent);
+
+/// The process itself stood still or was cut off: what it did not hear meanwhile tells nothing.
+void forgetSilence(SilentAgents&);
+
+/// Whether the agent has been silent for so long that a flow is lost for certain without its word.
+bool isGivenUp(const SilentAgents&, std::uint32_t agent, Millis now);
+
+}
--- /dev/null
+++ b/tests/packets/testsilentagents.cpp
@@ -0,0 +1,50 @@
+#include "libdecision/silentagents.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace kingcuptrail;
+
+class TestSilentAgents : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(TestSilentAgents);
+    CPPUNIT_TEST(hostThatIsGoneForGoodIsGivenUp);
+    CPPUNIT_TEST(agentThatAnswersAgainSpeaksAgain);
+    CPPUNIT_TEST(pauseOfTheBalancerIsNoSilence);
+    CPPUNIT_TEST_SUITE_END();
+
+    // A host loses power and is never seen again; its agent announced no end. From then on every flow that is lost anywhere
+    // is asked for at this agent too, and its silence kept each search open: no caller was ever told again.
+    void hostThatIsGoneForGoodIsGivenUp()
+    {
+        SilentAgents agents;
+        CPPUNIT_ASSERT(!isGivenUp(agents, 7, 1000));
+        noteUnanswered(agents, 7, 1000);
+        noteUnanswered(agents, 7, 5000);
+        CPPUNIT_ASSERT(!isGivenUp(agents, 7, 10999));
+        CPPUNIT_ASSERT(isGivenUp(agents, 7, 11000));
+        CPPUNIT_ASSERT(!isGivenUp(agents, 8, 11000));
+    }
+
+    // An agent is cut off for twelve seconds and comes back with the flows of its upstream, which lives. From its first
+    // message on no flow is lost without its word.
+    void agentThatAnswersAgainSpeaksAgain()
+    {
+        SilentAgents agents;
+        noteUnanswered(agents, 7, 1000);
+        CPPUNIT_ASSERT(isGivenUp(agents, 7, 13000));
+        noteHeard(agents, 7);
+        CPPUNIT_ASSERT(!isGivenUp(agents, 7, 13001));
+        noteUnanswered(agents, 7, 13500);
+        CPPUNIT_ASSERT(!isGivenUp(agents, 7, 14000));
+    }
+
+    // A balancer's host stands still for a minute, with one question under way. The agent's answer waits in its socket.
+    void pauseOfTheBalancerIsNoSilence()
+    {
+        SilentAgents agents;
+        noteUnanswered(agents, 7, 1000);
+        forgetSilence(agents);
+        CPPUNIT_ASSERT(!isGivenUp(agents, 7, 61000));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestSilentAgents);
