--- /dev/null
+++ b/tests/daemon/testagentannouncement.cpp
@@ -0,0 +1,74 @@
+#include "kingcuptraild/packets/agentannouncement.h"
+#include "libplatform/peerentryjson.h"
+#include "platform/platformfixture.h"
+
+using namespace kingcuptrail;
+
+class TestAgentAnnouncement : public PlatformFixture {
+    CPPUNIT_TEST_SUITE(TestAgentAnnouncement);
+    CPPUNIT_TEST(entryOfAnEarlierProcessIsWithdrawn);
+    CPPUNIT_TEST(withdrawalOutlastsAnOutage);
+    CPPUNIT_TEST(nothingToWithdrawEndsAtOnce);
+    CPPUNIT_TEST_SUITE_END();
+
+    static PeerEntry entry()
+    {
+        return { .name = "agent-1", .address = 7, .dataCentre = "north", .service = "board", .epoch = 9 };
+    }
+
+    bool isInStore()
+    {
+        PlatformClient client(m_context, m_options);
+        std::optional<bool> found;
+        client.get("agent", "agent-1", [&found](const std::optional<PlatformObject>& object, PlatformError) { found = object.has_value(); });
+        runUntil(m_context, [&found] { return found.has_value(); });
+        return *found;
+    }
+
+    void announce()
+    {
+        AgentAnnouncement announcement(m_context, m_options);
+        announcement.write(entry());
+        runUntil(m_context, [this] { return isInStore(); });
+    }
+
+    // An upstream leaves just when its host loses power. The host comes back, the agent hears no upstream and is told to
+    // stop. What the process before it had written stayed in the store: every search in the deployment waited for an agent
+    // that was not there, and callers of lost flows for their deadlines.
+    void entryOfAnEarlierProcessIsWithdrawn()
+    {
+        announce();
+        AgentAnnouncement next(m_context, m_options);
+        bool isDone = false;
+        next.withdraw("agent-1", [&isDone] { isDone = true; });
+        runUntil(m_context, [&isDone] { return isDone; });
+        CPPUNIT_ASSERT(!isInStore());
+    }
+
+    // The store turns a leaving agent's host away and takes it back a moment later. One try was all that was made.
+    void withdrawalOutlastsAnOutage()
+    {
+        announce();
+        AgentAnnouncement next(m_context, m_options);
+        bool isDone = false;
+        m_server->setFaults({ .down = true });
+        next.withdraw("agent-1", [&isDone] { isDone = true; });
+        const auto before = next.callsMade();
+        runUntil(m_context, [&] { return next.callsMade() >= before + 2; });
+        CPPUNIT_ASSERT(!isDone);
+        m_server->setFaults({});
+        runUntil(m_context, [&isDone] { return isDone; });
+        CPPUNIT_ASSERT(!isInStore());
+    }
+
+    void nothingToWithdrawEndsAtOnce()
+    {
+        AgentAnnouncement announcement(m_context, m_options);
+        bool isDone = false;
+        announcement.withdraw("agent-1", [&isDone] { isDone = true; });
+        runUntil(m_context, [&isDone] { return isDone; });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 1 }, announcement.callsMade());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestAgentAnnouncement);
