--- a/src/kingcuptraild/packets/storefollower.cpp
+++ b/src/kingcuptraild/packets/storefollower.cpp
@@ -23,6 +23,7 @@
     , m_routes(context, options, std::string(adapter.routesKind), routesHandlers())
     , m_outages(context, options, std::string(adapter.outagesKind), outagesHandlers())
     , m_agents(context, options, agentKind, agentsHandlers(), agentsInterval)
+    , m_cleaner(context, options)
 {
 }
 
@@ -37,7 +38,7 @@
 
 std::uint64_t StoreFollower::callsMade() const
 {
-    return m_routes.callsMade() + m_outages.callsMade() + m_agents.callsMade();
+    return m_routes.callsMade() + m_outages.callsMade() + m_agents.callsMade() + m_cleaner.callsMade();
 }
 
 KindWatcher::Handlers StoreFollower::routesHandlers()
@@ -100,14 +101,34 @@
 {
     noteAnswer();
     std::vector<PeerEntry> entries;
+    std::map<std::string, ObjectVersion> leftBehind;
     for (const PlatformObject& object : objects.objects) {
         const auto entry = object.value ? parsePeerEntry(*object.value) : std::nullopt;
-        if (entry && entry->name == object.name)
-            entries.push_back(*entry);
-        else
+        if (!entry || entry->name != object.name) {
             logForeignObject(agentKind, object.name, DecodeError::BadText);
+            continue;
+        }
+        entries.push_back(*entry);
+        if (isLeftBehind(m_network.directory(), *entry))
+            leftBehind[object.name] = object.version;
     }
     m_network.takeEntries(entries);
+    removeLeftBehind(leftBehind);
+}
+
+// What two listings in a row show: a leaver withdraws by itself within seconds, and a listing may be some seconds old. The
+// condition on the version keeps an announcement that was written anew.
+void StoreFollower::removeLeftBehind(const std::map<std::string, ObjectVersion>& leftBehind)
+{
+    for (const auto& [name, version] : leftBehind) {
+        const auto before = m_leftBehind.find(name);
+        if (before == m_leftBehind.end() || before->second != version)
+            continue;
+        m_cleaner.remove(agentKind, name, version, [name](const std::optional<ObjectVersion>&, PlatformError reason) {
+            logEvent(Event::LeftBehindRemoved, { { "peer", name }, { "outcome", nameOf(reason) } });
+        });
+    }
+    m_leftBehind = leftBehind;
 }
 
 void StoreFollower::noteTrouble()
--- a/src/kingcuptraild/packets/storefollower.h
+++ b/src/kingcuptraild/packets/storefollower.h
@@ -5,6 +5,8 @@
 #include "libplatform/peerentryjson.h"
 #include "peernetwork.h"
 
+#include <map>
+
 namespace kingcuptrail {
 
 /// Kind of the agents' announcements in the store.
@@ -30,6 +32,7 @@
     void takeRoutes(const ObjectList& objects);
     void takeOutages(const ObjectList& changes);
     void takeAgents(const ObjectList& objects);
+    void removeLeftBehind(const std::map<std::string, ObjectVersion>& leftBehind);
     void noteTrouble();
     void noteAnswer();
 
@@ -41,6 +44,9 @@
     KindWatcher m_routes;
     KindWatcher m_outages;
     KindWatcher m_agents;
+    /// Announcements of processes that are gone, as of the last listing.
+    std::map<std::string, ObjectVersion> m_leftBehind;
+    PlatformClient m_cleaner;
 };
 
 }
--- a/src/libdecision/directory.cpp
+++ b/src/libdecision/directory.cpp
@@ -45,6 +45,12 @@
     return agents;
 }
 
+bool isLeftBehind(const Directory& directory, const PeerEntry& listed)
+{
+    const auto known = directory.entries.find(listed.name);
+    return known != directory.entries.end() && known->second.state == PeerState::Gone && known->second.epoch >= listed.epoch;
+}
+
 std::uint64_t digestOf(const Directory& directory)
 {
     std::uint64_t digest = 0;
--- a/src/libdecision/directory.h
+++ b/src/libdecision/directory.h
@@ -62,6 +62,10 @@
 /// Takes an announcement unless one at least as new is known; whether it was taken.
 bool offerEntry(Directory&, PeerEntry);
 
+/// Whether an announcement that the store still holds is of a process that has said since that it is gone. A leaver that
+/// cannot reach the store leaves it there, and everybody who starts later would wait for its answers.
+bool isLeftBehind(const Directory&, const PeerEntry& listed);
+
 /// A number that is the same in all processes that know the same entries in the same epochs.
 std::uint64_t digestOf(const Directory&);
 
--- a/src/libruntime/events.cpp
+++ b/src/libruntime/events.cpp
@@ -66,6 +66,8 @@
             "Nothing. Some processes do at any time; storeFollowed of all of them in a row means that they do not hear of each other." },
         { Event::DirectoryTaken, EventLevel::Info, "directoryTaken", "Announcements were taken together from the store or from a peer.",
             "Nothing." },
+        { Event::LeftBehindRemoved, EventLevel::Info, "leftBehindRemoved", "An announcement was taken out of the store whose process had said that it is gone and could not withdraw it.",
+            "Nothing, unless outcome names a reason again and again: the store turns removals away." },
         { Event::PlatformTrouble, EventLevel::Warning, "platformTrouble", "Calls to the platform fail; the last known state stands.",
             "Look at the platform's service. Flows go on; changes of configuration and membership wait." },
         { Event::PlatformBack, EventLevel::Info, "platformBack", "Calls to the platform succeed again.",
--- a/src/libruntime/events.h
+++ b/src/libruntime/events.h
@@ -44,6 +44,7 @@
     ServiceLimitsInForce = 325,
     StoreFollowed = 326,
     DirectoryTaken = 327,
+    LeftBehindRemoved = 328,
     PlatformTrouble = 330,
     PlatformBack = 331,
     // Load
--- a/tests/packets/testbalancing.cpp
+++ b/tests/packets/testbalancing.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(lateYesCounts);
     CPPUNIT_TEST(newerEntryStands);
     CPPUNIT_TEST(agentsAreListedUnderTheirService);
+    CPPUNIT_TEST(whatALeaverCouldNotWithdrawIsLeftBehind);
     CPPUNIT_TEST(weightsShareFlows);
     CPPUNIT_TEST_SUITE_END();
 
@@ -138,6 +139,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, readyAgentsOf(directory, "intake").size());
     }
 
+    // The store turns a leaving agent away until its process has to end. Its peers have heard that it is gone, but its
+    // announcement stays, and whoever starts later believes in it. One that was written anew since is not left behind.
+    void whatALeaverCouldNotWithdrawIsLeftBehind()
+    {
+        Directory directory;
+        PeerEntry listed { .name = "a", .address = 1, .service = "board", .epoch = 5 };
+        offerEntry(directory, listed);
+        CPPUNIT_ASSERT(!isLeftBehind(directory, listed));
+        offerEntry(directory, { .name = "a", .address = 1, .service = "board", .state = PeerState::Gone, .epoch = 6 });
+        CPPUNIT_ASSERT(isLeftBehind(directory, listed));
+        listed.epoch = 7;
+        CPPUNIT_ASSERT(!isLeftBehind(directory, listed));
+        CPPUNIT_ASSERT(!isLeftBehind(directory, { .name = "b", .epoch = 1 }));
+    }
+
     void weightsShareFlows()
     {
         RouteTable table = routesTo("board", 1);
