--- a/src/kingcuptraild/packets/holderfinder.cpp
+++ b/src/kingcuptraild/packets/holderfinder.cpp
@@ -235,14 +235,19 @@
 {
     std::size_t asked = 0;
     for (auto& [flow, waiting] : m_searches) {
-        const bool isDue = waiting.search.state == SearchState::Asking && now - waiting.askedAt >= firstAgain << waiting.rounds;
+        // A process that has just started knew nobody to ask.
+        const bool hasAskedNobody = waiting.search.asked.empty();
+        const bool isDue = waiting.search.state == SearchState::Asking && (hasAskedNobody || now - waiting.askedAt >= firstAgain << waiting.rounds);
         if (!isDue || asked >= searchesAgainInTurn)
             continue;
-        ++asked;
-        ++waiting.rounds;
-        waiting.askedAt = now;
         for (const std::uint32_t agent : waiting.search.awaited)
             noteUnanswered(m_state.silent, agent, waiting.search.startedAt);
+        askMissing(waiting.search, holdersToAsk(nullptr));
+        if (waiting.search.asked.empty())
+            continue;
+        ++asked;
+        waiting.rounds += hasAskedNobody ? 0 : 1;
+        waiting.askedAt = now;
         waiting.speakers.clear();
         std::vector<std::uint32_t> agents = waiting.search.awaited;
         agents.insert(agents.end(), waiting.search.unsure.begin(), waiting.search.unsure.end());
