--- a/src/kingcuptraild/packets/flowholders.h
+++ b/src/kingcuptraild/packets/flowholders.h
@@ -43,9 +43,6 @@
 struct WaitingSearch {
     HolderSearch search;
     std::vector<PacketBytes> packets;
-    /// When the agents were last asked, and how often.
-    Millis askedAt = 0;
-    std::uint32_t rounds = 0;
     /// Asked and not heard of yet.
     std::vector<Speaker> speakers;
     /// Agents that are unsure and got the packets; those that are to get them when the near ones have said no; and those
--- a/src/kingcuptraild/packets/holderfinder.cpp
+++ b/src/kingcuptraild/packets/holderfinder.cpp
@@ -9,15 +9,8 @@
 
 namespace {
 
-    /// A search is given up after this long, in milliseconds: by then the caller has sent its packet again, however often it
-    /// has done so before (1.6 s at the most).
-    constexpr Millis searchLimit = 1600;
-    /// Whoever has not answered, or was unsure, is asked again after this long, and after twice as long each further time,
-    /// in milliseconds. After a loss of everything agents become sure within half a second; a caller whose search had ended
-    /// before would be told with its next packet only, up to 1.6 s later.
-    constexpr Millis firstAgain = 190;
-    /// Searches in which agents are asked again in one turn: 600 a second at the most, for the sake of small balancers.
-    constexpr std::size_t searchesAgainInTurn = 12;
+    /// A search is given up after this long, in milliseconds: the caller sends its packet again after 200 ms at the earliest.
+    constexpr Millis searchLimit = 190;
     /// In a data centre with so many agents one is asked for all of them: fewer messages from three on, and worth the second
     /// round trip, which stays within the data centre.
     constexpr std::size_t fewestForOne = 4;
@@ -57,7 +50,6 @@
     }
     std::vector<std::uint32_t> agents = holdersToAsk(serviceForFlow(m_state.network.routes(), flow));
     waiting.search = beginSearch(agents, m_state.role.clock.now());
-    waiting.askedAt = waiting.search.startedAt;
     ask(flow, waiting, agents);
 }
 
@@ -123,7 +115,7 @@
     const auto speaker = std::ranges::find(waiting.speakers, sender, &Speaker::address);
     if (speaker == waiting.speakers.end())
         return;
-    const std::vector<std::uint32_t> members = missingIn(waiting.search, speaker->dataCentre);
+    const std::vector<std::uint32_t> members = awaitedIn(waiting.search, speaker->dataCentre);
     waiting.speakers.erase(speaker);
     if (message.kind == wire::PeerKind::UnsureNear) {
         takeUnsure(message.flow, waiting, members);
@@ -150,8 +142,6 @@
         if (!entry)
             continue;
         takeAnswer(waiting.search, agent, HolderAnswer::Unsure);
-        if (isToBeProbed(waiting, agent))
-            continue;
         if (!service || entry->service != *service)
             waiting.probeLast.push_back(agent);
         else if (entry->dataCentre == m_state.role.settings.dataCentre)
@@ -163,11 +153,6 @@
     probeNext(flow, waiting);
 }
 
-bool HolderFinder::isToBeProbed(const WaitingSearch& waiting, std::uint32_t agent)
-{
-    return std::ranges::any_of(std::array { &waiting.probed, &waiting.probeLater, &waiting.probeLast }, [agent](const std::vector<std::uint32_t>* list) { return std::ranges::find(*list, agent) != list->end(); });
-}
-
 void HolderFinder::probe(const FlowKey& flow, WaitingSearch& waiting, std::span<const std::uint32_t> agents)
 {
     for (const PacketBytes& packet : waiting.packets)
@@ -200,13 +185,11 @@
     });
 }
 
-// Those that the search cannot do without yet: not heard of, or unsure.
-std::vector<std::uint32_t> HolderFinder::missingIn(const HolderSearch& search, const std::string& dataCentre) const
+std::vector<std::uint32_t> HolderFinder::awaitedIn(const HolderSearch& search, const std::string& dataCentre) const
 {
     std::vector<std::uint32_t> members;
     for (const auto& [name, entry] : m_state.network.directory().entries) {
-        const bool isMissing = std::ranges::find(search.awaited, entry.address) != search.awaited.end() || std::ranges::find(search.unsure, entry.address) != search.unsure.end();
-        if (entry.dataCentre == dataCentre && isMissing)
+        if (entry.dataCentre == dataCentre && std::ranges::find(search.awaited, entry.address) != search.awaited.end())
             members.push_back(entry.address);
     }
     return members;
@@ -221,54 +204,15 @@
 void HolderFinder::askSilentDirectly(Millis now)
 {
     for (auto& [flow, waiting] : m_searches) {
-        if (!waiting.probeLater.empty() && now - waiting.askedAt >= speakerLimit)
+        if (!waiting.probeLater.empty() && now - waiting.search.startedAt >= speakerLimit)
             probe(flow, waiting, std::exchange(waiting.probeLater, {}));
-        if (waiting.speakers.empty() || now - waiting.askedAt < speakerLimit)
+        if (waiting.speakers.empty() || now - waiting.search.startedAt < speakerLimit)
             continue;
         waiting.speakers.clear();
         askDirectly(flow, waiting, waiting.search.awaited);
     }
 }
 
-// An agent that has just started answers a moment later, or becomes sure.
-void HolderFinder::askAgain(Millis now)
-{
-    std::size_t asked = 0;
-    for (auto& [flow, waiting] : m_searches) {
-        // A process that has just started knew nobody to ask.
-        const bool hasAskedNobody = waiting.search.asked.empty();
-        const bool isDue = waiting.search.state == SearchState::Asking && (hasAskedNobody || now - waiting.askedAt >= firstAgain << waiting.rounds);
-        if (!isDue || asked >= searchesAgainInTurn)
-            continue;
-        for (const std::uint32_t agent : waiting.search.awaited)
-            noteUnanswered(m_state.silent, agent, waiting.search.startedAt);
-        askMissing(waiting.search, holdersToAsk(nullptr));
-        if (waiting.search.asked.empty())
-            continue;
-        ++asked;
-        waiting.rounds += hasAskedNobody ? 0 : 1;
-        waiting.askedAt = now;
-        waiting.speakers.clear();
-        std::vector<std::uint32_t> agents = waiting.search.awaited;
-        agents.insert(agents.end(), waiting.search.unsure.begin(), waiting.search.unsure.end());
-        ask(flow, waiting, agents);
-    }
-}
-
-// Ends the searches that waited for nothing but a peer's word that the directory is complete.
-void HolderFinder::settleConfirmed()
-{
-    if (!canBeCertain())
-        return;
-    std::vector<FlowKey> settled;
-    for (const auto& [flow, waiting] : m_searches) {
-        if (waiting.search.state == SearchState::HeldByNobody)
-            settled.push_back(flow);
-    }
-    for (const FlowKey& flow : settled)
-        settleSearch(flow, SearchState::HeldByNobody);
-}
-
 void HolderFinder::settleSearch(const FlowKey& flow, SearchState state)
 {
     const auto found = m_searches.find(flow);
@@ -293,12 +237,13 @@
         ask(flow, waiting, missing);
         return;
     }
-    // turn() looks again until a peer has confirmed the directory.
-    if (!canBeCertain())
-        return;
-    logFlowEvent(Event::FlowLost, flow, { { "directory", m_state.network.directory().entries.size() }, { "milliseconds", static_cast<std::uint64_t>(m_state.role.clock.now() - waiting.search.startedAt) } });
-    sendReset(m_state, flow, waiting.acknowledged, ResetReason::HeldByNobody);
-    m_searchEnds.increment(state);
+    if (canBeCertain()) {
+        logFlowEvent(Event::FlowLost, flow, { { "directory", m_state.network.directory().entries.size() } });
+        sendReset(m_state, flow, waiting.acknowledged, ResetReason::HeldByNobody);
+        m_searchEnds.increment(state);
+    } else {
+        noteUncertain(flow, waiting.search, m_state.role.clock.now());
+    }
     m_searches.erase(found);
 }
 
@@ -344,8 +289,6 @@
 void HolderFinder::turn(Millis now)
 {
     askSilentDirectly(now);
-    askAgain(now);
-    settleConfirmed();
     std::erase_if(m_searches, [&](const auto& item) {
         const bool isOver = now - item.second.search.startedAt > searchLimit;
         if (isOver)
--- a/src/kingcuptraild/packets/holderfinder.h
+++ b/src/kingcuptraild/packets/holderfinder.h
@@ -24,13 +24,9 @@
     void ask(const FlowKey& flow, WaitingSearch& waiting, std::span<const std::uint32_t> agents);
     void askDirectly(const FlowKey& flow, const WaitingSearch& waiting, std::span<const std::uint32_t> agents);
     void askSilentDirectly(Millis now);
-    void askAgain(Millis now);
-    void settleConfirmed();
     std::uint32_t speakerOf(const FlowKey& flow, std::span<const std::uint32_t> members) const;
-    std::vector<std::uint32_t> missingIn(const HolderSearch& search, const std::string& dataCentre) const;
+    std::vector<std::uint32_t> awaitedIn(const HolderSearch& search, const std::string& dataCentre) const;
     void takeUnsure(const FlowKey& flow, WaitingSearch& waiting, std::span<const std::uint32_t> agents);
-    /// Whether an agent has the packets already or is to get them.
-    static bool isToBeProbed(const WaitingSearch& waiting, std::uint32_t agent);
     void probe(const FlowKey& flow, WaitingSearch& waiting, std::span<const std::uint32_t> agents);
     void probeNext(const FlowKey& flow, WaitingSearch& waiting);
     bool mayProbedHold(const WaitingSearch& waiting, bool nearOnly) const;
--- a/src/kingcuptraild/packets/packetbalancer.cpp
+++ b/src/kingcuptraild/packets/packetbalancer.cpp
@@ -187,7 +187,6 @@
         if (load.unanswered > 0 && !m_state.silent.silentSince.contains(address))
             quiet.push_back(address);
     }
-    std::erase_if(m_state.silent.silentSince, [this](const auto& item) { return !findByAddress(m_state.network.directory(), item.first); });
     for (const auto& [address, since] : m_state.silent.silentSince)
         quiet.push_back(address);
     m_state.network.sendToAll(quiet, { .kind = wire::PeerKind::Ping, .configVersion = m_state.network.routes().version });
