--- a/src/kingcuptraild/packets/holderfinder.cpp
+++ b/src/kingcuptraild/packets/holderfinder.cpp
@@ -11,6 +11,10 @@
 
     /// A search is given up after this long, in milliseconds: the caller sends its packet again after 200 ms at the earliest.
     constexpr Millis searchLimit = 190;
+    /// A search in which everybody has said no waits this long for a peer's word that nobody is missing, in milliseconds:
+    /// several rounds of news. It costs nothing but memory; a caller whose search had ended would be told with its next
+    /// packet only, up to 1.6 s later.
+    constexpr Millis confirmationLimit = 1000;
     /// In a data centre with so many agents one is asked for all of them: fewer messages from three on, and worth the second
     /// round trip, which stays within the data centre.
     constexpr std::size_t fewestForOne = 4;
@@ -234,19 +238,38 @@
     // A configuration may have moved the route since the flow was opened, and the directory may have grown since the search
     // began: whoever is known by now has to say so too.
     if (const auto missing = askMissing(waiting.search, holdersToAsk(nullptr)); !missing.empty()) {
+        waiting.search.startedAt = m_state.role.clock.now();
         ask(flow, waiting, missing);
         return;
     }
-    if (canBeCertain()) {
-        logFlowEvent(Event::FlowLost, flow, { { "directory", m_state.network.directory().entries.size() } });
-        sendReset(m_state, flow, waiting.acknowledged, ResetReason::HeldByNobody);
-        m_searchEnds.increment(state);
-    } else {
-        noteUncertain(flow, waiting.search, m_state.role.clock.now());
-    }
+    // turn() looks again until a peer has confirmed the directory.
+    if (!canBeCertain())
+        return;
+    logFlowEvent(Event::FlowLost, flow, { { "directory", m_state.network.directory().entries.size() }, { "milliseconds", static_cast<std::uint64_t>(m_state.role.clock.now() - waiting.search.startedAt) } });
+    sendReset(m_state, flow, waiting.acknowledged, ResetReason::HeldByNobody);
+    m_searchEnds.increment(state);
     m_searches.erase(found);
 }
 
+// Ends the searches that waited for nothing but a peer's word that the directory is complete.
+void HolderFinder::settleConfirmed()
+{
+    if (!canBeCertain())
+        return;
+    std::vector<FlowKey> settled;
+    for (const auto& [flow, waiting] : m_searches) {
+        if (waiting.search.state == SearchState::HeldByNobody)
+            settled.push_back(flow);
+    }
+    for (const FlowKey& flow : settled)
+        settleSearch(flow, SearchState::HeldByNobody);
+}
+
+bool HolderFinder::isOver(const HolderSearch& search, Millis now)
+{
+    return now - search.startedAt > (search.state == SearchState::HeldByNobody ? confirmationLimit : searchLimit);
+}
+
 // A balancer that has not heard of every agent could take a flow for lost that one of them holds: another balancer may have
 // opened it there. The directory is complete when a peer has lately named the same one.
 bool HolderFinder::canBeCertain() const
@@ -289,11 +312,12 @@
 void HolderFinder::turn(Millis now)
 {
     askSilentDirectly(now);
+    settleConfirmed();
     std::erase_if(m_searches, [&](const auto& item) {
-        const bool isOver = now - item.second.search.startedAt > searchLimit;
-        if (isOver)
+        const bool isEnded = isOver(item.second.search, now);
+        if (isEnded)
             endUncertain(item.first, item.second.search, now);
-        return isOver;
+        return isEnded;
     });
 }
 
--- a/src/kingcuptraild/packets/holderfinder.h
+++ b/src/kingcuptraild/packets/holderfinder.h
@@ -24,6 +24,8 @@
     void ask(const FlowKey& flow, WaitingSearch& waiting, std::span<const std::uint32_t> agents);
     void askDirectly(const FlowKey& flow, const WaitingSearch& waiting, std::span<const std::uint32_t> agents);
     void askSilentDirectly(Millis now);
+    void settleConfirmed();
+    static bool isOver(const HolderSearch& search, Millis now);
     std::uint32_t speakerOf(const FlowKey& flow, std::span<const std::uint32_t> members) const;
     std::vector<std::uint32_t> awaitedIn(const HolderSearch& search, const std::string& dataCentre) const;
     void takeUnsure(const FlowKey& flow, WaitingSearch& waiting, std::span<const std::uint32_t> agents);
--- a/src/libdecision/holdersearch.cpp
+++ b/src/libdecision/holdersearch.cpp
@@ -29,13 +29,16 @@
 
 SearchState takeAnswer(HolderSearch& search, std::uint32_t agent, HolderAnswer answer)
 {
-    if (search.state != SearchState::Asking)
+    if (search.state == SearchState::Found)
         return search.state;
+    // Also after everybody has said no: an agent that was left out, or a directory that is not complete.
     if (answer == HolderAnswer::Held) {
         search.holder = agent;
         search.state = SearchState::Found;
         return search.state;
     }
+    if (search.state == SearchState::HeldByNobody)
+        return search.state;
     const bool wasAsked = std::erase(search.awaited, agent) > 0;
     const bool wasUnsure = std::erase(search.unsure, agent) > 0;
     if (!wasAsked && !wasUnsure)
--- a/tests/packets/testbalancing.cpp
+++ b/tests/packets/testbalancing.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(flowIsLostOnlyWhenEverybodySaysSo);
     CPPUNIT_TEST(agentsHeardOfDuringTheSearchAreAskedToo);
     CPPUNIT_TEST(holderEndsTheSearch);
+    CPPUNIT_TEST(lateYesCounts);
     CPPUNIT_TEST(newerEntryStands);
     CPPUNIT_TEST(agentsAreListedUnderTheirService);
     CPPUNIT_TEST(whatALeaverCouldNotWithdrawIsLeftBehind);
@@ -94,6 +95,18 @@
         CPPUNIT_ASSERT(takeAnswer(search, 1, HolderAnswer::NotHeld) == SearchState::Found);
     }
 
+    // Everybody that was asked has said no, and the search waits for a peer's word that nobody is missing. The holder, an
+    // agent that the balancer had given up, is back and says yes: the flow is not lost.
+    void lateYesCounts()
+    {
+        HolderSearch search = beginSearch({ 1, 2 }, 0);
+        takeAnswer(search, 1, HolderAnswer::NotHeld);
+        CPPUNIT_ASSERT(takeAnswer(search, 2, HolderAnswer::NotHeld) == SearchState::HeldByNobody);
+        CPPUNIT_ASSERT(takeAnswer(search, 3, HolderAnswer::Unsure) == SearchState::HeldByNobody);
+        CPPUNIT_ASSERT(takeAnswer(search, 3, HolderAnswer::Held) == SearchState::Found);
+        CPPUNIT_ASSERT_EQUAL(3U, search.holder);
+    }
+
     void newerEntryStands()
     {
         Directory directory;
