--- a/src/kingcuptraild/packets/agentannouncement.cpp
+++ b/src/kingcuptraild/packets/agentannouncement.cpp
@@ -27,7 +27,7 @@
 {
     m_entry = entry;
     m_isWritten = false;
-    if (!m_isBusy)
+    if (!m_isBusy && m_leavingName.empty())
         put();
 }
 
@@ -92,7 +92,8 @@
 {
     m_delay.cancel();
     m_client.cancelAll();
-    m_isBusy = true;
+    m_isBusy = false;
+    m_isWritten = true;
     m_leavingName = name;
     m_onWithdrawn = std::move(done);
     if (m_version != 0)
@@ -109,17 +110,27 @@
         if (object)
             remove(object->version);
         else if (reason == PlatformError::NotFound)
-            m_onWithdrawn();
+            finishWithdrawal();
         else
             retryRemoval(reason);
     });
 }
 
+// What was written meanwhile stands after it.
+void AgentAnnouncement::finishWithdrawal()
+{
+    m_leavingName.clear();
+    m_version = 0;
+    m_onWithdrawn();
+    if (!m_isWritten)
+        put();
+}
+
 void AgentAnnouncement::remove(ObjectVersion version)
 {
     m_client.remove(agentKind, m_leavingName, version, [this](const std::optional<ObjectVersion>&, PlatformError reason) {
         if (reason == PlatformError::None || reason == PlatformError::NotFound)
-            m_onWithdrawn();
+            finishWithdrawal();
         else
             retryRemoval(reason);
     });
--- a/src/kingcuptraild/packets/agentannouncement.h
+++ b/src/kingcuptraild/packets/agentannouncement.h
@@ -14,7 +14,8 @@
 
     /// Writes the entry, unless it stands there already.
     void write(const PeerEntry& entry);
-    /// Takes the entry of this name out, whichever process wrote it; `done` is called when it is out. Tries for ever.
+    /// Takes the entry of this name out, whichever process wrote it; `done` is called when it is out. Tries for ever. An entry
+    /// that is written meanwhile stands after it.
     void withdraw(const std::string& name, std::function<void()> done);
 
     /// Called with the entry of another process under the same name that is found in the store.
@@ -29,6 +30,7 @@
     void findToRemove();
     void remove(ObjectVersion version);
     void retryRemoval(PlatformError reason);
+    void finishWithdrawal();
 
     PlatformClient m_client;
     Delay m_delay;
--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -136,6 +136,9 @@
     case CallerPacketAction::Deliver:
         m_state.fates.increment(AgentPacketFate::Delivered);
         deliver(m_state, message.packet, index);
+        // A balancer that is not told would send the flow's next packet to every agent again.
+        if (message.kind == wire::PeerKind::Probe)
+            reply(m_state, sender, { .kind = wire::PeerKind::Held, .flow = message.flow });
         break;
     case CallerPacketAction::DeliverToLearn:
         m_state.fates.increment(AgentPacketFate::DeliveredToLearn);
@@ -291,6 +294,8 @@
 {
     if (look(m_former, now)) {
         m_state.flows.isComplete = true;
+        if (!m_former.hasReport)
+            withdrawLastEntry();
         logEvent(Event::UpstreamMissing, { { "refusals", m_former.refusals }, { "silence", static_cast<std::uint64_t>(m_former.silence) } });
         return;
     }
@@ -300,6 +305,18 @@
     m_contact.attempt({ upstream.address(), upstream.port() }, [this](ConnectionOutcome outcome) { noteConnection(m_former, outcome, m_state.role.clock.now()); });
 }
 
+// The upstream that an earlier process announced is not there. Its host may be taken away any moment without a word; the
+// name would stay behind, and each search wait for it. A report that comes later announces the upstream anew.
+void PacketAgent::withdrawLastEntry()
+{
+    PeerEntry gone = lastEntry();
+    if (gone.name.empty() || gone.state == PeerState::Gone)
+        return;
+    gone.state = PeerState::Gone;
+    m_state.network.announce(gone);
+    m_announcement.withdraw(gone.name, [] {});
+}
+
 // A new process speaks for the upstream: it holds nothing of before. Callers are told at once, so that they open anew
 // instead of sending into a flow that nobody holds until their deadline.
 void PacketAgent::resetLostFlows()
--- a/src/kingcuptraild/packets/packetagent.h
+++ b/src/kingcuptraild/packets/packetagent.h
@@ -43,6 +43,7 @@
     void handleReport(const UpstreamReport& report);
     void resetLostFlows();
     void lookForUpstream(Millis now);
+    void withdrawLastEntry();
     void handleOutages(const std::vector<std::string>& returned);
     void announceState();
 
--- a/tests/daemon/testagentannouncement.cpp
+++ b/tests/daemon/testagentannouncement.cpp
@@ -9,6 +9,7 @@
     CPPUNIT_TEST(entryOfAnEarlierProcessIsWithdrawn);
     CPPUNIT_TEST(withdrawalOutlastsAnOutage);
     CPPUNIT_TEST(nothingToWithdrawEndsAtOnce);
+    CPPUNIT_TEST(upstreamThatComesBackIsAnnouncedAgain);
     CPPUNIT_TEST_SUITE_END();
 
     static PeerEntry entry()
@@ -69,6 +70,19 @@
         runUntil(m_context, [&isDone] { return isDone; });
         CPPUNIT_ASSERT_EQUAL(std::uint64_t { 1 }, announcement.callsMade());
     }
+
+    // A host comes back without its upstream, and its agent withdraws what stood there; the upstream starts while the
+    // withdrawal is under way. It was withdrawn for good, and processes that started later never learnt of it.
+    void upstreamThatComesBackIsAnnouncedAgain()
+    {
+        announce();
+        AgentAnnouncement next(m_context, m_options);
+        bool isDone = false;
+        next.withdraw("agent-1", [&isDone] { isDone = true; });
+        next.write(entry());
+        runUntil(m_context, [&isDone] { return isDone; });
+        runUntil(m_context, [this] { return isInStore(); });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestAgentAnnouncement);
