--- a/src/kingcuptraild/packets/packetbalancer.cpp
+++ b/src/kingcuptraild/packets/packetbalancer.cpp
@@ -196,7 +196,7 @@
         quiet.push_back(address);
     // Another few each time, so that a process that hears nobody does not add to its own load.
     if (quiet.size() > pingsInRound) {
-        std::ranges::rotate(quiet, quiet.begin() + static_cast<std::ptrdiff_t>(m_pingRound++ * pingsInRound % quiet.size()));
+        std::rotate(quiet.begin(), quiet.begin() + static_cast<std::ptrdiff_t>(m_pingRound++ * pingsInRound % quiet.size()), quiet.end());
         quiet.resize(pingsInRound);
     }
     m_state.network.sendToAll(quiet, { .kind = wire::PeerKind::Ping, .configVersion = m_state.network.routes().version });
--- a/src/kingcuptraild/packets/storefollower.cpp
+++ b/src/kingcuptraild/packets/storefollower.cpp
@@ -124,8 +124,8 @@
         const auto before = m_leftBehind.find(name);
         if (before == m_leftBehind.end() || before->second != version)
             continue;
-        m_cleaner.remove(agentKind, name, version, [name](const std::optional<ObjectVersion>&, PlatformError reason) {
-            logEvent(Event::LeftBehindRemoved, { { "peer", name }, { "outcome", nameOf(reason) } });
+        m_cleaner.remove(agentKind, name, version, [peer = name](const std::optional<ObjectVersion>&, PlatformError reason) {
+            logEvent(Event::LeftBehindRemoved, { { "peer", peer }, { "outcome", nameOf(reason) } });
         });
     }
     m_leftBehind = leftBehind;
