--- a/src/kingcuptraild/packets/holderfinder.cpp
+++ b/src/kingcuptraild/packets/holderfinder.cpp
@@ -321,14 +321,11 @@
     });
 }
 
-// Whoever was asked, or got the packets, and did not answer may be gone for good. An agent that is asked through a neighbour
-// counts as unsure when the neighbour is; one that lives says something else soon.
+// Whoever was asked, or got the packets, and did not answer may be gone for good; one that lives says something else soon.
 void HolderFinder::endUncertain(const FlowKey& flow, const HolderSearch& search, Millis now)
 {
-    for (const auto* agents : { &search.awaited, &search.unsure }) {
-        for (const std::uint32_t agent : *agents)
-            noteUnanswered(m_state.silent, agent, search.startedAt);
-    }
+    for (const std::uint32_t agent : unansweredIn(search))
+        noteUnanswered(m_state.silent, agent, search.startedAt);
     noteUncertain(flow, search, now);
 }
 
--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -132,23 +132,24 @@
     }
     const Millis now = m_state.role.clock.now();
     const std::uint32_t index = indexOf(m_state, sender);
-    switch (takeCallerPacket(m_state.flows, message.flow, *head, now)) {
+    const CallerPacketAction action = takeCallerPacket(m_state.flows, message.flow, *head, now);
+    const bool isProbe = message.kind == wire::PeerKind::Probe;
+    switch (action) {
     case CallerPacketAction::Deliver:
         m_state.fates.increment(AgentPacketFate::Delivered);
         deliver(m_state, message.packet, index);
-        // A balancer that is not told would send the flow's next packet to every agent again.
-        if (message.kind == wire::PeerKind::Probe)
+        if (isProbe && answerToProbe(action) == HolderAnswer::Held)
             reply(m_state, sender, { .kind = wire::PeerKind::Held, .flow = message.flow });
         break;
     case CallerPacketAction::DeliverToLearn:
         m_state.fates.increment(AgentPacketFate::DeliveredToLearn);
-        m_learning[message.flow] = { .balancer = sender, .since = now, .isProbe = message.kind == wire::PeerKind::Probe, .acknowledged = head->acknowledged };
+        m_learning[message.flow] = { .balancer = sender, .since = now, .isProbe = isProbe, .acknowledged = head->acknowledged };
         deliver(m_state, message.packet, index);
         startLearningTimer();
         break;
     case CallerPacketAction::NotHeld:
         m_state.fates.increment(AgentPacketFate::HandedBack);
-        reply(m_state, sender, { .kind = wire::PeerKind::NotHeld, .flow = message.flow, .packet = message.kind == wire::PeerKind::Probe ? std::span<const std::uint8_t>() : message.packet });
+        reply(m_state, sender, { .kind = wire::PeerKind::NotHeld, .flow = message.flow, .packet = isProbe ? std::span<const std::uint8_t>() : message.packet });
         break;
     }
 }
--- a/src/libdecision/agentflows.cpp
+++ b/src/libdecision/agentflows.cpp
@@ -124,6 +124,19 @@
     return CallerPacketAction::Deliver;
 }
 
+std::optional<HolderAnswer> answerToProbe(CallerPacketAction action)
+{
+    switch (action) {
+    case CallerPacketAction::Deliver:
+        return HolderAnswer::Held;
+    case CallerPacketAction::NotHeld:
+        return HolderAnswer::NotHeld;
+    case CallerPacketAction::DeliverToLearn:
+        break;
+    }
+    return std::nullopt;
+}
+
 UpstreamPacketNews takeUpstreamPacket(AgentFlows& table, const FlowKey& key, const PacketHead& head, Millis now)
 {
     UpstreamPacketNews news { .isAnswer = head.flags.opens && head.flags.acknowledges };
--- a/src/libdecision/agentflows.h
+++ b/src/libdecision/agentflows.h
@@ -95,12 +95,28 @@
     static constexpr std::array<std::string_view, 3> names { "deliver", "deliverToLearn", "notHeld" };
 };
 
+/// Whether a flow is certainly held, certainly not held, or may be held from before this process started.
+enum class HolderAnswer : std::uint8_t {
+    Held,
+    NotHeld,
+    Unsure,
+};
+
+template <>
+struct EnumNames<HolderAnswer> {
+    static constexpr std::array<std::string_view, 3> names { "held", "notHeld", "unsure" };
+};
+
 /// Begins a flow whose opening packet is about to be delivered; a copy of one that is known changes nothing.
 void beginFlow(AgentFlows&, const FlowKey&, Millis now);
 
 /// Decides on a caller's packet that does not open a flow, and notes what it tells.
 CallerPacketAction takeCallerPacket(AgentFlows&, const FlowKey&, const PacketHead&, Millis now);
 
+/// What a balancer that sent a packet to find the flow's holder is told at once; nothing when the upstream has yet to show it.
+/// Without the yes a balancer would send each further packet of the flow to every unsure agent.
+std::optional<HolderAnswer> answerToProbe(CallerPacketAction);
+
 /// What a packet from the upstream told about a flow.
 struct UpstreamPacketNews {
     /// The flow was not in the table: the upstream held it before this process started.
@@ -135,18 +151,6 @@
 /// Forgets flows that are over by their limits. Looks at a part of the table at each call, so that no call takes long.
 void sweepFlows(AgentFlows&, Millis now);
 
-/// Whether a flow is certainly held, certainly not held, or may be held from before this process started.
-enum class HolderAnswer : std::uint8_t {
-    Held,
-    NotHeld,
-    Unsure,
-};
-
-template <>
-struct EnumNames<HolderAnswer> {
-    static constexpr std::array<std::string_view, 3> names { "held", "notHeld", "unsure" };
-};
-
 /// Answers a balancer that looks for the holder of a caller's packet.
 HolderAnswer answerHolderQuestion(const AgentFlows&, const FlowKey&, std::uint32_t acknowledged, Millis now);
 
--- a/src/libdecision/holdersearch.cpp
+++ b/src/libdecision/holdersearch.cpp
@@ -27,6 +27,13 @@
     return missing;
 }
 
+std::vector<std::uint32_t> unansweredIn(const HolderSearch& search)
+{
+    std::vector<std::uint32_t> agents = search.awaited;
+    agents.insert(agents.end(), search.unsure.begin(), search.unsure.end());
+    return agents;
+}
+
 SearchState takeAnswer(HolderSearch& search, std::uint32_t agent, HolderAnswer answer)
 {
     if (search.state == SearchState::Found)
--- a/src/libdecision/holdersearch.h
+++ b/src/libdecision/holdersearch.h
@@ -39,6 +39,10 @@
 /// there are any.
 std::vector<std::uint32_t> askMissing(HolderSearch&, std::span<const std::uint32_t> agents);
 
+/// The agents whose no is still missing: those that did not answer, and those that are unsure. An agent that was asked through
+/// a neighbour counts as unsure when the neighbour is, also one that is gone.
+std::vector<std::uint32_t> unansweredIn(const HolderSearch&);
+
 /// Takes one agent's answer; the state that the search is in then. Answers from agents that were not asked count only when
 /// they hold the flow.
 SearchState takeAnswer(HolderSearch&, std::uint32_t agent, HolderAnswer);
--- a/tests/packets/testagentflows.cpp
+++ b/tests/packets/testagentflows.cpp
@@ -9,6 +9,7 @@
     CPPUNIT_TEST(flowOpensAndCloses);
     CPPUNIT_TEST(answerThatTheCallerDidNotTakeOwnsNothing);
     CPPUNIT_TEST(restartedAgentAsksItsUpstream);
+    CPPUNIT_TEST(probeOfAKnownFlowIsAnswered);
     CPPUNIT_TEST(keptPacketsTeachTheirFlow);
     CPPUNIT_TEST(tableIsCompleteWhenWhatIsMissingMustBeIdle);
     CPPUNIT_TEST(newUpstreamProcessLosesEveryFlow);
@@ -73,6 +74,20 @@
         CPPUNIT_ASSERT(answerHolderQuestion(table, flow, 750, 13) == HolderAnswer::Held);
     }
 
+    // All balancers and agents are killed. An agent has learnt a flow again from one packet; a balancer that does not know it
+    // yet sends the next one to all unsure agents. The holder delivered it and said nothing, so that for twenty seconds each
+    // packet of the flow went to sixty agents.
+    void probeOfAKnownFlowIsAnswered()
+    {
+        AgentFlows table;
+        table.completeAt = 20000;
+        CPPUNIT_ASSERT(!answerToProbe(takeCallerPacket(table, flowOf(3), callerPacket(640, 10), 10)));
+        learnFlow(table, flowOf(3), 640, 22);
+        CPPUNIT_ASSERT(answerToProbe(takeCallerPacket(table, flowOf(3), callerPacket(640, 20), 30)) == HolderAnswer::Held);
+        table.isComplete = true;
+        CPPUNIT_ASSERT(answerToProbe(takeCallerPacket(table, flowOf(4), callerPacket(640, 10), 40)) == HolderAnswer::NotHeld);
+    }
+
     // The packet that was delivered to learn is kept by the upstream without a word: it holds the flow.
     void keptPacketsTeachTheirFlow()
     {
--- a/tests/packets/testbalancing.cpp
+++ b/tests/packets/testbalancing.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(agentsHeardOfDuringTheSearchAreAskedToo);
     CPPUNIT_TEST(holderEndsTheSearch);
     CPPUNIT_TEST(lateYesCounts);
+    CPPUNIT_TEST(unsureAgentsThatStaySilentAreMissing);
     CPPUNIT_TEST(newerEntryStands);
     CPPUNIT_TEST(agentsAreListedUnderTheirService);
     CPPUNIT_TEST(whatALeaverCouldNotWithdrawIsLeftBehind);
@@ -107,6 +108,19 @@
         CPPUNIT_ASSERT_EQUAL(3U, search.holder);
     }
 
+    // Hosts are taken away just when all processes have been killed. A neighbour that is unsure itself answers for them, and
+    // they get the packets to find out, but never say anything. They stood as unsure for good: nobody noticed the silence,
+    // and each search went on waiting for them.
+    void unsureAgentsThatStaySilentAreMissing()
+    {
+        HolderSearch search = beginSearch({ 1, 2, 3 }, 0);
+        takeAnswer(search, 1, HolderAnswer::Unsure);
+        takeAnswer(search, 2, HolderAnswer::NotHeld);
+        CPPUNIT_ASSERT((unansweredIn(search) == std::vector<std::uint32_t> { 3, 1 }));
+        takeAnswer(search, 1, HolderAnswer::NotHeld);
+        CPPUNIT_ASSERT((unansweredIn(search) == std::vector<std::uint32_t> { 3 }));
+    }
+
     void newerEntryStands()
     {
         Directory directory;
