--- a/src/kingcuptraild/packets/holderfinder.cpp
+++ b/src/kingcuptraild/packets/holderfinder.cpp
@@ -13,7 +13,7 @@
     constexpr Millis searchLimit = 190;
     /// A search in which everybody has said no waits this long for a peer's word that nobody is missing, in milliseconds:
     /// several rounds of news. It costs nothing but memory; a caller whose search had ended would be told with its next
-    /// packet only, up to 1.6 s later.
+    /// packet only, up to 1.6 s later. No difference in callers served was measured.
     constexpr Millis confirmationLimit = 1000;
     /// In a data centre with so many agents one is asked for all of them: fewer messages from three on, and worth the second
     /// round trip, which stays within the data centre.
--- a/src/kingcuptraild/packets/packetbalancer.cpp
+++ b/src/kingcuptraild/packets/packetbalancer.cpp
@@ -17,7 +17,7 @@
     constexpr std::uint64_t firstReadSpread = 60;
     /// An agent that does not answer is asked again this often, in milliseconds.
     constexpr Millis pingInterval = 200;
-    /// Agents asked in one round: 80 a second, some 2 % of a balancer of .038 cores at 10 us each.
+    /// Agents asked in one round: 80 a second, by estimate (10 us each) 2 % of a balancer of .038 cores.
     constexpr std::size_t pingsInRound = 16;
     /// A cached holder that was not used for longer is dropped, in milliseconds; above the idle limit of flows.
     constexpr Millis holderIdleLimit = 25000;
