--- a/src/libhistory/history.h
+++ b/src/libhistory/history.h
@@ -51,6 +51,8 @@
     /// dataCentre, version.
     OperatorTookOut,
     OperatorBroughtBack,
+    /// dataCentre. The change is asked for; it may take effect before the operators hear that it was accepted.
+    OperatorBeganTakeOut,
     /// process, version.
     ConfigInForce,
     /// process, upstream.
@@ -69,7 +71,7 @@
 
 template <>
 struct EnumNames<HistoryKind> {
-    static constexpr std::array<std::string_view, 29> names {
+    static constexpr std::array<std::string_view, 30> names {
         "requestSent",
         "answerWhole",
         "answerBroken",
@@ -90,6 +92,7 @@
         "operatorApplied",
         "operatorTookOut",
         "operatorBroughtBack",
+        "operatorBeganTakeOut",
         "configInForce",
         "drainBegan",
         "shutdownBegan",
--- a/src/libhistory/historyindex.cpp
+++ b/src/libhistory/historyindex.cpp
@@ -127,8 +127,12 @@
         outages[event.dataCentre].push_back({ .began = &event });
         accepted.push_back(&event);
         break;
+    case HistoryKind::OperatorBeganTakeOut:
+        outagesAsked[event.dataCentre].push_back({ .began = &event });
+        break;
     case HistoryKind::OperatorBroughtBack:
         closeSpans(outages[event.dataCentre], event.at);
+        closeSpans(outagesAsked[event.dataCentre], event.at);
         accepted.push_back(&event);
         break;
     default:
@@ -246,7 +250,9 @@
     if (anyOverlap(failures, upstream, start, until))
         return true;
     const auto dataCentre = dataCentreOfUpstream.find(upstream);
-    return dataCentre != dataCentreOfUpstream.end() && anyOverlap(outages, dataCentre->second, start, until);
+    if (dataCentre == dataCentreOfUpstream.end())
+        return false;
+    return anyOverlap(outages, dataCentre->second, start, until) || anyOverlap(outagesAsked, dataCentre->second, start, until);
 }
 
 bool HistoryIndex::anyFailure(Millis start, Millis until) const
--- a/src/libhistory/historyindex.h
+++ b/src/libhistory/historyindex.h
@@ -70,6 +70,8 @@
     std::map<FlowId, FlowRecord> flows;
     /// By data centre.
     std::map<std::string, std::vector<HistorySpan>> outages;
+    /// By data centre, from the moment in which operators ask for the outage: from then on flows there may be given up.
+    std::map<std::string, std::vector<HistorySpan>> outagesAsked;
     /// By upstream; failures of the upstream or its agent, and drains.
     std::map<std::string, std::vector<HistorySpan>> failures;
     std::map<std::string, std::vector<HistorySpan>> drains;
--- a/tests/scenarios/runner/scenario.cpp
+++ b/tests/scenarios/runner/scenario.cpp
@@ -208,6 +208,8 @@
             const bool out = arguments.at("out");
             const std::string dataCentre = arguments.at("dataCentre");
             const HistoryEvent event { .kind = out ? HistoryKind::OperatorTookOut : HistoryKind::OperatorBroughtBack, .dataCentre = dataCentre };
+            if (out)
+                history->append({ .kind = HistoryKind::OperatorBeganTakeOut, .dataCentre = dataCentre });
             change->apply->setOut(dataCentre, out, [this, change, event](const ApplyReport& report) { noteChange(*change, report, event); });
         }
         return changes.size() - 1;
