--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -339,7 +339,8 @@
 
 void PacketAgent::announceState()
 {
-    if (!m_state.gate.upstream)
+    // Who has said that it is gone stays so: it only waits for the store, and another word with a newer epoch would undo it.
+    if (!m_state.gate.upstream || m_state.self.state == PeerState::Gone)
         return;
     const PeerState state = isServingNow() ? PeerState::Ready : PeerState::Draining;
     PeerEntry next {
--- /dev/null
+++ b/tests/daemon/testpacketagent.cpp
@@ -0,0 +1,153 @@
+#include "kingcuptraild/packets/packetagent.h"
+#include "libhttp/httpclient.h"
+#include "platform/platformfixture.h"
+#include "platform/trustadapter.h"
+
+#include <asio/ip/udp.hpp>
+
+using namespace kingcuptrail;
+
+/// One agent with its upstream's addresses, a store, and a peer that asks it and hears its news.
+class TestPacketAgent : public PlatformFixture {
+    CPPUNIT_TEST_SUITE(TestPacketAgent);
+    CPPUNIT_TEST(endsWithoutItsAddresses);
+    CPPUNIT_TEST(leaverStaysGoneWhileTheStoreIsAway);
+    CPPUNIT_TEST(probeOfAKnownFlowIsAnswered);
+    CPPUNIT_TEST_SUITE_END();
+
+    struct Agent {
+        Agent(asio::io_context& context, const Settings& agentSettings, const PlatformOptions& platform)
+            : settings(agentSettings)
+            , root(context, "root")
+            , role { context, settings, platform, clock, config, root }
+            , agent(role, trustAdapter())
+        {
+        }
+        ~Agent() { root.endAll(); }
+
+        Settings settings;
+        Clock clock;
+        ConfigKeeper config;
+        Supervisor root;
+        RoleContext role;
+        PacketAgent agent;
+    };
+
+    static asio::ip::address_v4 host(unsigned char number)
+    {
+        return asio::ip::address_v4({ 127, 83, 1, number });
+    }
+
+    /// A port that is free on the first host; all processes of a deployment use the same one.
+    std::uint16_t freePort()
+    {
+        return asio::ip::udp::socket(m_context, { host(1), 0 }).local_endpoint().port();
+    }
+
+    Settings settingsOf(const std::string& name, unsigned char number, std::uint16_t port)
+    {
+        const auto at = [&](std::uint16_t offset) { return asio::ip::tcp::endpoint(host(number), static_cast<std::uint16_t>(offset == 0 ? port : freePort())); };
+        Settings settings { .role = DaemonRole::PacketAgent, .name = name, .dataCentre = "north", .listen = at(0) };
+        settings.packets.ready = at(1);
+        settings.packets.upstream = at(2);
+        settings.packets.outbound = at(3);
+        settings.packets.control = at(4);
+        settings.packets.ingress = at(5);
+        settings.packets.seeds = { { host(1), port } };
+        return settings;
+    }
+
+    void report(const Agent& agent, const std::string& state)
+    {
+        ++m_sequence;
+        const std::string body = R"({"service":"board","address":"127.83.1.1:1","zone":"north","slots":5,"warmup-left-ms":0,"born":1000,"state":")" + state + R"(","sequence":)" + std::to_string(m_sequence) + "}";
+        bool isDone = false;
+        HttpCall::Handlers handlers;
+        handlers.onDone = [&isDone](const std::optional<HttpResponse>& response, const HttpOutcome&) {
+            isDone = true;
+            CPPUNIT_ASSERT(response && response->status == 200);
+        };
+        const auto call = startHttpCall(m_context, agent.settings.packets.control, { .method = "PUT", .target = "/targets/i-1", .body = body }, {}, std::move(handlers));
+        runUntil(m_context, [&isDone] { return isDone; });
+    }
+
+    /// The agent as the peer knows it.
+    static std::optional<PeerState> stateIn(const PeerNetwork& peer)
+    {
+        const auto& entries = peer.directory().entries;
+        const auto found = entries.find("agent-1");
+        return found != entries.end() ? std::optional(found->second.state) : std::nullopt;
+    }
+
+    /// A caller's packet with three bytes of data.
+    static std::vector<std::uint8_t> callerPacket()
+    {
+        return {
+            0x03, 0x00, 0xd5, 0xc3, 0xb2, 0xa1, 0x00, 0x00, 0x00, 0x00, 0x10, 0x00, 0x00, 0x00, 0x00, 0x00, 0x44, 0x33, 0x22, 0x11, 0x00, 0x00, 0x00, 0x00,
+            0x07, 0x00, 0x40, 0x64, 0x41, 0x9c, 0xbb, 0x01, 0x01, 0x00, 0x12, 0xc6, 'a', 'b', 'c'
+        };
+    }
+
+    void endsWithoutItsAddresses()
+    {
+        const Settings settings = settingsOf("agent-1", 1, freePort());
+        const Agent first(m_context, settings, m_options);
+        CPPUNIT_ASSERT(first.agent.isStarted());
+        const Agent second(m_context, settings, m_options);
+        CPPUNIT_ASSERT(!second.agent.isStarted());
+    }
+
+    // An upstream leaves, and its agent is told to stop while the store turns it away. It tells its peers that it is gone and
+    // tries to withdraw. A turn later it announced itself as draining again, with a newer epoch, and then ended: peers
+    // waited for its answers, and nobody took its name out of the store.
+    void leaverStaysGoneWhileTheStoreIsAway()
+    {
+        const std::uint16_t port = freePort();
+        Agent agent(m_context, settingsOf("agent-1", 1, port), m_options);
+        const Settings peerSettings = settingsOf("front-1", 2, port);
+        const Clock clock;
+        PeerNetwork peer(m_context, peerSettings, clock);
+        CPPUNIT_ASSERT(peer.start({ .onFlowMessage = [](const PeerMessage&, std::uint32_t) {}, .onOutages = [](const std::vector<std::string>&) {} }));
+        report(agent, "ready");
+        runUntil(m_context, [&peer] { return stateIn(peer) == PeerState::Ready; });
+        report(agent, "draining");
+        runUntil(m_context, [&peer] { return stateIn(peer) == PeerState::Draining; });
+        m_server->setFaults({ .down = true });
+        agent.agent.shutDown([] {});
+        runUntil(m_context, [&peer] { return stateIn(peer) == PeerState::Gone; });
+        // Its news of some rounds later: its turns come more often.
+        constexpr Millis someRounds = 600;
+        const Millis goneAt = peer.lastNewsAt();
+        runUntil(m_context, [&peer, goneAt] { return peer.lastNewsAt() > goneAt + someRounds; });
+        CPPUNIT_ASSERT(stateIn(peer) == PeerState::Gone);
+    }
+
+    // An agent was restarted beside its upstream. A caller's packet that it delivers to learn is kept, so it knows the flow;
+    // the next one, which a balancer without the flow in its cache sends to all unsure agents, has to bring a yes.
+    void probeOfAKnownFlowIsAnswered()
+    {
+        const std::uint16_t port = freePort();
+        Agent agent(m_context, settingsOf("agent-1", 1, port), m_options);
+        const Settings peerSettings = settingsOf("front-1", 2, port);
+        const Clock clock;
+        PeerNetwork peer(m_context, peerSettings, clock);
+        unsigned yes = 0;
+        CPPUNIT_ASSERT(peer.start({
+            .onFlowMessage = [&yes](const PeerMessage& message, std::uint32_t) { yes += message.kind == wire::PeerKind::Held ? 1 : 0; },
+            .onOutages = [](const std::vector<std::string>&) {},
+        }));
+        m_sequence = 70;
+        report(agent, "ready");
+        const std::vector<std::uint8_t> packet = callerPacket();
+        DecodeError error = DecodeError::None;
+        const FlowKey flow = flowFromCaller(*trustAdapter().decodePacket(packet, error));
+        for (unsigned expected = 1; expected <= 3; ++expected) {
+            peer.send(host(1).to_uint(), { .kind = wire::PeerKind::Probe, .flow = flow, .packet = packet });
+            runUntil(m_context, [&yes, expected] { return yes == expected; });
+        }
+    }
+
+    std::uint64_t m_sequence = 0;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestPacketAgent);
