--- a/src/kingcuptraild/packets/agentannouncement.cpp
+++ b/src/kingcuptraild/packets/agentannouncement.cpp
@@ -47,7 +47,7 @@
         } else if (reason == PlatformError::Conflict || reason == PlatformError::NotFound) {
             read();
         } else {
-            retry(reason);
+            putLater(reason);
         }
     });
 }
@@ -59,7 +59,7 @@
     m_client.get(agentKind, m_entry->name, [this](const std::optional<PlatformObject>& object, PlatformError reason) {
         m_isBusy = false;
         if (!object && reason != PlatformError::NotFound) {
-            retry(reason);
+            putLater(reason);
             return;
         }
         m_version = object ? object->version : 0;
@@ -79,15 +79,20 @@
     });
 }
 
-void AgentAnnouncement::retry(PlatformError reason)
+void AgentAnnouncement::putLater(PlatformError reason)
 {
-    logEvent(Event::PlatformTrouble, { { "reason", nameOf(reason) }, { "call", "announcement" } });
-    m_delay.start(m_backoff.next(), [this] {
+    retryLater(reason, "announcement", [this] {
         if (!m_isBusy && !m_isWritten)
             put();
     });
 }
 
+void AgentAnnouncement::retryLater(PlatformError reason, std::string_view call, std::function<void()> again)
+{
+    logEvent(Event::PlatformTrouble, { { "reason", nameOf(reason) }, { "call", call } });
+    m_delay.start(m_backoff.next(), std::move(again));
+}
+
 void AgentAnnouncement::withdraw(const std::string& name, std::function<void()> done)
 {
     m_delay.cancel();
@@ -112,7 +117,7 @@
         else if (reason == PlatformError::NotFound)
             finishWithdrawal();
         else
-            retryRemoval(reason);
+            retryLater(reason, "withdrawal", [this] { findToRemove(); });
     });
 }
 
@@ -132,14 +137,8 @@
         if (reason == PlatformError::None || reason == PlatformError::NotFound)
             finishWithdrawal();
         else
-            retryRemoval(reason);
+            retryLater(reason, "withdrawal", [this] { findToRemove(); });
     });
 }
 
-void AgentAnnouncement::retryRemoval(PlatformError reason)
-{
-    logEvent(Event::PlatformTrouble, { { "reason", nameOf(reason) }, { "call", "withdrawal" } });
-    m_delay.start(m_backoff.next(), [this] { findToRemove(); });
-}
-
 }
--- a/src/kingcuptraild/packets/agentannouncement.h
+++ b/src/kingcuptraild/packets/agentannouncement.h
@@ -26,10 +26,10 @@
 private:
     void put();
     void read();
-    void retry(PlatformError reason);
+    void putLater(PlatformError reason);
     void findToRemove();
     void remove(ObjectVersion version);
-    void retryRemoval(PlatformError reason);
+    void retryLater(PlatformError reason, std::string_view call, std::function<void()> again);
     void finishWithdrawal();
 
     PlatformClient m_client;
--- a/src/kingcuptraild/packets/holderfinder.cpp
+++ b/src/kingcuptraild/packets/holderfinder.cpp
@@ -321,20 +321,15 @@
     });
 }
 
-// Whoever was asked, or got the packets, and did not answer may be gone for good; one that lives says something else soon.
+// Nothing can be said to the caller: it sends its packet again, and the next search may end otherwise. Whoever was asked, or
+// got the packets, and did not answer may be gone for good; one that lives says something else soon.
 void HolderFinder::endUncertain(const FlowKey& flow, const HolderSearch& search, Millis now)
 {
-    for (const std::uint32_t agent : unansweredIn(search))
+    const std::vector<std::uint32_t> unanswered = unansweredIn(search);
+    for (const std::uint32_t agent : unanswered)
         noteUnanswered(m_state.silent, agent, search.startedAt);
-    noteUncertain(flow, search, now);
-}
-
-// Nothing can be said to the caller: it sends its packet again, and the next search may end otherwise.
-void HolderFinder::noteUncertain(const FlowKey& flow, const HolderSearch& search, Millis now)
-{
     m_searchEnds.increment(SearchState::Asking);
-    const std::uint32_t waitsFor = !search.awaited.empty() ? search.awaited.front() : search.unsure.empty() ? 0
-                                                                                                            : search.unsure.front();
+    const std::uint32_t waitsFor = unanswered.empty() ? 0 : unanswered.front();
     logFlowEvent(Event::SearchUncertain, flow, { { "silent", search.awaited.size() }, { "unsure", search.unsure.size() }, { "waitsFor", addressText(waitsFor) }, { "directoryConfirmed", canBeCertain() ? "yes" : "no" }, { "milliseconds", static_cast<std::uint64_t>(now - search.startedAt) } });
 }
 
--- a/src/kingcuptraild/packets/holderfinder.h
+++ b/src/kingcuptraild/packets/holderfinder.h
@@ -35,7 +35,6 @@
     void settleSearch(const FlowKey& flow, SearchState state);
     bool canBeCertain() const;
     void endUncertain(const FlowKey& flow, const HolderSearch& search, Millis now);
-    void noteUncertain(const FlowKey& flow, const HolderSearch& search, Millis now);
 
     BalancerState& m_state;
     std::unordered_map<FlowKey, WaitingSearch> m_searches;
--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -138,8 +138,6 @@
     case CallerPacketAction::Deliver:
         m_state.fates.increment(AgentPacketFate::Delivered);
         deliver(m_state, message.packet, index);
-        if (isProbe && answerToProbe(action) == HolderAnswer::Held)
-            reply(m_state, sender, { .kind = wire::PeerKind::Held, .flow = message.flow });
         break;
     case CallerPacketAction::DeliverToLearn:
         m_state.fates.increment(AgentPacketFate::DeliveredToLearn);
@@ -149,9 +147,13 @@
         break;
     case CallerPacketAction::NotHeld:
         m_state.fates.increment(AgentPacketFate::HandedBack);
-        reply(m_state, sender, { .kind = wire::PeerKind::NotHeld, .flow = message.flow, .packet = isProbe ? std::span<const std::uint8_t>() : message.packet });
         break;
     }
+    // Who probes has the packet still; who forwarded it gets it back.
+    if (const auto answer = answerToProbe(action); isProbe && answer)
+        reply(m_state, sender, { .kind = peerKindOf(*answer), .flow = message.flow });
+    else if (!isProbe && action == CallerPacketAction::NotHeld)
+        reply(m_state, sender, { .kind = wire::PeerKind::NotHeld, .flow = message.flow, .packet = message.packet });
 }
 
 // One that runs is left as it is: started anew by each packet, it would not end while packets come.
@@ -186,17 +188,8 @@
 
 void PacketAgent::handleFind(const PeerMessage& message, std::uint32_t sender)
 {
-    switch (answerHolderQuestion(m_state.flows, message.flow, message.acknowledged, m_state.role.clock.now())) {
-    case HolderAnswer::Held:
-        reply(m_state, sender, { .kind = wire::PeerKind::Held, .flow = message.flow });
-        break;
-    case HolderAnswer::NotHeld:
-        reply(m_state, sender, { .kind = wire::PeerKind::NotHeld, .flow = message.flow });
-        break;
-    case HolderAnswer::Unsure:
-        reply(m_state, sender, { .kind = wire::PeerKind::Unsure, .flow = message.flow });
-        break;
-    }
+    const HolderAnswer answer = answerHolderQuestion(m_state.flows, message.flow, message.acknowledged, m_state.role.clock.now());
+    reply(m_state, sender, { .kind = peerKindOf(answer), .flow = message.flow });
 }
 
 void PacketAgent::handleUpstreamDatagram(std::span<std::uint8_t> packet)
@@ -265,7 +258,7 @@
         if (takeFarewell(m_state.gate, call.id)) {
             logEvent(Event::UpstreamLeft, { { "upstream", call.id } });
             takeEnd(m_former);
-            m_state.flows.isComplete = true;
+            m_state.flows.isComplete = knowsEveryFlow(m_former);
             announceState();
         }
         return jsonReply(200, "{}");
@@ -293,10 +286,10 @@
 // Without an upstream nothing is held here, and a flow can be lost for certain.
 void PacketAgent::lookForUpstream(Millis now)
 {
-    if (look(m_former, now)) {
-        m_state.flows.isComplete = true;
+    if (noteListening(m_former, now)) {
+        m_state.flows.isComplete = knowsEveryFlow(m_former);
         if (!m_former.hasReport)
-            withdrawLastEntry();
+            withdrawFormerEntry();
         logEvent(Event::UpstreamMissing, { { "refusals", m_former.refusals }, { "silence", static_cast<std::uint64_t>(m_former.silence) } });
         return;
     }
@@ -308,14 +301,19 @@
 
 // The upstream that an earlier process announced is not there. Its host may be taken away any moment without a word; the
 // name would stay behind, and each search wait for it. A report that comes later announces the upstream anew.
-void PacketAgent::withdrawLastEntry()
+void PacketAgent::withdrawFormerEntry()
 {
-    PeerEntry gone = lastEntry();
-    if (gone.name.empty() || gone.state == PeerState::Gone)
-        return;
-    gone.state = PeerState::Gone;
-    m_state.network.announce(gone);
-    m_announcement.withdraw(gone.name, [] {});
+    const PeerEntry entry = lastEntry();
+    if (!entry.name.empty() && entry.state != PeerState::Gone)
+        withdraw(entry, [] {});
+}
+
+// Tells peers that the agent of this entry is gone, and takes it out of the store.
+const PeerEntry& PacketAgent::withdraw(PeerEntry entry, std::function<void()> done)
+{
+    entry.state = PeerState::Gone;
+    m_announcement.withdraw(entry.name, std::move(done));
+    return m_state.network.announce(std::move(entry));
 }
 
 // A new process speaks for the upstream: it holds nothing of before. Callers are told at once, so that they open anew
@@ -419,15 +417,13 @@
         done();
         return;
     }
-    PeerEntry gone = lastEntry();
-    if (gone.name.empty()) {
+    const PeerEntry entry = lastEntry();
+    if (entry.name.empty()) {
         done();
         return;
     }
-    gone.state = PeerState::Gone;
-    m_state.self = m_state.network.announce(gone);
     m_leaveTimer.start(std::max<Millis>(m_state.role.settings.packets.leave - leaveMargin - leaveTime, 0), [done] { done(); });
-    m_announcement.withdraw(gone.name, done);
+    m_state.self = withdraw(entry, done);
 }
 
 // Only an upstream that is gone is taken out of the directory and the store: one that lives is announced again as soon as
--- a/src/kingcuptraild/packets/packetagent.h
+++ b/src/kingcuptraild/packets/packetagent.h
@@ -43,7 +43,8 @@
     void handleReport(const UpstreamReport& report);
     void resetLostFlows();
     void lookForUpstream(Millis now);
-    void withdrawLastEntry();
+    void withdrawFormerEntry();
+    const PeerEntry& withdraw(PeerEntry entry, std::function<void()> done);
     void handleOutages(const std::vector<std::string>& returned);
     void announceState();
 
--- a/src/libdecision/formerflows.cpp
+++ b/src/libdecision/formerflows.cpp
@@ -50,11 +50,11 @@
     ++former.refusals;
 }
 
-bool look(FormerFlows& former, Millis now)
+bool noteListening(FormerFlows& former, Millis now)
 {
-    if (former.lookedAt != 0)
-        former.silence += std::min(now - former.lookedAt, former.options.longestLook);
-    former.lookedAt = now;
+    if (former.listenedAt != 0)
+        former.silence += std::min(now - former.listenedAt, former.options.longestGap);
+    former.listenedAt = now;
     if (former.isGone || (former.silence < former.options.silenceLimit && !isRefused(former)))
         return false;
     former.isGone = true;
--- a/src/libdecision/formerflows.h
+++ b/src/libdecision/formerflows.h
@@ -23,9 +23,9 @@
     /// An upstream that has said nothing for this long is gone, in milliseconds of running time: three heartbeats of the
     /// slowest deployment (1.2 s), one of which may wait a second for an answer on a connection that went silent.
     Millis silenceLimit = 4000;
-    /// Of the time between two looks at most so much counts as running, in milliseconds: a process that stood still has not
+    /// Of the time between two calls of noteListening at most so much counts as running, in milliseconds: a process that stood still has not
     /// listened.
-    Millis longestLook = 200;
+    Millis longestGap = 200;
 };
 
 /// What an agent knows of flows that its upstream may hold and the agent has not seen: those from before its start.
@@ -47,7 +47,7 @@
     Millis lastRefusalAt = 0;
     /// Somebody accepted a connection, or it hung: only silence can tell then.
     bool isAnybodyThere = false;
-    Millis lookedAt = 0;
+    Millis listenedAt = 0;
     Millis silence = 0;
 };
 
@@ -68,7 +68,7 @@
 
 /// Counts the time in which the process listened; to be called a few times a second. True when it shows for the first time
 /// that the upstream is gone.
-bool look(FormerFlows&, Millis now);
+bool noteListening(FormerFlows&, Millis now);
 
 /// Whether a connection to the upstream would tell something now.
 bool shouldConnect(const FormerFlows&);
--- a/src/libprotocol/peermessage.cpp
+++ b/src/libprotocol/peermessage.cpp
@@ -124,6 +124,19 @@
     }
 }
 
+wire::PeerKind peerKindOf(HolderAnswer answer)
+{
+    switch (answer) {
+    case HolderAnswer::Held:
+        return wire::PeerKind::Held;
+    case HolderAnswer::NotHeld:
+        return wire::PeerKind::NotHeld;
+    case HolderAnswer::Unsure:
+        break;
+    }
+    return wire::PeerKind::Unsure;
+}
+
 std::vector<PeerEntry> entriesOf(const PeerMessage& message)
 {
     const auto* packed = message.table->entries();
--- a/src/libprotocol/peermessage.h
+++ b/src/libprotocol/peermessage.h
@@ -68,8 +68,9 @@
     flatbuffers::FlatBufferBuilder m_builder { 2048 };
 };
 
-/// What Held, NotHeld and Unsure say.
+/// What Held, NotHeld and Unsure say, and the message that says it.
 HolderAnswer holderAnswerOf(wire::PeerKind kind);
+wire::PeerKind peerKindOf(HolderAnswer answer);
 
 /// The announcements that a News message carries.
 std::vector<PeerEntry> entriesOf(const PeerMessage&);
--- a/tests/packets/testformerflows.cpp
+++ b/tests/packets/testformerflows.cpp
@@ -26,7 +26,7 @@
     static void listen(FormerFlows& state, Millis from, Millis until)
     {
         for (Millis now = from; now <= until; now += 100)
-            look(state, now);
+            noteListening(state, now);
     }
 
     // Every host loses power, one of them beside an upstream that was leaving. Its agent comes back and hears no upstream;
@@ -40,14 +40,14 @@
         listen(state, 1200, 1200);
         CPPUNIT_ASSERT(shouldConnect(state));
         noteConnection(state, ConnectionOutcome::Refused, 1200);
-        CPPUNIT_ASSERT(!look(state, 1210));
+        CPPUNIT_ASSERT(!noteListening(state, 1210));
         noteConnection(state, ConnectionOutcome::Refused, 1250);
-        CPPUNIT_ASSERT(!look(state, 1260));
+        CPPUNIT_ASSERT(!noteListening(state, 1260));
         noteConnection(state, ConnectionOutcome::Refused, 1300);
         CPPUNIT_ASSERT(!knowsEveryFlow(state));
-        CPPUNIT_ASSERT(look(state, 1310));
+        CPPUNIT_ASSERT(noteListening(state, 1310));
         CPPUNIT_ASSERT(knowsEveryFlow(state) && !shouldConnect(state));
-        CPPUNIT_ASSERT(!look(state, 1410));
+        CPPUNIT_ASSERT(!noteListening(state, 1410));
     }
 
     // An agent is restarted beside an upstream that lives and whose heartbeat is due later. It accepts a connection: its
@@ -60,7 +60,7 @@
             noteConnection(state, ConnectionOutcome::Refused, 1200);
             noteConnection(state, outcome, 1300);
             noteConnection(state, ConnectionOutcome::Refused, 1400);
-            CPPUNIT_ASSERT(!look(state, 1400));
+            CPPUNIT_ASSERT(!noteListening(state, 1400));
             CPPUNIT_ASSERT(!knowsEveryFlow(state) && !shouldConnect(state));
         }
     }
@@ -71,10 +71,10 @@
     {
         FormerFlows state = former();
         listen(state, 1000, 1200);
-        CPPUNIT_ASSERT(!look(state, 6400));
+        CPPUNIT_ASSERT(!noteListening(state, 6400));
         listen(state, 6500, 9900);
         CPPUNIT_ASSERT(!knowsEveryFlow(state));
-        CPPUNIT_ASSERT(look(state, 10000));
+        CPPUNIT_ASSERT(noteListening(state, 10000));
     }
 
     // Upstream and agent start together, and the upstream's first report comes before the agent listens. The second one
@@ -116,7 +116,7 @@
         CPPUNIT_ASSERT(shouldConnect(state) && !knowsEveryFlow(state));
         noteConnection(state, ConnectionOutcome::Refused, 3000);
         noteConnection(state, ConnectionOutcome::Refused, 3100);
-        CPPUNIT_ASSERT(look(state, 3100) && knowsEveryFlow(state));
+        CPPUNIT_ASSERT(noteListening(state, 3100) && knowsEveryFlow(state));
     }
 
     // An upstream was so slow that its agent took it for gone. It reports again and may hold what it held.
