--- a/src/libhistory/historyindex.cpp
+++ b/src/libhistory/historyindex.cpp
@@ -125,10 +125,14 @@
         break;
     case HistoryKind::OperatorTookOut:
         outages[event.dataCentre].push_back({ .began = &event });
+        if (const auto ask = asksForOutage.find(event.dataCentre); ask != asksForOutage.end()) {
+            outagesAsked[event.dataCentre].push_back({ .began = ask->second });
+            asksForOutage.erase(ask);
+        }
         accepted.push_back(&event);
         break;
     case HistoryKind::OperatorBeganTakeOut:
-        outagesAsked[event.dataCentre].push_back({ .began = &event });
+        asksForOutage[event.dataCentre] = &event;
         break;
     case HistoryKind::OperatorBroughtBack:
         closeSpans(outages[event.dataCentre], event.at);
--- a/src/libhistory/historyindex.h
+++ b/src/libhistory/historyindex.h
@@ -70,8 +70,11 @@
     std::map<FlowId, FlowRecord> flows;
     /// By data centre.
     std::map<std::string, std::vector<HistorySpan>> outages;
-    /// By data centre, from the moment in which operators ask for the outage: from then on flows there may be given up.
+    /// By data centre, accepted outages from the moment in which operators asked for them: from then on flows there may be
+    /// given up, since daemons may hear of the acceptance before the operators do.
     std::map<std::string, std::vector<HistorySpan>> outagesAsked;
+    /// By data centre, the last outage that was asked for and not accepted yet.
+    std::map<std::string, const HistoryEvent*> asksForOutage;
     /// By upstream; failures of the upstream or its agent, and drains.
     std::map<std::string, std::vector<HistorySpan>> failures;
     std::map<std::string, std::vector<HistorySpan>> drains;
