--- a/src/kingcuptraild/packets/peernetwork.cpp
+++ b/src/kingcuptraild/packets/peernetwork.cpp
@@ -166,6 +166,18 @@
     return m_self;
 }
 
+void PeerNetwork::setReading(bool isReading)
+{
+    if (m_isReading == isReading)
+        return;
+    m_isReading = isReading;
+    if (isReading)
+        beat(m_readers, m_self.name, m_clock.now());
+    else
+        stopBeating(m_readers, m_self.name, m_clock.now());
+    tellSome(changeCount, {});
+}
+
 void PeerNetwork::send(std::uint32_t address, const FlowMessage& message)
 {
     m_socket->send(m_encoder.encode(message), peerEndpoint(address));
--- a/src/kingcuptraild/packets/peernetwork.h
+++ b/src/kingcuptraild/packets/peernetwork.h
@@ -65,7 +65,7 @@
 
     /// Who follows the store, as far as news tells; and whether this process is one of them.
     StoreReaders& readers() { return m_readers; }
-    void setReading(bool isReading) { m_isReading = isReading; }
+    void setReading(bool isReading);
 
     void send(std::uint32_t address, const FlowMessage& message);
     /// The same message to several processes, encoded once.
--- a/src/kingcuptraild/packets/storefollower.cpp
+++ b/src/kingcuptraild/packets/storefollower.cpp
@@ -2,6 +2,8 @@
 
 #include "libruntime/events.h"
 
+#include <algorithm>
+
 namespace kingcuptrail {
 
 namespace {
@@ -9,6 +11,19 @@
     /// How often the agents' announcements are read again, in milliseconds. Processes tell each other at once; the store is
     /// for those that no peer has told.
     constexpr Millis agentsInterval = 5000;
+    /// How often the store is asked for a sign of life, and how long its answer may take, in milliseconds. A silence shows
+    /// within one and a half seconds; others take over within one more, and a change has to be in force after three. A store
+    /// that is eighty times slower than usual still answers in time (0.3 s). The calls are of the kind that may be answered
+    /// with old data, at a tenth of the price: 120 a minute for each of three followers.
+    constexpr Millis pulseInterval = 500;
+    constexpr Millis pulseTimeout = 1000;
+
+    PlatformOptions pulseOptions(PlatformOptions options)
+    {
+        options.connectTimeout = std::min(options.connectTimeout, pulseTimeout);
+        options.callTimeout = std::min(options.callTimeout, pulseTimeout);
+        return options;
+    }
 
     void logForeignObject(std::string_view kind, const std::string& object, DecodeError error)
     {
@@ -23,13 +38,14 @@
     , m_routes(context, options, std::string(adapter.routesKind), routesHandlers())
     , m_outages(context, options, std::string(adapter.outagesKind), outagesHandlers())
     , m_agents(context, options, agentKind, agentsHandlers(), agentsInterval)
+    , m_pulse(context, pulseOptions(options), std::string(adapter.outagesKind), pulseHandlers(), pulseInterval)
     , m_cleaner(context, options)
 {
 }
 
 PlatformError StoreFollower::lastReason() const
 {
-    for (const KindWatcher* watcher : { &m_routes, &m_outages, &m_agents }) {
+    for (const KindWatcher* watcher : { &m_routes, &m_outages, &m_agents, &m_pulse }) {
         if (watcher->lastReason() != PlatformError::None)
             return watcher->lastReason();
     }
@@ -38,7 +54,7 @@
 
 std::uint64_t StoreFollower::callsMade() const
 {
-    return m_routes.callsMade() + m_outages.callsMade() + m_agents.callsMade() + m_cleaner.callsMade();
+    return m_routes.callsMade() + m_outages.callsMade() + m_agents.callsMade() + m_pulse.callsMade() + m_cleaner.callsMade();
 }
 
 KindWatcher::Handlers StoreFollower::routesHandlers()
@@ -70,6 +86,23 @@
     };
 }
 
+// When the store answers again, what was waited for before its silence may never be answered.
+KindWatcher::Handlers StoreFollower::pulseHandlers()
+{
+    return {
+        .onList = [this](const ObjectList&) {
+            noteAnswer();
+            if (!std::exchange(m_isSilent, false))
+                return;
+            m_routes.restart();
+            m_outages.restart(); },
+        .onChanges = [](const ObjectList&) {},
+        .onTrouble = [this](PlatformError) {
+            m_isSilent = true;
+            noteTrouble(); },
+    };
+}
+
 void StoreFollower::takeRoutes(const ObjectList& objects)
 {
     noteAnswer();
--- a/src/kingcuptraild/packets/storefollower.h
+++ b/src/kingcuptraild/packets/storefollower.h
@@ -19,7 +19,7 @@
     StoreFollower(asio::io_context& context, const PlatformOptions& options, const DeploymentAdapter& adapter, PeerNetwork& network);
 
     /// Whether what it told is what the store holds now, as far as a waiting watch can know.
-    bool isCurrent() const { return m_routes.isCurrent() && m_outages.isCurrent(); }
+    bool isCurrent() const { return m_routes.isCurrent() && m_outages.isCurrent() && m_pulse.isCurrent(); }
 
     /// The first of the watches' last failures, or None.
     PlatformError lastReason() const;
@@ -29,6 +29,7 @@
     KindWatcher::Handlers routesHandlers();
     KindWatcher::Handlers outagesHandlers();
     KindWatcher::Handlers agentsHandlers();
+    KindWatcher::Handlers pulseHandlers();
     void takeRoutes(const ObjectList& objects);
     void takeOutages(const ObjectList& changes);
     void takeAgents(const ObjectList& objects);
@@ -44,6 +45,10 @@
     KindWatcher m_routes;
     KindWatcher m_outages;
     KindWatcher m_agents;
+    /// A call that the store answers at once, made again and again: a store that turns this host away without a word answers
+    /// nothing, and to those who wait for changes that looks like quiet.
+    KindWatcher m_pulse;
+    bool m_isSilent = false;
     /// Announcements of processes that are gone, as of the last listing.
     std::map<std::string, ObjectVersion> m_leftBehind;
     PlatformClient m_cleaner;
--- a/src/libdecision/storereaders.cpp
+++ b/src/libdecision/storereaders.cpp
@@ -11,6 +11,11 @@
         return now - reader.grewAt <= state.options.freshness;
     }
 
+    bool follows(const StoreReaders& state, const StoreReaders::Known& reader, Millis now)
+    {
+        return isFresh(state, reader, now) && !reader.hasStopped;
+    }
+
 }
 
 void takeBeat(StoreReaders& state, const ReaderBeat& beat, Millis now)
@@ -22,7 +27,7 @@
         return;
     if (beat.beat == known.beat)
         return;
-    known = { .beat = beat.beat, .grewAt = now };
+    known = { .beat = beat.beat, .grewAt = now, .hasStopped = beat.hasStopped };
 }
 
 void beat(StoreReaders& state, const std::string& self, Millis now)
@@ -30,12 +35,17 @@
     takeBeat(state, { .name = self, .beat = state.readers[self].beat + 1 }, now);
 }
 
+void stopBeating(StoreReaders& state, const std::string& self, Millis now)
+{
+    takeBeat(state, { .name = self, .beat = state.readers[self].beat + 1, .hasStopped = true }, now);
+}
+
 std::vector<ReaderBeat> freshBeats(const StoreReaders& state, Millis now)
 {
     std::vector<ReaderBeat> beats;
     for (const auto& [name, reader] : state.readers) {
         if (isFresh(state, reader, now))
-            beats.push_back({ .name = name, .beat = reader.beat });
+            beats.push_back({ .name = name, .beat = reader.beat, .hasStopped = reader.hasStopped });
     }
     return beats;
 }
@@ -45,7 +55,7 @@
     std::size_t others = 0;
     std::size_t othersBelow = 0;
     for (const auto& [name, reader] : state.readers) {
-        if (name == self || !isFresh(state, reader, now))
+        if (name == self || !follows(state, reader, now))
             continue;
         ++others;
         othersBelow += name < self ? 1 : 0;
--- a/src/libdecision/storereaders.h
+++ b/src/libdecision/storereaders.h
@@ -8,10 +8,12 @@
 
 namespace kingcuptrail {
 
-/// A sign of life of a process that follows the store; the number grows while what it follows is current.
+/// A sign of life of a process that follows the store; the number grows while what it follows is current, and once more
+/// when it follows the store no longer.
 struct ReaderBeat {
     std::string name;
     std::uint64_t beat = 0;
+    bool hasStopped = false;
 
     bool operator==(const ReaderBeat&) const = default;
 };
@@ -36,6 +38,7 @@
     struct Known {
         std::uint64_t beat = 0;
         Millis grewAt = 0;
+        bool hasStopped = false;
     };
     StoreReaderOptions options;
     std::map<std::string, Known> readers;
@@ -52,6 +55,9 @@
 /// The signs of life to pass on.
 std::vector<ReaderBeat> freshBeats(const StoreReaders&, Millis now);
 
+/// Says that this process follows the store no longer. Others need not wait until its signs of life are missed.
+void stopBeating(StoreReaders&, const std::string& self, Millis now);
+
 /// Whether `self` should follow the store: while it does, unless enough others of lower name do; while it does not, when too
 /// few have been heard of for as long as its rank among the candidates says.
 bool shouldRead(StoreReaders&, const std::string& self, bool isReading, std::size_t rank, Millis now);
--- a/src/libplatform/kindwatcher.cpp
+++ b/src/libplatform/kindwatcher.cpp
@@ -13,6 +13,13 @@
     m_delay.start(0, [this] { list(); });
 }
 
+void KindWatcher::restart()
+{
+    m_client.cancelAll();
+    m_since.reset();
+    m_delay.start(0, [this] { list(); });
+}
+
 void KindWatcher::list()
 {
     const bool mayBeOld = m_pollInterval > 0 && m_since;
--- a/src/libplatform/kindwatcher.h
+++ b/src/libplatform/kindwatcher.h
@@ -24,6 +24,9 @@
     /// `pollInterval` in milliseconds; 0 means to watch.
     KindWatcher(asio::io_context& context, const PlatformOptions& options, std::string kind, Handlers handlers, Millis pollInterval = 0);
 
+    /// Drops what it waits for and lists anew: what was waited for before may never be answered.
+    void restart();
+
     /// Whether the last call succeeded; what was told is then as new as the store, or as one interval.
     bool isCurrent() const { return m_since && m_lastReason == PlatformError::None; }
 
--- a/src/libprotocol/peermessage.cpp
+++ b/src/libprotocol/peermessage.cpp
@@ -94,7 +94,7 @@
     const auto packedEntries = m_builder.CreateVector(entries);
     std::vector<flatbuffers::Offset<wire::StoreReader>> readers;
     for (const ReaderBeat& reader : message.readers)
-        readers.push_back(wire::CreateStoreReaderDirect(m_builder, reader.name.c_str(), reader.beat));
+        readers.push_back(wire::CreateStoreReaderDirect(m_builder, reader.name.c_str(), reader.beat, reader.hasStopped));
     const auto packedReaders = m_builder.CreateVector(readers);
     flatbuffers::Offset<wire::Outages> outages;
     if (message.outages)
@@ -171,7 +171,7 @@
     std::vector<ReaderBeat> readers;
     if (const auto* packed = message.table->readers()) {
         for (const wire::StoreReader* reader : *packed)
-            readers.push_back({ .name = textOf(reader->name()), .beat = reader->beat() });
+            readers.push_back({ .name = textOf(reader->name()), .beat = reader->beat(), .hasStopped = reader->stopped() });
     }
     return readers;
 }
--- a/tests/packets/teststorereaders.cpp
+++ b/tests/packets/teststorereaders.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST_SUITE(TestStoreReaders);
     CPPUNIT_TEST(fleetSettlesOnAFewReaders);
     CPPUNIT_TEST(lostReaderIsReplacedByOne);
+    CPPUNIT_TEST(readersThatStopAreReplacedAtOnce);
     CPPUNIT_TEST(restartedReaderIsHeardAgain);
     CPPUNIT_TEST_SUITE_END();
 
@@ -52,6 +53,30 @@
         std::vector<bool> isAlive;
     };
 
+    // The store turns all three processes that follow it away, and they notice. Told so, others follow it within a second;
+    // by missed signs of life alone it took three and a half, and a change that was accepted meanwhile was late everywhere.
+    void readersThatStopAreReplacedAtOnce()
+    {
+        Fleet fleet(20);
+        Millis now = 1000;
+        for (; now < 4000; now += 250)
+            fleet.round(now);
+        for (std::size_t reader = 0; reader < 3; ++reader) {
+            stopBeating(fleet.states[reader], nameOfProcess(reader), now);
+            fleet.isReading[reader] = false;
+        }
+        const Millis stoppedAt = now;
+        const auto isFollowed = [&fleet] { return std::any_of(fleet.isReading.begin() + 3, fleet.isReading.end(), [](bool isReading) { return isReading; }); };
+        for (; now <= stoppedAt + 1000 && !isFollowed(); now += 250) {
+            fleet.round(now);
+            // The store still turns them away.
+            for (std::size_t reader = 0; reader < 3; ++reader)
+                fleet.isReading[reader] = false;
+        }
+        CPPUNIT_ASSERT(isFollowed());
+        CPPUNIT_ASSERT(now - stoppedAt <= 1000);
+    }
+
     void fleetSettlesOnAFewReaders()
     {
         Fleet fleet(20);
