--- a/tests/trustplatform/teststorefollower.cpp
+++ b/tests/trustplatform/teststorefollower.cpp
@@ -16,6 +16,7 @@
             : network(context, settings, clock)
         {
             CPPUNIT_ASSERT(network.start({ .onFlowMessage = [](const PeerMessage&, std::uint32_t) {}, .onOutages = [](const std::vector<std::string>&) {} }));
+            options.client = "front-1";
             options.watchWait = 30000;
             options.callTimeout = 2000;
             follower = std::make_unique<StoreFollower>(context, options, trustAdapter(), network);
@@ -28,13 +29,16 @@
         std::unique_ptr<StoreFollower> follower;
     };
 
+    /// Leaves the reader's calls without an answer, those that wait already too.
+    void turnAway() { m_server->setFaults({ .down = true, .hang = true, .downFor = "front-1" }); }
+
     // The store turns the hosts of all processes that follow it away, without a word: connections stay, calls are not
     // answered. A configuration was accepted meanwhile, and nobody in the deployment heard of it for nine seconds, since
     // those who wait for changes cannot tell silence from quiet and went on telling that they follow the store.
     void silenceOfTheStoreIsNoticed()
     {
         Reader reader(m_context, m_options);
-        m_server->setFaults({ .hang = true });
+        turnAway();
         const Millis silentAt = reader.clock.now();
         runUntil(m_context, [&reader] { return !reader.follower->isCurrent(); });
         // Leaves a second of the three within which a change has to be in force for others to take over.
@@ -45,7 +49,7 @@
     void changeDuringTheSilenceIsTakenAfterIt()
     {
         Reader reader(m_context, m_options);
-        m_server->setFaults({ .hang = true });
+        turnAway();
         runUntil(m_context, [&reader] { return !reader.follower->isCurrent(); });
         m_server->store().put("config", "main", R"({"version":7,"routes":[],"services":[]})", 0);
         m_server->setFaults({});
