--- a/src/kingcuptraild/packets/flowholders.h
+++ b/src/kingcuptraild/packets/flowholders.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "libdecision/holdersearch.h"
 #include "libdecision/opengate.h"
+#include "libdecision/probeplan.h"
 
 #include <string>
 #include <unordered_map>
@@ -37,6 +37,8 @@
 struct Speaker {
     std::uint32_t address = 0;
     std::string dataCentre;
+    /// It has a packet of the flow and probes with it.
+    bool isProbing = false;
 };
 
 /// A search and the packets that wait for its end.
@@ -45,11 +47,10 @@
     std::vector<PacketBytes> packets;
     /// Asked and not heard of yet.
     std::vector<Speaker> speakers;
-    /// Agents that are unsure and got the packets; those that are to get them when the near ones have said no; and those
-    /// of other services, when everybody else has.
-    std::vector<std::uint32_t> probed;
-    std::vector<std::uint32_t> probeLater;
-    std::vector<std::uint32_t> probeLast;
+    /// Everybody who was asked.
+    AgentsByCentre asked;
+    /// The unsure ones; they get the first packet.
+    ProbePlan plan;
     /// What the caller last acknowledged, for a reset.
     std::uint32_t acknowledged = 0;
 };
--- a/src/kingcuptraild/packets/holderfinder.cpp
+++ b/src/kingcuptraild/packets/holderfinder.cpp
@@ -3,7 +3,6 @@
 #include "libruntime/events.h"
 
 #include <algorithm>
-#include <map>
 
 namespace kingcuptrail {
 
@@ -15,10 +14,7 @@
     /// several rounds of news. It costs nothing but memory; a caller whose search had ended would be told with its next
     /// packet only, up to 1.6 s later. No difference in callers served was measured.
     constexpr Millis confirmationLimit = 1000;
-    /// In a data centre with so many agents one is asked for all of them: fewer messages from three on, and worth the second
-    /// round trip, which stays within the data centre.
-    constexpr std::size_t fewestForOne = 4;
-    /// How long that one agent may take, in milliseconds: several round trips.
+    /// How long the one agent that is asked for its data centre may take, in milliseconds: several round trips.
     constexpr Millis speakerLimit = 30;
     /// Packets of one flow that wait for a search: what a caller has in flight.
     constexpr std::size_t waitingPackets = 16;
@@ -47,13 +43,12 @@
     if (waiting.packets.size() < waitingPackets)
         waiting.packets.push_back(copyOf(packet));
     m_state.fates.increment(PacketFate::Waiting);
-    if (!isNew) {
-        for (const std::uint32_t agent : waiting.probed)
-            m_state.network.send(agent, { .kind = wire::PeerKind::Probe, .flow = flow, .configVersion = m_state.network.routes().version, .packet = packet });
+    if (!isNew)
         return;
-    }
     std::vector<std::uint32_t> agents = holdersToAsk(serviceForFlow(m_state.network.routes(), flow));
+    addNeighbours(agents);
     waiting.search = beginSearch(agents, m_state.role.clock.now());
+    waiting.plan.ownDataCentre = m_state.role.settings.dataCentre;
     ask(flow, waiting, agents);
 }
 
@@ -69,27 +64,48 @@
     return agents;
 }
 
+// Whoever is asked for its data centre speaks for the agents of all services there.
+void HolderFinder::addNeighbours(std::vector<std::uint32_t>& agents) const
+{
+    const AgentsByCentre chosen = byDataCentre(agents);
+    const AgentsByCentre everybody = byDataCentre(holdersToAsk(nullptr));
+    for (const auto& [dataCentre, members] : chosen) {
+        if (members.size() < ProbePlanOptions {}.fewestForOne)
+            continue;
+        const auto isNew = [&](std::uint32_t agent) { return std::ranges::find(members, agent) == members.end(); };
+        std::ranges::copy_if(everybody.at(dataCentre), std::back_inserter(agents), isNew);
+    }
+}
+
 // Asks the awaited agents: in a data centre with several of them one agent, who asks the others, and elsewhere each.
 void HolderFinder::ask(const FlowKey& flow, WaitingSearch& waiting, std::span<const std::uint32_t> agents)
 {
-    const FlowMessage question { .kind = wire::PeerKind::Find, .flow = flow, .configVersion = m_state.network.routes().version, .acknowledged = waiting.acknowledged };
-    std::map<std::string, std::vector<std::uint32_t>> byDataCentre;
+    for (auto& [dataCentre, members] : byDataCentre(agents)) {
+        if (members.size() < waiting.plan.options.fewestForOne)
+            askDirectly(flow, waiting, members);
+        else
+            askSpeaker(flow, waiting, dataCentre, members, {});
+        std::vector<std::uint32_t>& asked = waiting.asked[dataCentre];
+        asked.insert(asked.end(), members.begin(), members.end());
+    }
+}
+
+AgentsByCentre HolderFinder::byDataCentre(std::span<const std::uint32_t> agents) const
+{
+    AgentsByCentre members;
     for (const auto& [name, entry] : m_state.network.directory().entries) {
         if (std::ranges::find(agents, entry.address) != agents.end())
-            byDataCentre[entry.dataCentre].push_back(entry.address);
-    }
-    for (const auto& [dataCentre, members] : byDataCentre) {
-        if (members.size() < fewestForOne) {
-            m_state.network.sendToAll(members, question);
-            continue;
-        }
-        FlowMessage near = question;
-        near.kind = wire::PeerKind::FindNear;
-        near.digest = m_state.network.digest();
-        const std::uint32_t speaker = speakerOf(flow, members);
-        m_state.network.send(speaker, near);
-        waiting.speakers.push_back({ .address = speaker, .dataCentre = dataCentre });
+            members[entry.dataCentre].push_back(entry.address);
     }
+    return members;
+}
+
+// With a packet, the agent that is asked probes its neighbours with it.
+void HolderFinder::askSpeaker(const FlowKey& flow, WaitingSearch& waiting, const std::string& dataCentre, std::span<const std::uint32_t> members, std::span<const std::uint8_t> packet)
+{
+    const std::uint32_t speaker = speakerOf(flow, members);
+    m_state.network.send(speaker, { .kind = wire::PeerKind::FindNear, .flow = flow, .configVersion = m_state.network.routes().version, .acknowledged = waiting.acknowledged, .digest = m_state.network.digest(), .packet = packet });
+    waiting.speakers.push_back({ .address = speaker, .dataCentre = dataCentre, .isProbing = !packet.empty() });
 }
 
 // Any of them will do; the flow's hash spreads searches over all, and one that does not answer is passed over.
@@ -119,84 +135,47 @@
     const auto speaker = std::ranges::find(waiting.speakers, sender, &Speaker::address);
     if (speaker == waiting.speakers.end())
         return;
-    const std::vector<std::uint32_t> members = awaitedIn(waiting.search, speaker->dataCentre);
+    const bool wasProbing = speaker->isProbing;
+    const std::vector<std::uint32_t> members = membersIn(waiting.asked, speaker->dataCentre, wasProbing ? waiting.search.unsure : waiting.search.awaited);
     waiting.speakers.erase(speaker);
     if (message.kind == wire::PeerKind::UnsureNear) {
-        takeUnsure(message.flow, waiting, members);
+        if (!wasProbing)
+            takeUnsure(message.flow, waiting, members);
         return;
     }
     SearchState state = SearchState::Asking;
     for (const std::uint32_t member : members)
         state = takeAnswer(waiting.search, member, HolderAnswer::NotHeld);
     if (state == SearchState::Asking)
-        probeNext(message.flow, waiting);
+        probe(message.flow, waiting, false);
     settleSearch(message.flow, state);
 }
 
-// Agents that were restarted beside living upstreams know no flows; only the packet itself tells, delivered and handed back
-// or not. A copy to each of them would be some sixty of each packet just when every flow has to be found anew. Those of the
-// own data centre go first, where most flows are; those of other services last, since a flow is there only if its route
-// has moved, and yet their no is needed before a flow is lost for certain.
+// The packet goes once to each large data centre, where one agent brings it to the others.
 void HolderFinder::takeUnsure(const FlowKey& flow, WaitingSearch& waiting, std::span<const std::uint32_t> agents)
 {
     const std::string* service = serviceForFlow(m_state.network.routes(), flow);
-    std::vector<std::uint32_t> near;
     for (const std::uint32_t agent : agents) {
         const PeerEntry* entry = findByAddress(m_state.network.directory(), agent);
         if (!entry)
             continue;
         takeAnswer(waiting.search, agent, HolderAnswer::Unsure);
-        if (!service || entry->service != *service)
-            waiting.probeLast.push_back(agent);
-        else if (entry->dataCentre == m_state.role.settings.dataCentre)
-            near.push_back(agent);
-        else
-            waiting.probeLater.push_back(agent);
-    }
-    probe(flow, waiting, near);
-    probeNext(flow, waiting);
-}
-
-void HolderFinder::probe(const FlowKey& flow, WaitingSearch& waiting, std::span<const std::uint32_t> agents)
-{
-    for (const PacketBytes& packet : waiting.packets)
-        m_state.network.sendToAll(agents, { .kind = wire::PeerKind::Probe, .flow = flow, .configVersion = m_state.network.routes().version, .packet = packet });
-    waiting.probed.insert(waiting.probed.end(), agents.begin(), agents.end());
-    m_state.fates.increment(PacketFate::Probed, waiting.packets.size() * agents.size());
-}
-
-// Goes on to the next agents when those that have the packets have all said no.
-void HolderFinder::probeNext(const FlowKey& flow, WaitingSearch& waiting)
-{
-    if (mayProbedHold(waiting, true))
-        return;
-    if (!waiting.probeLater.empty()) {
-        probe(flow, waiting, std::exchange(waiting.probeLater, {}));
-        return;
+        addUnsure(waiting.plan, { .address = agent, .dataCentre = entry->dataCentre, .isOfService = service && entry->service == *service });
     }
-    if (!waiting.probeLast.empty() && waiting.search.awaited.empty() && !mayProbedHold(waiting, false))
-        probe(flow, waiting, std::exchange(waiting.probeLast, {}));
+    probe(flow, waiting, false);
 }
 
-bool HolderFinder::mayProbedHold(const WaitingSearch& waiting, bool nearOnly) const
+// One packet tells; the others wait for the answer.
+void HolderFinder::probe(const FlowKey& flow, WaitingSearch& waiting, bool isNearOverdue)
 {
-    const auto isNear = [this](std::uint32_t agent) {
-        const PeerEntry* entry = findByAddress(m_state.network.directory(), agent);
-        return entry && entry->dataCentre == m_state.role.settings.dataCentre;
-    };
-    return std::ranges::any_of(waiting.probed, [&](std::uint32_t agent) {
-        return (!nearOnly || isNear(agent)) && std::ranges::find(waiting.search.unsure, agent) != waiting.search.unsure.end();
-    });
-}
-
-std::vector<std::uint32_t> HolderFinder::awaitedIn(const HolderSearch& search, const std::string& dataCentre) const
-{
-    std::vector<std::uint32_t> members;
-    for (const auto& [name, entry] : m_state.network.directory().entries) {
-        if (entry.dataCentre == dataCentre && std::ranges::find(search.awaited, entry.address) != search.awaited.end())
-            members.push_back(entry.address);
+    const PacketBytes& packet = waiting.packets.front();
+    for (const ProbeGroup& group : takeProbes(waiting.plan, waiting.search, waiting.asked, isNearOverdue)) {
+        if (group.isThroughOne)
+            askSpeaker(flow, waiting, group.dataCentre, group.members, packet);
+        else
+            m_state.network.sendToAll(group.members, { .kind = wire::PeerKind::Probe, .flow = flow, .configVersion = m_state.network.routes().version, .packet = packet });
+        m_state.fates.increment(PacketFate::Probed, group.isThroughOne ? 1 : group.members.size());
     }
-    return members;
 }
 
 void HolderFinder::askDirectly(const FlowKey& flow, const WaitingSearch& waiting, std::span<const std::uint32_t> agents)
@@ -208,12 +187,13 @@
 void HolderFinder::askSilentDirectly(Millis now)
 {
     for (auto& [flow, waiting] : m_searches) {
-        if (!waiting.probeLater.empty() && now - waiting.search.startedAt >= speakerLimit)
-            probe(flow, waiting, std::exchange(waiting.probeLater, {}));
+        if (!waiting.plan.waiting.empty() && now - waiting.search.startedAt >= speakerLimit)
+            probe(flow, waiting, true);
         if (waiting.speakers.empty() || now - waiting.search.startedAt < speakerLimit)
             continue;
-        waiting.speakers.clear();
-        askDirectly(flow, waiting, waiting.search.awaited);
+        std::erase_if(waiting.speakers, [](const Speaker& speaker) { return !speaker.isProbing; });
+        if (!waiting.search.awaited.empty())
+            askDirectly(flow, waiting, waiting.search.awaited);
     }
 }
 
@@ -227,10 +207,9 @@
         const Millis now = m_state.role.clock.now();
         m_state.holders[flow] = { .agent = waiting.search.holder, .usedAt = now };
         logFlowEvent(Event::HolderFound, flow, { { "agent", addressText(waiting.search.holder) }, { "milliseconds", static_cast<std::uint64_t>(now - waiting.search.startedAt) } });
-        // A holder that was unsure has the packets already.
-        const bool hasPackets = std::ranges::find(waiting.probed, waiting.search.holder) != waiting.probed.end();
-        for (const PacketBytes& packet : hasPackets ? std::vector<PacketBytes> {} : waiting.packets)
-            m_state.network.send(waiting.search.holder, { .kind = wire::PeerKind::Forward, .flow = flow, .configVersion = m_state.network.routes().version, .packet = packet });
+        // A holder that was unsure has the first packet already.
+        for (std::size_t next = wasProbed(waiting.plan, waiting.search.holder) ? 1 : 0; next < waiting.packets.size(); ++next)
+            m_state.network.send(waiting.search.holder, { .kind = wire::PeerKind::Forward, .flow = flow, .configVersion = m_state.network.routes().version, .packet = waiting.packets[next] });
         m_searchEnds.increment(state);
         m_searches.erase(found);
         return;
@@ -304,7 +283,7 @@
         if (answer == HolderAnswer::Unsure)
             takeUnsure(message.flow, found->second, one);
         else
-            probeNext(message.flow, found->second);
+            probe(message.flow, found->second, false);
     }
     settleSearch(message.flow, state);
 }
--- a/src/kingcuptraild/packets/holderfinder.h
+++ b/src/kingcuptraild/packets/holderfinder.h
@@ -21,17 +21,17 @@
 
 private:
     std::vector<std::uint32_t> holdersToAsk(const std::string* service) const;
+    void addNeighbours(std::vector<std::uint32_t>& agents) const;
     void ask(const FlowKey& flow, WaitingSearch& waiting, std::span<const std::uint32_t> agents);
+    void askSpeaker(const FlowKey& flow, WaitingSearch& waiting, const std::string& dataCentre, std::span<const std::uint32_t> members, std::span<const std::uint8_t> packet);
+    AgentsByCentre byDataCentre(std::span<const std::uint32_t> agents) const;
     void askDirectly(const FlowKey& flow, const WaitingSearch& waiting, std::span<const std::uint32_t> agents);
     void askSilentDirectly(Millis now);
     void settleConfirmed();
     static bool isOver(const HolderSearch& search, Millis now);
     std::uint32_t speakerOf(const FlowKey& flow, std::span<const std::uint32_t> members) const;
-    std::vector<std::uint32_t> awaitedIn(const HolderSearch& search, const std::string& dataCentre) const;
     void takeUnsure(const FlowKey& flow, WaitingSearch& waiting, std::span<const std::uint32_t> agents);
-    void probe(const FlowKey& flow, WaitingSearch& waiting, std::span<const std::uint32_t> agents);
-    void probeNext(const FlowKey& flow, WaitingSearch& waiting);
-    bool mayProbedHold(const WaitingSearch& waiting, bool nearOnly) const;
+    void probe(const FlowKey& flow, WaitingSearch& waiting, bool isNearOverdue);
     void settleSearch(const FlowKey& flow, SearchState state);
     bool canBeCertain() const;
     void endUncertain(const FlowKey& flow, const HolderSearch& search, Millis now);
--- a/src/kingcuptraild/packets/neighboursearches.cpp
+++ b/src/kingcuptraild/packets/neighboursearches.cpp
@@ -17,6 +17,10 @@
 // A balancer that does not know a flow asks one agent in each data centre instead of all agents, so that a search costs it
 // some messages however many agents there are. This one asks its neighbours. Only when both know the same processes does
 // its no speak for all of them.
+// Load: all agents have just been restarted beside living upstreams, and every flow has to be found anew. None of them
+// knows a flow then; only the caller's packet tells, delivered and handed back or not. Harm: sent to each agent by the
+// balancer, the copies are some sixty times the caller's bytes, on the narrowest links of the deployment. So the balancer
+// sends the packet once, and it is copied here.
 void NeighbourSearches::begin(const PeerMessage& message, std::uint32_t sender)
 {
     const Millis now = m_state.role.clock.now();
@@ -25,37 +29,48 @@
         reply(m_state, sender, { .kind = wire::PeerKind::HeldNear, .flow = message.flow, .holder = m_state.self.address });
         return;
     }
-    const bool canSpeakForAll = own == HolderAnswer::NotHeld && message.digest == m_state.network.digest() && !m_searches.contains(message.flow);
-    if (!canSpeakForAll) {
+    if (m_searches.contains(message.flow)) {
         reply(m_state, sender, { .kind = wire::PeerKind::UnsureNear, .flow = message.flow });
         return;
     }
-    std::vector<std::uint32_t> neighbours;
+    const bool isProbe = !message.packet.empty();
+    std::vector<std::uint32_t> toAsk = neighbours();
+    // This agent's own upstream has to see the packet too.
+    if (isProbe && own == HolderAnswer::Unsure)
+        toAsk.push_back(m_state.network.ownAddress());
+    const bool speaksForAll = message.digest == m_state.network.digest() && (isProbe || own == HolderAnswer::NotHeld);
+    if (toAsk.empty()) {
+        reply(m_state, sender, { .kind = speaksForAll ? wire::PeerKind::NotHeldNear : wire::PeerKind::UnsureNear, .flow = message.flow });
+        return;
+    }
+    m_state.network.sendToAll(toAsk, { .kind = isProbe ? wire::PeerKind::Probe : wire::PeerKind::Find, .flow = message.flow, .configVersion = m_state.network.routes().version, .acknowledged = message.acknowledged, .packet = message.packet });
+    m_searches[message.flow] = { .balancer = sender, .speaksForAll = speaksForAll, .search = beginSearch(std::move(toAsk), now) };
+}
+
+std::vector<std::uint32_t> NeighbourSearches::neighbours() const
+{
+    std::vector<std::uint32_t> addresses;
     for (const auto& [name, entry] : m_state.network.directory().entries) {
         const bool isNeighbour = entry.role == PeerRole::Agent && entry.state != PeerState::Gone && entry.dataCentre == m_state.role.settings.dataCentre;
-        if (isNeighbour && entry.address != m_state.self.address)
-            neighbours.push_back(entry.address);
-    }
-    if (neighbours.empty()) {
-        reply(m_state, sender, { .kind = wire::PeerKind::NotHeldNear, .flow = message.flow });
-        return;
+        if (isNeighbour && entry.address != m_state.network.ownAddress())
+            addresses.push_back(entry.address);
     }
-    m_state.network.sendToAll(neighbours, { .kind = wire::PeerKind::Find, .flow = message.flow, .configVersion = m_state.network.routes().version, .acknowledged = message.acknowledged });
-    m_searches[message.flow] = { .balancer = sender, .search = beginSearch(std::move(neighbours), now) };
+    return addresses;
 }
 
+// One that is unsure does not end the search: another may hold the flow.
 void NeighbourSearches::handleAnswer(const PeerMessage& message, std::uint32_t sender)
 {
     const auto found = m_searches.find(message.flow);
     if (found == m_searches.end())
         return;
-    const HolderAnswer answer = holderAnswerOf(message.kind);
-    const SearchState state = takeAnswer(found->second.search, sender, answer);
+    const NearSearch& near = found->second;
+    const SearchState state = takeAnswer(found->second.search, sender, holderAnswerOf(message.kind));
     if (state == SearchState::Found)
         finish(message.flow, wire::PeerKind::HeldNear, sender);
     else if (state == SearchState::HeldByNobody)
-        finish(message.flow, wire::PeerKind::NotHeldNear);
-    else if (answer == HolderAnswer::Unsure)
+        finish(message.flow, near.speaksForAll ? wire::PeerKind::NotHeldNear : wire::PeerKind::UnsureNear);
+    else if (near.search.awaited.empty())
         finish(message.flow, wire::PeerKind::UnsureNear);
 }
 
@@ -66,10 +81,16 @@
     m_searches.erase(found);
 }
 
-// A neighbour that stays silent makes the answer unsure; the balancer then asks each agent itself.
+// A neighbour that stays silent leaves the answer open; the balancer then asks each agent itself.
 void NeighbourSearches::expire(Millis now)
 {
-    std::erase_if(m_searches, [now](const auto& item) { return now - item.second.search.startedAt > nearSearchLimit; });
+    std::vector<FlowKey> overdue;
+    for (const auto& [flow, near] : m_searches) {
+        if (now - near.search.startedAt > nearSearchLimit)
+            overdue.push_back(flow);
+    }
+    for (const FlowKey& flow : overdue)
+        finish(flow, wire::PeerKind::UnsureNear);
 }
 
 }
--- a/src/kingcuptraild/packets/neighboursearches.h
+++ b/src/kingcuptraild/packets/neighboursearches.h
@@ -10,7 +10,7 @@
 public:
     explicit NeighbourSearches(AgentState& state);
 
-    /// A balancer asks for the whole data centre.
+    /// A balancer asks for the whole data centre; with a packet of the flow, when agents are unsure.
     void begin(const PeerMessage& message, std::uint32_t sender);
     /// A neighbour's answer.
     void handleAnswer(const PeerMessage& message, std::uint32_t sender);
@@ -19,9 +19,12 @@
 private:
     struct NearSearch {
         std::uint32_t balancer = 0;
+        /// Both know the same processes, and this agent holds nothing that it does not know of.
+        bool speaksForAll = false;
         HolderSearch search;
     };
 
+    std::vector<std::uint32_t> neighbours() const;
     void finish(const FlowKey& flow, wire::PeerKind answer, std::uint32_t holder = 0);
 
     AgentState& m_state;
--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -102,13 +102,17 @@
         handleFind(message, sender);
         return;
     }
+    // Who probes may be a neighbour, who needs no news of load.
+    if (message.kind == wire::PeerKind::Probe) {
+        handleForward(message, sender);
+        return;
+    }
     m_heardFrom[sender] = m_state.role.clock.now();
     switch (message.kind) {
     case wire::PeerKind::Open:
         m_admission.open(message, sender);
         break;
     case wire::PeerKind::Forward:
-    case wire::PeerKind::Probe:
         handleForward(message, sender);
         break;
     case wire::PeerKind::FindNear:
--- a/src/kingcuptraild/packets/peernetwork.h
+++ b/src/kingcuptraild/packets/peernetwork.h
@@ -62,6 +62,7 @@
     /// Announces this process. Its epoch is set here, above every announcement under its name.
     const PeerEntry& announce(PeerEntry self);
     const PeerEntry& self() const { return m_self; }
+    std::uint32_t ownAddress() const { return m_ownAddress; }
 
     /// Who follows the store, as far as news tells; and whether this process is one of them.
     StoreReaders& readers() { return m_readers; }
--- /dev/null
+++ b/src/libdecision/probeplan.cpp
@@ -0,0 +1,96 @@
+#include "probeplan.h"
+
+#include <algorithm>
+
+namespace kingcuptrail {
+
+namespace {
+
+    bool contains(std::span<const std::uint32_t> agents, std::uint32_t agent)
+    {
+        return std::ranges::find(agents, agent) != agents.end();
+    }
+
+    /// Whether one of the agents has yet to say no.
+    bool mayHold(const HolderSearch& search, std::span<const std::uint32_t> agents)
+    {
+        return std::ranges::any_of(agents, [&](std::uint32_t agent) { return contains(search.awaited, agent) || contains(search.unsure, agent); });
+    }
+
+    bool mayNearHold(const ProbePlan& plan, const HolderSearch& search, const AgentsByCentre& asked)
+    {
+        const auto near = asked.find(plan.ownDataCentre);
+        return near != asked.end() && mayHold(search, near->second);
+    }
+
+    bool mayServiceHold(const ProbePlan& plan, const HolderSearch& search)
+    {
+        const auto isOpen = [&](const UnsureAgent& agent) { return agent.isOfService && contains(search.unsure, agent.address); };
+        return !search.awaited.empty() || std::ranges::any_of(plan.waiting, isOpen) || std::ranges::any_of(plan.probed, isOpen);
+    }
+
+    bool isCentreProbed(const ProbePlan& plan, std::string_view dataCentre)
+    {
+        return std::ranges::find(plan.probed, dataCentre, &UnsureAgent::dataCentre) != plan.probed.end();
+    }
+
+    ProbeGroup groupFor(const ProbePlan& plan, const AgentsByCentre& asked, const std::string& dataCentre, std::vector<std::uint32_t> due)
+    {
+        const auto all = asked.find(dataCentre);
+        const bool isLarge = all != asked.end() && all->second.size() >= plan.options.fewestForOne;
+        if (!isLarge)
+            return { .dataCentre = dataCentre, .members = std::move(due) };
+        // Whoever has the packet brings it to everybody there, also to those that turn out to be unsure later.
+        if (isCentreProbed(plan, dataCentre))
+            return {};
+        return { .dataCentre = dataCentre, .members = all->second, .isThroughOne = true };
+    }
+
+}
+
+void addUnsure(ProbePlan& plan, UnsureAgent agent)
+{
+    plan.waiting.push_back(std::move(agent));
+}
+
+std::vector<ProbeGroup> takeProbes(ProbePlan& plan, const HolderSearch& search, const AgentsByCentre& asked, bool isNearOverdue)
+{
+    const bool isFarDue = isNearOverdue || !mayNearHold(plan, search, asked);
+    const bool areOthersDue = !mayServiceHold(plan, search);
+    const auto isDue = [&](const UnsureAgent& agent) {
+        if (!agent.isOfService)
+            return areOthersDue;
+        return agent.dataCentre == plan.ownDataCentre || isFarDue;
+    };
+    const auto firstDue = std::stable_partition(plan.waiting.begin(), plan.waiting.end(), [&](const UnsureAgent& agent) { return !isDue(agent); });
+    std::vector<UnsureAgent> due(std::make_move_iterator(firstDue), std::make_move_iterator(plan.waiting.end()));
+    plan.waiting.erase(firstDue, plan.waiting.end());
+    AgentsByCentre dueByCentre;
+    for (const UnsureAgent& agent : due)
+        dueByCentre[agent.dataCentre].push_back(agent.address);
+    std::vector<ProbeGroup> groups;
+    for (auto& [dataCentre, members] : dueByCentre) {
+        ProbeGroup group = groupFor(plan, asked, dataCentre, std::move(members));
+        if (!group.members.empty())
+            groups.push_back(std::move(group));
+    }
+    plan.probed.insert(plan.probed.end(), std::make_move_iterator(due.begin()), std::make_move_iterator(due.end()));
+    return groups;
+}
+
+bool wasProbed(const ProbePlan& plan, std::uint32_t agent)
+{
+    return std::ranges::find(plan.probed, agent, &UnsureAgent::address) != plan.probed.end();
+}
+
+std::vector<std::uint32_t> membersIn(const AgentsByCentre& asked, std::string_view dataCentre, std::span<const std::uint32_t> agents)
+{
+    std::vector<std::uint32_t> members;
+    const auto centre = asked.find(dataCentre);
+    if (centre == asked.end())
+        return members;
+    std::ranges::copy_if(centre->second, std::back_inserter(members), [&](std::uint32_t agent) { return contains(agents, agent); });
+    return members;
+}
+
+}
--- /dev/null
+++ b/tests/packets/testprobeplan.cpp
@@ -0,0 +1,169 @@
+#include "libdecision/probeplan.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace kingcuptrail;
+
+namespace {
+
+/// A search in `centres` data centres with `agents` agents each, all of them asked and unsure.
+struct UnsureFleet {
+    HolderSearch search;
+    AgentsByCentre asked;
+    ProbePlan plan { .ownDataCentre = "dc0" };
+
+    UnsureFleet(std::uint32_t centres, std::uint32_t agents)
+    {
+        std::vector<std::uint32_t> all;
+        for (std::uint32_t centre = 0; centre < centres; ++centre) {
+            for (std::uint32_t agent = 0; agent < agents; ++agent) {
+                all.push_back(centre * 10000 + agent + 1);
+                asked[nameOf(centre)].push_back(all.back());
+            }
+        }
+        search = beginSearch(all, 1000);
+    }
+
+    static std::string nameOf(std::uint32_t centre) { return "dc" + std::to_string(centre); }
+
+    void becomeUnsure(const std::string& dataCentre, bool isOfService = true)
+    {
+        for (const std::uint32_t agent : asked[dataCentre])
+            becomeUnsure(agent, dataCentre, isOfService);
+    }
+
+    void becomeUnsure(std::uint32_t agent, const std::string& dataCentre, bool isOfService = true)
+    {
+        takeAnswer(search, agent, HolderAnswer::Unsure);
+        addUnsure(plan, { .address = agent, .dataCentre = dataCentre, .isOfService = isOfService });
+    }
+
+    void sayNo(const std::string& dataCentre)
+    {
+        for (const std::uint32_t agent : asked[dataCentre])
+            takeAnswer(search, agent, HolderAnswer::NotHeld);
+    }
+
+    std::vector<ProbeGroup> probe(bool isNearOverdue = false) { return takeProbes(plan, search, asked, isNearOverdue); }
+};
+
+/// Packets that the balancer itself sends for these probes.
+std::size_t copiesOf(const std::vector<ProbeGroup>& groups)
+{
+    std::size_t copies = 0;
+    for (const ProbeGroup& group : groups)
+        copies += group.isThroughOne ? 1 : group.members.size();
+    return copies;
+}
+
+}
+
+class TestProbePlan : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(TestProbePlan);
+    CPPUNIT_TEST(copiesGrowWithDataCentresOnly);
+    CPPUNIT_TEST(nearAgentsComeFirst);
+    CPPUNIT_TEST(farAgentsDoNotOvertakeNearOnes);
+    CPPUNIT_TEST(silentNeighbourhoodDoesNotHoldUpTheRest);
+    CPPUNIT_TEST(otherServicesComeLast);
+    CPPUNIT_TEST(agentsUnsureOneByOneGetOnePacket);
+    CPPUNIT_TEST(fewAgentsAreProbedDirectly);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Every process is killed at once and the upstreams live on. Each caller's next packet has to find its flow among agents
+    // that know none. Copied to each agent, it was sixty times the caller's bytes on a balancer's link of 10 Mbit/s, and
+    // openings that agents had room for did not get through. However many agents there are, a search costs the balancer one
+    // copy for each data centre: three times the caller's bytes in three.
+    void copiesGrowWithDataCentresOnly()
+    {
+        for (const std::uint32_t agents : { 4U, 20U, 500U, 1500U }) {
+            UnsureFleet fleet(3, agents);
+            std::size_t copies = 0;
+            for (std::uint32_t centre = 0; centre < 3; ++centre) {
+                fleet.becomeUnsure(UnsureFleet::nameOf(centre));
+                copies += copiesOf(fleet.probe(true));
+            }
+            CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, copies);
+            CPPUNIT_ASSERT_EQUAL(std::size_t { 3 } * agents, fleet.plan.probed.size());
+        }
+    }
+
+    // Most flows are held in the data centre of their caller's balancer: while agents there may hold the flow, nobody else
+    // gets a packet, so that a usual search costs one copy.
+    void nearAgentsComeFirst()
+    {
+        UnsureFleet fleet(3, 20);
+        for (std::uint32_t centre = 0; centre < 3; ++centre)
+            fleet.becomeUnsure(UnsureFleet::nameOf(centre));
+        const std::vector<ProbeGroup> first = fleet.probe();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, first.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("dc0"), first.front().dataCentre);
+        CPPUNIT_ASSERT(first.front().isThroughOne);
+        CPPUNIT_ASSERT(fleet.probe().empty());
+        fleet.sayNo("dc0");
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, copiesOf(fleet.probe()));
+        CPPUNIT_ASSERT(fleet.probe().empty());
+    }
+
+    // The word of a far data centre arrives before that of the own one, whose agents are busier at that moment.
+    void farAgentsDoNotOvertakeNearOnes()
+    {
+        UnsureFleet fleet(2, 8);
+        fleet.becomeUnsure("dc1");
+        CPPUNIT_ASSERT(fleet.probe().empty());
+        fleet.becomeUnsure("dc0");
+        CPPUNIT_ASSERT_EQUAL(std::string("dc0"), fleet.probe().front().dataCentre);
+    }
+
+    // The one agent that has the packet is stopped, or so loaded that its answer is late: the flow may be elsewhere, and its
+    // caller waits.
+    void silentNeighbourhoodDoesNotHoldUpTheRest()
+    {
+        UnsureFleet fleet(2, 8);
+        fleet.becomeUnsure("dc0");
+        fleet.becomeUnsure("dc1");
+        fleet.probe();
+        const std::vector<ProbeGroup> overdue = fleet.probe(true);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, overdue.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("dc1"), overdue.front().dataCentre);
+    }
+
+    // A flow is at another service's upstream only if its route has moved since it was opened; but without their no it is not
+    // lost for certain.
+    void otherServicesComeLast()
+    {
+        UnsureFleet fleet(2, 2);
+        fleet.becomeUnsure("dc0");
+        fleet.becomeUnsure("dc1", false);
+        CPPUNIT_ASSERT_EQUAL(std::string("dc0"), fleet.probe(true).front().dataCentre);
+        CPPUNIT_ASSERT(fleet.probe(true).empty());
+        fleet.sayNo("dc0");
+        CPPUNIT_ASSERT_EQUAL(std::string("dc1"), fleet.probe().front().dataCentre);
+    }
+
+    // An agent does not answer for its data centre in time and each of the twenty is asked by itself; they say one after the
+    // other that they are unsure. That is no reason to copy the packet twenty times.
+    void agentsUnsureOneByOneGetOnePacket()
+    {
+        UnsureFleet fleet(1, 20);
+        std::size_t copies = 0;
+        for (const std::uint32_t agent : fleet.asked["dc0"]) {
+            fleet.becomeUnsure(agent, "dc0");
+            copies += copiesOf(fleet.probe(true));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, copies);
+        CPPUNIT_ASSERT(wasProbed(fleet.plan, fleet.asked["dc0"].back()));
+    }
+
+    // With three agents in a data centre a copy to each is as cheap as the detour.
+    void fewAgentsAreProbedDirectly()
+    {
+        UnsureFleet fleet(1, 3);
+        fleet.becomeUnsure("dc0");
+        const std::vector<ProbeGroup> groups = fleet.probe();
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, groups.size());
+        CPPUNIT_ASSERT(!groups.front().isThroughOne);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, groups.front().members.size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestProbePlan);
