--- a/tests/trustplatform/testpacketagent.cpp
+++ b/tests/trustplatform/testpacketagent.cpp
@@ -3,6 +3,7 @@
 #include "platform/platformfixture.h"
 #include "platform/trustadapter.h"
 
+#include <algorithm>
 #include <asio/ip/udp.hpp>
 
 using namespace kingcuptrail;
@@ -13,6 +14,8 @@
     CPPUNIT_TEST(endsWithoutItsAddresses);
     CPPUNIT_TEST(leaverStaysGoneWhileTheStoreIsAway);
     CPPUNIT_TEST(probeOfAKnownFlowIsAnswered);
+    CPPUNIT_TEST(agentBringsAPacketToItsNeighbours);
+    CPPUNIT_TEST(unsureAgentAsksItsNeighboursStill);
     CPPUNIT_TEST_SUITE_END();
 
     struct Agent {
@@ -147,6 +150,66 @@
         }
     }
 
+    /// A process of the same data centre that counts what it is sent and answers questions about flows with yes.
+    struct Neighbour {
+        Neighbour(asio::io_context& context, const Settings& neighbourSettings, PeerRole role, bool holdsFlows)
+            : settings(neighbourSettings)
+            , network(context, settings, clock)
+        {
+            CPPUNIT_ASSERT(network.start({
+                .onFlowMessage = [this, holdsFlows](const PeerMessage& message, std::uint32_t sender) {
+                    received.push_back(message.kind);
+                    holder = message.kind == wire::PeerKind::HeldNear ? message.holder : holder;
+                    const bool isQuestion = message.kind == wire::PeerKind::Probe || message.kind == wire::PeerKind::Find;
+                    if (isQuestion && holdsFlows)
+                        network.send(sender, { .kind = wire::PeerKind::Held, .flow = message.flow }); },
+                .onOutages = [](const std::vector<std::string>&) {},
+            }));
+            network.announce({ .name = settings.name, .role = role, .address = settings.listen.address().to_v4().to_uint(), .dataCentre = settings.dataCentre });
+        }
+
+        bool wasSent(wire::PeerKind kind) const { return std::ranges::find(received, kind) != received.end(); }
+
+        Settings settings;
+        Clock clock;
+        PeerNetwork network;
+        std::vector<wire::PeerKind> received;
+        std::uint32_t holder = 0;
+    };
+
+    /// Asks agent-1 for its data centre, which the agent knows nothing of, with this packet or without; the kind of question
+    /// that reached its neighbour, who holds the flow. The answer names that neighbour.
+    void expectNeighbourIsAsked(std::span<const std::uint8_t> packet, wire::PeerKind expected)
+    {
+        const std::uint16_t port = freePort();
+        Agent agent(m_context, settingsOf("agent-1", 1, port), m_options);
+        const Neighbour neighbour(m_context, settingsOf("agent-2", 2, port), PeerRole::Agent, true);
+        Neighbour balancer(m_context, settingsOf("front-1", 3, port), PeerRole::Balancer, false);
+        m_sequence = 70;
+        report(agent, "ready");
+        runUntil(m_context, [&] { return stateIn(neighbour.network).has_value() && stateIn(balancer.network).has_value() && balancer.network.directory().entries.size() == 3; });
+        DecodeError error = DecodeError::None;
+        const FlowKey flow = flowFromCaller(*trustAdapter().decodePacket(callerPacket(), error));
+        balancer.network.send(host(1).to_uint(), { .kind = wire::PeerKind::FindNear, .flow = flow, .packet = packet });
+        runUntil(m_context, [&] { return balancer.holder != 0; });
+        CPPUNIT_ASSERT_EQUAL(host(2).to_uint(), balancer.holder);
+        CPPUNIT_ASSERT(neighbour.wasSent(expected));
+    }
+
+    // All agents have been restarted beside their upstreams, and a caller's packet has to find its flow. Its balancer has a
+    // small link and sends it to one agent only; it is that one who brings it to the others of its data centre.
+    void agentBringsAPacketToItsNeighbours()
+    {
+        expectNeighbourIsAsked(callerPacket(), wire::PeerKind::Probe);
+    }
+
+    // Some seconds after such a restart agents have learnt their flows again, and still cannot say no. One of them that is
+    // asked for its data centre said so at once, and the packet was copied to all, though a neighbour knew the flow.
+    void unsureAgentAsksItsNeighboursStill()
+    {
+        expectNeighbourIsAsked({}, wire::PeerKind::Find);
+    }
+
     std::uint64_t m_sequence = 0;
 };
 
