--- a/src/kingcuptraild/packets/peernetwork.cpp
+++ b/src/kingcuptraild/packets/peernetwork.cpp
@@ -23,9 +23,8 @@
     /// quick series of versions each would be fetched for nothing. Below the 250 ms within which a process has to follow a
     /// version whose effect was seen.
     constexpr Millis routesInterval = 100;
-    /// For how long a difference between directories has to stay before it is mended, and how often that is tried, in
-    /// milliseconds. A fetch of 100 entries is 15 KB, and made at each difference it filled links of 10 Mbit/s.
-    constexpr Millis repairPatience = 400;
+    /// How often a difference between directories that stays is mended, in milliseconds. A fetch of 100 entries is 15 KB, and
+    /// made at each difference it filled links of 10 Mbit/s.
     constexpr Millis repairInterval = 1000;
     constexpr Millis firstRepairInterval = 150;
     /// For each entry of the directory a repair is made rarer by so much, in milliseconds, so that it takes 10 KB/s at the
@@ -35,8 +34,6 @@
     constexpr Millis learningTime = 3000;
     /// A fetch that takes longer goes to another peer, in milliseconds: some round trips and 100 KB at 10 Mbit/s.
     constexpr Millis fetchTimeout = 400;
-    /// How long a peer's word that it has the same directory holds, in milliseconds: several rounds of news.
-    constexpr Millis confirmationTime = 1500;
     /// Announcements that one datagram of news carries.
     constexpr std::size_t entriesInNews = 6;
     /// The running clock is read this often, in milliseconds.
@@ -123,20 +120,24 @@
         return;
     m_digest = digestOf(m_directory);
     logEvent(Event::PeerChanged, { { "peer", entry.name }, { "role", nameOf(entry.role) }, { "state", nameOf(entry.state) }, { "epoch", entry.epoch } });
-    tellSome(relayCount, { entry });
+    // Agents tell every balancer themselves, and pass each other's word on.
+    const bool isToldToAll = entry.role == PeerRole::Agent && m_self.role == PeerRole::Balancer;
+    if (!isToldToAll)
+        tellSome(relayCount, { entry });
 }
 
 // After a loss of everything each process learns of all others at once. Passed on and logged one by one, 84 entries in 84
 // processes kept balancers from answering for half a second; whoever lacks one of them finds out by the digest.
 void PeerNetwork::takeEntries(const std::vector<PeerEntry>& entries)
 {
-    std::size_t taken = 0;
-    for (const PeerEntry& entry : entries)
-        taken += noteEntry(entry) ? 1 : 0;
-    if (taken == 0)
+    std::vector<PeerEntry> taken;
+    std::ranges::copy_if(entries, std::back_inserter(taken), [this](const PeerEntry& entry) { return noteEntry(entry); });
+    if (taken.empty())
         return;
     m_digest = digestOf(m_directory);
-    logEvent(Event::DirectoryTaken, { { "entries", entries.size() }, { "new", taken }, { "known", m_directory.entries.size() } });
+    // Among them may be balancers that this process did not know when it announced itself.
+    tellBalancers(taken);
+    logEvent(Event::DirectoryTaken, { { "entries", entries.size() }, { "new", taken.size() }, { "known", m_directory.entries.size() } });
 }
 
 bool PeerNetwork::noteEntry(const PeerEntry& entry)
@@ -163,9 +164,23 @@
     offerEntry(m_directory, m_self);
     m_digest = digestOf(m_directory);
     tellSome(changeCount, { m_self });
+    tellBalancers(view().entries);
     return m_self;
 }
 
+// Passed on from peer to peer, an announcement misses some processes, which hear of it a few tenths of a second later. A
+// balancer among them would not ask a new agent for the flows that others have already opened there; so an agent tells each
+// balancer itself, a datagram each.
+void PeerNetwork::tellBalancers(const std::vector<PeerEntry>& entries)
+{
+    if (m_self.role != PeerRole::Agent || m_self.name.empty())
+        return;
+    for (const PeerEntry& entry : entries) {
+        if (entry.role == PeerRole::Balancer && entry.state != PeerState::Gone)
+            tell(entry.address, { m_self }, false);
+    }
+}
+
 void PeerNetwork::setReading(bool isReading)
 {
     if (m_isReading == isReading)
@@ -199,7 +214,7 @@
 {
     if (m_pause.noteRunning()) {
         logEvent(Event::ProcessPaused, { { "milliseconds", static_cast<std::uint64_t>(m_pause.lastPause()) } });
-        m_confirmedAt = 0;
+        forgetAgreement(m_agreement);
         tellSome(changeCount, {});
     }
     return m_pause.isInDoubt();
@@ -207,7 +222,7 @@
 
 bool PeerNetwork::isDirectoryConfirmed() const
 {
-    return m_confirmedAt > 0 && m_clock.now() - m_confirmedAt < confirmationTime;
+    return isAgreed(m_agreement, m_clock.now());
 }
 
 void PeerNetwork::handleDatagram(std::span<const std::uint8_t> datagram, std::uint32_t sender)
@@ -237,12 +252,10 @@
         takeEntry(entry);
     for (const ReaderBeat& reader : readersOf(message))
         takeBeat(m_readers, reader, m_lastNewsAt);
-    if (message.table->digest() == m_digest) {
-        m_confirmedAt = m_clock.now();
-        m_differsSince = 0;
-    } else {
+    const bool isSame = message.table->digest() == m_digest;
+    takeDirectoryWord(m_agreement, isSame, m_clock.now());
+    if (!isSame)
         repairDirectory(sender);
-    }
     if (message.table->wants_answer())
         tell(sender, { m_self }, false);
 }
@@ -321,17 +334,14 @@
 void PeerNetwork::repairDirectory(std::uint32_t address)
 {
     const Millis now = m_clock.now();
-    if (m_differsSince == 0)
-        m_differsSince = now;
     const bool isNew = now - m_startedAt < learningTime;
-    const Millis patience = isNew ? 0 : repairPatience;
     const Millis interval = isNew ? firstRepairInterval : std::max(repairInterval, static_cast<Millis>(m_directory.entries.size()) * repairPerEntry);
     // Bytes between data centres are dear, and a neighbour knows as much.
     const std::vector<std::uint32_t> near = nearPeers();
     const bool isNear = near.empty() || std::ranges::find(near, address) != near.end();
     if (!isNew && !isNear)
         return;
-    if (now - m_differsSince < patience || (m_entriesFetchedAt > 0 && now - m_entriesFetchedAt < interval))
+    if ((!isNew && !isRepairDue(m_agreement, now)) || (m_entriesFetchedAt > 0 && now - m_entriesFetchedAt < interval))
         return;
     fetchView(address, { .routes = m_view.routes.version == 0, .entries = true });
 }
--- a/src/kingcuptraild/packets/peernetwork.h
+++ b/src/kingcuptraild/packets/peernetwork.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libdecision/directoryagreement.h"
 #include "libhttp/httpclient.h"
 #include "libhttp/httpserver.h"
 #include "libplatform/delay.h"
@@ -77,7 +78,7 @@
 
     /// Whether this process stood still and has not heard since what changed meanwhile.
     bool isInDoubt();
-    /// Whether a peer has lately named exactly the directory that this process has.
+    /// Whether the last peer that named its directory has exactly the one that this process has.
     bool isDirectoryConfirmed() const;
     Millis lastNewsAt() const { return m_lastNewsAt; }
 
@@ -88,6 +89,7 @@
     void handleDatagram(std::span<const std::uint8_t> datagram, std::uint32_t sender);
     void handleNews(const PeerMessage& message, std::uint32_t sender);
     void tellPeriodically();
+    void tellBalancers(const std::vector<PeerEntry>& entries);
     void tellSome(std::size_t count, const std::vector<PeerEntry>& changed);
     void tell(std::uint32_t address, const std::vector<PeerEntry>& changed, bool wantsAnswer);
     std::vector<std::uint32_t> knownPeers() const;
@@ -119,12 +121,10 @@
     std::uint64_t m_digest = 0;
     PauseMeter m_pause;
     Millis m_lastNewsAt = 0;
-    Millis m_confirmedAt = 0;
     Millis m_startedAt;
     Millis m_routesFetchedAt = 0;
     Millis m_entriesFetchedAt = 0;
-    /// Since when peers have named another directory; 0 after one named the same.
-    Millis m_differsSince = 0;
+    DirectoryAgreement m_agreement;
     EnumCounters<PeerTrouble> m_trouble;
 };
 
--- /dev/null
+++ b/src/libdecision/directoryagreement.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "ids.h"
+
+namespace kingcuptrail {
+
+struct DirectoryAgreementOptions {
+    /// How long a peer's word that it has the same directory holds, in milliseconds: several rounds of news.
+    Millis wordTime = 1500;
+    /// For how long directories have to differ before one is fetched, in milliseconds: changes are told at once, so two
+    /// mostly differ for as long as news is under way, and a fetch would bring nothing.
+    Millis repairPatience = 400;
+};
+
+/// Whether a process may take its directory for complete, by the digests that peers name.
+/// Load: hosts join while balancers are restarted in turn, so that a new agent's first flows move to balancers that have
+/// not heard of it. Harm: such a balancer hears no from every agent that it knows, takes the flow for lost and resets it
+/// at its caller while the upstream serves. Most peers know a new agent within some 20 ms, and a process hears some sixteen
+/// words a second: one that differs shows within a tenth of a second that this process, or the peer, lacks something, where
+/// a word of before went on counting for a second and a half.
+struct DirectoryAgreement {
+    DirectoryAgreementOptions options;
+    /// When a peer last named the same directory; 0 when another one has been named since.
+    Millis agreedAt = 0;
+    /// Since when peers have named another directory; 0 after one named the same.
+    Millis differsSince = 0;
+};
+
+/// Takes the digest that a peer names.
+void takeDirectoryWord(DirectoryAgreement&, bool isSame, Millis now);
+
+/// The process stood still: what it was told before is old.
+void forgetAgreement(DirectoryAgreement&);
+
+/// Whether the last word heard was of the same directory, and recent.
+bool isAgreed(const DirectoryAgreement&, Millis now);
+
+/// Whether the difference has lasted for longer than news is under way.
+bool isRepairDue(const DirectoryAgreement&, Millis now);
+
+}
