--- a/src/kingcuptraild/packets/packetbalancer.cpp
+++ b/src/kingcuptraild/packets/packetbalancer.cpp
@@ -13,8 +13,6 @@
 
     /// Between two looks at what waits, in milliseconds.
     constexpr Millis turnInterval = 20;
-    /// Processes without a view begin to read the store within this time of their start, in milliseconds.
-    constexpr std::uint64_t firstReadSpread = 60;
     /// An agent that does not answer is asked again this often, in milliseconds.
     constexpr Millis pingInterval = 200;
     /// Agents asked in one round: 80 a second, by estimate (10 us each) 2 % of a balancer of .038 cores.
@@ -158,7 +156,7 @@
     const bool hasView = m_state.network.routes().version != 0 && m_state.network.outages().revision != 0;
     // After a loss of everything nobody has a view. The first few to read hand it to the others, who would each fetch it
     // from the store over a small link at the moment in which callers return.
-    const Millis patience = static_cast<Millis>(upstreamIdOf(m_state.role.settings.name) % firstReadSpread);
+    const Millis patience = firstReadDelay(m_state.network.readers().options, upstreamIdOf(m_state.role.settings.name), m_state.role.settings.packets.linkMegabits);
     const bool isWithoutView = !hasView && now - m_state.startedAt >= patience;
     const bool isWanted = !m_isLeaving && (isWithoutView || (hasView && shouldRead(m_state.network.readers(), m_state.role.settings.name, m_store != nullptr, readerRank(), now)));
     if (isWanted && !m_store) {
--- a/src/libdecision/storereaders.cpp
+++ b/src/libdecision/storereaders.cpp
@@ -50,6 +50,14 @@
     return beats;
 }
 
+Millis firstReadDelay(const StoreReaderOptions& options, std::uint64_t id, double linkMegabits)
+{
+    constexpr double bitsPerByte = 8;
+    constexpr double bitsPerMegabitAndMilli = 1000;
+    const double readTime = options.firstReadBytes * bitsPerByte / (linkMegabits * bitsPerMegabitAndMilli);
+    return static_cast<Millis>(id % options.firstReadSpread) + std::min(static_cast<Millis>(readTime), options.longestWait);
+}
+
 bool shouldRead(StoreReaders& state, const std::string& self, bool isReading, std::size_t rank, Millis now)
 {
     std::size_t others = 0;
--- a/src/libdecision/storereaders.h
+++ b/src/libdecision/storereaders.h
@@ -30,6 +30,10 @@
     Millis waitPerRank = 120;
     /// The longest such wait: within a third of the time in which a change has to be in force everywhere (3 s).
     Millis longestWait = 1000;
+    /// Processes without any view begin to read the store within this time of their start, in milliseconds.
+    std::uint64_t firstReadSpread = 60;
+    /// What reading the store brings to a process without any view, in bytes: a configuration of 1,200 routes.
+    double firstReadBytes = 250000;
 };
 
 /// Which processes follow the store, as one process has heard. Nobody agrees on them: each decides for itself by what it
@@ -58,6 +62,12 @@
 /// Says that this process follows the store no longer. Others need not wait until its signs of life are missed.
 void stopBeating(StoreReaders&, const std::string& self, Millis now);
 
+/// How long after its start a process without any view leaves it to others to read the store, in milliseconds.
+/// Load: everything has lost power, and callers return to hosts of which some have links of 10 Mbit/s. Harm: a small host that
+/// reads the store itself spends as much of its first seconds on the store's large text as on the same from a peer, and does
+/// so beside it. Who would take long to read waits for that long; in a fleet of nothing but small hosts that is the cost.
+Millis firstReadDelay(const StoreReaderOptions&, std::uint64_t id, double linkMegabits);
+
 /// Whether `self` should follow the store: while it does, unless enough others of lower name do; while it does not, when too
 /// few have been heard of for as long as its rank among the candidates says.
 bool shouldRead(StoreReaders&, const std::string& self, bool isReading, std::size_t rank, Millis now);
--- a/src/libruntime/settings.cpp
+++ b/src/libruntime/settings.cpp
@@ -115,6 +115,8 @@
             PacketSettings packets;
             readSeconds(object, "addressReuseSeconds", packets.addressReuse);
             readSeconds(object, "leaveSeconds", packets.leave);
+            if (object.contains("linkMegabits"))
+                packets.linkMegabits = object["linkMegabits"].get<double>();
             packets.ready = readEndpoint(object, "/packets", "ready", PortRule::MayBeZero);
             packets.ingress = readEndpoint(object, "/packets", "ingress", PortRule::MustBeSet);
             readOptionalEndpoint(object, "upstream", packets.upstream);
--- a/src/libruntime/settings.h
+++ b/src/libruntime/settings.h
@@ -61,6 +61,8 @@
     Millis addressReuse = 2000;
     /// How long the process may take to leave.
     Millis leave = 6000;
+    /// What this host's link carries, in megabits a second.
+    double linkMegabits = 1000;
 
     bool operator==(const PacketSettings&) const = default;
 };
--- a/src/libruntime/settingsschema.cpp
+++ b/src/libruntime/settingsschema.cpp
@@ -51,7 +51,8 @@
             "control": { "type": "string" },
             "seeds": { "type": "array", "items": { "type": "string" }, "maxItems": 16 },
             "addressReuseSeconds": { "type": "number", "minimum": 0.2, "maximum": 600 },
-            "leaveSeconds": { "type": "number", "minimum": 0.5, "maximum": 600 }
+            "leaveSeconds": { "type": "number", "minimum": 0.5, "maximum": 600 },
+            "linkMegabits": { "type": "number", "minimum": 0.1, "maximum": 1000000 }
         }
     }
 }
--- a/tests/packets/teststorereaders.cpp
+++ b/tests/packets/teststorereaders.cpp
@@ -12,8 +12,24 @@
     CPPUNIT_TEST(lostReaderIsReplacedByOne);
     CPPUNIT_TEST(readersThatStopAreReplacedAtOnce);
     CPPUNIT_TEST(restartedReaderIsHeardAgain);
+    CPPUNIT_TEST(smallHostsLeaveTheFirstReadToOthers);
     CPPUNIT_TEST_SUITE_END();
 
+    // All hosts lose power and come back together. Balancers with links of 10 Mbit/s read a configuration of 250 KB from the
+    // store beside what their callers and peers sent them, and offered their first opening half a second after their start;
+    // one with a large link had it 16 ms after it had asked.
+    void smallHostsLeaveTheFirstReadToOthers()
+    {
+        const StoreReaderOptions options;
+        for (const std::uint64_t id : { 0U, 59U, 12345U }) {
+            CPPUNIT_ASSERT(firstReadDelay(options, id, 1000) < 65);
+            CPPUNIT_ASSERT(firstReadDelay(options, id, 10) >= 200);
+            // Where all are small, somebody has to read, and soon.
+            CPPUNIT_ASSERT(firstReadDelay(options, id, 10) < 260);
+        }
+        CPPUNIT_ASSERT(firstReadDelay(options, 0, 0.1) <= options.longestWait);
+    }
+
     static std::string nameOfProcess(std::size_t index)
     {
         return "b" + std::to_string(100 + index);
--- a/tests/runtime/testsettings.cpp
+++ b/tests/runtime/testsettings.cpp
@@ -107,10 +107,10 @@
     void packetRolesNeedTheirFields()
     {
         const std::string common = R"("name":"b","dataCentre":"north","listen":"10.0.0.1:7720","admin":"10.0.0.1:9464","platform":"10.0.0.2:80")";
-        const std::string balancer = R"({"role":"packetBalancer",)" + common + R"(,"packets":{"ingress":"10.0.0.1:8172","ready":"10.0.0.1:8167","seeds":["10.0.0.3:1"],"addressReuseSeconds":2.5}})";
+        const std::string balancer = R"({"role":"packetBalancer",)" + common + R"(,"packets":{"ingress":"10.0.0.1:8172","ready":"10.0.0.1:8167","seeds":["10.0.0.3:1"],"addressReuseSeconds":2.5,"linkMegabits":10}})";
         std::vector<Fault> faults;
         const auto settings = parseSettings(balancer, faults);
-        CPPUNIT_ASSERT(settings && settings->packets.addressReuse == 2500 && settings->packets.leave == 6000 && settings->packets.seeds.size() == 1);
+        CPPUNIT_ASSERT(settings && settings->packets.addressReuse == 2500 && settings->packets.leave == 6000 && settings->packets.linkMegabits == 10 && settings->packets.seeds.size() == 1);
         std::string agent = balancer;
         agent.replace(agent.find("packetBalancer"), 14, "packetAgent");
         CPPUNIT_ASSERT(!parseSettings(agent, faults));
