--- a/src/kingcuptraild/packets/flowholders.h
+++ b/src/kingcuptraild/packets/flowholders.h
@@ -37,8 +37,6 @@
 struct Speaker {
     std::uint32_t address = 0;
     std::string dataCentre;
-    /// It has a packet of the flow and probes with it.
-    bool isProbing = false;
 };
 
 /// A search and the packets that wait for its end.
@@ -51,6 +49,8 @@
     AgentsByCentre asked;
     /// The unsure ones; they get the first packet.
     ProbePlan plan;
+    /// Whoever was late to answer counts as unsure since.
+    bool isOverdue = false;
     /// What the caller last acknowledged, for a reset.
     std::uint32_t acknowledged = 0;
 };
--- a/src/kingcuptraild/packets/holderfinder.cpp
+++ b/src/kingcuptraild/packets/holderfinder.cpp
@@ -10,12 +10,16 @@
 
     /// A search is given up after this long, in milliseconds: the caller sends its packet again after 200 ms at the earliest.
     constexpr Millis searchLimit = 190;
-    /// A search in which everybody has said no waits this long for a peer's word that nobody is missing, in milliseconds:
-    /// several rounds of news. It costs nothing but memory; a caller whose search had ended would be told with its next
-    /// packet only, up to 1.6 s later. No difference in callers served was measured.
-    constexpr Millis confirmationLimit = 1000;
+    /// A search waits this long for the first agent that is known, and one in which everybody has said no for a peer's word
+    /// that nobody is missing, in milliseconds: several rounds of news. It costs nothing but memory; a caller whose search
+    /// had ended would be told with its next packet only, up to 1.6 s later.
+    constexpr Millis newsLimit = 1000;
+    /// Searches that are begun in one turn when the first agents become known: 800 a second.
+    constexpr std::size_t searchesBegunInTurn = 16;
     /// How long the one agent that is asked for its data centre may take, in milliseconds: several round trips.
     constexpr Millis speakerLimit = 30;
+    /// Between two turns of 20 ms, when the process is behind with its work, in milliseconds.
+    constexpr Millis lateTurn = 40;
     /// Packets of one flow that wait for a search: what a caller has in flight.
     constexpr std::size_t waitingPackets = 16;
     /// Searches at a time. Beyond it packets are dropped as in a full queue; at 1,200 bytes a packet and a few packets each
@@ -45,13 +49,34 @@
     m_state.fates.increment(PacketFate::Waiting);
     if (!isNew)
         return;
+    waiting.search = beginSearch({}, m_state.role.clock.now());
+    waiting.plan.ownDataCentre = m_state.role.settings.dataCentre;
+    begin(flow, waiting);
+}
+
+void HolderFinder::begin(const FlowKey& flow, WaitingSearch& waiting)
+{
     std::vector<std::uint32_t> agents = holdersToAsk(serviceForFlow(m_state.network.routes(), flow));
     addNeighbours(agents);
     waiting.search = beginSearch(agents, m_state.role.clock.now());
-    waiting.plan.ownDataCentre = m_state.role.settings.dataCentre;
     ask(flow, waiting, agents);
 }
 
+// After a loss of power callers' packets arrive before any agent is known. A search that ended then was made again with the
+// caller's next copy, up to 1.6 s later; it is cheaper for both to keep it until there is somebody to ask.
+void HolderFinder::beginLate()
+{
+    std::size_t begun = 0;
+    for (auto& [flow, waiting] : m_searches) {
+        if (!waiting.search.asked.empty() || begun == searchesBegunInTurn)
+            continue;
+        begin(flow, waiting);
+        if (waiting.search.asked.empty())
+            return;
+        ++begun;
+    }
+}
+
 std::vector<std::uint32_t> HolderFinder::holdersToAsk(const std::string* service) const
 {
     std::vector<std::uint32_t> agents;
@@ -100,25 +125,40 @@
     return members;
 }
 
+// Neither the agent that is asked nor its neighbours wait for these.
+std::vector<std::uint32_t> HolderFinder::givenUpIn(const std::string& dataCentre) const
+{
+    std::vector<std::uint32_t> agents;
+    for (const auto& [address, since] : m_state.silent.silentSince) {
+        const PeerEntry* entry = findByAddress(m_state.network.directory(), address);
+        if (entry && entry->dataCentre == dataCentre && isGivenUp(m_state.silent, address, m_state.role.clock.now()))
+            agents.push_back(address);
+    }
+    return agents;
+}
+
 // With a packet, the agent that is asked probes its neighbours with it.
 void HolderFinder::askSpeaker(const FlowKey& flow, WaitingSearch& waiting, const std::string& dataCentre, std::span<const std::uint32_t> members, std::span<const std::uint8_t> packet)
 {
-    const std::uint32_t speaker = speakerOf(flow, members);
-    m_state.network.send(speaker, { .kind = wire::PeerKind::FindNear, .flow = flow, .configVersion = m_state.network.routes().version, .acknowledged = waiting.acknowledged, .digest = m_state.network.digest(), .packet = packet });
-    waiting.speakers.push_back({ .address = speaker, .dataCentre = dataCentre, .isProbing = !packet.empty() });
+    const std::uint32_t speaker = nextSpeaker(members);
+    std::vector<std::uint32_t> excluded = givenUpIn(dataCentre);
+    const std::uint64_t digest = agentsDigestOf(m_state.network.directory(), dataCentre, excluded);
+    m_state.network.send(speaker, { .kind = wire::PeerKind::FindNear, .flow = flow, .configVersion = m_state.network.routes().version, .acknowledged = waiting.acknowledged, .digest = digest, .excluded = std::move(excluded), .packet = packet });
+    waiting.speakers.push_back({ .address = speaker, .dataCentre = dataCentre });
 }
 
-// Any of them will do; the flow's hash spreads searches over all, and one that does not answer is passed over.
-std::uint32_t HolderFinder::speakerOf(const FlowKey& flow, std::span<const std::uint32_t> members) const
+// Any of them will do. Another one each time, so that a search that one has left unanswered goes to the next.
+std::uint32_t HolderFinder::nextSpeaker(std::span<const std::uint32_t> members)
 {
-    const std::size_t first = flowHash(flow) % members.size();
+    const std::size_t first = m_speakerTurn++;
     for (std::size_t step = 0; step < members.size(); ++step) {
         const std::uint32_t member = members[(first + step) % members.size()];
         const auto load = m_state.loads.find(member);
-        if (load == m_state.loads.end() || load->second.unanswered == 0)
+        const bool isHeard = load == m_state.loads.end() || load->second.unanswered == 0;
+        if (isHeard && !m_state.silent.silentSince.contains(member))
             return member;
     }
-    return members[first];
+    return members[first % members.size()];
 }
 
 // The word of one agent for its data centre.
@@ -135,14 +175,13 @@
     const auto speaker = std::ranges::find(waiting.speakers, sender, &Speaker::address);
     if (speaker == waiting.speakers.end())
         return;
-    const bool wasProbing = speaker->isProbing;
-    const std::vector<std::uint32_t> members = membersIn(waiting.asked, speaker->dataCentre, wasProbing ? waiting.search.unsure : waiting.search.awaited);
+    const std::string dataCentre = speaker->dataCentre;
     waiting.speakers.erase(speaker);
     if (message.kind == wire::PeerKind::UnsureNear) {
-        if (!wasProbing)
-            takeUnsure(message.flow, waiting, members);
+        takeUnsure(message.flow, waiting, membersIn(waiting.asked, dataCentre, waiting.search.awaited));
         return;
     }
+    const std::vector<std::uint32_t> members = membersIn(waiting.asked, dataCentre, unansweredIn(waiting.search));
     SearchState state = SearchState::Asking;
     for (const std::uint32_t member : members)
         state = takeAnswer(waiting.search, member, HolderAnswer::NotHeld);
@@ -183,17 +222,28 @@
     m_state.network.sendToAll(agents, { .kind = wire::PeerKind::Find, .flow = flow, .configVersion = m_state.network.routes().version, .acknowledged = waiting.acknowledged });
 }
 
-// An agent that speaks for its data centre may be silent, or one of its neighbours: then each is asked.
-void HolderFinder::askSilentDirectly(Millis now)
+// An agent that is asked for its data centre may be silent, or one of its neighbours, or this process is late to read the
+// answers. Another one there gets the packet then: a flow that is held is found whoever is silent. Asking each agent
+// itself took forty messages a search, at a small balancer just when it was late already.
+void HolderFinder::probeOverdue(Millis now)
 {
+    // A process whose own turn comes late has the answers in its socket.
+    const bool isLateItself = now - std::exchange(m_turnedAt, now) > lateTurn;
+    if (isLateItself)
+        return;
     for (auto& [flow, waiting] : m_searches) {
-        if (!waiting.plan.waiting.empty() && now - waiting.search.startedAt >= speakerLimit)
-            probe(flow, waiting, true);
-        if (waiting.speakers.empty() || now - waiting.search.startedAt < speakerLimit)
+        if (waiting.isOverdue || now - waiting.search.startedAt < speakerLimit)
             continue;
-        std::erase_if(waiting.speakers, [](const Speaker& speaker) { return !speaker.isProbing; });
-        if (!waiting.search.awaited.empty())
-            askDirectly(flow, waiting, waiting.search.awaited);
+        waiting.isOverdue = true;
+        std::vector<std::uint32_t> overdue;
+        for (const Speaker& speaker : waiting.speakers) {
+            const std::vector<std::uint32_t> members = membersIn(waiting.asked, speaker.dataCentre, waiting.search.awaited);
+            overdue.insert(overdue.end(), members.begin(), members.end());
+        }
+        if (!overdue.empty())
+            takeUnsure(flow, waiting, overdue);
+        if (!waiting.plan.waiting.empty())
+            probe(flow, waiting, true);
     }
 }
 
@@ -246,7 +296,8 @@
 
 bool HolderFinder::isOver(const HolderSearch& search, Millis now)
 {
-    return now - search.startedAt > (search.state == SearchState::HeldByNobody ? confirmationLimit : searchLimit);
+    const bool isWaitingForNews = search.state == SearchState::HeldByNobody || search.asked.empty();
+    return now - search.startedAt > (isWaitingForNews ? newsLimit : searchLimit);
 }
 
 // A balancer that has not heard of every agent could take a flow for lost that one of them holds: another balancer may have
@@ -290,7 +341,8 @@
 
 void HolderFinder::turn(Millis now)
 {
-    askSilentDirectly(now);
+    beginLate();
+    probeOverdue(now);
     settleConfirmed();
     std::erase_if(m_searches, [&](const auto& item) {
         const bool isEnded = isOver(item.second.search, now);
--- a/src/kingcuptraild/packets/holderfinder.h
+++ b/src/kingcuptraild/packets/holderfinder.h
@@ -21,15 +21,18 @@
 
 private:
     std::vector<std::uint32_t> holdersToAsk(const std::string* service) const;
+    void begin(const FlowKey& flow, WaitingSearch& waiting);
+    void beginLate();
     void addNeighbours(std::vector<std::uint32_t>& agents) const;
     void ask(const FlowKey& flow, WaitingSearch& waiting, std::span<const std::uint32_t> agents);
     void askSpeaker(const FlowKey& flow, WaitingSearch& waiting, const std::string& dataCentre, std::span<const std::uint32_t> members, std::span<const std::uint8_t> packet);
     AgentsByCentre byDataCentre(std::span<const std::uint32_t> agents) const;
     void askDirectly(const FlowKey& flow, const WaitingSearch& waiting, std::span<const std::uint32_t> agents);
-    void askSilentDirectly(Millis now);
+    void probeOverdue(Millis now);
+    std::vector<std::uint32_t> givenUpIn(const std::string& dataCentre) const;
     void settleConfirmed();
     static bool isOver(const HolderSearch& search, Millis now);
-    std::uint32_t speakerOf(const FlowKey& flow, std::span<const std::uint32_t> members) const;
+    std::uint32_t nextSpeaker(std::span<const std::uint32_t> members);
     void takeUnsure(const FlowKey& flow, WaitingSearch& waiting, std::span<const std::uint32_t> agents);
     void probe(const FlowKey& flow, WaitingSearch& waiting, bool isNearOverdue);
     void settleSearch(const FlowKey& flow, SearchState state);
@@ -38,6 +41,8 @@
 
     BalancerState& m_state;
     std::unordered_map<FlowKey, WaitingSearch> m_searches;
+    std::size_t m_speakerTurn = 0;
+    Millis m_turnedAt = 0;
     EnumCounters<SearchState> m_searchEnds;
 };
 
--- a/src/kingcuptraild/packets/neighboursearches.cpp
+++ b/src/kingcuptraild/packets/neighboursearches.cpp
@@ -1,5 +1,7 @@
 #include "neighboursearches.h"
 
+#include <algorithm>
+
 namespace kingcuptrail {
 
 namespace {
@@ -15,7 +17,7 @@
 }
 
 // A balancer that does not know a flow asks one agent in each data centre instead of all agents, so that a search costs it
-// some messages however many agents there are. This one asks its neighbours. Only when both know the same processes does
+// some messages however many agents there are. This one asks its neighbours. Only when both know the same agents there does
 // its no speak for all of them.
 // Load: all agents have just been restarted beside living upstreams, and every flow has to be found anew. None of them
 // knows a flow then; only the caller's packet tells, delivered and handed back or not. Harm: sent to each agent by the
@@ -34,11 +36,11 @@
         return;
     }
     const bool isProbe = !message.packet.empty();
-    std::vector<std::uint32_t> toAsk = neighbours();
+    std::vector<std::uint32_t> toAsk = neighbours(message.excluded);
     // This agent's own upstream has to see the packet too.
     if (isProbe && own == HolderAnswer::Unsure)
         toAsk.push_back(m_state.network.ownAddress());
-    const bool speaksForAll = message.digest == m_state.network.digest() && (isProbe || own == HolderAnswer::NotHeld);
+    const bool speaksForAll = message.digest == agentsDigestOf(m_state.network.directory(), m_state.role.settings.dataCentre, message.excluded) && (isProbe || own == HolderAnswer::NotHeld);
     if (toAsk.empty()) {
         reply(m_state, sender, { .kind = speaksForAll ? wire::PeerKind::NotHeldNear : wire::PeerKind::UnsureNear, .flow = message.flow });
         return;
@@ -47,12 +49,13 @@
     m_searches[message.flow] = { .balancer = sender, .speaksForAll = speaksForAll, .search = beginSearch(std::move(toAsk), now) };
 }
 
-std::vector<std::uint32_t> NeighbourSearches::neighbours() const
+std::vector<std::uint32_t> NeighbourSearches::neighbours(std::span<const std::uint32_t> excluded) const
 {
     std::vector<std::uint32_t> addresses;
     for (const auto& [name, entry] : m_state.network.directory().entries) {
         const bool isNeighbour = entry.role == PeerRole::Agent && entry.state != PeerState::Gone && entry.dataCentre == m_state.role.settings.dataCentre;
-        if (isNeighbour && entry.address != m_state.network.ownAddress())
+        const bool isExcluded = std::ranges::find(excluded, entry.address) != excluded.end();
+        if (isNeighbour && !isExcluded && entry.address != m_state.network.ownAddress())
             addresses.push_back(entry.address);
     }
     return addresses;
--- a/src/kingcuptraild/packets/neighboursearches.h
+++ b/src/kingcuptraild/packets/neighboursearches.h
@@ -19,12 +19,12 @@
 private:
     struct NearSearch {
         std::uint32_t balancer = 0;
-        /// Both know the same processes, and this agent holds nothing that it does not know of.
+        /// Both know the same agents here, and this agent holds nothing that it does not know of.
         bool speaksForAll = false;
         HolderSearch search;
     };
 
-    std::vector<std::uint32_t> neighbours() const;
+    std::vector<std::uint32_t> neighbours(std::span<const std::uint32_t> excluded) const;
     void finish(const FlowKey& flow, wire::PeerKind answer, std::uint32_t holder = 0);
 
     AgentState& m_state;
--- a/src/kingcuptraild/packets/peernetwork.cpp
+++ b/src/kingcuptraild/packets/peernetwork.cpp
@@ -118,7 +118,7 @@
 {
     if (!noteEntry(entry))
         return;
-    m_digest = digestOf(m_directory);
+    noteDirectoryChanged();
     logEvent(Event::PeerChanged, { { "peer", entry.name }, { "role", nameOf(entry.role) }, { "state", nameOf(entry.state) }, { "epoch", entry.epoch } });
     // Agents tell every balancer themselves, and pass each other's word on.
     const bool isToldToAll = entry.role == PeerRole::Agent && m_self.role == PeerRole::Balancer;
@@ -134,12 +134,18 @@
     std::ranges::copy_if(entries, std::back_inserter(taken), [this](const PeerEntry& entry) { return noteEntry(entry); });
     if (taken.empty())
         return;
-    m_digest = digestOf(m_directory);
+    noteDirectoryChanged();
     // Among them may be balancers that this process did not know when it announced itself.
     tellBalancers(taken);
     logEvent(Event::DirectoryTaken, { { "entries", entries.size() }, { "new", taken.size() }, { "known", m_directory.entries.size() } });
 }
 
+void PeerNetwork::noteDirectoryChanged()
+{
+    m_digest = digestOf(m_directory);
+    m_agentsDigest = agentsDigestOf(m_directory);
+}
+
 bool PeerNetwork::noteEntry(const PeerEntry& entry)
 {
     if (entry.name == m_self.name && !m_self.name.empty()) {
@@ -162,7 +168,7 @@
         self.epoch = std::max(self.epoch, unixMillis());
     m_self = std::move(self);
     offerEntry(m_directory, m_self);
-    m_digest = digestOf(m_directory);
+    noteDirectoryChanged();
     tellSome(changeCount, { m_self });
     tellBalancers(view().entries);
     return m_self;
@@ -214,7 +220,7 @@
 {
     if (m_pause.noteRunning()) {
         logEvent(Event::ProcessPaused, { { "milliseconds", static_cast<std::uint64_t>(m_pause.lastPause()) } });
-        forgetAgreement(m_agreement);
+        forgetAgreement(m_agentsAgreement);
         tellSome(changeCount, {});
     }
     return m_pause.isInDoubt();
@@ -222,7 +228,7 @@
 
 bool PeerNetwork::isDirectoryConfirmed() const
 {
-    return isAgreed(m_agreement, m_clock.now());
+    return isAgreed(m_agentsAgreement, m_clock.now());
 }
 
 void PeerNetwork::handleDatagram(std::span<const std::uint8_t> datagram, std::uint32_t sender)
@@ -253,7 +259,8 @@
     for (const ReaderBeat& reader : readersOf(message))
         takeBeat(m_readers, reader, m_lastNewsAt);
     const bool isSame = message.table->digest() == m_digest;
-    takeDirectoryWord(m_agreement, isSame, m_clock.now());
+    takeDirectoryWord(m_directoryAgreement, isSame, m_clock.now());
+    takeDirectoryWord(m_agentsAgreement, message.table->agents_digest() == m_agentsDigest, m_clock.now());
     if (!isSame)
         repairDirectory(sender);
     if (message.table->wants_answer())
@@ -322,7 +329,7 @@
 
 void PeerNetwork::tell(std::uint32_t address, const std::vector<PeerEntry>& changed, bool wantsAnswer)
 {
-    NewsMessage news { .configVersion = m_view.routes.version, .digest = m_digest, .outages = &m_view.outages, .entries = changed, .readers = freshBeats(m_readers, m_clock.now()), .wantsAnswer = wantsAnswer };
+    NewsMessage news { .configVersion = m_view.routes.version, .digest = m_digest, .agentsDigest = m_agentsDigest, .outages = &m_view.outages, .entries = changed, .readers = freshBeats(m_readers, m_clock.now()), .wantsAnswer = wantsAnswer };
     std::erase_if(news.entries, [](const PeerEntry& entry) { return entry.name.empty(); });
     if (news.entries.size() > entriesInNews)
         news.entries.resize(entriesInNews);
@@ -341,7 +348,7 @@
     const bool isNear = near.empty() || std::ranges::find(near, address) != near.end();
     if (!isNew && !isNear)
         return;
-    if ((!isNew && !isRepairDue(m_agreement, now)) || (m_entriesFetchedAt > 0 && now - m_entriesFetchedAt < interval))
+    if ((!isNew && !isRepairDue(m_directoryAgreement, now)) || (m_entriesFetchedAt > 0 && now - m_entriesFetchedAt < interval))
         return;
     fetchView(address, { .routes = m_view.routes.version == 0, .entries = true });
 }
--- a/src/kingcuptraild/packets/peernetwork.h
+++ b/src/kingcuptraild/packets/peernetwork.h
@@ -72,13 +72,12 @@
     void send(std::uint32_t address, const FlowMessage& message);
     /// The same message to several processes, encoded once.
     void sendToAll(std::span<const std::uint32_t> addresses, const FlowMessage& message);
-    std::uint64_t digest() const { return m_digest; }
     /// Sends a packet as it is, to a caller or an upstream.
     void sendPacket(std::span<const std::uint8_t> packet, const asio::ip::udp::endpoint& receiver);
 
     /// Whether this process stood still and has not heard since what changed meanwhile.
     bool isInDoubt();
-    /// Whether the last peer that named its directory has exactly the one that this process has.
+    /// Whether the last peer that told news knows exactly the agents that this process knows.
     bool isDirectoryConfirmed() const;
     Millis lastNewsAt() const { return m_lastNewsAt; }
 
@@ -86,6 +85,7 @@
 
 private:
     bool noteEntry(const PeerEntry& entry);
+    void noteDirectoryChanged();
     void handleDatagram(std::span<const std::uint8_t> datagram, std::uint32_t sender);
     void handleNews(const PeerMessage& message, std::uint32_t sender);
     void tellPeriodically();
@@ -119,12 +119,15 @@
     StoreReaders m_readers;
     bool m_isReading = false;
     std::uint64_t m_digest = 0;
+    std::uint64_t m_agentsDigest = 0;
     PauseMeter m_pause;
     Millis m_lastNewsAt = 0;
     Millis m_startedAt;
     Millis m_routesFetchedAt = 0;
     Millis m_entriesFetchedAt = 0;
-    DirectoryAgreement m_agreement;
+    /// On who the agents are, and on everything that is in the directory.
+    DirectoryAgreement m_agentsAgreement;
+    DirectoryAgreement m_directoryAgreement;
     EnumCounters<PeerTrouble> m_trouble;
 };
 
--- a/src/libdecision/directory.h
+++ b/src/libdecision/directory.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -69,6 +70,12 @@
 /// A number that is the same in all processes that know the same entries in the same epochs.
 std::uint64_t digestOf(const Directory&);
 
+/// A number that is the same in all processes that know the same agents by their addresses, here or everywhere. Says less
+/// than digestOf(): neither balancers nor the order of announcements matter to who has to be asked for a flow, and after a
+/// loss of power processes agree on it while they still learn the rest.
+std::uint64_t agentsDigestOf(const Directory&);
+std::uint64_t agentsDigestOf(const Directory&, std::string_view dataCentre, std::span<const std::uint32_t> excluded);
+
 /// The agents that take new flows for a service, as they announce it; in the order of their names.
 std::vector<const PeerEntry*> readyAgentsOf(const Directory&, std::string_view service);
 
--- a/src/libprotocol/peermessage.cpp
+++ b/src/libprotocol/peermessage.cpp
@@ -55,6 +55,8 @@
     message.refusal = fromNumber<OpenRefusal>(table->reason()).value_or(OpenRefusal::None);
     if (const auto* packet = table->packet())
         message.packet = { packet->data(), packet->size() };
+    if (const auto* excluded = table->excluded())
+        message.excluded.assign(excluded->begin(), excluded->end());
     error = FrameError::None;
     return message;
 }
@@ -65,6 +67,9 @@
     flatbuffers::Offset<flatbuffers::Vector<std::uint8_t>> packet;
     if (!message.packet.empty())
         packet = m_builder.CreateVector(message.packet.data(), message.packet.size());
+    flatbuffers::Offset<flatbuffers::Vector<std::uint32_t>> excluded;
+    if (!message.excluded.empty())
+        excluded = m_builder.CreateVector(message.excluded);
     const wire::Flow flow = toWire(message.flow);
     wire::PeerMessageBuilder builder(m_builder);
     builder.add_kind(message.kind);
@@ -81,6 +86,8 @@
     }
     if (!message.packet.empty())
         builder.add_packet(packet);
+    if (!message.excluded.empty())
+        builder.add_excluded(excluded);
     m_builder.Finish(builder.Finish());
     return finished(m_builder);
 }
@@ -103,6 +110,7 @@
     builder.add_kind(wire::PeerKind::News);
     builder.add_config_version(message.configVersion);
     builder.add_digest(message.digest);
+    builder.add_agents_digest(message.agentsDigest);
     if (message.outages)
         builder.add_outages(outages);
     builder.add_entries(packedEntries);
--- a/src/libprotocol/peermessage.h
+++ b/src/libprotocol/peermessage.h
@@ -18,12 +18,14 @@
     ConfigVersion configVersion = 0;
     /// Of Find: what the caller's packet acknowledges.
     std::uint32_t acknowledged = 0;
-    /// Of FindNear: the digest of the sender's directory.
+    /// Of FindNear: the digest of the agents that the sender knows in the receiver's data centre.
     std::uint64_t digest = 0;
     /// Of Open: the opening is to be refused rather than to wait, since other agents may have a free slot.
     bool needsFreeSlot = false;
     /// Of HeldNear: the address of the agent that holds the flow.
     std::uint32_t holder = 0;
+    /// Of FindNear: agents that are not to be asked.
+    std::vector<std::uint32_t> excluded;
     std::span<const std::uint8_t> packet;
     /// The rest, for the rare kinds.
     const wire::PeerMessage* table = nullptr;
@@ -43,6 +45,7 @@
     std::uint64_t digest = 0;
     bool needsFreeSlot = false;
     std::uint32_t holder = 0;
+    std::vector<std::uint32_t> excluded;
     const AgentLoad* load = nullptr;
     std::span<const std::uint8_t> packet;
 };
@@ -51,6 +54,7 @@
 struct NewsMessage {
     ConfigVersion configVersion = 0;
     std::uint64_t digest = 0;
+    std::uint64_t agentsDigest = 0;
     const OutageView* outages = nullptr;
     std::vector<PeerEntry> entries;
     std::vector<ReaderBeat> readers;
