--- a/src/kingcuptraild/packets/flowholders.h
+++ b/src/kingcuptraild/packets/flowholders.h
@@ -36,7 +36,8 @@
 /// An agent that was asked for its whole data centre.
 struct Speaker {
     std::uint32_t address = 0;
-    std::string dataCentre;
+    /// The agents that it speaks for: not for one that became known after it was asked.
+    std::vector<std::uint32_t> members;
 };
 
 /// A search and the packets that wait for its end.
--- a/src/kingcuptraild/packets/holderfinder.cpp
+++ b/src/kingcuptraild/packets/holderfinder.cpp
@@ -97,7 +97,7 @@
     for (const auto& [dataCentre, members] : chosen) {
         if (members.size() < ProbePlanOptions {}.fewestForOne)
             continue;
-        const auto isNew = [&](std::uint32_t agent) { return std::ranges::find(members, agent) == members.end(); };
+        const auto isNew = [&known = members](std::uint32_t agent) { return std::ranges::find(known, agent) == known.end(); };
         std::ranges::copy_if(everybody.at(dataCentre), std::back_inserter(agents), isNew);
     }
 }
@@ -144,7 +144,7 @@
     std::vector<std::uint32_t> excluded = givenUpIn(dataCentre);
     const std::uint64_t digest = agentsDigestOf(m_state.network.directory(), dataCentre, excluded);
     m_state.network.send(speaker, { .kind = wire::PeerKind::FindNear, .flow = flow, .configVersion = m_state.network.routes().version, .acknowledged = waiting.acknowledged, .digest = digest, .excluded = std::move(excluded), .packet = packet });
-    waiting.speakers.push_back({ .address = speaker, .dataCentre = dataCentre });
+    waiting.speakers.push_back({ .address = speaker, .members = { members.begin(), members.end() } });
 }
 
 // Any of them will do. Another one each time, so that a search that one has left unanswered goes to the next.
@@ -175,13 +175,12 @@
     const auto speaker = std::ranges::find(waiting.speakers, sender, &Speaker::address);
     if (speaker == waiting.speakers.end())
         return;
-    const std::string dataCentre = speaker->dataCentre;
+    const std::vector<std::uint32_t> members = std::move(speaker->members);
     waiting.speakers.erase(speaker);
     if (message.kind == wire::PeerKind::UnsureNear) {
-        takeUnsure(message.flow, waiting, membersIn(waiting.asked, dataCentre, waiting.search.awaited));
+        takeUnsure(message.flow, waiting, awaitedOf(waiting.search, members));
         return;
     }
-    const std::vector<std::uint32_t> members = membersIn(waiting.asked, dataCentre, unansweredIn(waiting.search));
     SearchState state = SearchState::Asking;
     for (const std::uint32_t member : members)
         state = takeAnswer(waiting.search, member, HolderAnswer::NotHeld);
@@ -237,7 +236,7 @@
         waiting.isOverdue = true;
         std::vector<std::uint32_t> overdue;
         for (const Speaker& speaker : waiting.speakers) {
-            const std::vector<std::uint32_t> members = membersIn(waiting.asked, speaker.dataCentre, waiting.search.awaited);
+            const std::vector<std::uint32_t> members = awaitedOf(waiting.search, speaker.members);
             overdue.insert(overdue.end(), members.begin(), members.end());
         }
         if (!overdue.empty())
--- a/src/libdecision/holdersearch.cpp
+++ b/src/libdecision/holdersearch.cpp
@@ -34,6 +34,13 @@
     return agents;
 }
 
+std::vector<std::uint32_t> awaitedOf(const HolderSearch& search, std::span<const std::uint32_t> agents)
+{
+    std::vector<std::uint32_t> awaited;
+    std::ranges::copy_if(agents, std::back_inserter(awaited), [&](std::uint32_t agent) { return std::ranges::find(search.awaited, agent) != search.awaited.end(); });
+    return awaited;
+}
+
 SearchState takeAnswer(HolderSearch& search, std::uint32_t agent, HolderAnswer answer)
 {
     if (search.state == SearchState::Found)
--- a/src/libdecision/holdersearch.h
+++ b/src/libdecision/holdersearch.h
@@ -43,6 +43,9 @@
 /// a neighbour counts as unsure when the neighbour is, also one that is gone.
 std::vector<std::uint32_t> unansweredIn(const HolderSearch&);
 
+/// Those of `agents` that have said nothing yet.
+std::vector<std::uint32_t> awaitedOf(const HolderSearch&, std::span<const std::uint32_t> agents);
+
 /// Takes one agent's answer; the state that the search is in then. Answers from agents that were not asked count only when
 /// they hold the flow.
 SearchState takeAnswer(HolderSearch&, std::uint32_t agent, HolderAnswer);
--- a/src/libdecision/probeplan.cpp
+++ b/src/libdecision/probeplan.cpp
@@ -83,14 +83,4 @@
     return std::ranges::find(plan.probed, agent, &UnsureAgent::address) != plan.probed.end();
 }
 
-std::vector<std::uint32_t> membersIn(const AgentsByCentre& asked, std::string_view dataCentre, std::span<const std::uint32_t> agents)
-{
-    std::vector<std::uint32_t> members;
-    const auto centre = asked.find(dataCentre);
-    if (centre == asked.end())
-        return members;
-    std::ranges::copy_if(centre->second, std::back_inserter(members), [&](std::uint32_t agent) { return contains(agents, agent); });
-    return members;
-}
-
 }
--- a/src/libdecision/probeplan.h
+++ b/src/libdecision/probeplan.h
@@ -56,7 +56,4 @@
 /// Whether this agent has got the packet.
 bool wasProbed(const ProbePlan&, std::uint32_t agent);
 
-/// Those of `agents` that are among `asked` in this data centre.
-std::vector<std::uint32_t> membersIn(const AgentsByCentre& asked, std::string_view dataCentre, std::span<const std::uint32_t> agents);
-
 }
