--- a/src/kingcuptrailctl/explanations.cpp
+++ b/src/kingcuptrailctl/explanations.cpp
@@ -106,6 +106,7 @@
         { "The upstream's slots are full.", "Nothing for a few; if many, add upstreams." },
         { "The upstream handed the opening back.", "It is leaving or full: look at its own log." },
         { "The opening waited at the agent for as long as its caller does.", "Add upstreams: more work comes than is done." },
+        { "The upstream accepts flows and resets them with their requests; the opening goes to another agent.", "Look at that upstream's process, and at the agent's upstreamFailing line." },
     } };
 
     constexpr Table<ChildFailure> children { {
