--- a/src/kingcuptraild/packets/admissiondesk.cpp
+++ b/src/kingcuptraild/packets/admissiondesk.cpp
@@ -56,7 +56,7 @@
         .needsFreeSlot = needsFreeSlot,
     };
     const OpenRefusal refusal = decideOpen(m_state.gate, m_state.network.routes(), m_state.network.outages(), attempt, now);
-    if (refusal == OpenRefusal::None && !takeOpening(m_state.health, now))
+    if (refusal == OpenRefusal::None && !mayOpen(m_state.health, now))
         return OpenRefusal::UpstreamFailing;
     return refusal;
 }
@@ -66,6 +66,7 @@
     const Millis now = m_state.role.clock.now();
     logFlowEvent(Event::FlowAdmitted, flow, { { "upstream", m_state.gate.upstream->id }, { "atWork", m_state.flows.atWork }, { "open", m_state.flows.open }, { "waited", static_cast<std::uint64_t>(waited) }, { "reportAge", static_cast<std::uint64_t>(now - m_state.gate.reportedAt) }, { "version", m_state.network.routes().version }, { "outages", m_state.network.outages().revision } });
     beginFlow(m_state.flows, flow, now);
+    noteOpening(m_state.health, now);
     deliver(m_state, packet, indexOf(m_state, balancer));
     m_state.fates.increment(AgentPacketFate::Delivered);
     m_waits.record(static_cast<double>(waited));
--- a/src/libdecision/upstreamhealth.cpp
+++ b/src/libdecision/upstreamhealth.cpp
@@ -28,15 +28,18 @@
     return true;
 }
 
-bool takeOpening(UpstreamHealth& health, Millis now)
+bool mayOpen(const UpstreamHealth& health, Millis now)
 {
-    if (!health.isFailing)
-        return true;
-    if (now < health.nextTrialAt)
-        return false;
+    return !health.isFailing || now >= health.nextTrialAt;
+}
+
+void noteOpening(UpstreamHealth& health, Millis now)
+{
+    // Copies of a trial's opening packet are no further trials.
+    if (!health.isFailing || now < health.nextTrialAt)
+        return;
     health.trialInterval = std::min(health.trialInterval * 2, health.options.longestTrial);
     health.nextTrialAt = now + health.trialInterval;
-    return true;
 }
 
 }
--- a/src/libdecision/upstreamhealth.h
+++ b/src/libdecision/upstreamhealth.h
@@ -38,7 +38,10 @@
 /// The upstream broke a request off without any answer; whether it counts as failing since this one.
 bool noteBrokenOff(UpstreamHealth&, Millis now);
 
-/// Whether an opening may go to the upstream now; one that goes to a failing one is its trial, and the next has to wait.
-bool takeOpening(UpstreamHealth&, Millis now);
+/// Whether an opening may go to the upstream now: always, or as a failing one's trial.
+bool mayOpen(const UpstreamHealth&, Millis now);
+
+/// An opening goes to the upstream. To a failing one it is a trial, and the next has to wait.
+void noteOpening(UpstreamHealth&, Millis now);
 
 }
--- a/tests/packets/testupstreamhealth.cpp
+++ b/tests/packets/testupstreamhealth.cpp
@@ -14,8 +14,18 @@
     CPPUNIT_TEST(brokenRequestsAmongAnsweredOnesAreNoFailure);
     CPPUNIT_TEST(trialsBecomeRarerAndOneAnswerEndsThem);
     CPPUNIT_TEST(upstreamThatGoesAgainIsKnownAtOnce);
+    CPPUNIT_TEST(lookingDoesNotUseUpATrial);
     CPPUNIT_TEST_SUITE_END();
 
+    /// Sends an opening there if it may go; whether it went.
+    static bool open(UpstreamHealth& health, Millis now)
+    {
+        const bool may = mayOpen(health, now);
+        if (may)
+            noteOpening(health, now);
+        return may;
+    }
+
     // Eight upstreams serve a hundred new requests a second; one of them resets each flow with its first request for two
     // seconds, while it reports that it is ready. Who breaks off at once has the least work, so that by load alone it gets the
     // next opening every time and nearly all callers are cut. With its agent's refusals it costs the three requests that
@@ -33,7 +43,7 @@
             const auto workOf = [&](std::size_t agent) { return std::ranges::count_if(busyUntil[agent], [now](Millis until) { return until > now; }); };
             std::array<std::size_t, 8> order { 0, 1, 2, 3, 4, 5, 6, 7 };
             std::ranges::stable_sort(order, {}, workOf);
-            const auto taker = std::ranges::find_if(order, [&](std::size_t agent) { return takeOpening(agents[agent], now); });
+            const auto taker = std::ranges::find_if(order, [&](std::size_t agent) { return open(agents[agent], now); });
             CPPUNIT_ASSERT(taker != order.end());
             if (*taker == broken) {
                 noteBrokenOff(agents[broken], now + 1);
@@ -75,7 +85,7 @@
             CPPUNIT_ASSERT(!noteBrokenOff(health, now));
             CPPUNIT_ASSERT(!noteBrokenOff(health, now + 1));
             noteAnswered(health);
-            CPPUNIT_ASSERT(takeOpening(health, now + 2));
+            CPPUNIT_ASSERT(open(health, now + 2));
         }
     }
 
@@ -87,15 +97,15 @@
         CPPUNIT_ASSERT(noteBrokenOff(health, 1000));
         std::vector<Millis> trials;
         for (Millis now = 1000; now <= 4500; now += 10) {
-            if (takeOpening(health, now)) {
+            if (open(health, now)) {
                 trials.push_back(now);
                 noteBrokenOff(health, now + 1);
             }
         }
         CPPUNIT_ASSERT((trials == std::vector<Millis> { 1100, 1300, 1700, 2500, 3300, 4100 }));
         noteAnswered(health);
-        CPPUNIT_ASSERT(takeOpening(health, 4501));
-        CPPUNIT_ASSERT(takeOpening(health, 4501));
+        CPPUNIT_ASSERT(open(health, 4501));
+        CPPUNIT_ASSERT(open(health, 4501));
     }
 
     // An upstream that comes and goes by turns of two seconds answers in between. Each time it goes, three callers were cut
@@ -107,10 +117,24 @@
             noteBrokenOff(health, 1000);
         noteAnswered(health);
         CPPUNIT_ASSERT(noteBrokenOff(health, 3000));
-        CPPUNIT_ASSERT(!takeOpening(health, 3001));
+        CPPUNIT_ASSERT(!open(health, 3001));
         noteAnswered(health);
         CPPUNIT_ASSERT(!noteBrokenOff(health, 3000 + health.options.probation));
     }
+
+    // Openings wait at an agent whose upstream fails. The agent looks whether the first may go, chooses the most urgent, and
+    // decides on that one again: the look took the trial, the opening was refused, and nobody tried the upstream.
+    void lookingDoesNotUseUpATrial()
+    {
+        UpstreamHealth health;
+        for (unsigned request = 0; request < 3; ++request)
+            noteBrokenOff(health, 1000);
+        CPPUNIT_ASSERT(mayOpen(health, 1100));
+        CPPUNIT_ASSERT(mayOpen(health, 1100));
+        noteOpening(health, 1100);
+        CPPUNIT_ASSERT(!mayOpen(health, 1100));
+        CPPUNIT_ASSERT(mayOpen(health, 1300));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestUpstreamHealth);
