--- a/src/kingcuptraild/packets/agentstate.cpp
+++ b/src/kingcuptraild/packets/agentstate.cpp
@@ -17,13 +17,13 @@
     return { .atWork = state.flows.atWork + static_cast<std::uint32_t>(state.waiting), .slots = state.gate.upstream ? state.gate.upstream->slots : 1, .usual = state.usualLoad, .isCold = state.role.clock.now() < state.gate.coldUntil };
 }
 
-std::uint32_t indexOf(AgentState& state, std::uint32_t balancer)
+std::uint32_t indexOf(AgentState& state, std::uint32_t sender)
 {
-    const auto found = std::ranges::find(state.balancers, balancer);
-    if (found != state.balancers.end())
-        return static_cast<std::uint32_t>(found - state.balancers.begin()) + 1;
-    state.balancers.push_back(balancer);
-    return static_cast<std::uint32_t>(state.balancers.size());
+    const auto found = std::ranges::find(state.senders, sender);
+    if (found != state.senders.end())
+        return static_cast<std::uint32_t>(found - state.senders.begin()) + 1;
+    state.senders.push_back(sender);
+    return static_cast<std::uint32_t>(state.senders.size());
 }
 
 void deliver(AgentState& state, std::span<const std::uint8_t> packet, std::uint32_t mark)
--- a/src/kingcuptraild/packets/agentstate.h
+++ b/src/kingcuptraild/packets/agentstate.h
@@ -37,8 +37,8 @@
     /// Openings that wait here.
     std::uint32_t waiting = 0;
     float usualLoad = 0;
-    /// Hosts of balancers that have sent something; a packet's mark is an index into it, plus one.
-    std::vector<std::uint32_t> balancers;
+    /// Hosts that have sent callers' packets, balancers and neighbours that probe; a packet's mark is an index into it, plus one.
+    std::vector<std::uint32_t> senders;
     std::vector<std::uint8_t> scratch;
     EnumCounters<AgentPacketFate> fates;
     EnumCounters<OpenRefusal> refusals;
@@ -50,8 +50,8 @@
 /// How loaded the upstream is.
 AgentLoad loadOf(const AgentState&);
 
-/// The mark by which a packet that comes back is known to be this balancer's.
-std::uint32_t indexOf(AgentState&, std::uint32_t balancer);
+/// The mark by which a packet that comes back is known to be this sender's.
+std::uint32_t indexOf(AgentState&, std::uint32_t sender);
 
 /// Sends a caller's packet to the upstream, as its sender wrote it.
 void deliver(AgentState&, std::span<const std::uint8_t> packet, std::uint32_t mark);
--- a/src/kingcuptraild/packets/holderfinder.cpp
+++ b/src/kingcuptraild/packets/holderfinder.cpp
@@ -14,11 +14,13 @@
     /// that nobody is missing, in milliseconds: several rounds of news. It costs nothing but memory; a caller whose search
     /// had ended would be told with its next packet only, up to 1.6 s later.
     constexpr Millis newsLimit = 1000;
-    /// Searches that are begun in one turn when the first agents become known: 800 a second.
+    /// Searches that are begun in one turn when the first agents become known: 800 a second, so that a backlog cannot keep a
+    /// small balancer from its packets; estimated, not measured.
     constexpr std::size_t searchesBegunInTurn = 16;
     /// How long the one agent that is asked for its data centre may take, in milliseconds: several round trips.
     constexpr Millis speakerLimit = 30;
-    /// Between two turns of 20 ms, when the process is behind with its work, in milliseconds.
+    /// A turn that comes this long after the one before shows that the process is behind with its work, in milliseconds: twice
+    /// the 20 ms between turns.
     constexpr Millis lateTurn = 40;
     /// Packets of one flow that wait for a search: what a caller has in flight.
     constexpr std::size_t waitingPackets = 16;
@@ -49,16 +51,14 @@
     m_state.fates.increment(PacketFate::Waiting);
     if (!isNew)
         return;
-    waiting.search = beginSearch({}, m_state.role.clock.now());
     waiting.plan.ownDataCentre = m_state.role.settings.dataCentre;
     begin(flow, waiting);
 }
 
 void HolderFinder::begin(const FlowKey& flow, WaitingSearch& waiting)
 {
-    std::vector<std::uint32_t> agents = holdersToAsk(serviceForFlow(m_state.network.routes(), flow));
-    addNeighbours(agents);
-    waiting.search = beginSearch(agents, m_state.role.clock.now());
+    const AgentsByCentre agents = holdersToAsk(serviceForFlow(m_state.network.routes(), flow));
+    waiting.search = beginSearch(addressesOf(agents), m_state.role.clock.now());
     ask(flow, waiting, agents);
 }
 
@@ -77,35 +77,34 @@
     }
 }
 
-std::vector<std::uint32_t> HolderFinder::holdersToAsk(const std::string* service) const
+AgentsByCentre HolderFinder::possibleHolders(const std::string* service) const
 {
-    std::vector<std::uint32_t> agents;
+    AgentsByCentre agents;
     const Millis now = m_state.role.clock.now();
     for (const auto& [name, entry] : m_state.network.directory().entries) {
-        const bool mayHold = entry.role == PeerRole::Agent && entry.state != PeerState::Gone && !isGivenUp(m_state.silent, entry.address, now);
+        const bool mayHold = mayHoldFlows(entry) && !isGivenUp(m_state.silent, entry.address, now);
         if (mayHold && (!service || entry.service == *service))
-            agents.push_back(entry.address);
+            agents[entry.dataCentre].push_back(entry.address);
     }
     return agents;
 }
 
 // Whoever is asked for its data centre speaks for the agents of all services there.
-void HolderFinder::addNeighbours(std::vector<std::uint32_t>& agents) const
+AgentsByCentre HolderFinder::holdersToAsk(const std::string* service) const
 {
-    const AgentsByCentre chosen = byDataCentre(agents);
-    const AgentsByCentre everybody = byDataCentre(holdersToAsk(nullptr));
-    for (const auto& [dataCentre, members] : chosen) {
-        if (members.size() < ProbePlanOptions {}.fewestForOne)
-            continue;
-        const auto isNew = [&known = members](std::uint32_t agent) { return std::ranges::find(known, agent) == known.end(); };
-        std::ranges::copy_if(everybody.at(dataCentre), std::back_inserter(agents), isNew);
+    AgentsByCentre agents = possibleHolders(service);
+    AgentsByCentre everybody = possibleHolders(nullptr);
+    for (auto& [dataCentre, members] : agents) {
+        if (members.size() >= ProbePlanOptions {}.fewestForOne)
+            members = std::move(everybody.at(dataCentre));
     }
+    return agents;
 }
 
 // Asks the awaited agents: in a data centre with several of them one agent, who asks the others, and elsewhere each.
-void HolderFinder::ask(const FlowKey& flow, WaitingSearch& waiting, std::span<const std::uint32_t> agents)
+void HolderFinder::ask(const FlowKey& flow, WaitingSearch& waiting, const AgentsByCentre& agents)
 {
-    for (auto& [dataCentre, members] : byDataCentre(agents)) {
+    for (const auto& [dataCentre, members] : agents) {
         if (members.size() < waiting.plan.options.fewestForOne)
             askDirectly(flow, waiting, members);
         else
@@ -115,16 +114,6 @@
     }
 }
 
-AgentsByCentre HolderFinder::byDataCentre(std::span<const std::uint32_t> agents) const
-{
-    AgentsByCentre members;
-    for (const auto& [name, entry] : m_state.network.directory().entries) {
-        if (std::ranges::find(agents, entry.address) != agents.end())
-            members[entry.dataCentre].push_back(entry.address);
-    }
-    return members;
-}
-
 // Neither the agent that is asked nor its neighbours wait for these.
 std::vector<std::uint32_t> HolderFinder::givenUpIn(const std::string& dataCentre) const
 {
@@ -265,9 +254,10 @@
     }
     // A configuration may have moved the route since the flow was opened, and the directory may have grown since the search
     // began: whoever is known by now has to say so too.
-    if (const auto missing = askMissing(waiting.search, holdersToAsk(nullptr)); !missing.empty()) {
+    const AgentsByCentre known = possibleHolders(nullptr);
+    if (const auto missing = askMissing(waiting.search, addressesOf(known)); !missing.empty()) {
         waiting.search.startedAt = m_state.role.clock.now();
-        ask(flow, waiting, missing);
+        ask(flow, waiting, amongThese(known, missing));
         return;
     }
     // turn() looks again until a peer has confirmed the directory.
@@ -300,7 +290,7 @@
 }
 
 // A balancer that has not heard of every agent could take a flow for lost that one of them holds: another balancer may have
-// opened it there. The directory is complete when a peer has lately named the same one.
+// opened it there. Every agent is known while peers know the same ones.
 bool HolderFinder::canBeCertain() const
 {
     return m_state.network.isDirectoryConfirmed();
--- a/src/kingcuptraild/packets/holderfinder.h
+++ b/src/kingcuptraild/packets/holderfinder.h
@@ -20,13 +20,12 @@
     void exposeMetrics(std::string& out) const;
 
 private:
-    std::vector<std::uint32_t> holdersToAsk(const std::string* service) const;
+    AgentsByCentre possibleHolders(const std::string* service) const;
+    AgentsByCentre holdersToAsk(const std::string* service) const;
     void begin(const FlowKey& flow, WaitingSearch& waiting);
     void beginLate();
-    void addNeighbours(std::vector<std::uint32_t>& agents) const;
-    void ask(const FlowKey& flow, WaitingSearch& waiting, std::span<const std::uint32_t> agents);
+    void ask(const FlowKey& flow, WaitingSearch& waiting, const AgentsByCentre& agents);
     void askSpeaker(const FlowKey& flow, WaitingSearch& waiting, const std::string& dataCentre, std::span<const std::uint32_t> members, std::span<const std::uint8_t> packet);
-    AgentsByCentre byDataCentre(std::span<const std::uint32_t> agents) const;
     void askDirectly(const FlowKey& flow, const WaitingSearch& waiting, std::span<const std::uint32_t> agents);
     void probeOverdue(Millis now);
     std::vector<std::uint32_t> givenUpIn(const std::string& dataCentre) const;
--- a/src/kingcuptraild/packets/neighboursearches.cpp
+++ b/src/kingcuptraild/packets/neighboursearches.cpp
@@ -53,9 +53,9 @@
 {
     std::vector<std::uint32_t> addresses;
     for (const auto& [name, entry] : m_state.network.directory().entries) {
-        const bool isNeighbour = entry.role == PeerRole::Agent && entry.state != PeerState::Gone && entry.dataCentre == m_state.role.settings.dataCentre;
+        const bool isNeighbour = mayHoldFlows(entry) && entry.dataCentre == m_state.role.settings.dataCentre && entry.address != m_state.network.ownAddress();
         const bool isExcluded = std::ranges::find(excluded, entry.address) != excluded.end();
-        if (isNeighbour && !isExcluded && entry.address != m_state.network.ownAddress())
+        if (isNeighbour && !isExcluded)
             addresses.push_back(entry.address);
     }
     return addresses;
@@ -84,7 +84,7 @@
     m_searches.erase(found);
 }
 
-// A neighbour that stays silent leaves the answer open; the balancer then asks each agent itself.
+// A neighbour that stays silent leaves the answer open.
 void NeighbourSearches::expire(Millis now)
 {
     std::vector<FlowKey> overdue;
--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -145,7 +145,7 @@
         break;
     case CallerPacketAction::DeliverToLearn:
         m_state.fates.increment(AgentPacketFate::DeliveredToLearn);
-        m_learning[message.flow] = { .balancer = sender, .since = now, .isProbe = isProbe, .acknowledged = head->acknowledged };
+        m_learning[message.flow] = { .asker = sender, .since = now, .isProbe = isProbe, .acknowledged = head->acknowledged };
         deliver(m_state, message.packet, index);
         startLearningTimer();
         break;
@@ -185,7 +185,7 @@
             continue;
         learnFlow(m_state.flows, flow, learning.acknowledged, now);
         logFlowEvent(Event::FlowLearnt, flow, { { "open", m_state.flows.open } });
-        reply(m_state, learning.balancer, { .kind = wire::PeerKind::Held, .flow = flow });
+        reply(m_state, learning.asker, { .kind = wire::PeerKind::Held, .flow = flow });
     }
     std::erase_if(m_learning, [now](const auto& item) { return now - item.second.since >= returnTime; });
 }
@@ -214,7 +214,7 @@
     noteHealth(news, now);
     if (const auto learning = m_learning.find(flow); learning != m_learning.end()) {
         const bool isHeld = !head->flags.resets;
-        reply(m_state, learning->second.balancer, { .kind = isHeld ? wire::PeerKind::Held : wire::PeerKind::NotHeld, .flow = flow });
+        reply(m_state, learning->second.asker, { .kind = isHeld ? wire::PeerKind::Held : wire::PeerKind::NotHeld, .flow = flow });
         m_learning.erase(learning);
     }
     if (news.isLearnt)
@@ -245,17 +245,17 @@
     const bool isProbe = learning != m_learning.end() && learning->second.isProbe;
     if (learning != m_learning.end())
         m_learning.erase(learning);
-    if (head.mark == 0 || head.mark > m_state.balancers.size())
+    if (head.mark == 0 || head.mark > m_state.senders.size())
         return;
-    const std::uint32_t balancer = m_state.balancers[head.mark - 1];
+    const std::uint32_t sender = m_state.senders[head.mark - 1];
     m_state.adapter.clearMarks(packet);
     if (isOpening(head)) {
         m_state.refusals.increment(OpenRefusal::Returned);
         logFlowEvent(Event::OpeningRefused, flow, { { "reason", nameOf(OpenRefusal::Returned) }, { "atWork", m_state.flows.atWork }, { "open", m_state.flows.open } });
-        reply(m_state, balancer, { .kind = wire::PeerKind::Refused, .flow = flow, .refusal = OpenRefusal::Returned, .packet = packet });
+        reply(m_state, sender, { .kind = wire::PeerKind::Refused, .flow = flow, .refusal = OpenRefusal::Returned, .packet = packet });
     } else {
         const std::span<const std::uint8_t> returned = isProbe ? std::span<const std::uint8_t>() : packet;
-        reply(m_state, balancer, { .kind = wire::PeerKind::NotHeld, .flow = flow, .packet = returned });
+        reply(m_state, sender, { .kind = wire::PeerKind::NotHeld, .flow = flow, .packet = returned });
     }
 }
 
--- a/src/kingcuptraild/packets/packetagent.h
+++ b/src/kingcuptraild/packets/packetagent.h
@@ -23,9 +23,10 @@
 private:
     /// A caller's packet that went to the upstream to learn whether it holds the flow, and who is to be told.
     struct Learning {
-        std::uint32_t balancer = 0;
+        /// A balancer, or a neighbour that one has asked.
+        std::uint32_t asker = 0;
         Millis since = 0;
-        /// The balancer still has the packet.
+        /// The asker still has the packet.
         bool isProbe = false;
         std::uint32_t acknowledged = 0;
     };
--- a/src/kingcuptraild/packets/packetbalancer.cpp
+++ b/src/kingcuptraild/packets/packetbalancer.cpp
@@ -202,7 +202,7 @@
 
 std::size_t PacketBalancer::countAgents() const
 {
-    const auto isAgent = [](const auto& item) { return item.second.role == PeerRole::Agent && item.second.state != PeerState::Gone; };
+    const auto isAgent = [](const auto& item) { return mayHoldFlows(item.second); };
     return static_cast<std::size_t>(std::ranges::count_if(m_state.network.directory().entries, isAgent));
 }
 
--- a/src/kingcuptraild/packets/peernetwork.cpp
+++ b/src/kingcuptraild/packets/peernetwork.cpp
@@ -130,13 +130,17 @@
 // processes kept balancers from answering for half a second; whoever lacks one of them finds out by the digest.
 void PeerNetwork::takeEntries(const std::vector<PeerEntry>& entries)
 {
-    std::vector<PeerEntry> taken;
-    std::ranges::copy_if(entries, std::back_inserter(taken), [this](const PeerEntry& entry) { return noteEntry(entry); });
+    std::vector<const PeerEntry*> taken;
+    for (const PeerEntry& entry : entries) {
+        if (noteEntry(entry))
+            taken.push_back(&entry);
+    }
     if (taken.empty())
         return;
     noteDirectoryChanged();
     // Among them may be balancers that this process did not know when it announced itself.
-    tellBalancers(taken);
+    for (const PeerEntry* entry : taken)
+        tellIfBalancer(*entry);
     logEvent(Event::DirectoryTaken, { { "entries", entries.size() }, { "new", taken.size() }, { "known", m_directory.entries.size() } });
 }
 
@@ -170,21 +174,19 @@
     offerEntry(m_directory, m_self);
     noteDirectoryChanged();
     tellSome(changeCount, { m_self });
-    tellBalancers(view().entries);
+    for (const auto& [name, entry] : m_directory.entries)
+        tellIfBalancer(entry);
     return m_self;
 }
 
 // Passed on from peer to peer, an announcement misses some processes, which hear of it a few tenths of a second later. A
 // balancer among them would not ask a new agent for the flows that others have already opened there; so an agent tells each
 // balancer itself, a datagram each.
-void PeerNetwork::tellBalancers(const std::vector<PeerEntry>& entries)
+void PeerNetwork::tellIfBalancer(const PeerEntry& entry)
 {
-    if (m_self.role != PeerRole::Agent || m_self.name.empty())
-        return;
-    for (const PeerEntry& entry : entries) {
-        if (entry.role == PeerRole::Balancer && entry.state != PeerState::Gone)
-            tell(entry.address, { m_self }, false);
-    }
+    const bool isAnnounced = m_self.role == PeerRole::Agent && !m_self.name.empty();
+    if (isAnnounced && entry.role == PeerRole::Balancer && entry.state != PeerState::Gone)
+        tell(entry.address, { m_self }, false);
 }
 
 void PeerNetwork::setReading(bool isReading)
--- a/src/kingcuptraild/packets/peernetwork.h
+++ b/src/kingcuptraild/packets/peernetwork.h
@@ -89,7 +89,7 @@
     void handleDatagram(std::span<const std::uint8_t> datagram, std::uint32_t sender);
     void handleNews(const PeerMessage& message, std::uint32_t sender);
     void tellPeriodically();
-    void tellBalancers(const std::vector<PeerEntry>& entries);
+    void tellIfBalancer(const PeerEntry& entry);
     void tellSome(std::size_t count, const std::vector<PeerEntry>& changed);
     void tell(std::uint32_t address, const std::vector<PeerEntry>& changed, bool wantsAnswer);
     std::vector<std::uint32_t> knownPeers() const;
--- a/src/libdecision/agentflows.h
+++ b/src/libdecision/agentflows.h
@@ -115,8 +115,8 @@
 /// Decides on a caller's packet that does not open a flow, and notes what it tells.
 CallerPacketAction takeCallerPacket(AgentFlows&, const FlowKey&, const PacketHead&, Millis now);
 
-/// What a balancer that sent a packet to find the flow's holder is told at once; nothing when the upstream has yet to show it.
-/// Without the yes a balancer would send each further packet of the flow to every unsure agent.
+/// What is told at once to whoever sent a packet to find the flow's holder; nothing when the upstream has yet to show it.
+/// Without the yes a search for a flow that is known here would end without it.
 std::optional<HolderAnswer> answerToProbe(CallerPacketAction);
 
 /// What a packet from the upstream told about a flow.
--- a/src/libdecision/directory.cpp
+++ b/src/libdecision/directory.cpp
@@ -17,6 +17,17 @@
             directory.readyAgents.erase(service);
     }
 
+    template <typename Predicate>
+    std::uint64_t agentsDigest(const Directory& directory, Predicate counts)
+    {
+        std::uint64_t digest = 0;
+        for (const auto& [name, entry] : directory.entries) {
+            if (mayHoldFlows(entry) && counts(entry))
+                digest ^= XXH3_64bits(&entry.address, sizeof(entry.address));
+        }
+        return digest;
+    }
+
 }
 
 bool offerEntry(Directory& directory, PeerEntry entry)
@@ -59,36 +70,14 @@
     return digest;
 }
 
-namespace {
-
-    bool isAgentThere(const PeerEntry& entry)
-    {
-        return entry.role == PeerRole::Agent && entry.state != PeerState::Gone;
-    }
-
-    std::uint64_t addressDigest(const PeerEntry& entry)
-    {
-        return XXH3_64bits(&entry.address, sizeof(entry.address));
-    }
-
-}
-
 std::uint64_t agentsDigestOf(const Directory& directory)
 {
-    std::uint64_t digest = 0;
-    for (const auto& [name, entry] : directory.entries)
-        digest ^= isAgentThere(entry) ? addressDigest(entry) : 0;
-    return digest;
+    return agentsDigest(directory, [](const PeerEntry&) { return true; });
 }
 
 std::uint64_t agentsDigestOf(const Directory& directory, std::string_view dataCentre, std::span<const std::uint32_t> excluded)
 {
-    std::uint64_t digest = 0;
-    for (const auto& [name, entry] : directory.entries) {
-        const bool counts = isAgentThere(entry) && entry.dataCentre == dataCentre && std::ranges::find(excluded, entry.address) == excluded.end();
-        digest ^= counts ? addressDigest(entry) : 0;
-    }
-    return digest;
+    return agentsDigest(directory, [&](const PeerEntry& entry) { return entry.dataCentre == dataCentre && std::ranges::find(excluded, entry.address) == excluded.end(); });
 }
 
 const PeerEntry* findByAddress(const Directory& directory, std::uint32_t address)
--- a/src/libdecision/directory.h
+++ b/src/libdecision/directory.h
@@ -67,13 +67,21 @@
 /// cannot reach the store leaves it there, and everybody who starts later would wait for its answers.
 bool isLeftBehind(const Directory&, const PeerEntry& listed);
 
+/// Whether the entry is of an agent that may hold flows: one that takes no new ones holds its open ones.
+inline bool mayHoldFlows(const PeerEntry& entry)
+{
+    return entry.role == PeerRole::Agent && entry.state != PeerState::Gone;
+}
+
 /// A number that is the same in all processes that know the same entries in the same epochs.
 std::uint64_t digestOf(const Directory&);
 
-/// A number that is the same in all processes that know the same agents by their addresses, here or everywhere. Says less
+/// A number that is the same in all processes that know the same agents that may hold flows, by their addresses. Says less
 /// than digestOf(): neither balancers nor the order of announcements matter to who has to be asked for a flow, and after a
 /// loss of power processes agree on it while they still learn the rest.
 std::uint64_t agentsDigestOf(const Directory&);
+
+/// The same of one data centre's agents, without those that are `excluded`.
 std::uint64_t agentsDigestOf(const Directory&, std::string_view dataCentre, std::span<const std::uint32_t> excluded);
 
 /// The agents that take new flows for a service, as they announce it; in the order of their names.
--- a/src/libdecision/directoryagreement.h
+++ b/src/libdecision/directoryagreement.h
@@ -16,8 +16,8 @@
 /// Load: hosts join while balancers are restarted in turn, so that a new agent's first flows move to balancers that have
 /// not heard of it. Harm: such a balancer hears no from every agent that it knows, takes the flow for lost and resets it
 /// at its caller while the upstream serves. Most peers know a new agent within some 20 ms, and a process hears some sixteen
-/// words a second: one that differs shows within a tenth of a second that this process, or the peer, lacks something, where
-/// a word of before went on counting for a second and a half.
+/// words a second: one that differs shows within a tenth of a second that this process, or the peer, lacks something. No
+/// word from before counts then.
 struct DirectoryAgreement {
     DirectoryAgreementOptions options;
     /// When a peer last named the same directory; 0 when another one has been named since.
--- a/src/libdecision/probeplan.cpp
+++ b/src/libdecision/probeplan.cpp
@@ -1,6 +1,7 @@
 #include "probeplan.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace kingcuptrail {
 
@@ -34,20 +35,41 @@
         return std::ranges::find(plan.probed, dataCentre, &UnsureAgent::dataCentre) != plan.probed.end();
     }
 
-    ProbeGroup groupFor(const ProbePlan& plan, const AgentsByCentre& asked, const std::string& dataCentre, std::vector<std::uint32_t> due)
+    /// Nothing when the data centre's agents have the packet already.
+    std::optional<ProbeGroup> groupFor(const ProbePlan& plan, const AgentsByCentre& asked, const std::string& dataCentre, std::vector<std::uint32_t> due)
     {
         const auto all = asked.find(dataCentre);
         const bool isLarge = all != asked.end() && all->second.size() >= plan.options.fewestForOne;
         if (!isLarge)
-            return { .dataCentre = dataCentre, .members = std::move(due) };
+            return ProbeGroup { .dataCentre = dataCentre, .members = std::move(due) };
         // Whoever has the packet brings it to everybody there, also to those that turn out to be unsure later.
         if (isCentreProbed(plan, dataCentre))
-            return {};
-        return { .dataCentre = dataCentre, .members = all->second, .isThroughOne = true };
+            return std::nullopt;
+        return ProbeGroup { .dataCentre = dataCentre, .members = all->second, .isThroughOne = true };
     }
 
 }
 
+std::vector<std::uint32_t> addressesOf(const AgentsByCentre& agents)
+{
+    std::vector<std::uint32_t> addresses;
+    for (const auto& [dataCentre, members] : agents)
+        addresses.insert(addresses.end(), members.begin(), members.end());
+    return addresses;
+}
+
+AgentsByCentre amongThese(const AgentsByCentre& all, std::span<const std::uint32_t> agents)
+{
+    AgentsByCentre chosen;
+    for (const auto& [dataCentre, members] : all) {
+        for (const std::uint32_t member : members) {
+            if (contains(agents, member))
+                chosen[dataCentre].push_back(member);
+        }
+    }
+    return chosen;
+}
+
 void addUnsure(ProbePlan& plan, UnsureAgent agent)
 {
     plan.waiting.push_back(std::move(agent));
@@ -70,9 +92,8 @@
         dueByCentre[agent.dataCentre].push_back(agent.address);
     std::vector<ProbeGroup> groups;
     for (auto& [dataCentre, members] : dueByCentre) {
-        ProbeGroup group = groupFor(plan, asked, dataCentre, std::move(members));
-        if (!group.members.empty())
-            groups.push_back(std::move(group));
+        if (auto group = groupFor(plan, asked, dataCentre, std::move(members)))
+            groups.push_back(std::move(*group));
     }
     plan.probed.insert(plan.probed.end(), std::make_move_iterator(due.begin()), std::make_move_iterator(due.end()));
     return groups;
--- a/src/libdecision/probeplan.h
+++ b/src/libdecision/probeplan.h
@@ -10,6 +10,12 @@
 /// Agents of one search by their data centre, in the order of their names.
 using AgentsByCentre = std::map<std::string, std::vector<std::uint32_t>, std::less<>>;
 
+/// All of them.
+std::vector<std::uint32_t> addressesOf(const AgentsByCentre&);
+
+/// Those that are among `agents`; a data centre without any is left out.
+AgentsByCentre amongThese(const AgentsByCentre&, std::span<const std::uint32_t> agents);
+
 /// An agent that does not know whether its upstream holds the flow: it was restarted beside a living upstream. Only a packet
 /// of the flow tells, delivered and handed back or not.
 struct UnsureAgent {
--- a/tests/packets/testbalancing.cpp
+++ b/tests/packets/testbalancing.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(newerEntryStands);
     CPPUNIT_TEST(agentsAreListedUnderTheirService);
     CPPUNIT_TEST(whatALeaverCouldNotWithdrawIsLeftBehind);
+    CPPUNIT_TEST(agentsAreAgreedOnWhileTheRestDiffers);
     CPPUNIT_TEST(weightsShareFlows);
     CPPUNIT_TEST_SUITE_END();
 
@@ -180,6 +181,31 @@
         CPPUNIT_ASSERT(!allowsService(table, { .address = 1, .port = 1 }, "intake"));
         CPPUNIT_ASSERT(!serviceForFlow(table, { .caller = {}, .service = { .address = 1, .port = 1 } }));
     }
+
+    // After a loss of power processes learn each other piece by piece. Who has to be asked for a flow is the same in two of them
+    // long before their directories are: balancers and the order of announcements do not count, and neither does who is gone.
+    void agentsAreAgreedOnWhileTheRestDiffers()
+    {
+        const PeerEntry agent { .name = "agent-1", .address = 1, .dataCentre = "north", .epoch = 5 };
+        Directory one;
+        offerEntry(one, agent);
+        Directory other = one;
+        offerEntry(other, { .name = "front-1", .role = PeerRole::Balancer, .address = 9, .dataCentre = "north", .epoch = 1 });
+        PeerEntry again = agent;
+        again.epoch = 6;
+        again.state = PeerState::Draining;
+        offerEntry(other, again);
+        CPPUNIT_ASSERT(digestOf(one) != digestOf(other));
+        CPPUNIT_ASSERT_EQUAL(agentsDigestOf(one), agentsDigestOf(other));
+
+        offerEntry(other, { .name = "agent-2", .address = 2, .dataCentre = "south", .epoch = 1 });
+        CPPUNIT_ASSERT(agentsDigestOf(one) != agentsDigestOf(other));
+        CPPUNIT_ASSERT_EQUAL(agentsDigestOf(one, "north", {}), agentsDigestOf(other, "north", {}));
+        const std::vector<std::uint32_t> excluded { 2 };
+        CPPUNIT_ASSERT_EQUAL(agentsDigestOf(one, "south", {}), agentsDigestOf(other, "south", excluded));
+        offerEntry(other, { .name = "agent-2", .address = 2, .dataCentre = "south", .state = PeerState::Gone, .epoch = 2 });
+        CPPUNIT_ASSERT_EQUAL(agentsDigestOf(one), agentsDigestOf(other));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestBalancing);
