--- a/src/kingcuptraild/packets/admissiondesk.cpp
+++ b/src/kingcuptraild/packets/connectionadmission.cpp
@@ -1,4 +1,4 @@
-#include "admissiondesk.h"
+#include "connectionadmission.h"
 
 #include "libruntime/events.h"
 
@@ -11,13 +11,13 @@
 
 }
 
-AdmissionDesk::AdmissionDesk(AgentState& state)
+ConnectionAdmission::ConnectionAdmission(AgentState& state)
     : m_state(state)
     , m_queueTimer(state.role.context)
 {
 }
 
-void AdmissionDesk::open(const PeerMessage& message, std::uint32_t sender)
+void ConnectionAdmission::open(const PeerMessage& message, std::uint32_t sender)
 {
     DecodeError error = DecodeError::None;
     const auto head = m_state.adapter.decodePacket(message.packet, error);
@@ -45,7 +45,7 @@
         refuse(message.flow, message.packet, sender, refusal);
 }
 
-OpenRefusal AdmissionDesk::decide(const FlowKey& flow, ConfigVersion balancerVersion, bool needsFreeSlot, Millis now)
+OpenRefusal ConnectionAdmission::decide(const FlowKey& flow, ConfigVersion balancerVersion, bool needsFreeSlot, Millis now)
 {
     m_state.gate.isViewInDoubt = m_state.network.isInDoubt();
     const OpenAttempt attempt {
@@ -61,7 +61,7 @@
     return refusal;
 }
 
-void AdmissionDesk::admit(const FlowKey& flow, std::span<const std::uint8_t> packet, std::uint32_t balancer, Millis waited)
+void ConnectionAdmission::admit(const FlowKey& flow, std::span<const std::uint8_t> packet, std::uint32_t balancer, Millis waited)
 {
     const Millis now = m_state.role.clock.now();
     logFlowEvent(Event::FlowAdmitted, flow, { { "upstream", m_state.gate.upstream->id }, { "atWork", m_state.flows.atWork }, { "open", m_state.flows.open }, { "waited", static_cast<std::uint64_t>(waited) }, { "reportAge", static_cast<std::uint64_t>(now - m_state.gate.reportedAt) }, { "version", m_state.network.routes().version }, { "outages", m_state.network.outages().revision } });
@@ -73,7 +73,7 @@
     reply(m_state, balancer, { .kind = wire::PeerKind::Admitted, .flow = flow });
 }
 
-void AdmissionDesk::letWait(const PeerMessage& message, std::uint32_t sender)
+void ConnectionAdmission::letWait(const PeerMessage& message, std::uint32_t sender)
 {
     const Millis now = m_state.role.clock.now();
     const FlowRoute* route = findRoute(m_state.network.routes(), message.flow.service);
@@ -96,7 +96,7 @@
 }
 
 // Room comes with the upstream's packets; only openings of callers that have left make room without any.
-void AdmissionDesk::startQueueTimer()
+void ConnectionAdmission::startQueueTimer()
 {
     if (m_isQueueTimerOn)
         return;
@@ -110,7 +110,7 @@
 }
 
 // Fills the room at the upstream from those that wait. What no longer may be admitted goes back to its balancer.
-void AdmissionDesk::admitWaiting()
+void ConnectionAdmission::admitWaiting()
 {
     const Millis now = m_state.role.clock.now();
     expireWork(m_state.flows, now);
@@ -132,7 +132,7 @@
     }
 }
 
-void AdmissionDesk::refuse(const FlowKey& flow, std::span<const std::uint8_t> packet, std::uint32_t balancer, OpenRefusal refusal)
+void ConnectionAdmission::refuse(const FlowKey& flow, std::span<const std::uint8_t> packet, std::uint32_t balancer, OpenRefusal refusal)
 {
     m_state.refusals.increment(refusal);
     m_state.fates.increment(AgentPacketFate::Refused);
@@ -141,12 +141,12 @@
     reply(m_state, balancer, { .kind = wire::PeerKind::Refused, .flow = flow, .refusal = refusal, .packet = packet });
 }
 
-void AdmissionDesk::noteWaiting()
+void ConnectionAdmission::noteWaiting()
 {
     m_state.waiting = static_cast<std::uint32_t>(m_queue.waiting.size());
 }
 
-void AdmissionDesk::exposeMetrics(std::string& out) const
+void ConnectionAdmission::exposeMetrics(std::string& out) const
 {
     m_waits.expose(out, "kingcuptrail_opening_wait_milliseconds", "How long admitted openings waited here, in milliseconds.");
 }
--- a/src/kingcuptraild/packets/admissiondesk.h
+++ b/src/kingcuptraild/packets/connectionadmission.h
@@ -1,15 +1,15 @@
 #pragma once
 
 #include "agentstate.h"
-#include "libdecision/openqueue.h"
+#include "libdecision/admissionqueue.h"
 #include "libplatform/delay.h"
 
 namespace kingcuptrail {
 
 /// Where an agent admits openings to its upstream, lets them wait for room, or refuses them.
-class AdmissionDesk {
+class ConnectionAdmission {
 public:
-    explicit AdmissionDesk(AgentState& state);
+    explicit ConnectionAdmission(AgentState& state);
 
     /// An opening that a balancer offers.
     void open(const PeerMessage& message, std::uint32_t sender);
@@ -27,7 +27,7 @@
     void noteWaiting();
 
     AgentState& m_state;
-    OpenQueue m_queue;
+    AdmissionQueue m_queue;
     Delay m_queueTimer;
     bool m_isQueueTimerOn = false;
     LatencyHistogram m_waits;
--- a/src/kingcuptraild/packets/openingdesk.cpp
+++ b/src/kingcuptraild/packets/connectiondispatcher.cpp
@@ -1,4 +1,4 @@
-#include "openingdesk.h"
+#include "connectiondispatcher.h"
 
 #include "libruntime/events.h"
 
@@ -33,12 +33,12 @@
 
 }
 
-OpeningDesk::OpeningDesk(BalancerState& state)
+ConnectionDispatcher::ConnectionDispatcher(BalancerState& state)
     : m_state(state)
 {
 }
 
-void OpeningDesk::open(const FlowKey& flow, std::span<const std::uint8_t> packet)
+void ConnectionDispatcher::open(const FlowKey& flow, std::span<const std::uint8_t> packet)
 {
     const Millis now = m_state.role.clock.now();
     // After a pause the socket holds openings whose callers have gone on over other balancers since.
@@ -67,7 +67,7 @@
 
 // Offers an opening to the best agent that has not had it yet. Without a configuration or agents it waits: a process that
 // has just started learns both within some round trips, and its callers' copies would come 200 ms later.
-void OpeningDesk::offerToNext(const FlowKey& flow, Opening& opening)
+void ConnectionDispatcher::offerToNext(const FlowKey& flow, Opening& opening)
 {
     const Millis now = m_state.role.clock.now();
     opening.agent = 0;
@@ -100,7 +100,7 @@
     logFlowEvent(Event::FlowOffered, flow, { { "agent", addressText(*next) }, { "service", *service }, { "atWork", load.atWork }, { "loadAge", static_cast<std::uint64_t>(now - load.heardAt) }, { "candidates", order.size() }, { "try", opening.tried.size() }, { "version", m_state.network.routes().version } });
 }
 
-void OpeningDesk::offerTo(std::uint32_t agent, const FlowKey& flow, Opening& opening)
+void ConnectionDispatcher::offerTo(std::uint32_t agent, const FlowKey& flow, Opening& opening)
 {
     // When hardly anybody has a free slot, asking for one only costs messages at the moment in which everybody is busy.
     const bool isWorthAsking = m_busyShare < mostlyBusy;
@@ -112,7 +112,7 @@
 }
 
 // Nobody who was asked has a free slot: the opening waits at the one with the least work, by what they have just said.
-void OpeningDesk::offerToWait(const FlowKey& flow, Opening& opening)
+void ConnectionDispatcher::offerToWait(const FlowKey& flow, Opening& opening)
 {
     const auto workOf = [this](std::uint32_t agent) {
         const AgentLoad& load = m_state.loads[agent];
@@ -124,14 +124,14 @@
 }
 
 // The opening is the caller's of `flow`; it is gone after this.
-void OpeningDesk::finishRefused(const FlowKey& flow, const Opening& opening, ResetReason reason)
+void ConnectionDispatcher::finishRefused(const FlowKey& flow, const Opening& opening, ResetReason reason)
 {
     logFlowEvent(Event::FlowRefused, flow, { { "reason", nameOf(reason) }, { "lastRefusal", nameOf(opening.lastRefusal) }, { "tried", opening.tried.size() }, { "version", m_state.network.routes().version } });
     sendReset(m_state, flow, 0, reason);
     m_openings.erase(flow);
 }
 
-std::vector<std::uint32_t> OpeningDesk::agentsFor(const FlowKey& flow, const std::string& service) const
+std::vector<std::uint32_t> ConnectionDispatcher::agentsFor(const FlowKey& flow, const std::string& service) const
 {
     std::vector<AgentCandidate> candidates;
     for (const PeerEntry* entry : readyAgentsOf(m_state.network.directory(), service)) {
@@ -146,7 +146,7 @@
     return chooseAgents(flow, candidates, m_choice, m_state.role.clock.now());
 }
 
-void OpeningDesk::handleAdmitted(const PeerMessage& message, std::uint32_t sender)
+void ConnectionDispatcher::handleAdmitted(const PeerMessage& message, std::uint32_t sender)
 {
     noteLoad(m_state, message, sender);
     const Millis now = m_state.role.clock.now();
@@ -162,7 +162,7 @@
     m_state.holders.try_emplace(message.flow, Holder { .agent = sender, .usedAt = now });
 }
 
-void OpeningDesk::handleRefused(const PeerMessage& message, std::uint32_t sender)
+void ConnectionDispatcher::handleRefused(const PeerMessage& message, std::uint32_t sender)
 {
     noteLoad(m_state, message, sender);
     m_state.refusals.increment(message.refusal);
@@ -199,12 +199,12 @@
         offerToNext(message.flow, opening->second);
 }
 
-void OpeningDesk::noteBusy(double isBusy)
+void ConnectionDispatcher::noteBusy(double isBusy)
 {
     m_busyShare += (isBusy - m_busyShare) * busySmoothing;
 }
 
-void OpeningDesk::offerAgain(Millis now)
+void ConnectionDispatcher::offerAgain(Millis now)
 {
     std::vector<FlowKey> late;
     for (const auto& [flow, opening] : m_openings) {
@@ -227,7 +227,7 @@
     }
 }
 
-void OpeningDesk::exposeMetrics(std::string& out) const
+void ConnectionDispatcher::exposeMetrics(std::string& out) const
 {
     m_openingTimes.expose(out, "kingcuptrail_opening_milliseconds", "Time until an agent took an opening, in milliseconds.");
 }
--- a/src/kingcuptraild/packets/openingdesk.h
+++ b/src/kingcuptraild/packets/connectiondispatcher.h
@@ -5,9 +5,9 @@
 namespace kingcuptrail {
 
 /// The openings that a balancer is bringing to agents: offered to one after the other until one takes it, or reset.
-class OpeningDesk {
+class ConnectionDispatcher {
 public:
-    explicit OpeningDesk(BalancerState& state);
+    explicit ConnectionDispatcher(BalancerState& state);
 
     /// A caller's opening packet, the first or a copy.
     void open(const FlowKey& flow, std::span<const std::uint8_t> packet);
--- a/src/kingcuptraild/packets/packetagent.h
+++ b/src/kingcuptraild/packets/packetagent.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "admissiondesk.h"
 #include "agentannouncement.h"
+#include "connectionadmission.h"
 #include "kingcuptraild/role.h"
 #include "neighboursearches.h"
 #include "storefollower.h"
@@ -58,7 +58,7 @@
     PeerEntry lastEntry() const;
 
     AgentState m_state;
-    AdmissionDesk m_admission;
+    ConnectionAdmission m_admission;
     NeighbourSearches m_neighbours;
     AgentAnnouncement m_announcement;
     std::unique_ptr<StoreFollower> m_store;
--- a/src/kingcuptraild/packets/packetbalancer.h
+++ b/src/kingcuptraild/packets/packetbalancer.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "connectiondispatcher.h"
 #include "holderfinder.h"
 #include "kingcuptraild/role.h"
-#include "openingdesk.h"
 #include "peerlookup.h"
 #include "storefollower.h"
 
@@ -34,7 +34,7 @@
     std::size_t readerRank() const;
 
     BalancerState m_state;
-    OpeningDesk m_openings;
+    ConnectionDispatcher m_openings;
     HolderFinder m_finder;
     PeerLookup m_lookup;
     std::unique_ptr<StoreFollower> m_store;
--- a/src/libdecision/openqueue.cpp
+++ b/src/libdecision/admissionqueue.cpp
@@ -1,4 +1,4 @@
-#include "openqueue.h"
+#include "admissionqueue.h"
 
 #include <algorithm>
 
@@ -21,7 +21,7 @@
 
 }
 
-bool takeCopy(OpenQueue& queue, const FlowKey& flow, Millis now)
+bool takeCopy(AdmissionQueue& queue, const FlowKey& flow, Millis now)
 {
     const auto found = std::ranges::find(queue.waiting, flow, &WaitingOpening::flow);
     if (found == queue.waiting.end())
@@ -30,7 +30,7 @@
     return true;
 }
 
-bool enqueue(OpenQueue& queue, WaitingOpening opening, std::uint32_t slots)
+bool enqueue(AdmissionQueue& queue, WaitingOpening opening, std::uint32_t slots)
 {
     if (queue.waiting.size() >= std::size_t { queue.options.waitingPerSlot } * std::max(slots, 1U))
         return false;
@@ -39,7 +39,7 @@
     return true;
 }
 
-std::optional<WaitingOpening> takeNext(OpenQueue& queue, Millis now)
+std::optional<WaitingOpening> takeNext(AdmissionQueue& queue, Millis now)
 {
     const auto next = std::ranges::min_element(queue.waiting, [now](const auto& left, const auto& right) { return goesBefore(left, right, now); });
     if (next == queue.waiting.end())
@@ -49,7 +49,7 @@
     return taken;
 }
 
-std::vector<WaitingOpening> takeExpired(OpenQueue& queue, Millis now)
+std::vector<WaitingOpening> takeExpired(AdmissionQueue& queue, Millis now)
 {
     const auto isOver = [&](const WaitingOpening& opening) { return now - opening.arrivedAt > queue.options.longestWait; };
     const auto over = std::stable_partition(queue.waiting.begin(), queue.waiting.end(), [&](const auto& opening) { return !isOver(opening); });
--- a/src/libdecision/openqueue.h
+++ b/src/libdecision/admissionqueue.h
@@ -21,7 +21,7 @@
     std::vector<std::uint8_t> packet;
 };
 
-struct OpenQueueOptions {
+struct AdmissionQueueOptions {
     /// Openings that may wait for each slot of the upstream: what it works off within the time that an opening may wait, at
     /// some 60 ms a request.
     std::uint32_t waitingPerSlot = 20;
@@ -33,25 +33,25 @@
 /// Load: everybody returns at once after an outage, several seconds' worth of work within a tenth of a second. Harm: worked
 /// off in the order of arrival, each waits behind the whole backlog and every answer is late; refused at once, callers use
 /// up their retries before the backlog is gone. Here the newest that can still be in time go first, and the others fill the
-/// room that is left. In the model of testopenqueue, with a backlog of a second's work, over nine of ten new requests are in
+/// room that is left. In the model of testadmissionqueue, with a backlog of a second's work, over nine of ten new requests are in
 /// time instead of under six, and nine tenths as many or more are answered in all.
-struct OpenQueue {
-    OpenQueueOptions options;
+struct AdmissionQueue {
+    AdmissionQueueOptions options;
     std::vector<WaitingOpening> waiting;
 };
 
 /// Notes a copy of an opening packet; whether that opening waits here.
-bool takeCopy(OpenQueue&, const FlowKey&, Millis now);
+bool takeCopy(AdmissionQueue&, const FlowKey&, Millis now);
 
 /// Lets an opening wait; false when the queue is full.
-bool enqueue(OpenQueue&, WaitingOpening opening, std::uint32_t slots);
+bool enqueue(AdmissionQueue&, WaitingOpening opening, std::uint32_t slots);
 
 /// The opening to admit next: of those that can still be in time the most urgent, and of these the newest; without any, the
 /// one that was last heard of. Callers leave without a word when their deadline passes: taken from the oldest on, most
 /// places at the upstream would be kept for callers that have left.
-std::optional<WaitingOpening> takeNext(OpenQueue&, Millis now);
+std::optional<WaitingOpening> takeNext(AdmissionQueue&, Millis now);
 
 /// Takes out the openings that have waited too long.
-std::vector<WaitingOpening> takeExpired(OpenQueue&, Millis now);
+std::vector<WaitingOpening> takeExpired(AdmissionQueue&, Millis now);
 
 }
--- a/tests/packets/testopenqueue.cpp
+++ b/tests/packets/testadmissionqueue.cpp
@@ -1,4 +1,4 @@
-#include "libdecision/openqueue.h"
+#include "libdecision/admissionqueue.h"
 #include "packetfixtures.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -9,8 +9,8 @@
 /// The pattern: after an outage of two seconds everybody who still waits returns within a tenth of a second, and new
 /// requests go on coming at half of what the upstreams can do. Slots, work and targets are those of a service with 7
 /// upstreams of 6 slots at 64 ms a request (cold), 340 new requests a second and a latency target of 200 ms.
-class TestOpenQueue : public CppUnit::TestFixture {
-    CPPUNIT_TEST_SUITE(TestOpenQueue);
+class TestAdmissionQueue : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(TestAdmissionQueue);
     CPPUNIT_TEST(ordersByTimeLeftAndUrgency);
     CPPUNIT_TEST(boundsWhatWaits);
     CPPUNIT_TEST(copyDoesNotWaitTwice);
@@ -24,7 +24,7 @@
 
     void ordersByTimeLeftAndUrgency()
     {
-        OpenQueue queue;
+        AdmissionQueue queue;
         enqueue(queue, openingAt(1, 0), 5);
         enqueue(queue, openingAt(2, 10), 5);
         enqueue(queue, openingAt(3, 200, 2), 5);
@@ -37,7 +37,7 @@
 
     void boundsWhatWaits()
     {
-        OpenQueue queue;
+        AdmissionQueue queue;
         const std::size_t most = queue.options.waitingPerSlot;
         for (std::size_t caller = 0; caller < most; ++caller)
             CPPUNIT_ASSERT(enqueue(queue, openingAt(static_cast<std::uint16_t>(caller), 0), 1));
@@ -49,7 +49,7 @@
 
     void copyDoesNotWaitTwice()
     {
-        OpenQueue queue;
+        AdmissionQueue queue;
         enqueue(queue, openingAt(1, 0), 5);
         enqueue(queue, openingAt(2, 50), 5);
         CPPUNIT_ASSERT(takeCopy(queue, flowOf(1), 200));
@@ -66,7 +66,7 @@
     };
 
     /// Takes the next opening by the queue's order, or by that of arrival.
-    static std::optional<WaitingOpening> takeFrom(OpenQueue& queue, bool newestFirst, Millis now)
+    static std::optional<WaitingOpening> takeFrom(AdmissionQueue& queue, bool newestFirst, Millis now)
     {
         if (newestFirst || queue.waiting.empty())
             return takeNext(queue, now);
@@ -86,7 +86,7 @@
         constexpr Millis returningFor = 100;
         constexpr Millis newEvery = 3;
         Outcome outcome;
-        OpenQueue queue;
+        AdmissionQueue queue;
         queue.options.longestWait = length;
         std::uint16_t caller = 0;
         std::multimap<Millis, WaitingOpening> running;
@@ -121,4 +121,4 @@
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(TestOpenQueue);
+CPPUNIT_TEST_SUITE_REGISTRATION(TestAdmissionQueue);
