--- a/src/kingcuptraild/packets/connectionadmission.cpp
+++ b/src/kingcuptraild/packets/connectionadmission.cpp
@@ -40,7 +40,7 @@
     if (refusal == OpenRefusal::None)
         admit(message.flow, message.packet, sender, 0);
     else if (refusal == OpenRefusal::Busy && !message.needsFreeSlot)
-        letWait(message, sender);
+        letWait(message, sender, head->acknowledged);
     else
         refuse(message.flow, message.packet, sender, refusal);
 }
@@ -73,14 +73,16 @@
     reply(m_state, balancer, { .kind = wire::PeerKind::Admitted, .flow = flow });
 }
 
-void ConnectionAdmission::letWait(const PeerMessage& message, std::uint32_t sender)
+void ConnectionAdmission::letWait(const PeerMessage& message, std::uint32_t sender, std::uint32_t copies)
 {
     const Millis now = m_state.role.clock.now();
+    const Millis startedAt = now - leastAgeOf(copies);
     const FlowRoute* route = findRoute(m_state.network.routes(), message.flow.service);
     WaitingOpening opening {
         .flow = message.flow,
+        .startedAt = startedAt,
         .arrivedAt = now,
-        .freshUntil = now + (route ? route->latencyTarget / 2 : 0),
+        .timelyUntil = startedAt + (route ? route->latencyTarget / 2 : 0),
         .priority = route ? route->priority : 0,
         .balancer = sender,
         .packet = { message.packet.begin(), message.packet.end() },
--- a/src/kingcuptraild/packets/connectionadmission.h
+++ b/src/kingcuptraild/packets/connectionadmission.h
@@ -22,7 +22,7 @@
 private:
     OpenRefusal decide(const FlowKey& flow, ConfigVersion balancerVersion, bool needsFreeSlot, Millis now);
     void admit(const FlowKey& flow, std::span<const std::uint8_t> packet, std::uint32_t balancer, Millis waited);
-    void letWait(const PeerMessage& message, std::uint32_t sender);
+    void letWait(const PeerMessage& message, std::uint32_t sender, std::uint32_t copies);
     void startQueueTimer();
     void noteWaiting();
 
--- a/src/kingcuptraild/packets/connectiondispatcher.cpp
+++ b/src/kingcuptraild/packets/connectiondispatcher.cpp
@@ -1,5 +1,6 @@
 #include "connectiondispatcher.h"
 
+#include "libdecision/openingschedule.h"
 #include "libruntime/events.h"
 
 #include <algorithm>
@@ -19,8 +20,6 @@
     /// Openings offered again in one turn: 600 a second at the most, so that a backlog cannot keep a small balancer
     /// from its packets; estimated, not measured.
     constexpr std::size_t offersInTurn = 12;
-    /// An opening is given up after this long, in milliseconds, just before its caller gives it up (1.4 s).
-    constexpr Millis openingLimit = 1300;
     /// Agents that are asked for a free slot before an opening waits at one of them. Of agents chosen by news that is up to
     /// a second old every other one was full on a day of two thirds load; a second question costs a round trip of some
     /// milliseconds and saves a wait of 50.
@@ -38,7 +37,7 @@
 {
 }
 
-void ConnectionDispatcher::open(const FlowKey& flow, std::span<const std::uint8_t> packet)
+void ConnectionDispatcher::open(const FlowKey& flow, std::uint32_t copies, std::span<const std::uint8_t> packet)
 {
     const Millis now = m_state.role.clock.now();
     // After a pause the socket holds openings whose callers have gone on over other balancers since.
@@ -61,7 +60,7 @@
     opening.packet = copyOf(packet);
     if (!isNew)
         return;
-    opening.startedAt = now;
+    opening.startedAt = now - leastAgeOf(copies);
     offerToNext(flow, opening);
 }
 
@@ -85,7 +84,7 @@
     const auto next = std::ranges::find_if(order, [&](std::uint32_t agent) { return std::ranges::find(opening.tried, agent) == opening.tried.end(); });
     // A process that has just started may not have heard of every agent yet.
     const bool isNew = now - m_state.startedAt < learningTime;
-    if (next == order.end() && (opening.mayTryAgain || isNew) && now - opening.startedAt < openingLimit) {
+    if (next == order.end() && (opening.mayTryAgain || isNew) && now - opening.startedAt < longestOpeningWait()) {
         opening.tried.clear();
         opening.mayTryAgain = false;
         return;
@@ -217,7 +216,7 @@
         late.resize(offersInTurn);
     for (const FlowKey& flow : late) {
         Opening& opening = m_openings.at(flow);
-        if (now - opening.startedAt > openingLimit) {
+        if (now - opening.startedAt > longestOpeningWait()) {
             finishRefused(flow, opening, ResetReason::NoAgent);
             continue;
         }
--- a/src/kingcuptraild/packets/connectiondispatcher.h
+++ b/src/kingcuptraild/packets/connectiondispatcher.h
@@ -9,8 +9,8 @@
 public:
     explicit ConnectionDispatcher(BalancerState& state);
 
-    /// A caller's opening packet, the first or a copy.
-    void open(const FlowKey& flow, std::span<const std::uint8_t> packet);
+    /// A caller's opening packet: the first, or copy number `copies` of it.
+    void open(const FlowKey& flow, std::uint32_t copies, std::span<const std::uint8_t> packet);
     /// Answers of agents.
     void handleAdmitted(const PeerMessage& message, std::uint32_t sender);
     void handleRefused(const PeerMessage& message, std::uint32_t sender);
--- a/src/kingcuptraild/packets/packetbalancer.cpp
+++ b/src/kingcuptraild/packets/packetbalancer.cpp
@@ -90,7 +90,7 @@
     }
     const FlowKey flow = flowFromCaller(*head);
     if (isOpening(*head))
-        m_openings.open(flow, packet);
+        m_openings.open(flow, head->acknowledged, packet);
     else
         handleFlowPacket(flow, *head, packet);
 }
--- a/src/libdecision/admissionqueue.cpp
+++ b/src/libdecision/admissionqueue.cpp
@@ -8,11 +8,10 @@
 
     bool goesBefore(const WaitingOpening& left, const WaitingOpening& right, Millis now)
     {
-        const bool isLeftFresh = now <= left.freshUntil;
-        const bool isRightFresh = now <= right.freshUntil;
-        if (isLeftFresh != isRightFresh)
-            return isLeftFresh;
-        if (!isLeftFresh)
+        const bool isLeftTimely = isTimely(left, now);
+        if (isLeftTimely != isTimely(right, now))
+            return isLeftTimely;
+        if (!isLeftTimely)
             return left.seenAt > right.seenAt;
         if (left.priority != right.priority)
             return left.priority < right.priority;
@@ -21,6 +20,11 @@
 
 }
 
+bool isTimely(const WaitingOpening& opening, Millis now)
+{
+    return now <= opening.timelyUntil;
+}
+
 bool takeCopy(AdmissionQueue& queue, const FlowKey& flow, Millis now)
 {
     const auto found = std::ranges::find(queue.waiting, flow, &WaitingOpening::flow);
@@ -51,7 +55,7 @@
 
 std::vector<WaitingOpening> takeExpired(AdmissionQueue& queue, Millis now)
 {
-    const auto isOver = [&](const WaitingOpening& opening) { return now - opening.arrivedAt > queue.options.longestWait; };
+    const auto isOver = [&](const WaitingOpening& opening) { return now - opening.startedAt > queue.options.longestWait; };
     const auto over = std::stable_partition(queue.waiting.begin(), queue.waiting.end(), [&](const auto& opening) { return !isOver(opening); });
     std::vector<WaitingOpening> expired(std::make_move_iterator(over), std::make_move_iterator(queue.waiting.end()));
     queue.waiting.erase(over, queue.waiting.end());
--- a/src/libdecision/admissionqueue.h
+++ b/src/libdecision/admissionqueue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "openingschedule.h"
 #include "packet.h"
 
 #include <optional>
@@ -10,11 +11,13 @@
 /// An opening packet that waits at its agent for room at the upstream.
 struct WaitingOpening {
     FlowKey flow;
+    /// When its caller began to open the flow, as far as the copy that came here tells.
+    Millis startedAt = 0;
     Millis arrivedAt = 0;
     /// When the last copy of it came: its caller was still there.
     Millis seenAt = 0;
     /// Until when an answer is likely to be within the route's latency target if the opening is admitted by then.
-    Millis freshUntil = 0;
+    Millis timelyUntil = 0;
     /// 0 is the most urgent.
     std::uint32_t priority = 0;
     std::uint32_t balancer = 0;
@@ -25,8 +28,8 @@
     /// Openings that may wait for each slot of the upstream: what it works off within the time that an opening may wait, at
     /// some 60 ms a request.
     std::uint32_t waitingPerSlot = 20;
-    /// How long an opening may wait, in milliseconds: its caller gives it up after 1.4 s.
-    Millis longestWait = 1200;
+    /// How long after its caller began an opening may wait, in milliseconds.
+    Millis longestWait = longestOpeningWait();
 };
 
 /// Openings that wait at one agent.
@@ -43,6 +46,9 @@
 /// Notes a copy of an opening packet; whether that opening waits here.
 bool takeCopy(AdmissionQueue&, const FlowKey&, Millis now);
 
+/// Whether an answer is likely to be within the latency target when the opening is admitted now.
+bool isTimely(const WaitingOpening&, Millis now);
+
 /// Lets an opening wait; false when the queue is full.
 bool enqueue(AdmissionQueue&, WaitingOpening opening, std::uint32_t slots);
 
--- a/tests/packets/testadmissionqueue.cpp
+++ b/tests/packets/testadmissionqueue.cpp
@@ -14,12 +14,13 @@
     CPPUNIT_TEST(ordersByTimeLeftAndUrgency);
     CPPUNIT_TEST(boundsWhatWaits);
     CPPUNIT_TEST(copyDoesNotWaitTwice);
+    CPPUNIT_TEST(copyIsAsOldAsItsNumberTells);
     CPPUNIT_TEST(backlogDoesNotMakeNewRequestsLate);
     CPPUNIT_TEST_SUITE_END();
 
     static WaitingOpening openingAt(std::uint16_t caller, Millis arrivedAt, std::uint32_t priority = 1)
     {
-        return { .flow = flowOf(caller), .arrivedAt = arrivedAt, .freshUntil = arrivedAt + 100, .priority = priority };
+        return { .flow = flowOf(caller), .startedAt = arrivedAt, .arrivedAt = arrivedAt, .timelyUntil = arrivedAt + 100, .priority = priority };
     }
 
     void ordersByTimeLeftAndUrgency()
@@ -59,6 +60,23 @@
         CPPUNIT_ASSERT_EQUAL(std::uint16_t { 1 }, takeNext(queue, 400)->flow.caller.port);
     }
 
+    // Guards against a caller's last copy that is served before a first packet, though its answer will be late.
+    void copyIsAsOldAsItsNumberTells()
+    {
+        CPPUNIT_ASSERT_EQUAL(Millis { 0 }, leastAgeOf(0));
+        CPPUNIT_ASSERT_EQUAL(Millis { 200 }, leastAgeOf(1));
+        CPPUNIT_ASSERT_EQUAL(Millis { 600 }, leastAgeOf(2));
+        AdmissionQueue queue;
+        WaitingOpening first = openingAt(1, 1000);
+        WaitingOpening copy = openingAt(2, 1000 - leastAgeOf(2));
+        copy.arrivedAt = 1050;
+        enqueue(queue, first, 5);
+        enqueue(queue, copy, 5);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t { 1 }, takeNext(queue, 1060)->flow.caller.port);
+        // Its caller gives it up 600 ms sooner than one that has just begun.
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, takeExpired(queue, 1050 + queue.options.longestWait - 600).size());
+    }
+
     struct Outcome {
         int newInTime = 0;
         int newAsked = 0;
@@ -92,9 +110,9 @@
         std::multimap<Millis, WaitingOpening> running;
         for (Millis now = 0; now < length; ++now) {
             for (int index = 0; now < returningFor && index < returningEachMilli; ++index)
-                enqueue(queue, { .flow = flowOf(++caller), .arrivedAt = now, .freshUntil = -1, .priority = 1 }, slots);
+                enqueue(queue, { .flow = flowOf(++caller), .startedAt = now, .arrivedAt = now, .timelyUntil = -1, .priority = 1 }, slots);
             if (now % newEvery == 0) {
-                enqueue(queue, { .flow = flowOf(++caller), .arrivedAt = now, .freshUntil = now + target / 2, .priority = 0 }, slots);
+                enqueue(queue, { .flow = flowOf(++caller), .startedAt = now, .arrivedAt = now, .timelyUntil = now + target / 2, .priority = 0 }, slots);
                 ++outcome.newAsked;
             }
             while (!running.empty() && running.begin()->first <= now) {
