--- a/src/kingcuptraild/packets/connectionadmission.cpp
+++ b/src/kingcuptraild/packets/connectionadmission.cpp
@@ -120,17 +120,17 @@
     noteWaiting();
     for (const WaitingOpening& expired : overdue)
         refuse(expired.flow, expired.packet, expired.balancer, OpenRefusal::WaitedTooLong);
-    while (!m_queue.waiting.empty()) {
-        const OpenRefusal refusal = decide(m_queue.waiting.front().flow, 0, false, now);
+    while (const WaitingOpening* next = peekNext(m_queue, now)) {
+        // One whose answer comes late anyway gets idle slots only: queued at the upstream it would make timely ones late.
+        const OpenRefusal refusal = decide(next->flow, 0, !isTimely(*next, now), now);
         if (refusal == OpenRefusal::Busy)
             return;
-        const auto next = takeNext(m_queue, now);
+        const auto taken = takeNext(m_queue, now);
         noteWaiting();
-        const OpenRefusal own = refusal == OpenRefusal::None ? decide(next->flow, 0, false, now) : refusal;
-        if (own == OpenRefusal::None)
-            admit(next->flow, next->packet, next->balancer, now - next->arrivedAt);
+        if (refusal == OpenRefusal::None)
+            admit(taken->flow, taken->packet, taken->balancer, now - taken->arrivedAt);
         else
-            refuse(next->flow, next->packet, next->balancer, own);
+            refuse(taken->flow, taken->packet, taken->balancer, refusal);
     }
 }
 
--- a/src/libdecision/admissionqueue.cpp
+++ b/src/libdecision/admissionqueue.cpp
@@ -43,13 +43,20 @@
     return true;
 }
 
-std::optional<WaitingOpening> takeNext(AdmissionQueue& queue, Millis now)
+const WaitingOpening* peekNext(const AdmissionQueue& queue, Millis now)
 {
     const auto next = std::ranges::min_element(queue.waiting, [now](const auto& left, const auto& right) { return goesBefore(left, right, now); });
-    if (next == queue.waiting.end())
+    return next == queue.waiting.end() ? nullptr : &*next;
+}
+
+std::optional<WaitingOpening> takeNext(AdmissionQueue& queue, Millis now)
+{
+    const WaitingOpening* next = peekNext(queue, now);
+    if (!next)
         return std::nullopt;
-    WaitingOpening taken = std::move(*next);
-    queue.waiting.erase(next);
+    const auto position = queue.waiting.begin() + (next - queue.waiting.data());
+    WaitingOpening taken = std::move(*position);
+    queue.waiting.erase(position);
     return taken;
 }
 
--- a/src/libdecision/admissionqueue.h
+++ b/src/libdecision/admissionqueue.h
@@ -57,6 +57,9 @@
 /// places at the upstream would be kept for callers that have left.
 std::optional<WaitingOpening> takeNext(AdmissionQueue&, Millis now);
 
+/// The opening that takeNext() would take; nothing when none waits. Valid until the queue changes.
+const WaitingOpening* peekNext(const AdmissionQueue&, Millis now);
+
 /// Takes out the openings that have waited too long.
 std::vector<WaitingOpening> takeExpired(AdmissionQueue&, Millis now);
 
