--- a/src/kingcuptraild/packets/agentstate.h
+++ b/src/kingcuptraild/packets/agentstate.h
@@ -34,7 +34,8 @@
     UpstreamHealth health;
     /// What this agent announces of itself.
     PeerEntry self;
-    /// Openings that wait here.
+    /// Openings that wait here and can still be answered in time: those that a new one would wait with. Late ones would keep
+    /// balancers away from an agent that serves a new one at once.
     std::uint32_t waiting = 0;
     float usualLoad = 0;
     /// Hosts that have sent callers' packets, balancers and neighbours that probe; a packet's mark is an index into it, plus one.
--- a/src/kingcuptraild/packets/connectionadmission.cpp
+++ b/src/kingcuptraild/packets/connectionadmission.cpp
@@ -114,6 +114,8 @@
 // Fills the room at the upstream from those that wait. What no longer may be admitted goes back to its balancer.
 void ConnectionAdmission::admitWaiting()
 {
+    if (m_queue.waiting.empty())
+        return;
     const Millis now = m_state.role.clock.now();
     expireWork(m_state.flows, now);
     const std::vector<WaitingOpening> overdue = takeExpired(m_queue, now);
@@ -145,7 +147,7 @@
 
 void ConnectionAdmission::noteWaiting()
 {
-    m_state.waiting = static_cast<std::uint32_t>(m_queue.waiting.size());
+    m_state.waiting = countTimely(m_queue, m_state.role.clock.now());
 }
 
 void ConnectionAdmission::exposeMetrics(std::string& out) const
--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -221,8 +221,7 @@
         logFlowEvent(Event::FlowLearnt, flow, { { "open", m_state.flows.open } });
     m_state.fates.increment(AgentPacketFate::ToCaller);
     m_state.network.sendPacket(packet, { asio::ip::address_v4(flow.caller.address), m_state.role.settings.packets.ingress.port() });
-    if (m_state.waiting > 0)
-        m_admission.admitWaiting();
+    m_admission.admitWaiting();
 }
 
 void PacketAgent::noteHealth(const UpstreamPacketNews& news, Millis now)
--- a/src/libdecision/admissionqueue.cpp
+++ b/src/libdecision/admissionqueue.cpp
@@ -25,6 +25,11 @@
     return now <= opening.timelyUntil;
 }
 
+std::uint32_t countTimely(const AdmissionQueue& queue, Millis now)
+{
+    return static_cast<std::uint32_t>(std::ranges::count_if(queue.waiting, [now](const auto& opening) { return isTimely(opening, now); }));
+}
+
 bool takeCopy(AdmissionQueue& queue, const FlowKey& flow, Millis now)
 {
     const auto found = std::ranges::find(queue.waiting, flow, &WaitingOpening::flow);
--- a/src/libdecision/admissionqueue.h
+++ b/src/libdecision/admissionqueue.h
@@ -49,6 +49,9 @@
 /// Whether an answer is likely to be within the latency target when the opening is admitted now.
 bool isTimely(const WaitingOpening&, Millis now);
 
+/// Openings that wait and can still be answered in time.
+std::uint32_t countTimely(const AdmissionQueue&, Millis now);
+
 /// Lets an opening wait; false when the queue is full.
 bool enqueue(AdmissionQueue&, WaitingOpening opening, std::uint32_t slots);
 
