--- a/src/kingcuptraild/packets/peernetwork.cpp
+++ b/src/kingcuptraild/packets/peernetwork.cpp
@@ -19,19 +19,6 @@
     /// While a process knows nothing yet it asks this often, in milliseconds: each round costs three datagrams, and the
     /// answer decides when the process begins to serve.
     constexpr Millis firstTellInterval = 50;
-    /// A configuration is fetched at most this often, in milliseconds: several peers name the same new version, and in a
-    /// quick series of versions each would be fetched for nothing. Below the 250 ms within which a process has to follow a
-    /// version whose effect was seen.
-    constexpr Millis routesInterval = 100;
-    /// A whole directory is fetched at most this often, in milliseconds, and soon after the process's start more often: it is
-    /// large beside what small links carry.
-    constexpr Millis repairInterval = 1000;
-    constexpr Millis firstRepairInterval = 150;
-    /// For each entry of the directory a repair is made rarer by so much, in milliseconds, so that it takes 10 KB/s at the
-    /// most however large the fleet is.
-    constexpr Millis repairPerEntry = 10;
-    /// For so long after its start a process is taken to know little, in milliseconds.
-    constexpr Millis learningTime = 3000;
     /// A peer that does not answer a fetch for so long, or stops in the middle, is left for another one, in milliseconds.
     constexpr Millis fetchSilence = 400;
     /// The whole of a fetch, in milliseconds: the largest configuration over a link of 2 Mbit/s that carries callers' packets
@@ -52,7 +39,7 @@
     , m_tellTimer(context)
     , m_random(std::random_device {}())
     , m_ownAddress(settings.listen.address().to_v4().to_uint())
-    , m_startedAt(clock.now())
+    , m_fetching { .startedAt = clock.now() }
 {
 }
 
@@ -249,7 +236,7 @@
         return;
     }
     if (message->configVersion > m_view.routes.version)
-        fetchView(sender, { .routes = true, .entries = m_view.routes.version == 0 });
+        fetchRoutes(sender, message->configVersion);
     if (message->kind == wire::PeerKind::News)
         handleNews(*message, sender);
     else if (message->kind == wire::PeerKind::DirectoryDigests)
@@ -382,22 +369,23 @@
 
 void PeerNetwork::fetchDirectory(std::uint32_t address)
 {
-    const Millis now = m_clock.now();
-    const bool isNew = now - m_startedAt < learningTime;
-    const Millis interval = isNew ? firstRepairInterval : std::max(repairInterval, static_cast<Millis>(m_directory.entries.size()) * repairPerEntry);
-    if (m_entriesFetchedAt == 0 || now - m_entriesFetchedAt >= interval)
-        fetchView(address, { .routes = m_view.routes.version == 0, .entries = true });
+    if (!m_fetch && beginDirectoryFetch(m_fetching, m_directory.entries.size(), m_clock.now()))
+        fetchView(address, { .routes = false, .entries = true });
 }
 
-void PeerNetwork::fetchView(std::uint32_t address, const ViewParts& parts)
+void PeerNetwork::fetchRoutes(std::uint32_t address, ConfigVersion offered)
 {
-    const Millis now = m_clock.now();
-    if (m_fetch || (parts.routes && m_routesFetchedAt > 0 && now - m_routesFetchedAt < routesInterval))
+    if (m_fetch) {
+        m_newerAt = address;
+        m_newerVersion = offered;
         return;
-    if (parts.routes)
-        m_routesFetchedAt = now;
-    if (parts.entries)
-        m_entriesFetchedAt = now;
+    }
+    if (beginRoutesFetch(m_fetching, m_view.routes.version, offered, m_clock.now()))
+        fetchView(address, { .routes = true, .entries = m_view.routes.version == 0 });
+}
+
+void PeerNetwork::fetchView(std::uint32_t address, const ViewParts& parts)
+{
     const asio::ip::tcp::endpoint server(asio::ip::address_v4(address), m_settings.listen.port());
     HttpCall::Handlers handlers;
     handlers.onHead = [this](const HttpResponse&) { m_fetchSilence.cancel(); };
@@ -414,6 +402,8 @@
             takeView(*view);
         else
             m_trouble.increment(PeerTrouble::ViewMalformed);
+        if (m_newerVersion > m_view.routes.version)
+            fetchRoutes(m_newerAt, std::exchange(m_newerVersion, 0));
     };
     m_fetch = startHttpCall(m_context, server, { .target = std::string("/view?routes=") + (parts.routes ? "1" : "0") + "&entries=" + (parts.entries ? "1" : "0") }, { .connectTimeout = fetchSilence, .timeout = fetchLimit, .silenceLimit = fetchSilence }, std::move(handlers));
     m_fetchSilence.start(fetchSilence, [this] { giveUpFetch(); });
--- a/src/kingcuptraild/packets/peernetwork.h
+++ b/src/kingcuptraild/packets/peernetwork.h
@@ -2,6 +2,7 @@
 
 #include "libdecision/directoryagreement.h"
 #include "libdecision/directorydifference.h"
+#include "libdecision/viewfetching.h"
 #include "libhttp/httpclient.h"
 #include "libhttp/httpserver.h"
 #include "libplatform/delay.h"
@@ -106,6 +107,7 @@
     void fetchDirectory(std::uint32_t address);
     std::vector<std::uint32_t> nearPeers() const;
     void tellNearAndFar();
+    void fetchRoutes(std::uint32_t address, ConfigVersion offered);
     void fetchView(std::uint32_t address, const ViewParts& parts);
     void giveUpFetch();
     void takeView(const DeploymentView& view);
@@ -134,9 +136,10 @@
     std::uint64_t m_agentsDigest = 0;
     PauseMeter m_pause;
     Millis m_lastNewsAt = 0;
-    Millis m_startedAt;
-    Millis m_routesFetchedAt = 0;
-    Millis m_entriesFetchedAt = 0;
+    ViewFetching m_fetching;
+    /// A peer that named a newer configuration while a fetch was under way, and its version.
+    std::uint32_t m_newerAt = 0;
+    ConfigVersion m_newerVersion = 0;
     Millis m_comparedAt = 0;
     /// On who the agents are.
     DirectoryAgreement m_agentsAgreement;
