--- a/src/kingcuptraild/packets/peerlookup.cpp
+++ b/src/kingcuptraild/packets/peerlookup.cpp
@@ -9,7 +9,7 @@
 namespace {
 
     /// How long seeds may leave a process without news, in milliseconds: some round trips.
-    constexpr Millis seedPatience = 30;
+    constexpr Millis seedPatience = 15;
     /// Peers that are asked at once when some are found.
     constexpr std::size_t peersAsked = 4;
 
