--- a/src/libdecision/storereaders.h
+++ b/src/libdecision/storereaders.h
@@ -31,10 +31,10 @@
     /// The longest such wait: within a third of the time in which a change has to be in force everywhere (3 s).
     Millis longestWait = 1000;
     /// Processes without any view begin to read the store within this time of their start, in milliseconds.
-    std::uint64_t firstReadSpread = 60;
+    std::uint64_t firstReadSpread = 20;
     /// One that is not named as a seed leaves the first read to others for so long, for each that comes before it, in
     /// milliseconds.
-    Millis firstReadPerRank = 60;
+    Millis firstReadPerRank = 20;
     /// The longest that a small link may delay the first read, in milliseconds.
     Millis longestLinkWait = 250;
     /// Signs of life that one message carries.
