--- a/src/kingcuptraild/packets/connectiondispatcher.cpp
+++ b/src/kingcuptraild/packets/connectiondispatcher.cpp
@@ -20,13 +20,6 @@
     /// Openings offered again in one turn: 600 a second at the most, so that a backlog cannot keep a small balancer
     /// from its packets; estimated, not measured.
     constexpr std::size_t offersInTurn = 12;
-    /// Agents that are asked for a free slot before an opening waits at one of them. Of agents chosen by news that is up to
-    /// a second old every other one was full on a day of two thirds load; a second question costs a round trip of some
-    /// milliseconds and saves a wait of 50.
-    constexpr std::uint32_t agentsAskedForASlot = 2;
-    /// Part of openings without a free slot from which on none is asked for, and the part of each opening in that figure.
-    constexpr double mostlyBusy = 0.8;
-    constexpr double busySmoothing = 0.05;
     /// How long an agent's refusal keeps it behind the others, in milliseconds: it counts again within one latency target.
     constexpr Millis refusalTime = 100;
 
@@ -101,12 +94,9 @@
 
 void ConnectionDispatcher::offerTo(std::uint32_t agent, const FlowKey& flow, Opening& opening)
 {
-    // When hardly anybody has a free slot, asking for one only costs messages at the moment in which everybody is busy.
-    const bool isWorthAsking = m_busyShare < mostlyBusy;
-    const bool needsFreeSlot = isWorthAsking && opening.busyAgents < agentsAskedForASlot;
     opening.agent = agent;
     ++m_state.loads[agent].sentSince;
-    m_state.network.send(agent, { .kind = wire::PeerKind::Open, .flow = flow, .configVersion = m_state.network.routes().version, .needsFreeSlot = needsFreeSlot, .packet = opening.packet });
+    m_state.network.send(agent, { .kind = wire::PeerKind::Open, .flow = flow, .configVersion = m_state.network.routes().version, .needsFreeSlot = needsFreeSlot(m_busyAgents, opening.busyAgents), .packet = opening.packet });
     m_state.fates.increment(PacketFate::Offered);
 }
 
@@ -153,7 +143,7 @@
     if (opening != m_openings.end()) {
         m_openingTimes.record(static_cast<double>(now - opening->second.startedAt));
         if (opening->second.busyAgents == 0)
-            noteBusy(0.0);
+            noteSlotQuestion(m_busyAgents, false);
         m_openings.erase(opening);
         m_state.holders[message.flow] = { .agent = sender, .usedAt = now };
         return;
@@ -185,22 +175,34 @@
         return;
     }
     if (message.refusal == OpenRefusal::Busy) {
-        noteBusy(1.0);
-        if (++opening->second.busyAgents == agentsAskedForASlot) {
-            offerToWait(message.flow, opening->second);
-            return;
-        }
-    } else {
-        m_state.loads[sender].refusesUntil = m_state.role.clock.now() + refusalTime;
+        handleBusy(message.flow, opening->second, sender);
+        return;
     }
+    m_state.loads[sender].refusesUntil = m_state.role.clock.now() + refusalTime;
     opening->second.mayTryAgain = opening->second.mayTryAgain || isPassing(message.refusal);
     if (opening->second.agent == sender)
         offerToNext(message.flow, opening->second);
 }
 
-void ConnectionDispatcher::noteBusy(double isBusy)
+// The opening may be gone after this.
+void ConnectionDispatcher::handleBusy(const FlowKey& flow, Opening& opening, std::uint32_t sender)
 {
-    m_busyShare += (isBusy - m_busyShare) * busySmoothing;
+    ++opening.busyAgents;
+    noteSlotQuestion(m_busyAgents, true);
+    opening.mayTryAgain = true;
+    switch (stepAfterBusy(m_busyAgents, opening.busyAgents)) {
+    case BusyStep::WaitAtLeastLoaded:
+        offerToWait(flow, opening);
+        break;
+    case BusyStep::Refuse:
+        finishRefused(flow, opening, ResetReason::RefusedByAll);
+        break;
+    case BusyStep::AskNext:
+    case BusyStep::AskNextToWait:
+        if (opening.agent == sender)
+            offerToNext(flow, opening);
+        break;
+    }
 }
 
 void ConnectionDispatcher::offerAgain(Millis now)
--- a/src/kingcuptraild/packets/connectiondispatcher.h
+++ b/src/kingcuptraild/packets/connectiondispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "balancerstate.h"
+#include "libdecision/busyagents.h"
 
 namespace kingcuptrail {
 
@@ -26,12 +27,11 @@
     void offerToWait(const FlowKey& flow, Opening& opening);
     void finishRefused(const FlowKey& flow, const Opening& opening, ResetReason reason);
     std::vector<std::uint32_t> agentsFor(const FlowKey& flow, const std::string& service) const;
-    void noteBusy(double isBusy);
+    void handleBusy(const FlowKey& flow, Opening& opening, std::uint32_t sender);
 
     BalancerState& m_state;
     AgentChoiceOptions m_choice;
-    /// Part of the last openings that found no free slot at their first agent.
-    double m_busyShare = 0;
+    BusyAgents m_busyAgents;
     std::unordered_map<FlowKey, Opening> m_openings;
     LatencyHistogram m_openingTimes;
 };
--- /dev/null
+++ b/tests/packets/testbusyagents.cpp
@@ -0,0 +1,47 @@
+#include "libdecision/busyagents.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace kingcuptrail;
+
+/// The pattern: every agent of a service is full, and openings go on coming.
+class TestBusyAgents : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(TestBusyAgents);
+    CPPUNIT_TEST(openingThatNobodyTakesCostsFewMessages);
+    CPPUNIT_TEST(freeSlotIsAskedForWhileSomeHaveOne);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Guards against a storm of offers: each opening offered to all agents, one after the other.
+    void openingThatNobodyTakesCostsFewMessages()
+    {
+        for (const double busyShare : { 0.0, 1.0 }) {
+            const BusyAgents state { .busyShare = busyShare };
+            std::uint32_t offers = 1;
+            std::uint32_t busyAgents = 1;
+            while (stepAfterBusy(state, busyAgents) != BusyStep::Refuse) {
+                ++offers;
+                ++busyAgents;
+            }
+            CPPUNIT_ASSERT_EQUAL(std::uint32_t { 4 }, offers);
+        }
+    }
+
+    // Guards against openings that wait at the first agent while another one has a free slot.
+    void freeSlotIsAskedForWhileSomeHaveOne()
+    {
+        BusyAgents state;
+        CPPUNIT_ASSERT(needsFreeSlot(state, 0));
+        CPPUNIT_ASSERT(stepAfterBusy(state, 1) == BusyStep::AskNext);
+        CPPUNIT_ASSERT(needsFreeSlot(state, 1));
+        CPPUNIT_ASSERT(stepAfterBusy(state, 2) == BusyStep::WaitAtLeastLoaded);
+        CPPUNIT_ASSERT(!needsFreeSlot(state, 2));
+        for (int opening = 0; opening < 100; ++opening)
+            noteSlotQuestion(state, true);
+        CPPUNIT_ASSERT(!needsFreeSlot(state, 0));
+        for (int opening = 0; opening < 100; ++opening)
+            noteSlotQuestion(state, false);
+        CPPUNIT_ASSERT(needsFreeSlot(state, 0));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TestBusyAgents);
