--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -136,7 +136,10 @@
     }
     const Millis now = m_state.role.clock.now();
     const std::uint32_t index = indexOf(m_state, sender);
+    const std::uint64_t requestsBefore = m_state.flows.requests;
     const CallerPacketAction action = takeCallerPacket(m_state.flows, message.flow, *head, now);
+    if (m_state.flows.requests != requestsBefore)
+        noteRequest(m_state.health, now);
     const bool isProbe = message.kind == wire::PeerKind::Probe;
     switch (action) {
     case CallerPacketAction::Deliver:
@@ -231,10 +234,20 @@
             logEvent(Event::UpstreamAnswersAgain, { { "after", static_cast<std::uint64_t>(now - m_state.health.failedAt) }, { "brokenOff", m_state.health.failures } });
         noteAnswered(m_state.health);
     } else if (news.isWorkBrokenOff && noteBrokenOff(m_state.health, now)) {
-        logEvent(Event::UpstreamFailing, { { "brokenOff", m_state.health.failures }, { "atWork", m_state.flows.atWork }, { "reportAge", static_cast<std::uint64_t>(now - m_state.gate.reportedAt) } });
+        logEvent(Event::UpstreamFailing, { { "reason", "brokenOff" }, { "unanswered", m_state.health.unanswered }, { "brokenOff", m_state.health.failures }, { "atWork", m_state.flows.atWork }, { "reportAge", static_cast<std::uint64_t>(now - m_state.gate.reportedAt) } });
     }
 }
 
+// Requests that the upstream holds without an answer.
+void PacketAgent::reviewHealth(Millis now)
+{
+    if (!m_state.gate.upstream || m_state.health.unanswered == 0)
+        return;
+    const Millis target = longestLatencyTarget(m_state.network.routes(), m_state.gate.upstream->service);
+    if (target > 0 && reviewUnanswered(m_state.health, target, now))
+        logEvent(Event::UpstreamFailing, { { "reason", "noAnswer" }, { "unanswered", m_state.health.unanswered }, { "brokenOff", m_state.health.failures }, { "atWork", m_state.flows.atWork }, { "reportAge", static_cast<std::uint64_t>(now - m_state.gate.reportedAt) } });
+}
+
 // The upstream does not hold the flow or cannot take it. That is certain, whatever the table says.
 void PacketAgent::handleReturned(const FlowKey& flow, std::span<std::uint8_t> packet, const PacketHead& head)
 {
@@ -341,6 +354,7 @@
 void PacketAgent::resetLostFlows()
 {
     const std::vector<LostFlow> lost = takeLostFlows(m_state.flows);
+    forgetRequests(m_state.health);
     for (const LostFlow& flow : lost) {
         const auto packet = m_state.adapter.encodeReset(flow.flow, flow.callerAcknowledged);
         m_state.network.sendPacket(packet, { asio::ip::address_v4(flow.flow.caller.address), m_state.role.settings.packets.ingress.port() });
@@ -387,6 +401,7 @@
     sweepFlows(m_state.flows, now);
     m_neighbours.expire(now);
     lookForUpstream(now);
+    reviewHealth(now);
     announceState();
     m_admission.admitWaiting();
     tellLoad(now);
--- a/src/kingcuptraild/packets/packetagent.h
+++ b/src/kingcuptraild/packets/packetagent.h
@@ -37,6 +37,7 @@
 
     void handleUpstreamDatagram(std::span<std::uint8_t> packet);
     void noteHealth(const UpstreamPacketNews& news, Millis now);
+    void reviewHealth(Millis now);
     void startLearningTimer();
     void settleLearning();
     void handleReturned(const FlowKey& flow, std::span<std::uint8_t> packet, const PacketHead& head);
--- a/src/libdecision/agentflows.cpp
+++ b/src/libdecision/agentflows.cpp
@@ -116,6 +116,7 @@
     if (head.flags.acknowledges)
         flow.callerAcknowledged = head.acknowledged;
     const bool isNewData = noteSent(flow, head.sequence + head.dataLength) && head.dataLength > 0;
+    table.requests += isNewData && !flow.hasRequest ? 1 : 0;
     flow.hasRequest = flow.hasRequest || isNewData;
     if (isNewData && flow.phase == FlowPhase::Open)
         countWork(table, key, flow, now + table.options.requestWork);
--- a/src/libdecision/agentflows.h
+++ b/src/libdecision/agentflows.h
@@ -78,6 +78,8 @@
     /// Flows that count as work.
     std::uint32_t atWork = 0;
     std::uint32_t open = 0;
+    /// Requests that callers have begun to send.
+    std::uint64_t requests = 0;
     std::deque<WorkExpiry> workExpiries;
     /// Part of the table that the next sweep looks at.
     std::size_t sweepBucket = 0;
--- a/src/libdecision/routetable.cpp
+++ b/src/libdecision/routetable.cpp
@@ -55,6 +55,16 @@
     return route && std::ranges::any_of(route->shares, [&](const RouteShare& share) { return share.weight > 0 && share.service == service; });
 }
 
+Millis longestLatencyTarget(const RouteTable& table, std::string_view service)
+{
+    Millis longest = 0;
+    for (const FlowRoute& route : table.routes) {
+        if (allowsService(table, route.address, service))
+            longest = std::max(longest, route.latencyTarget);
+    }
+    return longest;
+}
+
 bool offerRoutes(RouteTable& current, RouteTable next)
 {
     if (next.version <= current.version)
--- a/src/libdecision/routetable.h
+++ b/src/libdecision/routetable.h
@@ -72,6 +72,9 @@
 /// Whether a flow to `address` may go to `service`.
 bool allowsService(const RouteTable&, const PacketEndpoint& address, std::string_view service);
 
+/// The longest time within which callers of any route to `service` want an answer, in milliseconds; 0 without such a route.
+Millis longestLatencyTarget(const RouteTable&, std::string_view service);
+
 /// Puts a configuration in force unless one at least as new already is; whether it did. News arrives in any order, from
 /// the store and from peers, and a configuration that was in force is never taken back.
 bool offerRoutes(RouteTable& current, RouteTable next);
--- a/src/libdecision/upstreamhealth.cpp
+++ b/src/libdecision/upstreamhealth.cpp
@@ -4,8 +4,21 @@
 
 namespace kingcuptrail {
 
+namespace {
+
+    void beginFailing(UpstreamHealth& health, Millis now)
+    {
+        health.isFailing = true;
+        health.failedAt = now;
+        health.trialInterval = health.options.firstTrial;
+        health.nextTrialAt = now + health.trialInterval;
+    }
+
+}
+
 void noteAnswered(UpstreamHealth& health)
 {
+    health.unanswered = 0;
     health.failures = 0;
     health.isFailing = false;
 }
@@ -21,13 +34,30 @@
     const bool isOnProbation = health.failedAt != 0 && now - health.failedAt < health.options.probation;
     if (health.failures < (isOnProbation ? 1 : health.options.failuresNeeded))
         return false;
-    health.isFailing = true;
-    health.failedAt = now;
-    health.trialInterval = health.options.firstTrial;
-    health.nextTrialAt = now + health.trialInterval;
+    beginFailing(health, now);
+    return true;
+}
+
+void noteRequest(UpstreamHealth& health, Millis now)
+{
+    if (health.unanswered++ == 0)
+        health.unansweredSince = now;
+}
+
+bool reviewUnanswered(UpstreamHealth& health, Millis latencyTarget, Millis now)
+{
+    const bool isHanging = health.unanswered >= health.options.unansweredNeeded && now - health.unansweredSince > latencyTarget;
+    if (!isHanging || health.isFailing)
+        return false;
+    beginFailing(health, now);
     return true;
 }
 
+void forgetRequests(UpstreamHealth& health)
+{
+    health.unanswered = 0;
+}
+
 bool mayOpen(const UpstreamHealth& health, Millis now)
 {
     return !health.isFailing || now >= health.nextTrialAt;
--- a/tests/packets/testupstreamhealth.cpp
+++ b/tests/packets/testupstreamhealth.cpp
@@ -15,6 +15,9 @@
     CPPUNIT_TEST(trialsBecomeRarerAndOneAnswerEndsThem);
     CPPUNIT_TEST(upstreamThatGoesAgainIsKnownAtOnce);
     CPPUNIT_TEST(lookingDoesNotUseUpATrial);
+    CPPUNIT_TEST(upstreamThatHangsDrawsLittle);
+    CPPUNIT_TEST(slowUpstreamThatAnswersIsNotFailing);
+    CPPUNIT_TEST(requestsOfAnEarlierProcessAreNotWaitedFor);
     CPPUNIT_TEST_SUITE_END();
 
     /// Sends an opening there if it may go; whether it went.
@@ -135,6 +138,61 @@
         CPPUNIT_ASSERT(!mayOpen(health, 1100));
         CPPUNIT_ASSERT(mayOpen(health, 1300));
     }
+
+    // Guards against callers that are sent to an upstream which accepts requests and never answers, while it reports that it
+    // is ready.
+    void upstreamThatHangsDrawsLittle()
+    {
+        constexpr Millis target = 250;
+        constexpr Millis deadline = 1500;
+        constexpr Millis hangsFor = 6800;
+        constexpr unsigned mostAtWork = 4;
+        UpstreamHealth health;
+        std::vector<Millis> heldUntil;
+        unsigned held = 0;
+        for (Millis now = 0; now < hangsFor; now += 10) {
+            std::erase_if(heldUntil, [now](Millis until) { return until <= now; });
+            reviewUnanswered(health, target, now);
+            if (heldUntil.size() >= mostAtWork || !open(health, now))
+                continue;
+            noteRequest(health, now);
+            heldUntil.push_back(now + deadline);
+            ++held;
+        }
+        CPPUNIT_ASSERT(health.isFailing);
+        // Those that show it, and a trial for each place that a deadline frees.
+        CPPUNIT_ASSERT(held <= mostAtWork + hangsFor / health.options.longestTrial);
+        noteAnswered(health);
+        CPPUNIT_ASSERT(mayOpen(health, hangsFor));
+    }
+
+    // Guards against a slow or cold upstream that is passed over although it answers.
+    void slowUpstreamThatAnswersIsNotFailing()
+    {
+        constexpr Millis target = 250;
+        constexpr Millis answerInterval = 200;
+        UpstreamHealth health;
+        for (Millis now = 0; now < 5000; now += 20) {
+            noteRequest(health, now);
+            if (now % answerInterval == 0)
+                noteAnswered(health);
+            CPPUNIT_ASSERT(!reviewUnanswered(health, target, now));
+        }
+        UpstreamHealth quiet;
+        noteRequest(quiet, 0);
+        noteRequest(quiet, 10);
+        CPPUNIT_ASSERT(!reviewUnanswered(quiet, target, 4000));
+    }
+
+    // Guards against a new upstream that is taken to hang since the process before it ended in the middle of its work.
+    void requestsOfAnEarlierProcessAreNotWaitedFor()
+    {
+        UpstreamHealth health;
+        for (unsigned request = 0; request < health.options.unansweredNeeded; ++request)
+            noteRequest(health, 0);
+        forgetRequests(health);
+        CPPUNIT_ASSERT(!reviewUnanswered(health, 250, 1000));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestUpstreamHealth);
