--- a/src/kingcuptrailctl/commands.cpp
+++ b/src/kingcuptrailctl/commands.cpp
@@ -15,6 +15,7 @@
         { "status", "", true, showStatus, "show the configuration, the daemons and the upstreams" },
         { "explain", "CODE|REASON", false, explain, "say what an event number or a reason means and what to do" },
         { "trace", "FLOW", false, traceFlow, "walk through the lines about one flow, from logs or standard input" },
+        { "openings", "SPAN", false, showOpenings, "count what became of openings in each span of so many milliseconds, from logs or standard input" },
         { "forget", "NAME", true, forgetDaemon, "remove the entry of a daemon that will not come back" },
     });
 
--- a/src/kingcuptrailctl/commands.h
+++ b/src/kingcuptrailctl/commands.h
@@ -16,7 +16,7 @@
     std::vector<asio::ip::tcp::endpoint> daemons;
     /// The one daemon that explain asks.
     std::optional<asio::ip::tcp::endpoint> daemon;
-    /// Log files that trace reads; empty means standard input.
+    /// Log files that trace and openings read; empty means standard input.
     std::vector<std::string> logs;
     /// Return only when the change is in force on every daemon.
     bool wait = false;
@@ -50,6 +50,7 @@
 CommandResult bringBack(const std::string& dataCentre, const CtlOptions& options);
 CommandResult showStatus(const std::string& argument, const CtlOptions& options);
 CommandResult explain(const std::string& code, const CtlOptions& options);
+CommandResult showOpenings(const std::string& argument, const CtlOptions& options);
 CommandResult traceFlow(const std::string& flow, const CtlOptions& options);
 CommandResult forgetDaemon(const std::string& name, const CtlOptions& options);
 
--- /dev/null
+++ b/src/kingcuptrailctl/loglines.cpp
@@ -0,0 +1,51 @@
+#include "loglines.h"
+
+#include <fstream>
+#include <iostream>
+
+namespace kingcuptrail {
+
+using nlohmann::json;
+
+namespace {
+
+    void readAll(std::istream& input, const std::function<void(const std::string&)>& take)
+    {
+        for (std::string text; std::getline(input, text);)
+            take(text);
+    }
+
+}
+
+std::optional<CommandResult> readLogs(const CtlOptions& options, const std::function<void(const std::string&)>& take)
+{
+    if (options.logs.empty())
+        readAll(std::cin, take);
+    for (const std::string& path : options.logs) {
+        std::ifstream file(path);
+        if (!file)
+            return makeResult(ExitCode::FileUnreadable, path + ": cannot be read\n", { { "file", path } });
+        readAll(file, take);
+    }
+    return std::nullopt;
+}
+
+json logObject(const std::string& line)
+{
+    const auto start = line.find('{');
+    return start == std::string::npos ? json() : json::parse(line.substr(start), nullptr, false);
+}
+
+std::string textOf(const json& line, std::string_view field)
+{
+    const auto found = line.find(field);
+    return found != line.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
+
+std::uint64_t numberOf(const json& line, std::string_view field)
+{
+    const auto found = line.find(field);
+    return found != line.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
+}
+
+}
--- a/src/kingcuptrailctl/main.cpp
+++ b/src/kingcuptrailctl/main.cpp
@@ -11,7 +11,7 @@
 ABSL_FLAG(std::string, platform, "", "the platform's object API, as ADDRESS:PORT");
 ABSL_FLAG(std::vector<std::string>, daemons, {}, "administration endpoints to ask, ADDRESS:PORT,...; otherwise those that the platform knows");
 ABSL_FLAG(std::string, daemon, "", "for explain: the administration endpoint of one daemon to ask about the reason");
-ABSL_FLAG(std::vector<std::string>, logs, {}, "for trace: log files, FILE,...; otherwise standard input");
+ABSL_FLAG(std::vector<std::string>, logs, {}, "for trace and openings: log files, FILE,...; otherwise standard input");
 ABSL_FLAG(bool, json, false, "print one JSON object");
 ABSL_FLAG(bool, wait, false, "return only when the change is in force on every daemon, or name those that lag");
 ABSL_FLAG(double, timeout, 30, "seconds after which a change, and the wait for it, are given up");
@@ -24,7 +24,7 @@
                                  "  --platform=ADDRESS:PORT      the platform's object API\n"
                                  "  --daemons=ADDRESS:PORT,...   administration endpoints to ask; otherwise those that the platform knows\n"
                                  "  --daemon=ADDRESS:PORT        for explain: one daemon to ask about the reason\n"
-                                 "  --logs=FILE,...              for trace: log files; otherwise standard input\n"
+                                 "  --logs=FILE,...              for trace and openings: log files; otherwise standard input\n"
                                  "  --wait                       return only when the change is in force on every daemon\n"
                                  "  --timeout=SECONDS            after which a change, and the wait for it, are given up (30)\n"
                                  "  --json                       print one JSON object\n"
--- a/src/kingcuptrailctl/tracecommand.cpp
+++ b/src/kingcuptrailctl/tracecommand.cpp
@@ -1,11 +1,8 @@
-#include "commands.h"
 #include "libruntime/events.h"
+#include "loglines.h"
 #include "table.h"
 
 #include <algorithm>
-#include <fstream>
-#include <iostream>
-#include <nlohmann/json.hpp>
 
 namespace kingcuptrail {
 
@@ -31,14 +28,12 @@
 
     std::optional<TraceLine> readLine(const std::string& text, const std::string& flow)
     {
-        // What comes before the object, as a collector's own time, is passed over.
-        const auto start = text.find('{');
-        if (start == std::string::npos || text.find(flow) == std::string::npos)
+        if (text.find(flow) == std::string::npos)
             return std::nullopt;
-        const json document = json::parse(text.substr(start), nullptr, false);
-        if (!document.is_object() || document.value("flow", "") != flow)
+        const json document = logObject(text);
+        if (textOf(document, "flow") != flow)
             return std::nullopt;
-        TraceLine line { .time = document.value("time", std::uint64_t { 0 }), .process = document.value("process", ""), .event = document.value("name", ""), .fields = {}, .document = document };
+        TraceLine line { .time = numberOf(document, "time"), .process = textOf(document, "process"), .event = textOf(document, "name"), .fields = {}, .document = document };
         for (const auto& [field, value] : document.items()) {
             if (!isShownElsewhere(field))
                 line.fields += (line.fields.empty() ? "" : ", ") + field + " " + (value.is_string() ? value.get<std::string>() : value.dump());
@@ -46,14 +41,6 @@
         return line;
     }
 
-    void readAll(std::istream& input, const std::string& flow, std::vector<TraceLine>& lines)
-    {
-        for (std::string text; std::getline(input, text);) {
-            if (auto line = readLine(text, flow))
-                lines.push_back(std::move(*line));
-        }
-    }
-
     std::string_view meaningOf(const std::string& event)
     {
         const auto table = eventTable();
@@ -66,14 +53,12 @@
 CommandResult traceFlow(const std::string& flow, const CtlOptions& options)
 {
     std::vector<TraceLine> lines;
-    if (options.logs.empty())
-        readAll(std::cin, flow, lines);
-    for (const std::string& path : options.logs) {
-        std::ifstream file(path);
-        if (!file)
-            return makeResult(ExitCode::FileUnreadable, path + ": cannot be read\n", { { "file", path } });
-        readAll(file, flow, lines);
-    }
+    const auto failure = readLogs(options, [&](const std::string& text) {
+        if (auto line = readLine(text, flow))
+            lines.push_back(std::move(*line));
+    });
+    if (failure)
+        return *failure;
     if (lines.empty())
         return makeResult(ExitCode::NotExplained, flow + "\n", { { "flow", flow } });
     std::ranges::stable_sort(lines, {}, &TraceLine::time);
--- a/tests/ctl/testcommands.cpp
+++ b/tests/ctl/testcommands.cpp
@@ -103,6 +103,7 @@
     CPPUNIT_TEST(explainAsksADaemon);
     CPPUNIT_TEST(forgottenDaemonIsAskedNoMore);
     CPPUNIT_TEST(traceOrdersLinesOfOneFlow);
+    CPPUNIT_TEST(openingsAreCountedBySpan);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<Surroundings> m_around;
@@ -266,6 +267,42 @@
         CPPUNIT_ASSERT(missing.code == ExitCode::NotExplained);
         CPPUNIT_ASSERT(unreadable.code == ExitCode::FileUnreadable);
     }
+
+    // Guards against figures that a cut line, or a field of another type, spoils.
+    void openingsAreCountedBySpan()
+    {
+        const std::string path = "openings-" + std::to_string(getpid()) + ".log";
+        std::ofstream(path) << R"({"time":1000,"name":"flowOffered"})"
+                            << "\n"
+                            << R"({"time":1010,"name":"openingRefused","reason":"busy"})"
+                            << "\n"
+                            << R"({"time":1020,"name":"flowAdmitted","waited":30})"
+                            << "\n"
+                            << R"({"time":1099,"name":"flowAdmitted","waited":"long"})"
+                            << "\n"
+                            << R"({"time":1100,"name":"flowLost","milliseconds":7})"
+                            << "\n"
+                            << R"({"time":1199,"name":"linesLeftOut","lines":12})"
+                            << "\n"
+                            << R"({"time":1150,"name":"flowOffered)"
+                            << "\n[1]\n"
+                            << R"({"time":"soon","name":7})"
+                            << "\n";
+        const CommandResult found = showOpenings("100", { .logs = { path } });
+        const CommandResult noSpan = showOpenings("100ms", { .logs = { path } });
+        const CommandResult unreadable = showOpenings("100", { .logs = { path + ".not-there" } });
+        unlink(path.c_str());
+        const json spans = json::parse(found.json).at("spans");
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, spans.size());
+        CPPUNIT_ASSERT_EQUAL(1, spans[0].at("offers").get<int>());
+        CPPUNIT_ASSERT_EQUAL(1, spans[0].at("refusals").at("busy").get<int>());
+        CPPUNIT_ASSERT_EQUAL(2, spans[0].at("admitted").get<int>());
+        CPPUNIT_ASSERT_EQUAL(30, spans[0].at("waited90").get<int>());
+        CPPUNIT_ASSERT_EQUAL(7, spans[1].at("lostAfterMedian").get<int>());
+        CPPUNIT_ASSERT_EQUAL(12, spans[1].at("linesLeftOut").get<int>());
+        CPPUNIT_ASSERT(noSpan.code == ExitCode::Usage);
+        CPPUNIT_ASSERT(unreadable.code == ExitCode::FileUnreadable);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestCommands);
