--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -34,6 +34,9 @@
     /// sooner than the long ones would.
     constexpr Millis leaveTime = 400;
     constexpr Millis leaveMargin = 1000;
+    /// How long a leaving agent goes on to find out whether it has an upstream, in milliseconds: the first refused connections
+    /// and some turns.
+    constexpr Millis leaveLearningTime = 600;
     /// Before an address may belong to another upstream, nothing more goes there, in milliseconds: a packet is delivered
     /// within a few.
     constexpr Millis reuseMargin = 100;
@@ -444,7 +447,10 @@
         m_leavingSince = now;
         announceState();
     }
-    if (now - m_leavingSince < leaveTime && m_state.flows.open > 0) {
+    const Millis leavingFor = now - m_leavingSince;
+    // Stopped before it knows that its upstream is gone, it would leave its entry behind, and every search would wait for it.
+    const bool isStillLearning = mayTurnOutGone(m_former) && leavingFor < leaveLearningTime;
+    if (isStillLearning || (leavingFor < leaveTime && m_state.flows.open > 0)) {
         m_leaveTimer.start(turnInterval, [this, done = std::move(done)] { shutDown(done); });
         return;
     }
--- a/src/libdecision/formerflows.cpp
+++ b/src/libdecision/formerflows.cpp
@@ -61,6 +61,11 @@
     return true;
 }
 
+bool mayTurnOutGone(const FormerFlows& former)
+{
+    return !former.hasReport && !former.isGone && !former.isAnybodyThere;
+}
+
 bool shouldConnect(const FormerFlows& former)
 {
     const Millis patience = former.hasReport ? former.options.laterConnection : former.options.firstConnection;
--- a/src/libdecision/formerflows.h
+++ b/src/libdecision/formerflows.h
@@ -70,6 +70,9 @@
 /// that the upstream is gone.
 bool noteListening(FormerFlows&, Millis now);
 
+/// Whether it may soon show that nobody is there: no report has come and nobody has accepted a connection.
+bool mayTurnOutGone(const FormerFlows&);
+
 /// Whether a connection to the upstream would tell something now.
 bool shouldConnect(const FormerFlows&);
 
--- a/tests/packets/testformerflows.cpp
+++ b/tests/packets/testformerflows.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(livingUpstreamMayHoldFlows);
     CPPUNIT_TEST(upstreamThatLeavesHoldsNothing);
     CPPUNIT_TEST(reportOfALivingUpstreamTakesTheNoBack);
+    CPPUNIT_TEST(agentThatIsStoppedMayStillLearnThatNobodyIsThere);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint64_t startedAt = 1790000000000;
@@ -131,6 +132,23 @@
         takeSignOfLife(state, reportOf(startedAt + 8000, 1), true);
         CPPUNIT_ASSERT(knowsEveryFlow(state));
     }
+
+    // Guards against an agent that is stopped in its first moments beside no upstream and leaves its entry behind.
+    void agentThatIsStoppedMayStillLearnThatNobodyIsThere()
+    {
+        FormerFlows former;
+        CPPUNIT_ASSERT(mayTurnOutGone(former));
+        noteConnection(former, ConnectionOutcome::Refused, 200);
+        noteConnection(former, ConnectionOutcome::Refused, 300);
+        CPPUNIT_ASSERT(noteListening(former, 301));
+        CPPUNIT_ASSERT(!mayTurnOutGone(former));
+        FormerFlows served;
+        takeSignOfLife(served, reportOf(5, 9), false);
+        CPPUNIT_ASSERT(!mayTurnOutGone(served));
+        FormerFlows hung;
+        noteConnection(hung, ConnectionOutcome::Unclear, 200);
+        CPPUNIT_ASSERT(!mayTurnOutGone(hung));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestFormerFlows);
--- a/tests/trustplatform/testpacketagent.cpp
+++ b/tests/trustplatform/testpacketagent.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(endsWithoutItsAddresses);
     CPPUNIT_TEST(leaverStaysGoneWhileTheStoreIsAway);
     CPPUNIT_TEST(missingUpstreamWithdrawsAnEntryThatOnlyTheStoreKnows);
+    CPPUNIT_TEST(agentStoppedBeforeItKnowsWithdrawsItsEntry);
     CPPUNIT_TEST(probeOfAKnownFlowIsAnswered);
     CPPUNIT_TEST(agentBringsAPacketToItsNeighbours);
     CPPUNIT_TEST(unsureAgentAsksItsNeighboursStill);
@@ -148,6 +149,26 @@
         runUntil(m_context, [this] { return m_server->store().get("agent", "agent-1").has_value(); });
     }
 
+    // Guards against entries of hosts that came back without their upstream and were taken away at once: every search for a lost
+    // flow waited for such an agent until each balancer had found out for itself that it is silent.
+    void agentStoppedBeforeItKnowsWithdrawsItsEntry()
+    {
+        const std::uint16_t port = freePort();
+        const PeerEntry former { .name = "agent-1", .address = host(1).to_uint(), .dataCentre = "north", .service = "board", .slots = 5, .epoch = 1000 };
+        auto agent = std::make_unique<Agent>(m_context, settingsOf("agent-1", 1, port), m_options);
+        const Settings peerSettings = settingsOf("front-1", 2, port);
+        const Clock clock;
+        PeerNetwork peer(m_context, peerSettings, clock);
+        CPPUNIT_ASSERT(peer.start({ .onFlowMessage = [](const PeerMessage&, std::uint32_t) {}, .onOutages = [](const std::vector<std::string>&) {} }));
+        peer.announce({ .name = "front-1", .role = PeerRole::Balancer, .address = host(2).to_uint(), .dataCentre = "north" });
+        peer.takeEntry(former);
+        bool isDone = false;
+        agent->agent.shutDown([&isDone] { isDone = true; });
+        runUntil(m_context, [&isDone] { return isDone; });
+        agent.reset();
+        runUntil(m_context, [&peer] { return stateIn(peer) == PeerState::Gone; });
+    }
+
     // An agent was restarted beside its upstream. A caller's packet that it delivers to learn is kept, so it knows the flow;
     // the next one, which a balancer without the flow in its cache sends to all unsure agents, has to bring a yes.
     void probeOfAKnownFlowIsAnswered()
