--- a/src/kingcuptraild/packets/connectiondispatcher.cpp
+++ b/src/kingcuptraild/packets/connectiondispatcher.cpp
@@ -9,18 +9,16 @@
 
 namespace {
 
-    /// An agent that has not answered an opening for this long is passed over, in milliseconds: several round trips between
-    /// data centres and some turns of a busy agent; far below the 200 ms after which the caller sends a copy.
+    /// An agent that has not answered an opening for this long is passed over, in milliseconds. Below the time after which the
+    /// caller sends a copy.
     constexpr Millis answerLimit = 60;
-    /// How long after its start a process may not know every agent, in milliseconds: after a loss of everything agents hear of
-    /// their upstreams within a heartbeat.
+    /// How long after its start a process may not know every agent, in milliseconds.
     constexpr Millis learningTime = 2000;
     /// An opening that every agent refused for a passing reason is offered again after this long, in milliseconds.
     constexpr Millis againInterval = 40;
-    /// Openings offered again in one turn: 600 a second at the most, so that a backlog cannot keep a small balancer
-    /// from its packets; estimated, not measured.
+    /// Openings offered again in one turn, so that a backlog does not keep a small balancer from its packets.
     constexpr std::size_t offersInTurn = 12;
-    /// How long an agent's refusal keeps it behind the others, in milliseconds: it counts again within one latency target.
+    /// How long an agent's refusal keeps it behind the others, in milliseconds.
     constexpr Millis refusalTime = 100;
 
 }
--- a/src/kingcuptraild/packets/holderfinder.cpp
+++ b/src/kingcuptraild/packets/holderfinder.cpp
@@ -14,8 +14,8 @@
     /// that nobody is missing, in milliseconds: several rounds of news. It costs nothing but memory; a caller whose search
     /// had ended would be told with its next packet only, up to 1.6 s later.
     constexpr Millis newsLimit = 1000;
-    /// Searches that are begun in one turn when the first agents become known: 800 a second, so that a backlog cannot keep a
-    /// small balancer from its packets; estimated, not measured.
+    /// Searches that are begun in one turn when the first agents become known, so that a backlog does not keep a small balancer
+    /// from its packets.
     constexpr std::size_t searchesBegunInTurn = 16;
     /// How long the one agent that is asked for its data centre may take, in milliseconds: several round trips.
     constexpr Millis speakerLimit = 30;
--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -12,26 +12,23 @@
 namespace {
 
     constexpr Millis turnInterval = 100;
-    /// News of load goes to balancers at most this often, in milliseconds, and only when it changed: work that comes and
-    /// goes within 50 ms is older than its news anyway. While openings wait here it goes more often, since then others
-    /// have room. At 200 ms throughout, news of 58 agents were half of what a small balancer received.
+    /// News of load goes to balancers at most this often, in milliseconds, and only when it changed. While openings wait here
+    /// it goes more often, since then others have room.
     constexpr Millis loadInterval = 1000;
     constexpr Millis fullLoadInterval = 200;
-    /// Part of each look (every 100 ms) in the smoothed load: half a second's worth, some ten requests of a slot.
+    /// Part of each look, one a turn, in the smoothed load.
     constexpr float smoothing = 0.2F;
     /// A smoothed load that changed by less is not told.
     constexpr float loadStep = 0.1F;
     /// Balancers that have sent nothing for longer are not told, in milliseconds.
     constexpr Millis balancerIdleLimit = 2000;
-    /// How long peers may leave this process without news before it turns to the store itself, in milliseconds: at its
-    /// start, several rounds of asking; later, some rounds of news in a row that did not come.
+    /// How long peers may leave this process without news before it turns to the store itself, in milliseconds, at its start
+    /// and later.
     constexpr Millis startPatience = 400;
     constexpr Millis newsPatience = 3000;
-    /// Within which time an upstream hands a packet back that it does not want, in milliseconds: it runs on the same host,
-    /// and answers openings within a fraction of a millisecond.
+    /// Within which time an upstream hands a packet back that it does not want, in milliseconds. It runs on the same host.
     constexpr Millis returnTime = 12;
-    /// How long a leaving agent goes on carrying open flows, in milliseconds: short requests end, and its host is back
-    /// sooner than the long ones would.
+    /// How long a leaving agent goes on carrying open flows, in milliseconds.
     constexpr Millis leaveTime = 400;
     constexpr Millis leaveMargin = 1000;
     /// How long a leaving agent goes on to find out whether it has an upstream, in milliseconds: the first refused connections
--- a/src/kingcuptraild/packets/packetbalancer.cpp
+++ b/src/kingcuptraild/packets/packetbalancer.cpp
@@ -15,7 +15,7 @@
     constexpr Millis turnInterval = 20;
     /// An agent that does not answer is asked again this often, in milliseconds.
     constexpr Millis pingInterval = 200;
-    /// Agents asked in one round: 80 a second, by estimate (10 us each) 2 % of a balancer of .038 cores.
+    /// Agents asked in one round.
     constexpr std::size_t pingsInRound = 16;
     /// A cached holder that was not used for longer is dropped, in milliseconds; above the idle limit of flows.
     constexpr Millis holderIdleLimit = 25000;
--- a/src/libdecision/formerflows.h
+++ b/src/libdecision/formerflows.h
@@ -31,8 +31,7 @@
 /// What an agent knows of flows that its upstream may hold and the agent has not seen: those from before its start.
 /// Load: all hosts lose power; some come back without an upstream, since it was leaving, or hear its second report first.
 /// Harm: such an agent could not say that a flow is not there, so that no search in the whole deployment ended for certain;
-/// callers of lost flows waited for their deadlines until it had left. In a recorded loss of power with five such hosts of
-/// 61, 3,185 of 80,513 requests ended so.
+/// callers of lost flows waited for their deadlines until it had left.
 struct FormerFlows {
     FormerFlowsOptions options;
     /// The process's start, in Unix milliseconds by the clock that the upstream's birth is told in.
--- a/src/libruntime/logsink.h
+++ b/src/libruntime/logsink.h
@@ -8,8 +8,7 @@
 
 /// How many lines about single flows a process writes.
 /// Load: thousands of openings a second, each of which is a decision worth a line. Harm: lines cost the processor more than
-/// the packets do. Limit: 100 a second, and 200 at once, an estimate of 2 % of a
-/// tenth of a core at 20 us a line, not measured; what is left out is counted and said.
+/// the packets do. What is left out is counted and said.
 class LineBudget {
 public:
     bool take(std::uint64_t nowMillis);
