--- a/src/libdecision/agentflows.h
+++ b/src/libdecision/agentflows.h
@@ -45,8 +45,8 @@
 };
 
 struct AgentFlowOptions {
-    /// A flow that was silent for longer is forgotten, in milliseconds. Above the idle limit of callers and upstreams
-    /// (15 s in the first configurations), after which they discard a flow themselves.
+    /// A flow that was silent for longer is forgotten, in milliseconds. Above the idle limit after which callers
+    /// and upstreams discard a flow themselves.
     Millis idleLimit = 20000;
     /// An opening that its caller has not completed is forgotten, in milliseconds: callers give an opening up after 1.4 s.
     Millis openingLimit = 3000;
--- a/src/libdecision/formerflows.h
+++ b/src/libdecision/formerflows.h
@@ -14,14 +14,14 @@
     /// Without any report the agent tries to connect to its upstream after this long, in milliseconds: a new upstream
     /// reports at once.
     Millis firstConnection = 200;
-    /// The same after the last report: two heartbeats of most deployments (0.8 s).
+    /// The same after the last report. Above a heartbeat.
     Millis laterConnection = 2000;
     /// Refused connections, and the time between the first and the last, after which nobody is there, in milliseconds. Two,
     /// since an upstream that starts listens a moment later.
     std::uint32_t refusalsNeeded = 2;
     Millis refusalSpan = 100;
-    /// An upstream that has said nothing for this long is gone, in milliseconds of running time: three heartbeats of the
-    /// slowest deployment (1.2 s), one of which may wait a second for an answer on a connection that went silent.
+    /// An upstream that has said nothing for this long is gone, in milliseconds of running time. Above some heartbeats, one
+    /// of which may wait a second for an answer on a connection that went silent.
     Millis silenceLimit = 4000;
     /// Of the time between two calls of noteListening at most so much counts as running, in milliseconds: a process that stood still has not
     /// listened.
--- a/src/libdecision/opengate.h
+++ b/src/libdecision/opengate.h
@@ -79,7 +79,7 @@
 
 struct OpenGateOptions {
     /// An upstream that says nothing for longer takes no new flow, in milliseconds. Below the time after which its address
-    /// may belong to another service (2 s), above one and a half heartbeats of the slowest deployment (1.2 s).
+    /// may belong to another service, above a heartbeat.
     Millis reportLimit = 1900;
     /// Work that may run or wait at an upstream for each of its slots before openings wait at the agent instead: one round
     /// runs, and the next is at hand when a slot gets free, so that none stands idle for the way to the caller and back.
