--- a/bench/libmodel/admissionmodel.cpp
+++ b/bench/libmodel/admissionmodel.cpp
@@ -4,6 +4,7 @@
 #include "randomsource.h"
 
 #include <algorithm>
+#include <array>
 #include <deque>
 #include <numeric>
 
