--- a/src/kingcuptraild/packets/connectiondispatcher.cpp
+++ b/src/kingcuptraild/packets/connectiondispatcher.cpp
@@ -188,7 +188,7 @@
     ++opening.busyAgents;
     noteSlotQuestion(m_busyAgents, true);
     opening.mayTryAgain = true;
-    switch (stepAfterBusy(m_busyAgents, opening.busyAgents)) {
+    switch (stepAfterBusy(m_busyAgents, opening.busyAgents, opening.tried.size())) {
     case BusyStep::WaitAtLeastLoaded:
         offerToWait(flow, opening);
         break;
--- a/src/libdecision/busyagents.h
+++ b/src/libdecision/busyagents.h
@@ -2,6 +2,7 @@
 
 #include "enumnames.h"
 
+#include <cstddef>
 #include <cstdint>
 
 namespace kingcuptrail {
@@ -50,7 +51,8 @@
 /// costs messages.
 bool needsFreeSlot(const BusyAgents&, std::uint32_t busyAgents);
 
-/// What to do once `busyAgents` have refused the opening for want of room.
-BusyStep stepAfterBusy(const BusyAgents&, std::uint32_t busyAgents);
+/// What to do once `busyAgents` have refused the opening for want of room. `askedInRound` counts the agents that it may wait
+/// at: those asked since it was last offered to all of them.
+BusyStep stepAfterBusy(const BusyAgents&, std::uint32_t busyAgents, std::size_t askedInRound);
 
 }
--- a/tests/packets/testbusyagents.cpp
+++ b/tests/packets/testbusyagents.cpp
@@ -9,6 +9,7 @@
     CPPUNIT_TEST_SUITE(TestBusyAgents);
     CPPUNIT_TEST(openingThatNobodyTakesCostsFewMessages);
     CPPUNIT_TEST(freeSlotIsAskedForWhileSomeHaveOne);
+    CPPUNIT_TEST(lateAnswerBetweenTwoRoundsAsksAgain);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against a storm of offers: each opening offered to all agents, one after the other.
@@ -18,7 +19,7 @@
             const BusyAgents state { .busyShare = busyShare };
             std::uint32_t offers = 1;
             std::uint32_t busyAgents = 1;
-            while (stepAfterBusy(state, busyAgents) != BusyStep::Refuse) {
+            while (stepAfterBusy(state, busyAgents, offers) != BusyStep::Refuse) {
                 ++offers;
                 ++busyAgents;
             }
@@ -31,9 +32,9 @@
     {
         BusyAgents state;
         CPPUNIT_ASSERT(needsFreeSlot(state, 0));
-        CPPUNIT_ASSERT(stepAfterBusy(state, 1) == BusyStep::AskNext);
+        CPPUNIT_ASSERT(stepAfterBusy(state, 1, 1) == BusyStep::AskNext);
         CPPUNIT_ASSERT(needsFreeSlot(state, 1));
-        CPPUNIT_ASSERT(stepAfterBusy(state, 2) == BusyStep::WaitAtLeastLoaded);
+        CPPUNIT_ASSERT(stepAfterBusy(state, 2, 2) == BusyStep::WaitAtLeastLoaded);
         CPPUNIT_ASSERT(!needsFreeSlot(state, 2));
         for (int opening = 0; opening < 100; ++opening)
             noteSlotQuestion(state, true);
@@ -42,6 +43,12 @@
             noteSlotQuestion(state, false);
         CPPUNIT_ASSERT(needsFreeSlot(state, 0));
     }
+
+    // Guards against a wait at the least loaded of no agents: the answer belongs to a round that is over.
+    void lateAnswerBetweenTwoRoundsAsksAgain()
+    {
+        CPPUNIT_ASSERT(stepAfterBusy({}, 2, 0) == BusyStep::AskNext);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestBusyAgents);
