--- a/src/kingcuptraild/agent/agent.cpp
+++ b/src/kingcuptraild/agent/agent.cpp
@@ -6,6 +6,7 @@
 #include "libdecision/pacing.h"
 #include "libruntime/events.h"
 #include "upstreamprobe.h"
+#include "upstreamwatch.h"
 
 #include <nlohmann/json.hpp>
 
@@ -77,6 +78,11 @@
                              UpstreamProbe::Handlers { .onHint = [this](const UpstreamHint& hint) { m_requests.noteHint(hint); },
                                  .onContact = [this](bool isConnected) { handleContact(isConnected); } });
                      } });
+    m_role.root.add({ .name = "watch", .make = [this](const FailureHandler&) {
+                         return std::make_unique<UpstreamWatch>(m_role,
+                             UpstreamWatch::Handlers { .onContact = [this](bool isConnected) { handleContact(isConnected); },
+                                 .onRestart = [this] { restartCold(HttpError::ConnectionLost); } });
+                     } });
     startTimers();
 }
 
@@ -156,13 +162,19 @@
     beatNow();
 }
 
+void Agent::restartCold(HttpError seen)
+{
+    m_requests.restartCold();
+    logEvent(Event::UpstreamCold, { { "limit", currentLimit(m_requests.admission()) }, { "outcome", nameOf(seen) } });
+}
+
 void Agent::handleContact(bool isConnected)
 {
+    if (mayBeReplaced(m_reachability, isConnected))
+        restartCold(isConnected ? HttpError::None : HttpError::ConnectFailed);
     if (!noteContact(m_reachability, {}, isConnected))
         return;
     logEvent(m_reachability.isReachable ? Event::UpstreamReachable : Event::UpstreamUnreachable);
-    if (m_reachability.isReachable)
-        m_requests.restartCold();
     applyState();
     beatNow();
 }
--- a/src/libdecision/reachability.h
+++ b/src/libdecision/reachability.h
@@ -17,6 +17,10 @@
     bool isReachable = true;
 };
 
+/// Whether an attempt to connect that ends like this shows that the upstream's process has ended or that another one has taken
+/// its place. Either way the process that answers next is cold. Asked before the attempt is noted.
+bool mayBeReplaced(const Reachability&, bool isConnected);
+
 /// Takes note of one attempt to connect; true when it changes whether the upstream counts as reachable.
 bool noteContact(Reachability&, const ReachabilityOptions&, bool isConnected);
 
--- a/src/libruntime/events.cpp
+++ b/src/libruntime/events.cpp
@@ -73,7 +73,7 @@
         { Event::PlatformBack, EventLevel::Info, "platformBack", "Calls to the platform succeed again.",
             "Nothing." },
         { Event::UpstreamCold, EventLevel::Warning, "upstreamCold", "The upstream shows signs of a cold start; its limit is back at the start.",
-            "Nothing for a restart you made. Otherwise look at the upstream: it sheds load or has become slow." },
+            "Nothing for a restart you made, nor once after the agent's start for an upstream that closes idle connections (outcome connectionLost). Otherwise look at the upstream: it sheds load or has become slow." },
         { Event::UpstreamWarm, EventLevel::Info, "upstreamWarm", "The upstream works at its full slots.",
             "Nothing." },
         { Event::UpstreamHealthChanged, EventLevel::Warning, "upstreamHealthChanged", "The upstream's health endpoint answers differently than before.",
--- a/tests/decision/testreachability.cpp
+++ b/tests/decision/testreachability.cpp
@@ -8,6 +8,7 @@
     CPPUNIT_TEST_SUITE(TestReachability);
     CPPUNIT_TEST(oneFailureIsNoVerdict);
     CPPUNIT_TEST(downUpstreamLeavesAndComesBackOnce);
+    CPPUNIT_TEST(oneFailedConnectionMeansAnotherProcess);
     CPPUNIT_TEST_SUITE_END();
 
     void oneFailureIsNoVerdict()
@@ -33,6 +34,19 @@
             CPPUNIT_ASSERT(state.isReachable);
         }
     }
+
+    // Guards against the load of a warm upstream for a process that has just replaced it.
+    void oneFailedConnectionMeansAnotherProcess()
+    {
+        Reachability state;
+        CPPUNIT_ASSERT(!mayBeReplaced(state, true));
+        CPPUNIT_ASSERT(mayBeReplaced(state, false));
+        noteContact(state, {}, false);
+        CPPUNIT_ASSERT(!mayBeReplaced(state, false));
+        CPPUNIT_ASSERT(mayBeReplaced(state, true));
+        noteContact(state, {}, true);
+        CPPUNIT_ASSERT(!mayBeReplaced(state, true));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestReachability);
