--- a/bench/kingcuptrail-bench/main.cpp
+++ b/bench/kingcuptrail-bench/main.cpp
@@ -1,3 +1,4 @@
+#include "admissionreport.h"
 #include "libmodel/experimentfile.h"
 #include "libmodel/seededhistory.h"
 #include "libmodel/simulation.h"
@@ -16,6 +17,7 @@
 ABSL_FLAG(std::uint64_t, seed, 0, "use this seed in place of the experiment's; 0 keeps it. The first seed of histories");
 ABSL_FLAG(std::uint64_t, histories, 0, "run this many seeded histories and check them, in place of an experiment");
 ABSL_FLAG(std::string, without, "none", "run histories without this guard, to see that the checker finds what it prevents");
+ABSL_FLAG(bool, admission, false, "run the model of callers under overload, in place of an experiment");
 ABSL_FLAG(bool, verbose, false, "print the events that show each broken promise");
 
 namespace kingcuptrail {
@@ -83,6 +85,14 @@
         return broken == 0 ? ExitCode::Done : ExitCode::PromiseBroken;
     }
 
+    ExitCode runAdmission(std::uint64_t seed)
+    {
+        const std::vector<AdmissionRow> rows = runAdmissionLoads(seed);
+        std::cout << toTable(rows);
+        const std::string svg = absl::GetFlag(FLAGS_svg);
+        return svg.empty() || writeFile(svg, toPlot(rows)) ? ExitCode::Done : ExitCode::CannotWrite;
+    }
+
     ExitCode runExperiment(const std::string& fileName)
     {
         const auto text = readFile(fileName);
@@ -113,11 +123,14 @@
 {
     absl::SetProgramUsageMessage("Runs an experiment over a model of a deployment, in virtual time.\n"
                                  "  kingcuptrail-bench [--seed=S] [--json=FILE] [--svg=FILE] EXPERIMENT.json\n"
-                                 "  kingcuptrail-bench --histories=N [--seed=S] [--without=GUARD] [--verbose]");
+                                 "  kingcuptrail-bench --histories=N [--seed=S] [--without=GUARD] [--verbose]\n"
+                                 "  kingcuptrail-bench --admission [--seed=S] [--svg=FILE]");
     const std::vector<char*> arguments = absl::ParseCommandLine(argc, argv);
     const auto guard = kingcuptrail::fromName<kingcuptrail::GuardOff>(absl::GetFlag(FLAGS_without));
     if (const std::uint64_t count = absl::GetFlag(FLAGS_histories); count > 0 && guard)
         return static_cast<int>(kingcuptrail::runHistories(count, std::max<std::uint64_t>(1, absl::GetFlag(FLAGS_seed)), *guard));
+    if (absl::GetFlag(FLAGS_admission))
+        return static_cast<int>(kingcuptrail::runAdmission(std::max<std::uint64_t>(1, absl::GetFlag(FLAGS_seed))));
     if (arguments.size() != 2) {
         std::cerr << absl::ProgramUsageMessage() << '\n';
         return static_cast<int>(kingcuptrail::ExitCode::BadUsage);
--- a/bench/kingcuptrail-bench/svgplot.cpp
+++ b/bench/kingcuptrail-bench/svgplot.cpp
@@ -12,7 +12,7 @@
     constexpr double width = 900;
     constexpr double height = 420;
     constexpr double left = 70;
-    constexpr double right = 150;
+    constexpr double right = 190;
     constexpr double top = 40;
     constexpr double bottom = 50;
     constexpr int yTicks = 5;
@@ -52,8 +52,10 @@
             out << "<line x1=\"" << left << "\" x2=\"" << width - right << "\" y1=\"" << scale.y(value) << "\" y2=\"" << scale.y(value) << "\" stroke=\"#dddddd\"/>\n";
             text(out, left - 8, scale.y(value) + 4, "end", std::to_string(static_cast<long>(value)));
         }
-        for (int tick = 0; tick <= xTicks; ++tick) {
-            const double value = scale.xMax * tick / xTicks;
+        // Each whole number has a tick while they are few: between two of them a label would be wrong.
+        const int ticks = scale.xMax < 2 * xTicks ? static_cast<int>(scale.xMax) : xTicks;
+        for (int tick = 0; tick <= ticks; ++tick) {
+            const double value = scale.xMax * tick / ticks;
             text(out, scale.x(value), height - bottom + 18, "middle", std::to_string(static_cast<long>(value)));
         }
         text(out, width / 2, top / 2, "middle", plot.title);
