--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -26,8 +26,6 @@
     /// and later.
     constexpr Millis startPatience = 400;
     constexpr Millis newsPatience = 3000;
-    /// Within which time an upstream hands a packet back that it does not want, in milliseconds. It runs on the same host.
-    constexpr Millis returnTime = 12;
     /// How long a leaving agent goes on carrying open flows, in milliseconds.
     constexpr Millis leaveTime = 400;
     constexpr Millis leaveMargin = 1000;
@@ -49,11 +47,11 @@
     : m_state(role, adapter)
     , m_admission(m_state)
     , m_neighbours(m_state)
+    , m_learning(m_state)
     , m_announcement(role.context, role.platform)
     , m_former { .startedAtWall = unixMillis() }
     , m_contact(role.context)
     , m_turnTimer(role.context)
-    , m_learningTimer(role.context)
     , m_leaveTimer(role.context)
 {
     m_state.gate.options.reportLimit = role.settings.packets.addressReuse - reuseMargin;
@@ -148,9 +146,8 @@
         break;
     case CallerPacketAction::DeliverToLearn:
         m_state.fates.increment(AgentPacketFate::DeliveredToLearn);
-        m_learning[message.flow] = { .asker = sender, .since = now, .isProbe = isProbe, .acknowledged = head->acknowledged };
+        m_learning.ask(message.flow, { .asker = sender, .since = now, .isProbe = isProbe, .acknowledged = head->acknowledged });
         deliver(m_state, message.packet, index);
-        startLearningTimer();
         break;
     case CallerPacketAction::NotHeld:
         m_state.fates.increment(AgentPacketFate::HandedBack);
@@ -163,36 +160,6 @@
         reply(m_state, sender, { .kind = wire::PeerKind::NotHeld, .flow = message.flow, .packet = message.packet });
 }
 
-// One that runs is left as it is: started anew by each packet, it would not end while packets come.
-void PacketAgent::startLearningTimer()
-{
-    if (m_isLearningTimerOn)
-        return;
-    m_isLearningTimerOn = true;
-    m_learningTimer.start(returnTime, [this] {
-        m_isLearningTimerOn = false;
-        settleLearning();
-        if (!m_learning.empty())
-            startLearningTimer();
-    });
-}
-
-// What an upstream does not hold it hands back at once. A packet that it keeps belongs to a flow that it holds, unless
-// nobody is there to take it.
-void PacketAgent::settleLearning()
-{
-    const Millis now = m_state.role.clock.now();
-    const bool isUpstreamThere = m_state.gate.upstream && now - m_state.gate.reportedAt <= m_state.gate.options.reportLimit;
-    for (const auto& [flow, learning] : m_learning) {
-        if (now - learning.since < returnTime || !isUpstreamThere)
-            continue;
-        learnFlow(m_state.flows, flow, learning.acknowledged, now);
-        logFlowEvent(Event::FlowLearnt, flow, { { "open", m_state.flows.open } });
-        reply(m_state, learning.asker, { .kind = wire::PeerKind::Held, .flow = flow });
-    }
-    std::erase_if(m_learning, [now](const auto& item) { return now - item.second.since >= returnTime; });
-}
-
 void PacketAgent::handleFind(const PeerMessage& message, std::uint32_t sender)
 {
     const HolderAnswer answer = answerHolderQuestion(m_state.flows, message.flow, message.acknowledged, m_state.role.clock.now());
@@ -215,10 +182,9 @@
     const Millis now = m_state.role.clock.now();
     const UpstreamPacketNews news = takeUpstreamPacket(m_state.flows, flow, *head, now);
     noteHealth(news, now);
-    if (const auto learning = m_learning.find(flow); learning != m_learning.end()) {
+    if (const auto question = m_learning.take(flow)) {
         const bool isHeld = !head->flags.resets;
-        reply(m_state, learning->second.asker, { .kind = isHeld ? wire::PeerKind::Held : wire::PeerKind::NotHeld, .flow = flow });
-        m_learning.erase(learning);
+        reply(m_state, question->asker, { .kind = isHeld ? wire::PeerKind::Held : wire::PeerKind::NotHeld, .flow = flow });
     }
     if (news.isLearnt)
         logFlowEvent(Event::FlowLearnt, flow, { { "open", m_state.flows.open } });
@@ -253,10 +219,8 @@
 {
     m_state.fates.increment(AgentPacketFate::Returned);
     forgetFlow(m_state.flows, flow);
-    const auto learning = m_learning.find(flow);
-    const bool isProbe = learning != m_learning.end() && learning->second.isProbe;
-    if (learning != m_learning.end())
-        m_learning.erase(learning);
+    const auto question = m_learning.take(flow);
+    const bool isProbe = question && question->isProbe;
     if (head.mark == 0 || head.mark > m_state.senders.size())
         return;
     const std::uint32_t sender = m_state.senders[head.mark - 1];
--- a/src/kingcuptraild/packets/packetagent.h
+++ b/src/kingcuptraild/packets/packetagent.h
@@ -2,6 +2,7 @@
 
 #include "agentannouncement.h"
 #include "connectionadmission.h"
+#include "flowlearning.h"
 #include "kingcuptraild/role.h"
 #include "neighboursearches.h"
 #include "storefollower.h"
@@ -21,16 +22,6 @@
     void shutDown(std::function<void()> done) override;
 
 private:
-    /// A caller's packet that went to the upstream to learn whether it holds the flow, and who is to be told.
-    struct Learning {
-        /// A balancer, or a neighbour that one has asked.
-        std::uint32_t asker = 0;
-        Millis since = 0;
-        /// The asker still has the packet.
-        bool isProbe = false;
-        std::uint32_t acknowledged = 0;
-    };
-
     void handleFlowMessage(const PeerMessage& message, std::uint32_t sender);
     void handleForward(const PeerMessage& message, std::uint32_t sender);
     void handleFind(const PeerMessage& message, std::uint32_t sender);
@@ -38,8 +29,6 @@
     void handleUpstreamDatagram(std::span<std::uint8_t> packet);
     void noteHealth(const UpstreamPacketNews& news, Millis now);
     void reviewHealth(Millis now);
-    void startLearningTimer();
-    void settleLearning();
     void handleReturned(const FlowKey& flow, std::span<std::uint8_t> packet, const PacketHead& head);
 
     HttpResponse handleUpstreamCall(const HttpRequest& request);
@@ -61,6 +50,7 @@
     AgentState m_state;
     ConnectionAdmission m_admission;
     NeighbourSearches m_neighbours;
+    FlowLearning m_learning;
     AgentAnnouncement m_announcement;
     std::unique_ptr<StoreFollower> m_store;
     std::unique_ptr<DatagramSocket> m_outbound;
@@ -68,12 +58,9 @@
     UpstreamContact m_contact;
     bool m_isStarted = false;
     Delay m_turnTimer;
-    Delay m_learningTimer;
-    bool m_isLearningTimerOn = false;
     Delay m_leaveTimer;
     Millis m_leavingSince = 0;
 
-    std::unordered_map<FlowKey, Learning> m_learning;
     std::unordered_map<std::uint32_t, Millis> m_heardFrom;
     float m_toldLoad = 0;
     Millis m_toldAt = 0;
