--- a/bench/libmodel/simulation.h
+++ b/bench/libmodel/simulation.h
@@ -27,6 +27,9 @@
     std::uint64_t eventsExecuted() const { return m_loop.executed(); }
 
 private:
+    /// From a process's death until its peers' connections break.
+    static constexpr Micros resetArrives = 2 * microsPerMilli;
+
     /// A target that came back, until it holds its share of flows.
     struct ReturnWatch {
         std::size_t target = 0;
