--- a/src/libdecision/bulkadmission.cpp
+++ b/src/libdecision/bulkadmission.cpp
@@ -148,20 +148,21 @@
         return admission.active.size() < limit && linkUse(admission, now) <= admission.options.fullShare;
     }
 
-    // Before the first observation a bulk flow is assumed to send two windows, the least that one can, with a full share of
-    // the other flows beside it.
-    double placeTimeOf(const BulkAdmission& admission, std::size_t limit)
+    // The expected time between two places that become free, in milliseconds. Before the first observation a bulk flow is
+    // assumed to send two windows. It sends more than one, so the link takes at least that long for each of them.
+    double placeInterval(const BulkAdmission& admission, std::size_t limit)
     {
-        if (admission.placeTime.samples > 0)
-            return admission.placeTime.mean;
-        return 2 * static_cast<double>(limit) * admission.options.windowBytes / linkBytesPerMilli(admission.options);
+        const double windowTime = admission.options.windowBytes / linkBytesPerMilli(admission.options);
+        if (admission.placeTime.samples == 0)
+            return 2 * windowTime;
+        return std::max(windowTime, admission.placeTime.mean / static_cast<double>(limit));
     }
 
     // Places become free one after the other, `limit` of them in the time of one flow. On a full link the measured rate has to
     // decay first.
     double expectedWait(const BulkAdmission& admission, std::size_t limit, Millis now)
     {
-        const double interval = placeTimeOf(admission, limit) / static_cast<double>(limit);
+        const double interval = placeInterval(admission, limit);
         const std::size_t taken = admission.active.size() + admission.waiting.size() + 1;
         const double placeWait = taken > limit ? static_cast<double>(taken - limit) * interval : 0;
         const double excess = linkUse(admission, now) / admission.options.fullShare;
@@ -258,15 +259,17 @@
     if (isWaiting(admission, flow))
         return BulkDecision::Wait;
     const std::size_t limit = isBulkRoute(admission, flow.service) ? bulkFlowLimit(admission, routes) : 0;
-    if (limit == 0 || admission.flows.contains(flow))
+    const auto known = admission.flows.find(flow);
+    const bool wasRefused = known != admission.flows.end() && known->second.wasRefused;
+    if (limit == 0 || (known != admission.flows.end() && !wasRefused))
         return BulkDecision::Admit;
     endQuietFlows(admission, now);
-    if (admission.waiting.empty() && hasRoom(admission, limit, now)) {
+    if (!wasRefused && admission.waiting.empty() && hasRoom(admission, limit, now)) {
         admitOpening(admission, flow, now);
         return BulkDecision::Admit;
     }
     const BulkInputs& inputs = admission.lastInputs = bulkInputs(admission, routes, flow, now);
-    if (inputs.expectedWait >= static_cast<double>(inputs.maxWait) || inputs.waiting >= admission.options.maxWaiting)
+    if (wasRefused || inputs.expectedWait >= static_cast<double>(inputs.maxWait) || inputs.waiting >= admission.options.maxWaiting)
         return BulkDecision::Refuse;
     admission.waiting.push_back({ .flow = flow, .since = now, .until = now + inputs.maxWait });
     return BulkDecision::Wait;
@@ -291,8 +294,8 @@
         return;
     }
     ObservedFlow& observed = found->second;
-    // The caller uses the port of an ended flow again.
-    if (header.flags.opens && observed.hasEnded) {
+    // The caller uses the port of an ended flow again, or has not received the reset.
+    if (header.flags.opens && observed.hasEnded && !(observed.wasRefused && now - observed.lastDataAt <= admission.options.dataGap)) {
         admission.flows.erase(found);
         return;
     }
@@ -354,8 +357,11 @@
     std::vector<FlowKey> expired;
     const auto isExpired = [now](const WaitingBulkOpening& opening) { return now >= opening.until; };
     for (const WaitingBulkOpening& opening : admission.waiting) {
-        if (isExpired(opening))
-            expired.push_back(opening.flow);
+        if (!isExpired(opening))
+            continue;
+        expired.push_back(opening.flow);
+        if (ObservedFlow* observed = observeFlow(admission, opening.flow))
+            *observed = { .lastDataAt = now, .hasEnded = true, .wasRefused = true };
     }
     std::erase_if(admission.waiting, isExpired);
     return expired;
--- a/src/libdecision/bulkadmission.h
+++ b/src/libdecision/bulkadmission.h
@@ -93,6 +93,8 @@
     /// Its opening was admitted as one of a bulk route, and no data has arrived yet.
     bool isExpected = false;
     bool hasEnded = false;
+    /// Its opening was refused after it had waited.
+    bool wasRefused = false;
     CountedAs countedAs = CountedAs::Nothing;
 };
 
@@ -188,7 +190,8 @@
 /// Removes the waiting openings that are admitted now and returns them in the order of their arrival.
 std::vector<FlowKey> takeAdmitted(BulkAdmission&, const RouteTable&, Millis now);
 
-/// Removes the waiting openings whose time is over and returns them; they have to be refused.
+/// Removes the waiting openings whose time is over and returns them; they have to be refused. Copies that cross the reset are
+/// refused as well for `dataGap`.
 std::vector<FlowKey> takeExpired(BulkAdmission&, Millis now);
 
 /// Whether the flow has carried more than a window within `bulkSpan` and has not paused since. The last packets of a flow that
--- a/tests/packets/testbulkadmission.cpp
+++ b/tests/packets/testbulkadmission.cpp
@@ -127,7 +127,8 @@
         CPPUNIT_ASSERT(admitted > 140);
     }
 
-    // Guards against openings that wait behind a head whose time is over, and against a head that is never refused.
+    // Guards against openings that wait behind a head whose time is over, against a head that is never refused, and against a
+    // place for its copy, which crosses the reset.
     void headOfTheQueueTimesOut()
     {
         learnUploads();
@@ -143,6 +144,7 @@
         CPPUNIT_ASSERT(takeExpired(m_admission, m_now).empty());
         m_now += 1;
         CPPUNIT_ASSERT(takeExpired(m_admission, m_now) == std::vector { head });
+        CPPUNIT_ASSERT(open(head) == BulkDecision::Refuse);
         CPPUNIT_ASSERT(takeAdmitted(m_admission, m_routes, m_now).empty());
         send(active.front(), 0, true);
         CPPUNIT_ASSERT(takeAdmitted(m_admission, m_routes, m_now) == std::vector { next });
@@ -285,6 +287,7 @@
         CPPUNIT_ASSERT(m_admission.flows.empty());
         learnUploads();
         m_admission.placeTime = { .mean = 1, .samples = 8 };
+        m_routes.routes[0].latencyTarget = 5000;
         fillPlaces();
         for (int count = 0; count < 200; ++count)
             open(newFlow(uploadPort));
