--- a/src/kingcuptrailctl/explanations.cpp
+++ b/src/kingcuptrailctl/explanations.cpp
@@ -109,6 +109,14 @@
         { "The upstream accepts flows but resets them during their requests; the opening is offered to another agent.", "Check that upstream's process, and the agent's event upstreamFailing." },
     } };
 
+    constexpr Table<ResetReason> resets { {
+        { "The configuration has no route for the address of the opening. The request did not run.", "Compare the address with the configuration, and version in the log line with that of other balancers." },
+        { "No agent that could take the opening is known, or none answered in time. The request did not run.", "Check that the service's agents are running and that their data centres are in service." },
+        { "As many agents as are asked have refused the opening. The request did not run.", "lastRefusal in the log line is the reason of the last one." },
+        { "Every agent answered that it does not hold the flow, so the balancer reset it.", "Find the end of the upstream's process that held it: the flow's line flowAdmitted names it." },
+        { "The balancer's link had no room for one more large upload. The request did not run.", "Nothing if it is rare: callers try again through another balancer. If it is frequent, compare kingcuptrail_link_use of the balancers; add balancers or larger links, and check that packets.linkMegabits is right." },
+    } };
+
     constexpr Table<ChildFailure> children { {
         { "The component has not failed.", nothing },
         { "The component could not listen on its address.", "Check whether another process uses the port, and whether the address belongs to this host." },
@@ -167,6 +175,11 @@
     return entryOf(openings, refusal);
 }
 
+Explanation explanationOf(ResetReason reason)
+{
+    return entryOf(resets, reason);
+}
+
 Explanation explanationOf(LinkError error)
 {
     return entryOf(links, error);
@@ -198,6 +211,7 @@
     findEvent(codeOrName, found);
     findIn<RefusalReason>(codeOrName, "refusal", found);
     findIn<OpeningRefusal>(codeOrName, "opening", found);
+    findIn<ResetReason>(codeOrName, "reset", found);
     findIn<LinkError>(codeOrName, "link", found);
     findIn<PlatformError>(codeOrName, "platform", found);
     findIn<ApplyError>(codeOrName, "apply", found);
--- a/src/kingcuptrailctl/explanations.h
+++ b/src/kingcuptrailctl/explanations.h
@@ -2,6 +2,7 @@
 
 #include "libdecision/flowadmission.h"
 #include "libdecision/refusal.h"
+#include "libdecision/resetreason.h"
 #include "libhttp/http.h"
 #include "libplatform/configapply.h"
 #include "libprotocol/link.h"
@@ -22,6 +23,7 @@
 
 Explanation explanationOf(RefusalReason reason);
 Explanation explanationOf(OpeningRefusal refusal);
+Explanation explanationOf(ResetReason reason);
 Explanation explanationOf(LinkError error);
 Explanation explanationOf(PlatformError error);
 Explanation explanationOf(HttpError error);
--- a/src/kingcuptraild/packets/balancerstate.cpp
+++ b/src/kingcuptraild/packets/balancerstate.cpp
@@ -5,6 +5,7 @@
 void sendReset(BalancerState& state, const FlowKey& flow, std::uint32_t sequence, ResetReason reason)
 {
     state.resets.increment(reason);
+    recordFlowReset(state.bulk, flow, state.role.clock.now());
     const auto packet = state.adapter.encodeReset(flow, sequence);
     state.network.sendPacket(packet, { asio::ip::address_v4(flow.caller.address), state.role.settings.packets.ingress.port() });
 }
--- a/src/kingcuptraild/packets/balancerstate.h
+++ b/src/kingcuptraild/packets/balancerstate.h
@@ -2,6 +2,8 @@
 
 #include "flowholders.h"
 #include "libdecision/agentchoice.h"
+#include "libdecision/bulkadmission.h"
+#include "libdecision/resetreason.h"
 #include "libdecision/unresponsiveagents.h"
 #include "libruntime/metrics.h"
 #include "packetrolestate.h"
@@ -25,19 +27,6 @@
     static constexpr std::array<std::string_view, 8> names { "offered", "forwarded", "probed", "waiting", "malformed", "forged", "noView", "searchFull" };
 };
 
-/// Why a balancer reset a caller's flow. Each value has its own counter.
-enum class ResetReason : std::uint8_t {
-    NoRoute,
-    NoAgent,
-    RefusedByAll,
-    HeldByNobody,
-};
-
-template <>
-struct EnumNames<ResetReason> {
-    static constexpr std::array<std::string_view, 4> names { "noRoute", "noAgent", "refusedByAll", "heldByNobody" };
-};
-
 /// State shared by the parts of a balancer.
 struct BalancerState : PacketRoleState {
     using PacketRoleState::PacketRoleState;
@@ -50,6 +39,8 @@
     EnumCounters<CallerPacketOutcome> packetOutcomes;
     EnumCounters<ResetReason> resets;
     EnumCounters<OpeningRefusal> refusals;
+    /// Whether this host's link has room for another large upload.
+    BulkAdmission bulk { .options = { .linkMegabits = role.settings.packets.linkMegabits } };
 };
 
 /// Sends a reset for a flow to its caller. `sequence` must be near the number that the caller last acknowledged; for an
--- a/src/kingcuptraild/packets/connectiondispatcher.cpp
+++ b/src/kingcuptraild/packets/connectiondispatcher.cpp
@@ -25,6 +25,7 @@
 
 ConnectionDispatcher::ConnectionDispatcher(BalancerState& state)
     : m_state(state)
+    , m_bulkGate(state)
 {
 }
 
@@ -47,15 +48,41 @@
         }
         m_state.holderCache.erase(holder);
     }
+    const Millis startedAt = now - minOpeningAge(retransmissions);
+    if (m_openings.contains(flow) || m_bulkGate.admits(flow, startedAt, packet))
+        offerNew(flow, startedAt, copyPacket(packet));
+}
+
+// A copy of a pending opening only replaces the packet.
+void ConnectionDispatcher::offerNew(const FlowKey& flow, Millis startedAt, PacketBytes packet)
+{
     const auto [found, isNew] = m_openings.try_emplace(flow);
     PendingOpening& opening = found->second;
-    opening.packet = copyPacket(packet);
+    opening.packet = std::move(packet);
     if (!isNew)
         return;
-    opening.startedAt = now - minOpeningAge(retransmissions);
+    opening.startedAt = startedAt;
     offerToNext(flow, opening);
 }
 
+void ConnectionDispatcher::offerAdmitted(Millis now)
+{
+    for (HeldOpening& held : m_bulkGate.takeAdmitted(now))
+        offerNew(held.flow, held.startedAt, std::move(held.packet));
+}
+
+void ConnectionDispatcher::recordPacket(const FlowKey& flow, const PacketHeader& header, std::size_t bytes)
+{
+    if (m_bulkGate.recordPacket(flow, header, bytes))
+        offerAdmitted(m_state.role.clock.now());
+}
+
+void ConnectionDispatcher::updateWaitingOpenings(Millis now)
+{
+    m_bulkGate.refuseExpired(now);
+    offerAdmitted(now);
+}
+
 // Offers an opening to the best agent that has not had it yet. Without a configuration or agents the opening waits: a process
 // that has just started learns both within a few round trips, while a retransmission of the caller would take 200 ms.
 void ConnectionDispatcher::offerToNext(const FlowKey& flow, PendingOpening& opening)
@@ -232,6 +259,7 @@
 
 void ConnectionDispatcher::exposeMetrics(std::string& out) const
 {
+    m_bulkGate.exposeMetrics(out);
     m_openingTimes.expose(out, "kingcuptrail_opening_milliseconds", "Time until an agent took an opening, in milliseconds.");
 }
 
--- a/src/kingcuptraild/packets/connectiondispatcher.h
+++ b/src/kingcuptraild/packets/connectiondispatcher.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "balancerstate.h"
+#include "bulkgate.h"
 #include "libdecision/offerpolicy.h"
 
 namespace kingcuptrail {
@@ -19,10 +19,17 @@
     /// Offers again openings that were not answered in time and openings that all agents refused for a transient reason.
     void retryOffers(Millis now);
 
-    bool isEmpty() const { return m_openings.empty(); }
+    /// Records any packet that a caller sent, before it is handled. It may make room for openings that wait for the link.
+    void recordPacket(const FlowKey& flow, const PacketHeader& header, std::size_t bytes);
+    /// Refuses openings that have waited too long for the link, and offers those for which it has room now.
+    void updateWaitingOpenings(Millis now);
+
+    bool isEmpty() const { return m_openings.empty() && m_bulkGate.isEmpty(); }
     void exposeMetrics(std::string& out) const;
 
 private:
+    void offerNew(const FlowKey& flow, Millis startedAt, PacketBytes packet);
+    void offerAdmitted(Millis now);
     void offerToNext(const FlowKey& flow, PendingOpening& opening);
     void offerTo(std::uint32_t agent, const FlowKey& flow, PendingOpening& opening);
     void offerToLeastLoaded(const FlowKey& flow, PendingOpening& opening);
@@ -31,6 +38,7 @@
     void handleBusyRefusal(const FlowKey& flow, PendingOpening& opening, std::uint32_t sender);
 
     BalancerState& m_state;
+    BulkGate m_bulkGate;
     AgentChoiceOptions m_choiceOptions;
     OfferPolicy m_offerPolicy;
     std::unordered_map<FlowKey, PendingOpening> m_openings;
--- a/src/kingcuptraild/packets/packetbalancer.cpp
+++ b/src/kingcuptraild/packets/packetbalancer.cpp
@@ -89,6 +89,7 @@
         return;
     }
     const FlowKey flow = flowFromCaller(*header);
+    m_dispatcher.recordPacket(flow, *header, packet.size());
     if (isOpening(*header))
         m_dispatcher.open(flow, header->acknowledged, packet);
     else
@@ -142,6 +143,7 @@
         resetSilence(m_state.unresponsiveAgents);
     m_lookup.tick(now - m_state.startedAt);
     followStore(now);
+    m_dispatcher.updateWaitingOpenings(now);
     m_dispatcher.retryOffers(now);
     m_holderFinder.tick(now);
     if (now - m_lastPingAt >= pingInterval)
--- a/src/libruntime/events.cpp
+++ b/src/libruntime/events.cpp
@@ -106,8 +106,8 @@
             "Nothing if a data centre was taken out of service. Otherwise look for a network device that drops connection state." },
         { Event::FlowOffered, EventLevel::Info, "flowOffered", "An opening was offered to an agent.",
             "Nothing. The agent was chosen by atWork and loadAge." },
-        { Event::FlowRefused, EventLevel::Info, "flowRefused", "An opening was reset because there is no route or no agent admitted it. The request has not run.",
-            "Check lastRefusal and the agents' openingRefused lines for the same flow." },
+        { Event::FlowRefused, EventLevel::Info, "flowRefused", "An opening was reset because there is no route, no agent admitted it, or the balancer's link is full. The request has not run.",
+            "With reason linkFull, compare received with link. Otherwise check lastRefusal and the agents' openingRefused lines for the same flow." },
         { Event::FlowAdmitted, EventLevel::Info, "flowAdmitted", "An opening was delivered to the upstream.",
             "Nothing." },
         { Event::OpeningRefused, EventLevel::Info, "openingRefused", "An agent refused an opening; the balancer offers it to the next agent.",
@@ -122,6 +122,8 @@
             "Nothing. The metrics count every flow." },
         { Event::SearchUncertain, EventLevel::Info, "searchUncertain", "No agent answered that it holds the flow, and not every agent answered that it does not; nothing was sent to the caller.",
             "Check the agent in waitsFor: it does not answer, or does not know its upstream yet. Unconfirmed directories are confirmed again without action." },
+        { Event::BulkOpeningHeld, EventLevel::Info, "bulkOpeningHeld", "An opening of a route with large uploads waits at the balancer, because as many as the link may carry at once are active or the link is full.",
+            "Nothing for single cases: the opening is admitted or refused within maxWait. If it is frequent, the balancers' links are too small for the uploads." },
     });
 
     constexpr auto textPattern = "%Y-%m-%dT%H:%M:%S.%eZ %l %n %v";
--- a/src/libruntime/events.h
+++ b/src/libruntime/events.h
@@ -75,6 +75,7 @@
     SearchUncertain = 608,
     FlowLearnt = 606,
     LinesLeftOut = 607,
+    BulkOpeningHeld = 609,
 };
 
 enum class EventLevel : std::uint8_t {
--- a/tests/ctl/testexplanations.cpp
+++ b/tests/ctl/testexplanations.cpp
@@ -41,6 +41,7 @@
     {
         assertExplained<RefusalReason>();
         assertExplained<OpeningRefusal>();
+        assertExplained<ResetReason>();
         assertExplained<LinkError>();
         assertExplained<PlatformError>();
         assertExplained<HttpError>();
