--- a/src/libdecision/datacentrehealth.h
+++ b/src/libdecision/datacentrehealth.h
@@ -67,20 +67,34 @@
     Millis sentAt = 0;
 };
 
+/// A change of state with its inputs.
+struct DataCentreChange {
+    std::string dataCentre;
+    DataCentreState from = DataCentreState::Reachable;
+    DataCentreState to = DataCentreState::Reachable;
+    DataCentreChangeCause cause = DataCentreChangeCause::Message;
+    /// Time since the last message from there, in milliseconds; for a change by a message, since the one before.
+    Millis sinceHeard = 0;
+    /// Unanswered pings and the different agents that they went to.
+    std::size_t pings = 0;
+    std::size_t pingedAgents = 0;
+    /// Callers' addresses within `reroutedWindow`.
+    std::size_t reroutedCallers = 0;
+};
+
 /// What is known of one data centre that was heard at least once.
 struct DataCentreRecord {
     DataCentreState state = DataCentreState::Reachable;
-    /// The state that updateStates() has last returned, and what has changed it since.
-    DataCentreState announcedState = DataCentreState::Reachable;
-    DataCentreChangeCause cause = DataCentreChangeCause::Message;
+    /// The change that updateStates() has not returned yet.
+    std::optional<DataCentreChange> change;
     Millis heardAt = 0;
     /// Start of the present silence: the last message, or a later resetAll().
     Millis silentFrom = 0;
     /// Pings since `silentFrom`, the oldest first; bounded.
     std::vector<SentPing> pings;
+    Millis lastRoundAt = 0;
     /// Agents in the directory that may hold flows, as of the last round of pings.
     std::size_t knownAgents = 0;
-    Millis lastRoundAt = 0;
     /// Callers of this data centre that arrived here while it was silent, by address, with the time of the last packet;
     /// bounded.
     std::unordered_map<std::uint32_t, Millis> reroutedCallers;
@@ -98,21 +112,6 @@
     bool hasSkippedUpdate = false;
 };
 
-/// A change of state with its inputs.
-struct DataCentreChange {
-    std::string dataCentre;
-    DataCentreState from = DataCentreState::Reachable;
-    DataCentreState to = DataCentreState::Reachable;
-    DataCentreChangeCause cause = DataCentreChangeCause::Message;
-    /// Time since the last message from there, in milliseconds.
-    Millis sinceHeard = 0;
-    /// Unanswered pings and the different agents that they went to.
-    std::size_t pings = 0;
-    std::size_t pingedAgents = 0;
-    /// Callers' addresses within `reroutedWindow`.
-    std::size_t reroutedCallers = 0;
-};
-
 /// Records that any valid message from a process of the data centre arrived. It is reachable from then on. A data centre is
 /// judged only after its first message, since a process that has just started has heard nobody.
 void recordHeard(DataCentreHealth&, std::string_view dataCentre, Millis now);
@@ -131,17 +130,22 @@
 /// The agents to ping now: of each data centre that has been silent for `silence`, a few that were not pinged lately. Their
 /// number does not depend on the number of agents. The caller reports each of them to recordPing(). `seed` decides among
 /// the agents. In a deployment of two data centres the own data centre is pinged as well when it is silent.
-std::vector<std::uint32_t> pingsDue(DataCentreHealth&, const Directory&, std::string_view ownDataCentre, std::uint64_t seed, Millis now);
+std::vector<std::uint32_t> pingsDue(DataCentreHealth&, const Directory&, std::uint64_t seed, Millis now);
 
 /// Judges every data centre and returns the changes since the last call; to be called several times in `pingTimeout`. No
 /// state worsens while this process may itself be cut off or behind with its work:
-/// - after a gap of more than `silence` since the last call, and while nothing arrives from any other data centre, all times
-///   start again. With only one other data centre, messages from the own one also show that this process receives;
+/// - after a gap of more than `silence` since the last call, all times start again, since the process was paused;
+/// - while nothing arrives from any other data centre for as long as a verdict takes, all times start again, since the
+///   process is isolated. With only one other data centre that has agents, messages from the own one count as well. A
+///   verdict also needs a message from elsewhere that is newer than the pings which decide it;
 /// - when more than `toleratedLosses` would be silent, all times start again;
-/// - when the call is late by more than `pingTimeout`, answers may wait in the socket, and the next call judges.
+/// - after a gap of more than `pingTimeout` answers may wait in the socket, and the next call judges.
 std::vector<DataCentreChange> updateStates(DataCentreHealth&, Millis now);
 
 /// The state of a data centre; reachable if nothing is known of it.
 DataCentreState stateOf(const DataCentreHealth&, std::string_view dataCentre);
 
+/// Whether any data centre is lost. Decisions for each packet ask this first, since it is cheap.
+bool hasLostDataCentre(const DataCentreHealth&);
+
 }
--- a/src/libdecision/directory.cpp
+++ b/src/libdecision/directory.cpp
@@ -19,6 +19,16 @@
             directory.readyAgents.erase(service);
     }
 
+    void removeAddress(Directory& directory, const PeerEntry& entry)
+    {
+        const auto found = directory.namesByAddress.find(entry.address);
+        if (found == directory.namesByAddress.end())
+            return;
+        found->second.erase(entry.name);
+        if (found->second.empty())
+            directory.namesByAddress.erase(found);
+    }
+
     std::uint64_t digestOf(const PeerEntry& entry)
     {
         return XXH3_64bits_withSeed(entry.name.data(), entry.name.size(), entry.epoch);
@@ -45,11 +55,13 @@
         if (entry.epoch <= known->second.epoch)
             return false;
         removeFromService(directory, known->second);
+        removeAddress(directory, known->second);
         bucketDigest ^= digestOf(known->second);
     }
     bucketDigest ^= digestOf(entry);
     if (entry.role == PeerRole::Agent && entry.state == PeerState::Ready)
         directory.readyAgents[entry.service].insert(entry.name);
+    directory.namesByAddress[entry.address].insert(entry.name);
     directory.entries.insert_or_assign(entry.name, std::move(entry));
     return true;
 }
@@ -94,8 +106,15 @@
 
 const PeerEntry* findByAddress(const Directory& directory, std::uint32_t address)
 {
-    const auto found = std::ranges::find_if(directory.entries, [&](const auto& item) { return item.second.address == address && item.second.state != PeerState::Gone; });
-    return found != directory.entries.end() ? &found->second : nullptr;
+    const auto found = directory.namesByAddress.find(address);
+    if (found == directory.namesByAddress.end())
+        return nullptr;
+    for (const std::string& name : found->second) {
+        const PeerEntry& entry = directory.entries.at(name);
+        if (entry.state != PeerState::Gone)
+            return &entry;
+    }
+    return nullptr;
 }
 
 }
--- a/src/libdecision/directory.h
+++ b/src/libdecision/directory.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace kingcuptrail {
@@ -65,6 +66,9 @@
     /// Names of the agents that accept new flows, by service, so that an opening's cost depends on the agents of its
     /// service and not on all agents.
     std::map<std::string, std::set<std::string>, std::less<>> readyAgents;
+    /// Names by address. The sender of each message is looked up by its address, so this must not cost a search through all
+    /// entries. Several names share an address when a host was renamed.
+    std::unordered_map<std::uint32_t, std::set<std::string>> namesByAddress;
 };
 
 /// Stores an announcement unless one with the same or a higher epoch is known. Returns whether it was stored.
@@ -99,6 +103,7 @@
 /// The agents that accept new flows for a service, in the order of their names.
 std::vector<const PeerEntry*> readyAgentsOf(const Directory&, std::string_view service);
 
+/// The entry of the process at this address that has not announced that it is gone, or null.
 const PeerEntry* findByAddress(const Directory&, std::uint32_t address);
 
 }
--- a/src/libdecision/holdersearch.cpp
+++ b/src/libdecision/holdersearch.cpp
@@ -27,6 +27,17 @@
     return missing;
 }
 
+SearchState removeAgents(HolderSearch& search, std::span<const std::uint32_t> agents)
+{
+    for (const std::uint32_t agent : agents) {
+        for (auto* list : { &search.asked, &search.awaited, &search.unsure })
+            std::erase(*list, agent);
+    }
+    if (search.state == SearchState::Asking && !search.asked.empty() && search.awaited.empty() && search.unsure.empty())
+        search.state = SearchState::HeldByNobody;
+    return search.state;
+}
+
 std::vector<std::uint32_t> agentsWithoutDenial(const HolderSearch& search)
 {
     std::vector<std::uint32_t> agents = search.awaited;
--- a/src/libdecision/holdersearch.h
+++ b/src/libdecision/holdersearch.h
@@ -39,6 +39,10 @@
 /// with HeldByNobody goes on.
 std::vector<std::uint32_t> addMissingAgents(HolderSearch&, std::span<const std::uint32_t> agents);
 
+/// Takes agents that are certainly gone out of the search and returns the resulting state. They are asked again by
+/// addMissingAgents() if they come back. A search without any agent left stays in state Asking.
+SearchState removeAgents(HolderSearch&, std::span<const std::uint32_t> agents);
+
 /// The agents that have not denied the flow: those that did not answer and those that are unsure. An agent that was asked
 /// through another one of its data centre counts as unsure when that one is unsure about it, even if it is gone.
 std::vector<std::uint32_t> agentsWithoutDenial(const HolderSearch&);
