--- a/src/libruntime/settings.cpp
+++ b/src/libruntime/settings.cpp
@@ -117,6 +117,8 @@
             readSeconds(object, "leaveSeconds", packets.leave);
             if (object.contains("linkMegabits"))
                 packets.linkMegabits = object["linkMegabits"].get<double>();
+            if (object.contains("toleratedDataCentreLosses"))
+                packets.toleratedDataCentreLosses = object["toleratedDataCentreLosses"].get<std::size_t>();
             packets.ready = readEndpoint(object, "/packets", "ready", PortRule::MayBeZero);
             packets.ingress = readEndpoint(object, "/packets", "ingress", PortRule::MustBeSet);
             readOptionalEndpoint(object, "upstream", packets.upstream);
--- a/src/libruntime/settings.h
+++ b/src/libruntime/settings.h
@@ -65,6 +65,8 @@
     Millis leave = 6000;
     /// Capacity of this host's network link, in Mbit/s.
     double linkMegabits = 1000;
+    /// How many data centres may be lost at the same time. At 0 no data centre is judged.
+    std::size_t toleratedDataCentreLosses = 0;
 
     bool operator==(const PacketSettings&) const = default;
 };
--- a/src/libruntime/settingsschema.cpp
+++ b/src/libruntime/settingsschema.cpp
@@ -52,7 +52,8 @@
             "seeds": { "type": "array", "items": { "type": "string" }, "maxItems": 16 },
             "addressReuseSeconds": { "type": "number", "minimum": 0.2, "maximum": 600 },
             "leaveSeconds": { "type": "number", "minimum": 0.5, "maximum": 600 },
-            "linkMegabits": { "type": "number", "minimum": 0.1, "maximum": 1000000 }
+            "linkMegabits": { "type": "number", "minimum": 0.1, "maximum": 1000000 },
+            "toleratedDataCentreLosses": { "type": "integer", "minimum": 0, "maximum": 16 }
         }
     }
 }
--- a/tests/runtime/testsettings.cpp
+++ b/tests/runtime/testsettings.cpp
@@ -107,10 +107,18 @@
     void packetRolesRequireTheirFields()
     {
         const std::string common = R"("name":"b","dataCentre":"north","listen":"10.0.0.1:7720","admin":"10.0.0.1:9464","platform":"10.0.0.2:80")";
-        const std::string balancer = R"({"role":"packetBalancer",)" + common + R"(,"packets":{"ingress":"10.0.0.1:8172","ready":"10.0.0.1:8167","seeds":["10.0.0.3:1"],"addressReuseSeconds":2.5,"linkMegabits":10}})";
+        const std::string balancer = R"({"role":"packetBalancer",)" + common + R"(,"packets":{"ingress":"10.0.0.1:8172","ready":"10.0.0.1:8167","seeds":["10.0.0.3:1"],"addressReuseSeconds":2.5,"linkMegabits":10,"toleratedDataCentreLosses":2}})";
         std::vector<Fault> faults;
         const auto settings = parseSettings(balancer, faults);
         CPPUNIT_ASSERT(settings && settings->packets.addressReuse == 2500 && settings->packets.leave == 6000 && settings->packets.linkMegabits == 10 && settings->packets.seeds.size() == 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, settings->packets.toleratedDataCentreLosses);
+        for (const char* losses : { "17", "-1", "0.5", "\"1\"" }) {
+            std::string bad = balancer;
+            bad.replace(bad.rfind("2}}"), 1, losses);
+            CPPUNIT_ASSERT_MESSAGE(losses, !parseSettings(bad, faults));
+            CPPUNIT_ASSERT_EQUAL(std::string("/packets/toleratedDataCentreLosses"), faults.back().place);
+        }
+        faults.clear();
         std::string agent = balancer;
         agent.replace(agent.find("packetBalancer"), 14, "packetAgent");
         CPPUNIT_ASSERT(!parseSettings(agent, faults));
