--- a/src/kingcuptraild/packets/balancerstate.cpp
+++ b/src/kingcuptraild/packets/balancerstate.cpp
@@ -18,4 +18,12 @@
     load.refusesUntil = refusesUntil;
 }
 
+bool isInLostDataCentre(const BalancerState& state, std::uint32_t agent)
+{
+    if (!hasLostDataCentre(state.dataCentreHealth))
+        return false;
+    const PeerEntry* entry = findByAddress(state.network.directory(), agent);
+    return entry && stateOf(state.dataCentreHealth, entry->dataCentre) == DataCentreState::Lost;
+}
+
 }
--- a/src/kingcuptraild/packets/balancerstate.h
+++ b/src/kingcuptraild/packets/balancerstate.h
@@ -2,6 +2,7 @@
 
 #include "flowholders.h"
 #include "libdecision/agentchoice.h"
+#include "libdecision/datacentrehealth.h"
 #include "libdecision/unresponsiveagents.h"
 #include "libruntime/metrics.h"
 #include "packetrolestate.h"
@@ -45,6 +46,9 @@
     /// The last known load of each agent, by the agent's address.
     std::unordered_map<std::uint32_t, AgentLoad> agentLoads;
     UnresponsiveAgents unresponsiveAgents;
+    /// Which other data centres answer. Empty unless `packets.toleratedDataCentreLosses` is set. Its changes are announced by
+    /// PacketBalancer::handleDataCentreChange().
+    DataCentreHealth dataCentreHealth;
     /// Cache of the agent that holds each flow.
     std::unordered_map<FlowKey, CachedHolder> holderCache;
     EnumCounters<CallerPacketOutcome> packetOutcomes;
@@ -59,6 +63,9 @@
 /// Stores the load that an agent's message carries.
 void recordLoad(BalancerState&, const PeerMessage& message, std::uint32_t sender);
 
+/// Whether the agent at this address is in a data centre that is lost. An agent that is not in the directory is not.
+bool isInLostDataCentre(const BalancerState&, std::uint32_t agent);
+
 /// Copies a packet that has to outlive the receive buffer.
 inline PacketBytes copyPacket(std::span<const std::uint8_t> packet)
 {
--- a/src/kingcuptraild/packets/connectiondispatcher.cpp
+++ b/src/kingcuptraild/packets/connectiondispatcher.cpp
@@ -37,9 +37,9 @@
         return;
     }
     // A retransmission goes to the agent that admitted the first packet, so that a flow is not opened at two agents. If that
-    // agent has left an offer unanswered, the opening is offered anew.
+    // agent has left an offer unanswered or its data centre is lost, the opening is offered anew.
     if (const auto holder = m_state.holderCache.find(flow); holder != m_state.holderCache.end()) {
-        if (m_state.agentLoads[holder->second.agent].unanswered == 0) {
+        if (m_state.agentLoads[holder->second.agent].unanswered == 0 && !isInLostDataCentre(m_state, holder->second.agent)) {
             holder->second.usedAt = now;
             m_state.network.send(holder->second.agent, { .kind = wire::PeerKind::Open, .flow = flow, .configVersion = m_state.network.routes().version, .packet = packet });
             m_state.packetOutcomes.increment(CallerPacketOutcome::Offered);
@@ -120,19 +120,27 @@
     m_openings.erase(flow);
 }
 
+// Agents of a silent data centre come after all others: each opening to a host that is gone costs the time of an unanswered
+// offer. They are not skipped, since the data centre may only be cut off from this one while it holds the service.
 std::vector<std::uint32_t> ConnectionDispatcher::rankAgents(const FlowKey& flow, const std::string& service) const
 {
     std::vector<AgentCandidate> candidates;
+    std::vector<AgentCandidate> silentCandidates;
     for (const PeerEntry* entry : readyAgentsOf(m_state.network.directory(), service)) {
-        if (isDataCentreOut(m_state.network.outages(), entry->dataCentre))
+        const DataCentreState state = stateOf(m_state.dataCentreHealth, entry->dataCentre);
+        if (isDataCentreOut(m_state.network.outages(), entry->dataCentre) || state == DataCentreState::Lost)
             continue;
         AgentCandidate candidate { .address = entry->address, .isNear = entry->dataCentre == m_state.role.settings.dataCentre, .load = {} };
         if (const auto load = m_state.agentLoads.find(entry->address); load != m_state.agentLoads.end())
             candidate.load = load->second;
         candidate.load.slots = std::max(entry->slots, 1U);
-        candidates.push_back(candidate);
+        (state == DataCentreState::Silent ? silentCandidates : candidates).push_back(candidate);
     }
-    return chooseAgents(flow, candidates, m_choiceOptions, m_state.role.clock.now());
+    const Millis now = m_state.role.clock.now();
+    std::vector<std::uint32_t> ranking = chooseAgents(flow, candidates, m_choiceOptions, now);
+    const std::vector<std::uint32_t> silentRanking = chooseAgents(flow, silentCandidates, m_choiceOptions, now);
+    ranking.insert(ranking.end(), silentRanking.begin(), silentRanking.end());
+    return ranking;
 }
 
 void ConnectionDispatcher::handleAdmitted(const PeerMessage& message, std::uint32_t sender)
--- a/src/kingcuptraild/packets/holderfinder.cpp
+++ b/src/kingcuptraild/packets/holderfinder.cpp
@@ -82,8 +82,10 @@
 {
     AgentsByDataCentre agents;
     const Millis now = m_state.role.clock.now();
+    const bool isAnyLost = hasLostDataCentre(m_state.dataCentreHealth);
     for (const auto& [name, entry] : m_state.network.directory().entries) {
-        const bool mayHold = mayHoldFlows(entry) && !isPresumedGone(m_state.unresponsiveAgents, entry.address, now);
+        const bool isLost = isAnyLost && stateOf(m_state.dataCentreHealth, entry.dataCentre) == DataCentreState::Lost;
+        const bool mayHold = mayHoldFlows(entry) && !isLost && !isPresumedGone(m_state.unresponsiveAgents, entry.address, now);
         if (mayHold && (!service || entry.service == *service))
             agents[entry.dataCentre].push_back(entry.address);
     }
@@ -96,6 +98,9 @@
 {
     AgentsByDataCentre agents = possibleHolders(service);
     AgentsByDataCentre allAgents = possibleHolders(nullptr);
+    // All agents of the service are lost. The others must deny the flow, since its route may have moved, and then it is lost.
+    if (agents.empty() && hasLostDataCentre(m_state.dataCentreHealth))
+        return allAgents;
     for (auto& [dataCentre, members] : agents) {
         if (members.size() >= ProbePlanOptions {}.minAgentsForForwarding)
             members = std::move(allAgents.at(dataCentre));
@@ -353,6 +358,26 @@
     updateSearch(message.flow, state);
 }
 
+// Otherwise these searches would run out of time without a result, and their callers would learn of the loss only with their
+// next retransmission. A search that has no agent left begins anew in tick().
+void HolderFinder::handleLostDataCentre(const std::string& dataCentre)
+{
+    std::vector<FlowKey> settled;
+    for (auto& [flow, waiting] : m_searches) {
+        const auto agents = waiting.asked.find(dataCentre);
+        if (agents == waiting.asked.end())
+            continue;
+        const SearchState state = removeAgents(waiting.search, agents->second);
+        waiting.asked.erase(agents);
+        if (state == SearchState::HeldByNobody)
+            settled.push_back(flow);
+        else if (!waiting.search.asked.empty())
+            sendProbes(flow, waiting, false);
+    }
+    for (const FlowKey& flow : settled)
+        updateSearch(flow, SearchState::HeldByNobody);
+}
+
 void HolderFinder::tick(Millis now)
 {
     beginDeferredSearches();
--- a/src/kingcuptraild/packets/holderfinder.h
+++ b/src/kingcuptraild/packets/holderfinder.h
@@ -15,6 +15,8 @@
     /// Handle an agent's answer for itself, and a delegate's answer for all agents of its data centre.
     void handleHolderAnswer(const PeerMessage& message, std::uint32_t sender);
     void handleDelegatedAnswer(const PeerMessage& message, std::uint32_t sender);
+    /// Counts the agents of a data centre that was lost as having denied the flows of all running searches.
+    void handleLostDataCentre(const std::string& dataCentre);
     /// Probes agents whose answers are late and ends searches that took too long; to be called several times a second.
     void tick(Millis now);
 
--- a/src/kingcuptraild/packets/packetbalancer.cpp
+++ b/src/kingcuptraild/packets/packetbalancer.cpp
@@ -34,12 +34,17 @@
     : m_state(role, adapter)
     , m_dispatcher(m_state)
     , m_holderFinder(m_state)
+    , m_dataCentreMonitor(m_state)
     , m_lookup(role.context, role.platform, m_state.network)
     , m_tickTimer(role.context)
     , m_shutdownTimer(role.context)
 {
+    std::function<void(std::uint32_t)> onHeard;
+    if (m_dataCentreMonitor.isEnabled())
+        onHeard = [this](std::uint32_t sender) { m_dataCentreMonitor.handleMessage(sender); };
     const bool hasPeers = m_state.network.start({
         .onFlowMessage = [this](const PeerMessage& message, std::uint32_t sender) { handleFlowMessage(message, sender); },
+        .onHeard = std::move(onHeard),
         .onOutages = [](const std::vector<std::string>&) {},
     });
     openIngress();
@@ -98,6 +103,12 @@
 void PacketBalancer::handleFlowPacket(const FlowKey& flow, const PacketHeader& header, std::span<const std::uint8_t> packet)
 {
     const auto holder = m_state.holderCache.find(flow);
+    // The search ends with a reset when the agents of the other data centres deny the flow.
+    if (holder != m_state.holderCache.end() && isInLostDataCentre(m_state, holder->second.agent)) {
+        m_state.holderCache.erase(holder);
+        m_holderFinder.search(flow, header, packet);
+        return;
+    }
     if (holder == m_state.holderCache.end()) {
         m_holderFinder.search(flow, header, packet);
         return;
@@ -135,11 +146,19 @@
     }
 }
 
+void PacketBalancer::handleDataCentreChange(const DataCentreChange& change)
+{
+    if (change.to == DataCentreState::Lost)
+        m_holderFinder.handleLostDataCentre(change.dataCentre);
+}
+
 void PacketBalancer::tick()
 {
     const Millis now = m_state.role.clock.now();
     if (m_state.network.mayBeStale())
         resetSilence(m_state.unresponsiveAgents);
+    for (const DataCentreChange& change : m_dataCentreMonitor.tick(now))
+        handleDataCentreChange(change);
     m_lookup.tick(now - m_state.startedAt);
     followStore(now);
     m_dispatcher.retryOffers(now);
@@ -277,6 +296,7 @@
     exposeCounters(out, "kingcuptrail_flow_resets_total", "Flows reset by this balancer, by reason.", m_state.resets);
     exposeCounters(out, "kingcuptrail_openings_refused_total", "Refusals by agents, by reason.", m_state.refusals);
     m_holderFinder.exposeMetrics(out);
+    m_dataCentreMonitor.exposeMetrics(out);
     m_dispatcher.exposeMetrics(out);
     exposeGauge(out, "kingcuptrail_cached_holders", "Flows whose holder is cached.", static_cast<double>(m_state.holderCache.size()));
     exposeCounter(out, "kingcuptrail_store_calls_total", "Calls of the store.", m_storeCalls + m_lookup.callsMade() + (m_store ? m_store->callsMade() : 0));
--- a/src/kingcuptraild/packets/packetbalancer.h
+++ b/src/kingcuptraild/packets/packetbalancer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connectiondispatcher.h"
+#include "datacentremonitor.h"
 #include "holderfinder.h"
 #include "kingcuptraild/role.h"
 #include "peerlookup.h"
@@ -23,6 +24,8 @@
     void handleCallerDatagram(std::span<std::uint8_t> packet);
     void handleFlowPacket(const FlowKey& flow, const PacketHeader& header, std::span<const std::uint8_t> packet);
     void handleFlowMessage(const PeerMessage& message, std::uint32_t sender);
+    /// Called once for each change of the state of another data centre, from the periodic work.
+    void handleDataCentreChange(const DataCentreChange& change);
     void tick();
     void pingUnresponsiveAgents(Millis now);
     std::size_t countAgents() const;
@@ -36,6 +39,7 @@
     BalancerState m_state;
     ConnectionDispatcher m_dispatcher;
     HolderFinder m_holderFinder;
+    DataCentreMonitor m_dataCentreMonitor;
     PeerLookup m_lookup;
     std::unique_ptr<StoreFollower> m_store;
     /// Calls made by store followers that have ended.
--- a/src/kingcuptraild/packets/peernetwork.cpp
+++ b/src/kingcuptraild/packets/peernetwork.cpp
@@ -240,6 +240,8 @@
         m_messageErrors.increment(PeerMessageError::Malformed);
         return;
     }
+    if (m_handlers.onHeard)
+        m_handlers.onHeard(sender);
     if (message->configVersion > m_view.routes.version)
         fetchRoutes(sender, message->configVersion);
     if (message->kind == wire::PeerKind::News)
--- a/src/kingcuptraild/packets/peernetwork.h
+++ b/src/kingcuptraild/packets/peernetwork.h
@@ -38,6 +38,8 @@
     struct Handlers {
         /// Called for a message about a flow, from the host with this address.
         std::function<void(const PeerMessage&, std::uint32_t sender)> onFlowMessage;
+        /// Called before any valid message from another process is handled, with its address. May be empty.
+        std::function<void(std::uint32_t sender)> onHeard;
         /// Called when the outages change; `returned` names the data centres that were out and no longer are.
         std::function<void(const std::vector<std::string>& returned)> onOutages;
     };
--- a/src/libruntime/events.h
+++ b/src/libruntime/events.h
@@ -47,6 +47,10 @@
     LeftBehindRemoved = 328,
     PlatformTrouble = 330,
     PlatformBack = 331,
+    // Health of other data centres
+    DataCentreSilent = 341,
+    DataCentreLost = 342,
+    DataCentreHeard = 343,
     // Load
     UpstreamCold = 400,
     UpstreamWarm = 401,
--- a/src/libruntime/metrics.cpp
+++ b/src/libruntime/metrics.cpp
@@ -32,6 +32,16 @@
         out.append("\n# TYPE ").append(name).append(" ").append(type).append("\n");
     }
 
+    /// Escapes what the exposition format does not allow in the value of a label.
+    void appendLabelValue(std::string& out, std::string_view text)
+    {
+        for (const char character : text) {
+            if (character == '\\' || character == '"')
+                out.push_back('\\');
+            out.append(character == '\n' ? std::string_view("\\n") : std::string_view(&character, 1));
+        }
+    }
+
 }
 
 struct LatencyHistogram::Private {
@@ -112,4 +122,14 @@
     out.append(name).append(" ").append(formatNumber(value)).append("\n");
 }
 
+void exposeGauges(std::string& out, std::string_view name, std::string_view help, std::string_view label, std::span<const std::pair<std::string, double>> values)
+{
+    appendHeader(out, name, help, "gauge");
+    for (const auto& [text, value] : values) {
+        out.append(name).append("{").append(label).append("=\"");
+        appendLabelValue(out, text);
+        out.append("\"} ").append(formatNumber(value)).append("\n");
+    }
+}
+
 }
--- a/src/libruntime/metrics.h
+++ b/src/libruntime/metrics.h
@@ -5,7 +5,9 @@
 
 #include <array>
 #include <memory>
+#include <span>
 #include <string>
+#include <utility>
 
 namespace kingcuptrail {
 
@@ -59,6 +61,9 @@
 void exposeCounter(std::string& out, std::string_view name, std::string_view help, std::uint64_t value);
 void exposeGauge(std::string& out, std::string_view name, std::string_view help, double value);
 
+/// Appends one gauge with a line for each of `values`, whose first part is the value of `label`.
+void exposeGauges(std::string& out, std::string_view name, std::string_view help, std::string_view label, std::span<const std::pair<std::string, double>> values);
+
 /// Appends one line for each value of an enumeration, labelled `reason`.
 template <typename Enum>
 void exposeCounters(std::string& out, std::string_view name, std::string_view help, const EnumCounters<Enum>& counters)
