--- a/tests/packets/testdatacentrehealth.cpp
+++ b/tests/packets/testdatacentrehealth.cpp
@@ -102,6 +102,7 @@
 class TestDataCentreHealth : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(TestDataCentreHealth);
     CPPUNIT_TEST(dataCentreWithoutPowerIsLostWhileCallersWait);
+    CPPUNIT_TEST(sixPingsToFourAgentsMustBeUnanswered);
     CPPUNIT_TEST(frozenHostAndDataCentreComeBackWithFlows);
     CPPUNIT_TEST(dataCentresThatCannotSeeEachOtherAreNotLost);
     CPPUNIT_TEST(isolatedBalancerMarksNothing);
@@ -135,6 +136,25 @@
         }
     }
 
+    // Guards against a verdict by one agent that does not answer, by too few pings, or by pings whose answers are on the way.
+    void sixPingsToFourAgentsMustBeUnanswered()
+    {
+        const auto stateAfter = [](const std::vector<std::uint32_t>& agents, Millis age) {
+            DataCentreHealth health { .options = { .toleratedLosses = 1 }, .ownDataCentre = "a" };
+            recordHeard(health, "b", 0);
+            recordHeard(health, "c", 1000);
+            health.dataCentres.at("b").knownAgents = 7;
+            for (const std::uint32_t agent : agents)
+                recordPing(health, "b", agent, 1000 - age);
+            updateStates(health, 1000);
+            return stateOf(health, "b");
+        };
+        CPPUNIT_ASSERT(stateAfter({ 1, 1, 1, 2, 2, 3 }, 60) == DataCentreState::Reachable);
+        CPPUNIT_ASSERT(stateAfter({ 1, 2, 3, 4, 5 }, 60) == DataCentreState::Reachable);
+        CPPUNIT_ASSERT(stateAfter({ 1, 2, 3, 4, 5, 6 }, 59) == DataCentreState::Reachable);
+        CPPUNIT_ASSERT(stateAfter({ 1, 2, 3, 4, 1, 2 }, 60) == DataCentreState::Silent);
+    }
+
     // Guards against the loss of flows that a frozen host, or a whole frozen data centre, still holds when it wakes.
     void frozenHostAndDataCentreComeBackWithFlows()
     {
@@ -153,19 +173,22 @@
     }
 
     // The link between two data centres is cut for a minute while both serve their callers. Guards against resets of flows
-    // that the other data centre holds; a caller or two may arrive here because they moved.
+    // that the other data centre holds, when single callers arrive here because they moved.
     void dataCentresThatCannotSeeEachOtherAreNotLost()
     {
         SimulatedFleet fleet({ "a", "b", "c" }, 19);
         fleet.run(2000);
-        fleet.places["b"] = { .isReachable = false, .reroutedCallers = 2 };
-        fleet.run(60000);
+        fleet.places["b"].isReachable = false;
+        for (std::uint32_t caller = 0; caller < 200; ++caller) {
+            recordReroutedCaller(fleet.health, "b", caller, fleet.now);
+            fleet.run(300);
+        }
         CPPUNIT_ASSERT(stateOf(fleet.health, "b") == DataCentreState::Silent && stateOf(fleet.health, "c") == DataCentreState::Reachable);
         CPPUNIT_ASSERT(!fleet.wasEver(DataCentreState::Lost));
     }
 
-    // A balancer, or its whole data centre, receives nothing for ten seconds. Guards against a balancer that then takes
-    // every other data centre to be lost and resets their callers.
+    // A balancer, or its whole data centre, receives nothing for ten seconds. Guards against a balancer that takes every
+    // other data centre to be lost, then or with the first message after that, and resets their callers.
     void isolatedBalancerMarksNothing()
     {
         for (const std::vector<std::string>& names : { std::vector<std::string> { "a", "b" }, { "a", "b", "c" }, { "a", "b", "c", "d" } }) {
@@ -174,6 +197,10 @@
             for (auto& [name, place] : fleet.places)
                 place = { .isReachable = name == "a" && names.size() > 2, .reroutedCallers = 5 };
             fleet.run(10000);
+            for (auto& [name, place] : fleet.places)
+                place.isReachable = true;
+            recordHeard(fleet.health, names.back(), fleet.now);
+            fleet.run(2000);
             CPPUNIT_ASSERT(fleet.changes.empty());
         }
     }
@@ -186,11 +213,15 @@
             SimulatedFleet fleet({ "a", "b", "c" }, 19);
             fleet.run(2000);
             fleet.places["b"].isReachable = false;
-            fleet.run(420);
+            recordHeard(fleet.health, "b", fleet.now);
+            fleet.run(440);
             CPPUNIT_ASSERT(stateOf(fleet.health, "b") == DataCentreState::Reachable);
-            fleet.places["b"].isReachable = true;
             fleet.now += pause;
             recordHeard(fleet.health, "c", fleet.now);
+            // After a long pause the time of silence starts again.
+            if (pause >= 900)
+                fleet.run(300);
+            fleet.places["b"].isReachable = true;
             fleet.run(5000);
             CPPUNIT_ASSERT(fleet.changes.empty());
         }
@@ -203,15 +234,19 @@
         CPPUNIT_ASSERT(fleet.changes.back().to == DataCentreState::Reachable && fleet.changes.back().cause == DataCentreChangeCause::Reset);
     }
 
-    // After a restart of everything three hosts of a data centre and all of another are missing but still in the directory.
-    // Guards against a process that judges data centres before it has heard them, and by hosts that are gone.
+    // After a restart of everything three of seven hosts, or seven of ten, of a data centre and all of another are missing
+    // but still in the directory. Guards against a process that judges data centres before it has heard them, and against
+    // one that pings the same missing hosts again.
     void restartOfEverythingWithMissingHosts()
     {
-        SimulatedFleet fleet({ "a", "b", "c" }, 7);
-        fleet.missingAgents = { 8, 9, 10 };
-        fleet.places["c"] = { .isReachable = false, .reroutedCallers = 5 };
-        fleet.run(60000);
-        CPPUNIT_ASSERT(fleet.changes.empty());
+        for (const std::uint32_t hosts : { 7U, 10U }) {
+            SimulatedFleet fleet({ "a", "b", "c" }, hosts);
+            for (std::uint32_t missing = hosts == 7 ? 3 : 7; missing > 0; --missing)
+                fleet.missingAgents.push_back(hosts + missing);
+            fleet.places["c"] = { .isReachable = false, .reroutedCallers = 5 };
+            fleet.run(60000);
+            CPPUNIT_ASSERT(fleet.changes.empty());
+        }
     }
 
     // Two of four data centres are silent while one loss is tolerated. Guards against a fault of the network between data
