--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -108,6 +108,8 @@
         { "ready", endpointText(daemon.address, readyPort) },
         { "seeds", { endpointText(addressOf(11), controlPort), endpointText(addressOf(12), controlPort) } },
         { "leaveSeconds", terminationGrace / 1000 },
+        // Half of the seeds run without the detection of lost data centres.
+        { "toleratedDataCentreLosses", m_options.seed % 2 },
     };
     if (!daemon.isBalancer) {
         packets["upstream"] = endpointText(daemon.address, appPort);
