--- a/src/libdecision/datacentrehealth.cpp
+++ b/src/libdecision/datacentrehealth.cpp
@@ -3,6 +3,7 @@
 #include "ranking.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace kingcuptrail {
@@ -61,7 +62,7 @@
     bool isOwnDataCentreWitness(const DataCentreHealth& health, Millis now)
     {
         const auto counts = [&](const auto& item) { return item.first != health.ownDataCentre && (item.second.knownAgents > 0 || !isDoubted(health.options, item.second, now)); };
-        return std::ranges::count_if(health.dataCentres, counts) <= 1;
+        return std::ranges::count_if(health.dataCentres, counts) == 1;
     }
 
     /// When a data centre other than `excluded` was last heard; nothing if none was.
@@ -101,7 +102,10 @@
     {
         std::vector<std::string> unanswered;
         std::size_t silent = 0;
-        for (const auto& [name, record] : health.dataCentres) {
+        for (auto& [name, record] : health.dataCentres) {
+            // Its agents were removed from the directory, so it will not be heard again and must not count as a loss for ever.
+            if (record.knownAgents == 0)
+                changeState(name, record, DataCentreState::Reachable, DataCentreChangeCause::Removed, now);
             if (record.state != DataCentreState::Reachable)
                 ++silent;
             else if (name != health.ownDataCentre && isUnanswered(health, record, now))
@@ -127,13 +131,12 @@
             std::ptrdiff_t pings = 0;
             std::uint64_t weight = 0;
             std::uint32_t agent = 0;
-            auto operator<=>(const Candidate&) const = default;
         };
         std::vector<Candidate> candidates;
         for (const std::uint32_t agent : agents)
             candidates.push_back({ .pings = std::ranges::count(record.pings, agent, &SentPing::agent), .weight = rankWeight(seed, agent), .agent = agent });
         const std::size_t count = std::min(options.pingsPerRound, candidates.size());
-        std::ranges::partial_sort(candidates, candidates.begin() + static_cast<std::ptrdiff_t>(count));
+        std::ranges::partial_sort(candidates, candidates.begin() + static_cast<std::ptrdiff_t>(count), {}, [](const Candidate& candidate) { return std::tuple(candidate.pings, candidate.weight); });
         std::vector<std::uint32_t> chosen;
         for (std::size_t index = 0; index < count; ++index)
             chosen.push_back(candidates[index].agent);
--- a/src/libdecision/datacentrehealth.h
+++ b/src/libdecision/datacentrehealth.h
@@ -33,11 +33,13 @@
     Message,
     /// This process was paused or isolated, or more data centres are silent than are tolerated.
     Reset,
+    /// It has no agents any more.
+    Removed,
 };
 
 template <>
 struct EnumNames<DataCentreChangeCause> {
-    static constexpr std::array<std::string_view, 4> names { "noAnswer", "reroutedCallers", "message", "reset" };
+    static constexpr std::array<std::string_view, 5> names { "noAnswer", "reroutedCallers", "message", "reset", "removed" };
 };
 
 struct DataCentreHealthOptions {
--- a/tests/packets/testdatacentrehealth.cpp
+++ b/tests/packets/testdatacentrehealth.cpp
@@ -110,6 +110,7 @@
     CPPUNIT_TEST(restartOfEverythingWithMissingHosts);
     CPPUNIT_TEST(moreSilentDataCentresThanTolerated);
     CPPUNIT_TEST(lossyLinksMakeNothingSilent);
+    CPPUNIT_TEST(removedDataCentreIsNoLoss);
     CPPUNIT_TEST(forgedCallersBeforeSilenceDoNothing);
     CPPUNIT_TEST(earlierVersionThatOnlyAnswersPings);
     CPPUNIT_TEST(messagesDoNotGrowWithTheFleet);
@@ -272,6 +273,21 @@
         CPPUNIT_ASSERT(fleet.changes.empty() && fleet.pings > 1000);
     }
 
+    // A lost data centre is given up and its entries are removed. Guards against a loss that counts for ever, so that the next
+    // one is more than is tolerated.
+    void removedDataCentreIsNoLoss()
+    {
+        SimulatedFleet fleet({ "a", "b", "c", "d" }, 5);
+        fleet.run(2000);
+        fleet.places["b"].isReachable = false;
+        fleet.timeUntil("b", DataCentreState::Silent);
+        for (std::uint32_t agent = 6; agent <= 10; ++agent)
+            applyEntry(fleet.directory, { .name = std::string("b").append(std::to_string(agent - 6)), .address = agent, .dataCentre = "b", .state = PeerState::Gone, .epoch = 2 });
+        CPPUNIT_ASSERT(fleet.timeUntil("b", DataCentreState::Reachable) <= 120);
+        fleet.places["c"].isReachable = false;
+        fleet.timeUntil("c", DataCentreState::Silent);
+    }
+
     // Guards against packets from forged addresses that are collected in advance and make a cut-off data centre lost.
     void forgedCallersBeforeSilenceDoNothing()
     {
