--- a/src/libdecision/agentflows.cpp
+++ b/src/libdecision/agentflows.cpp
@@ -88,7 +88,7 @@
 
 }
 
-void beginFlow(AgentFlows& table, const FlowKey& key, Millis now)
+void beginFlow(AgentFlows& table, const FlowKey& key, Millis now, std::uint32_t balancer)
 {
     const auto [found, isNew] = table.flows.try_emplace(key);
     AgentFlow& flow = found->second;
@@ -99,9 +99,10 @@
         countWork(table, key, flow, now + table.options.openingWorkTime);
     }
     flow.lastPacketAt = now;
+    flow.balancer = balancer;
 }
 
-CallerPacketAction trackCallerPacket(AgentFlows& table, const FlowKey& key, const PacketHeader& header, Millis now)
+CallerPacketAction trackCallerPacket(AgentFlows& table, const FlowKey& key, const PacketHeader& header, Millis now, std::uint32_t balancer)
 {
     const auto found = table.flows.find(key);
     if (found == table.flows.end())
@@ -113,6 +114,7 @@
         setPhase(table, flow, FlowPhase::Open);
     }
     flow.lastPacketAt = now;
+    flow.balancer = balancer;
     if (header.flags.acknowledges)
         flow.callerAcknowledged = header.acknowledged;
     const bool isNewData = advanceCallerSentEnd(flow, header.sequence + header.dataLength) && header.dataLength > 0;
--- a/src/libdecision/agentflows.h
+++ b/src/libdecision/agentflows.h
@@ -33,6 +33,9 @@
     std::optional<std::uint32_t> callerSentEnd;
     /// The caller's last acknowledgement; a reset must carry it for the caller to accept it.
     std::uint32_t callerAcknowledged = 0;
+    /// Address of the process that sent the caller's last packet to the agent: a balancer, or a neighbour that probes on
+    /// behalf of one; 0 if unknown.
+    std::uint32_t balancer = 0;
     Millis openedAt = 0;
     Millis lastPacketAt = 0;
     /// The caller has sent data, and the upstream has not sent any since.
@@ -115,11 +118,12 @@
 };
 
 /// Adds a flow whose opening packet is about to be delivered. A copy of a known flow's opening packet only updates the time
-/// of its last packet.
-void beginFlow(AgentFlows&, const FlowKey&, Millis now);
+/// of its last packet. `balancer` is the address of the packet's sender, 0 if unknown.
+void beginFlow(AgentFlows&, const FlowKey&, Millis now, std::uint32_t balancer = 0);
 
-/// Updates a flow from a caller's packet that does not open a flow, and decides what to do with the packet.
-CallerPacketAction trackCallerPacket(AgentFlows&, const FlowKey&, const PacketHeader&, Millis now);
+/// Updates a flow from a caller's packet that does not open a flow, and decides what to do with the packet. `balancer` is
+/// the address of the packet's sender, 0 if unknown.
+CallerPacketAction trackCallerPacket(AgentFlows&, const FlowKey&, const PacketHeader&, Millis now, std::uint32_t balancer = 0);
 
 /// The immediate answer to a balancer that sent a packet to find the flow's holder; nothing when only the upstream can show
 /// whether it holds the flow. A flow that is already known needs an explicit Held, or the balancer's search would end
--- a/src/libdecision/routetable.h
+++ b/src/libdecision/routetable.h
@@ -25,6 +25,8 @@
     Millis latencyTarget = 0;
     /// 0 is the most urgent.
     std::uint32_t priority = 0;
+    /// The time after which callers give up a request, in milliseconds; 0 if the configuration does not say.
+    Millis timeout = 0;
 
     bool operator==(const FlowRoute&) const = default;
 };
--- a/src/libprotocol/peermessage.cpp
+++ b/src/libprotocol/peermessage.cpp
@@ -1,5 +1,7 @@
 #include "peermessage.h"
 
+#include <algorithm>
+
 namespace kingcuptrail {
 
 namespace {
@@ -17,6 +19,23 @@
         return { flow.caller.address, flow.service.address, flow.caller.port, flow.service.port };
     }
 
+    wire::PendingRequest toWire(const PendingRequest& request)
+    {
+        return { request.flow.caller.address, request.flow.service.address, request.balancer, request.acknowledged, request.flow.caller.port, request.flow.service.port };
+    }
+
+    PendingRequest toPendingRequest(const wire::PendingRequest& request)
+    {
+        return {
+            .flow = {
+                .caller = { .address = request.caller_address(), .port = request.caller_port() },
+                .service = { .address = request.service_address(), .port = request.service_port() },
+            },
+            .balancer = request.balancer(),
+            .acknowledged = request.acknowledged(),
+        };
+    }
+
     std::string textOf(const flatbuffers::String* text)
     {
         return text ? text->str() : std::string();
@@ -28,6 +47,14 @@
             entry.dataCentre.c_str(), entry.service.c_str(), static_cast<std::uint8_t>(entry.state), entry.slots, entry.epoch);
     }
 
+    flatbuffers::Offset<flatbuffers::Vector<const wire::PendingRequest*>> packPending(flatbuffers::FlatBufferBuilder& builder, std::span<const PendingRequest> requests)
+    {
+        std::vector<wire::PendingRequest> packed;
+        for (const PendingRequest& request : requests.first(std::min(requests.size(), maxPendingRequestsPerMessage)))
+            packed.push_back(toWire(request));
+        return builder.CreateVectorOfStructs(packed);
+    }
+
     std::span<const std::uint8_t> finishedBytes(const flatbuffers::FlatBufferBuilder& builder)
     {
         return { builder.GetBufferPointer(), builder.GetSize() };
@@ -75,6 +102,9 @@
     flatbuffers::Offset<flatbuffers::Vector<std::uint32_t>> denied;
     if (!message.denied.empty())
         denied = m_builder.CreateVector(message.denied);
+    flatbuffers::Offset<flatbuffers::Vector<const wire::PendingRequest*>> pending;
+    if (!message.pending.empty())
+        pending = packPending(m_builder, message.pending);
     const wire::Flow flow = toWire(message.flow);
     wire::PeerMessageBuilder builder(m_builder);
     builder.add_kind(message.kind);
@@ -95,6 +125,8 @@
         builder.add_excluded(excluded);
     if (!message.denied.empty())
         builder.add_denied(denied);
+    if (!message.pending.empty())
+        builder.add_pending(pending);
     m_builder.Finish(builder.Finish());
     return finishedBytes(m_builder);
 }
@@ -201,6 +233,19 @@
     return packed ? std::vector<std::uint32_t>(packed->begin(), packed->end()) : std::vector<std::uint32_t> {};
 }
 
+std::vector<PendingRequest> pendingRequestsOf(const PeerMessage& message)
+{
+    std::vector<PendingRequest> requests;
+    if (const auto* packed = message.table->pending()) {
+        for (const wire::PendingRequest* request : *packed) {
+            if (requests.size() == maxPendingRequestsPerMessage)
+                break;
+            requests.push_back(toPendingRequest(*request));
+        }
+    }
+    return requests;
+}
+
 std::vector<ReaderHeartbeat> readerHeartbeatsOf(const PeerMessage& message)
 {
     std::vector<ReaderHeartbeat> readers;
--- a/src/libprotocol/peermessage.h
+++ b/src/libprotocol/peermessage.h
@@ -4,6 +4,7 @@
 #include "libdecision/agentchoice.h"
 #include "libdecision/agentflows.h"
 #include "libdecision/flowadmission.h"
+#include "libdecision/pendingreports.h"
 #include "libdecision/storereaders.h"
 #include <peer_generated.h>
 
@@ -50,6 +51,8 @@
     std::uint32_t holder = 0;
     std::vector<std::uint32_t> excluded;
     std::vector<std::uint32_t> denied;
+    /// Of PendingRequests; what exceeds maxPendingRequestsPerMessage is not encoded.
+    std::span<const PendingRequest> pending;
     const AgentLoad* load = nullptr;
     std::span<const std::uint8_t> packet;
 };
@@ -98,6 +101,9 @@
 std::vector<std::uint32_t> digestsOf(const PeerMessage&);
 /// The heartbeats of the store's readers in a News message.
 std::vector<ReaderHeartbeat> readerHeartbeatsOf(const PeerMessage&);
+/// The requests in a PendingRequests message, at most maxPendingRequestsPerMessage. The limit bounds the work that a forged
+/// message can cause.
+std::vector<PendingRequest> pendingRequestsOf(const PeerMessage&);
 /// The outages in a News message; empty when it has none.
 std::optional<OutageView> outagesOf(const PeerMessage&);
 
--- a/src/libprotocol/viewcodec.cpp
+++ b/src/libprotocol/viewcodec.cpp
@@ -26,6 +26,7 @@
         packed.port = route.address.port;
         packed.latency_target = static_cast<std::uint32_t>(route.latencyTarget);
         packed.priority = route.priority;
+        packed.timeout = static_cast<std::uint32_t>(route.timeout);
         for (const RouteShare& share : route.shares) {
             const auto index = std::ranges::lower_bound(names, share.service) - names.begin();
             packed.shares.emplace_back(static_cast<std::uint16_t>(index), share.weight);
@@ -73,6 +74,7 @@
             .shares = {},
             .latencyTarget = packed.latency_target,
             .priority = packed.priority,
+            .timeout = packed.timeout,
         };
         for (const wire::RouteShare& share : packed.shares) {
             if (share.service() >= names.size())
--- a/tests/packets/testpeermessage.cpp
+++ b/tests/packets/testpeermessage.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(flowMessageRoundTrips);
     CPPUNIT_TEST(gossipRoundTrips);
     CPPUNIT_TEST(nearAnswerAndDigestsRoundTrip);
+    CPPUNIT_TEST(pendingRequestsRoundTrip);
     CPPUNIT_TEST(malformedMessagesAreRejected);
     CPPUNIT_TEST(viewRoundTrips);
     CPPUNIT_TEST_SUITE_END();
@@ -62,6 +63,22 @@
         CPPUNIT_ASSERT(digests->table->wants_answer() && digests->table->differs_much() && digestsOf(*digests) == denied);
     }
 
+    // Guards against reports that exceed one datagram, and against fields that are exchanged.
+    void pendingRequestsRoundTrip()
+    {
+        PeerMessageEncoder encoder;
+        std::vector<PendingRequest> requests;
+        for (std::uint16_t caller = 1; caller <= maxPendingRequestsPerMessage + 10; ++caller)
+            requests.push_back({ .flow = flowOf(caller), .balancer = 0x0a010002, .acknowledged = 500U + caller });
+        const auto bytes = encoder.encode(FlowMessage { .kind = wire::PeerKind::PendingRequests, .configVersion = 12, .pending = requests });
+        CPPUNIT_ASSERT(bytes.size() <= 1300);
+        FrameError error = FrameError::None;
+        const auto message = decodePeerMessage(bytes, error);
+        CPPUNIT_ASSERT(message && message->kind == wire::PeerKind::PendingRequests && message->configVersion == 12);
+        requests.resize(maxPendingRequestsPerMessage);
+        CPPUNIT_ASSERT(pendingRequestsOf(*message) == requests);
+    }
+
     void malformedMessagesAreRejected()
     {
         PeerMessageEncoder encoder;
@@ -83,7 +100,8 @@
 
     void viewRoundTrips()
     {
-        const DeploymentView view { .routes = routesTo("board", 4), .outages = { .revision = 2, .out = { "south" } }, .entries = { entry() } };
+        DeploymentView view { .routes = routesTo("board", 4), .outages = { .revision = 2, .out = { "south" } }, .entries = { entry() } };
+        view.routes.routes[0].timeout = 1500;
         FrameError error = FrameError::None;
         const std::string bytes = encodeView(view);
         CPPUNIT_ASSERT(decodeView(bytes, error) == view);
--- a/tests/trustplatform/testtrustplatform.cpp
+++ b/tests/trustplatform/testtrustplatform.cpp
@@ -121,6 +121,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string("198.18.0.1:8443"), toString(table->routes[0].address));
         CPPUNIT_ASSERT(table->routes[0].shares.size() == 2 && table->routes[0].latencyTarget == 150 && table->routes[0].priority == 2);
         CPPUNIT_ASSERT_EQUAL(std::string("wuno"), table->routes[1].shares[0].service);
+        CPPUNIT_ASSERT(table->routes[0].timeout == 1000 && table->routes[1].timeout == 3000);
         CPPUNIT_ASSERT(table->services[0].flowLimit == 2000 && table->services[0].warmUp == 2000 && table->services[0].coldRate == 3.5);
     }
 
