--- a/src/kingcuptraild/packets/balancerstate.h
+++ b/src/kingcuptraild/packets/balancerstate.h
@@ -31,11 +31,12 @@
     NoAgent,
     RefusedByAll,
     HeldByNobody,
+    DataCentreLost,
 };
 
 template <>
 struct EnumNames<ResetReason> {
-    static constexpr std::array<std::string_view, 4> names { "noRoute", "noAgent", "refusedByAll", "heldByNobody" };
+    static constexpr std::array<std::string_view, 5> names { "noRoute", "noAgent", "refusedByAll", "heldByNobody", "dataCentreLost" };
 };
 
 /// State shared by the parts of a balancer.
--- a/src/kingcuptraild/packets/connectionadmission.cpp
+++ b/src/kingcuptraild/packets/connectionadmission.cpp
@@ -65,7 +65,7 @@
 {
     const Millis now = m_state.role.clock.now();
     logFlowEvent(Event::FlowAdmitted, flow, { { "upstream", m_state.flowAdmission.upstream->id }, { "atWork", m_state.flows.atWork }, { "open", m_state.flows.open }, { "waited", static_cast<std::uint64_t>(waited) }, { "reportAge", static_cast<std::uint64_t>(now - m_state.flowAdmission.reportedAt) }, { "version", m_state.network.routes().version }, { "outages", m_state.network.outages().revision } });
-    beginFlow(m_state.flows, flow, now);
+    beginFlow(m_state.flows, flow, now, balancer);
     recordOpening(m_state.health, now);
     deliverToUpstream(m_state, packet, markOf(m_state, balancer));
     m_state.packetOutcomes.increment(AgentPacketOutcome::Delivered);
--- a/src/kingcuptraild/packets/flowholders.h
+++ b/src/kingcuptraild/packets/flowholders.h
@@ -31,6 +31,8 @@
 struct CachedHolder {
     std::uint32_t agent = 0;
     Millis usedAt = 0;
+    /// The number that the caller last acknowledged in a packet that arrived here; 0 if there was none. A reset needs it.
+    std::uint32_t acknowledged = 0;
 };
 
 /// A query to one agent, the delegate, which answers on behalf of all agents of its data centre.
--- a/src/kingcuptraild/packets/holderfinder.cpp
+++ b/src/kingcuptraild/packets/holderfinder.cpp
@@ -268,7 +268,7 @@
     PendingSearch& waiting = found->second;
     if (state == SearchState::Found) {
         const Millis now = m_state.role.clock.now();
-        m_state.holderCache[flow] = { .agent = waiting.search.holder, .usedAt = now };
+        m_state.holderCache[flow] = { .agent = waiting.search.holder, .usedAt = now, .acknowledged = waiting.acknowledged };
         logFlowEvent(Event::HolderFound, flow, { { "agent", addressText(waiting.search.holder) }, { "milliseconds", static_cast<std::uint64_t>(now - waiting.search.startedAt) } });
         // A holder that was probed already has the first packet.
         for (std::size_t next = wasProbed(waiting.plan, waiting.search.holder) ? 1 : 0; next < waiting.packets.size(); ++next)
--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -48,6 +48,7 @@
     , m_admission(m_state)
     , m_neighbours(m_state)
     , m_learning(m_state)
+    , m_pendingReporter(m_state)
     , m_announcement(role.context, role.platform)
     , m_untrackedFlows { .startedAtWall = unixMillis() }
     , m_connectCheck(role.context)
@@ -135,9 +136,11 @@
     const Millis now = m_state.role.clock.now();
     const std::uint32_t index = markOf(m_state, sender);
     const std::uint64_t requestsBefore = m_state.flows.requests;
-    const CallerPacketAction action = trackCallerPacket(m_state.flows, message.flow, *header, now);
-    if (m_state.flows.requests != requestsBefore)
+    const CallerPacketAction action = trackCallerPacket(m_state.flows, message.flow, *header, now, sender);
+    if (m_state.flows.requests != requestsBefore) {
         recordRequest(m_state.health, now);
+        m_pendingReporter.recordRequest(message.flow);
+    }
     const bool isProbe = message.kind == wire::PeerKind::Probe;
     switch (action) {
     case CallerPacketAction::Deliver:
@@ -471,6 +474,7 @@
     exposeCounters(out, "kingcuptrail_upstream_reports_total", "Reports of the upstream by what they changed.", m_reports);
     exposeCounters(out, "kingcuptrail_upstream_calls_malformed_total", "Calls of the upstream that could not be read, by reason.", m_malformedRequests);
     m_admission.exposeMetrics(out);
+    m_pendingReporter.exposeMetrics(out);
     exposeCounter(out, "kingcuptrail_flows_reset_total", "Flows reset since their upstream's process ended.", m_resetFlows);
     exposeGauge(out, "kingcuptrail_open_flows", "Flows that the upstream holds.", m_state.flows.open);
     exposeGauge(out, "kingcuptrail_requests_at_work", "Requests that the upstream has not answered yet.", m_state.flows.atWork);
--- a/src/kingcuptraild/packets/packetagent.h
+++ b/src/kingcuptraild/packets/packetagent.h
@@ -5,6 +5,7 @@
 #include "flowlearning.h"
 #include "kingcuptraild/role.h"
 #include "neighboursearches.h"
+#include "pendingreporter.h"
 #include "storefollower.h"
 #include "upstreamconnectcheck.h"
 
@@ -51,6 +52,7 @@
     ConnectionAdmission m_admission;
     NeighbourSearches m_neighbours;
     FlowLearning m_learning;
+    PendingReporter m_pendingReporter;
     AgentAnnouncement m_announcement;
     std::unique_ptr<StoreFollower> m_store;
     std::unique_ptr<DatagramSocket> m_outbound;
--- a/src/kingcuptraild/packets/packetbalancer.cpp
+++ b/src/kingcuptraild/packets/packetbalancer.cpp
@@ -34,6 +34,7 @@
     : m_state(role, adapter)
     , m_dispatcher(m_state)
     , m_holderFinder(m_state)
+    , m_lostCallers(m_state)
     , m_lookup(role.context, role.platform, m_state.network)
     , m_tickTimer(role.context)
     , m_shutdownTimer(role.context)
@@ -89,6 +90,7 @@
         return;
     }
     const FlowKey flow = flowFromCaller(*header);
+    m_lostCallers.recordCaller(flow.caller.address);
     if (isOpening(*header))
         m_dispatcher.open(flow, header->acknowledged, packet);
     else
@@ -103,6 +105,7 @@
         return;
     }
     holder->second.usedAt = m_state.role.clock.now();
+    holder->second.acknowledged = header.acknowledged;
     m_state.network.send(holder->second.agent, { .kind = wire::PeerKind::Forward, .flow = flow, .configVersion = m_state.network.routes().version, .packet = packet });
     m_state.packetOutcomes.increment(CallerPacketOutcome::Forwarded);
 }
@@ -130,6 +133,9 @@
     case wire::PeerKind::Load:
         recordLoad(m_state, message, sender);
         break;
+    case wire::PeerKind::PendingRequests:
+        m_lostCallers.handleReport(message, sender);
+        break;
     default:
         break;
     }
@@ -144,6 +150,7 @@
     followStore(now);
     m_dispatcher.retryOffers(now);
     m_holderFinder.tick(now);
+    m_lostCallers.tick(now);
     if (now - m_lastPingAt >= pingInterval)
         pingUnresponsiveAgents(now);
     if (now - m_lastSweepAt >= sweepInterval)
@@ -278,6 +285,7 @@
     exposeCounters(out, "kingcuptrail_openings_refused_total", "Refusals by agents, by reason.", m_state.refusals);
     m_holderFinder.exposeMetrics(out);
     m_dispatcher.exposeMetrics(out);
+    m_lostCallers.exposeMetrics(out);
     exposeGauge(out, "kingcuptrail_cached_holders", "Flows whose holder is cached.", static_cast<double>(m_state.holderCache.size()));
     exposeCounter(out, "kingcuptrail_store_calls_total", "Calls of the store.", m_storeCalls + m_lookup.callsMade() + (m_store ? m_store->callsMade() : 0));
     m_state.network.exposeMetrics(out);
--- a/src/kingcuptraild/packets/packetbalancer.h
+++ b/src/kingcuptraild/packets/packetbalancer.h
@@ -3,6 +3,7 @@
 #include "connectiondispatcher.h"
 #include "holderfinder.h"
 #include "kingcuptraild/role.h"
+#include "lostcallers.h"
 #include "peerlookup.h"
 #include "storefollower.h"
 
@@ -36,6 +37,7 @@
     BalancerState m_state;
     ConnectionDispatcher m_dispatcher;
     HolderFinder m_holderFinder;
+    LostCallers m_lostCallers;
     PeerLookup m_lookup;
     std::unique_ptr<StoreFollower> m_store;
     /// Calls made by store followers that have ended.
--- a/tests/trustplatform/testpacketagent.cpp
+++ b/tests/trustplatform/testpacketagent.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(answersProbeOfKnownFlow);
     CPPUNIT_TEST(copiesProbeToNeighbours);
     CPPUNIT_TEST(unsureAgentQueriesNeighbours);
+    CPPUNIT_TEST(reportsPendingRequestToOtherDataCentre);
     CPPUNIT_TEST_SUITE_END();
 
     struct Agent {
@@ -257,6 +258,31 @@
         expectNeighbourReceives({}, wire::PeerKind::Find);
     }
 
+    // A data centre loses power with balancer, agent and upstream of a flow. Guards against requests that no other data centre
+    // knows, and against reports to a balancer that is lost together with the agent.
+    void reportsPendingRequestToOtherDataCentre()
+    {
+        const std::uint16_t port = freePort();
+        Settings settings = settingsOf("agent-1", 1, port);
+        settings.packets.toleratedDataCentreLosses = 1;
+        const Agent agent(m_context, settings, m_options);
+        Neighbour near(m_context, settingsOf("front-north", 2, port), PeerRole::Balancer, false);
+        Settings farSettings = settingsOf("front-south", 3, port);
+        farSettings.dataCentre = "south";
+        const Neighbour far(m_context, farSettings, PeerRole::Balancer, false);
+        m_sequence = 70;
+        report(agent, "ready");
+        runUntil(m_context, [&] { return near.network.directory().entries.size() == 3 && far.network.directory().entries.size() == 3; });
+        DecodeError error = DecodeError::None;
+        const FlowKey flow = flowFromCaller(*trustAdapter().decodePacket(callerPacket(), error));
+        // The first packet shows that the upstream holds the flow; the second one counts as a request.
+        near.network.send(host(1).to_uint(), { .kind = wire::PeerKind::Probe, .flow = flow, .packet = callerPacket() });
+        runUntil(m_context, [&near] { return near.hasReceived(wire::PeerKind::Held); });
+        near.network.send(host(1).to_uint(), { .kind = wire::PeerKind::Forward, .flow = flow, .packet = callerPacket() });
+        runUntil(m_context, [&far] { return far.hasReceived(wire::PeerKind::PendingRequests); });
+        CPPUNIT_ASSERT(!near.hasReceived(wire::PeerKind::PendingRequests));
+    }
+
     std::uint64_t m_sequence = 0;
 };
 
