--- a/src/kingcuptraild/packets/packetbalancer.h
+++ b/src/kingcuptraild/packets/packetbalancer.h
@@ -4,6 +4,7 @@
 #include "datacentremonitor.h"
 #include "holderfinder.h"
 #include "kingcuptraild/role.h"
+#include "lostcallers.h"
 #include "peerlookup.h"
 #include "storefollower.h"
 
@@ -40,6 +41,7 @@
     ConnectionDispatcher m_dispatcher;
     HolderFinder m_holderFinder;
     DataCentreMonitor m_dataCentreMonitor;
+    LostCallers m_lostCallers;
     PeerLookup m_lookup;
     std::unique_ptr<StoreFollower> m_store;
     /// Calls made by store followers that have ended.
--- a/src/libdecision/resetreason.h
+++ b/src/libdecision/resetreason.h
@@ -14,11 +14,12 @@
     HeldByNobody,
     /// The balancer's link had no room for one more large upload.
     LinkFull,
+    DataCentreLost,
 };
 
 template <>
 struct EnumNames<ResetReason> {
-    static constexpr std::array<std::string_view, 5> names { "noRoute", "noAgent", "refusedByAll", "heldByNobody", "linkFull" };
+    static constexpr std::array<std::string_view, 6> names { "noRoute", "noAgent", "refusedByAll", "heldByNobody", "linkFull", "dataCentreLost" };
 };
 
 }
--- a/src/libruntime/events.cpp
+++ b/src/libruntime/events.cpp
@@ -78,6 +78,8 @@
             "Check the power of that data centre. When it returns, its processes are heard and nothing has to be done here." },
         { Event::DataCentreHeard, EventLevel::Info, "dataCentreHeard", "A silent or lost data centre counts as reachable again. cause says whether a message arrived, its agents were removed from the directory, or this process started its judgement anew.",
             "Nothing for message and removed. With reset, this process was paused or isolated, or more data centres were silent than packets.toleratedDataCentreLosses." },
+        { Event::CallersNotified, EventLevel::Info, "callersNotified", "The callers of a lost data centre whose flows are known here are sent resets, so that they try again at once. records are requests that agents there had reported as unanswered, cachedFlows flows that this balancer had sent there.",
+            "Nothing. The resets are counted in kingcuptrail_flow_resets_total, reason dataCentreLost." },
         { Event::UpstreamCold, EventLevel::Warning, "upstreamCold", "The upstream appears to have started cold; its concurrency limit was reset to the initial value.",
             "Nothing after an intended restart, nor once after the agent's start for an upstream that closes idle connections (outcome connectionLost). Otherwise check the upstream: it sheds load or has become slow." },
         { Event::UpstreamWarm, EventLevel::Info, "upstreamWarm", "The upstream has warmed up; its full number of slots is available.",
--- a/src/libruntime/events.h
+++ b/src/libruntime/events.h
@@ -51,6 +51,7 @@
     DataCentreSilent = 341,
     DataCentreLost = 342,
     DataCentreHeard = 343,
+    CallersNotified = 344,
     // Load
     UpstreamCold = 400,
     UpstreamWarm = 401,
