--- a/src/kingcuptraild/packets/lostcallers.cpp
+++ b/src/kingcuptraild/packets/lostcallers.cpp
@@ -91,7 +91,7 @@
     std::erase_if(m_state.holderCache, [&](const auto& item) {
         const auto& [flow, holder] = item;
         const bool isLost = agents.contains(holder.agent);
-        if (isLost)
+        if (isLost && !holder.hasEnded)
             flows.push_back({ .reset = { .flow = flow, .acknowledged = holder.acknowledged }, .usedAt = holder.usedAt });
         return isLost;
     });
--- a/src/kingcuptraild/packets/packetbalancer.cpp
+++ b/src/kingcuptraild/packets/packetbalancer.cpp
@@ -119,6 +119,7 @@
     holder->second.usedAt = m_state.role.clock.now();
     if (header.flags.acknowledges)
         holder->second.acknowledged = header.acknowledged;
+    holder->second.hasEnded = holder->second.hasEnded || header.flags.ends || header.flags.resets;
     m_state.network.send(holder->second.agent, { .kind = wire::PeerKind::Forward, .flow = flow, .configVersion = m_state.network.routes().version, .packet = packet });
     m_state.packetOutcomes.increment(CallerPacketOutcome::Forwarded);
 }
--- a/src/libdecision/pendingrequests.cpp
+++ b/src/libdecision/pendingrequests.cpp
@@ -68,6 +68,9 @@
             candidates.push_back({ .waiting = { .reset = { .flow = flow, .acknowledged = record.acknowledged }, .dataCentre = dataCentre, .endsAt = record.endsAt }, .knownAt = record.recordedAt });
     }
     LossExtent extent { .records = candidates.size(), .cachedFlows = cached.size() };
+    std::unordered_set<FlowKey> pending;
+    for (const ResetCandidate& candidate : candidates)
+        pending.insert(candidate.waiting.reset.flow);
     for (const CachedFlow& flow : cached)
         candidates.push_back({ .waiting = { .reset = flow.reset, .dataCentre = dataCentre, .endsAt = now + table.options.defaultTimeout }, .knownAt = flow.usedAt });
     table.records.removeIf([&dataCentre](const PendingRecord& record) { return record.dataCentre == dataCentre; });
@@ -75,14 +78,13 @@
     std::unordered_set<FlowKey> known;
     for (const WaitingReset& waiting : table.resets)
         known.insert(waiting.reset.flow);
-    for (ResetCandidate& candidate : candidates) {
-        if (table.resets.size() >= table.options.maxResets)
-            break;
-        if (!known.insert(candidate.waiting.reset.flow).second)
-            continue;
+    std::erase_if(candidates, [&known](const ResetCandidate& candidate) { return !known.insert(candidate.waiting.reset.flow).second; });
+    // Callers of reported requests wait for an answer; most of the cached flows are idle.
+    std::ranges::stable_partition(candidates, [&pending](const ResetCandidate& candidate) { return pending.contains(candidate.waiting.reset.flow); });
+    candidates.resize(std::min(candidates.size(), table.options.maxResets - std::min(table.options.maxResets, table.resets.size())));
+    extent.resets = candidates.size();
+    for (ResetCandidate& candidate : candidates)
         table.resets.push_back(std::move(candidate.waiting));
-        ++extent.resets;
-    }
     return extent;
 }
 
--- a/src/libdecision/pendingrequests.h
+++ b/src/libdecision/pendingrequests.h
@@ -122,7 +122,8 @@
 };
 
 /// Prepares the resets of all flows whose agent is in a data centre that is lost: those in records and those in `cached`.
-/// The newest come first, since their callers would wait longest. No flow is reset twice.
+/// Reported requests come before cached flows, since their callers wait for an answer, and the newest of each first, since
+/// they have the most time left. No flow is reset twice.
 LossExtent beginResets(PendingRequestTable&, const std::string& dataCentre, std::span<const CachedFlow> cached, Millis now);
 
 /// The resets to send in this tick. Their number is limited, so that the callers do not all come back at once over a small
--- a/tests/packets/testpendingrequests.cpp
+++ b/tests/packets/testpendingrequests.cpp
@@ -159,13 +159,14 @@
     }
 
     // A data centre loses power while callers wait in silence for their answers. Guards against callers that wait for their
-    // deadlines, against resets that bring all callers back at once, and against a reset for each source that knows a flow.
+    // deadlines, also behind idle flows, against resets that bring all callers back at once, and against a reset for each source
+    // that knows a flow.
     void lossOfPowerResetsSilentCallers()
     {
         PendingRequestTable table;
         for (std::uint16_t caller = 1; caller <= 40; ++caller)
             receive(table, northAgent, { requestOf(caller) }, 100 + caller);
-        const std::vector<CachedFlow> cached { { .reset = { .flow = flowOf(40), .acknowledged = 7 }, .usedAt = 500 }, { .reset = { .flow = flowOf(41), .acknowledged = 8 }, .usedAt = 120 } };
+        const std::vector<CachedFlow> cached { { .reset = { .flow = flowOf(41), .acknowledged = 8 }, .usedAt = 550 }, { .reset = { .flow = flowOf(40), .acknowledged = 7 }, .usedAt = 500 } };
         const LossExtent extent = beginResets(table, "north", cached, 600);
         CPPUNIT_ASSERT(extent.records == 40 && extent.cachedFlows == 2 && extent.resets == 41);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, beginResets(table, "north", cached, 600).resets);
@@ -177,7 +178,8 @@
         }
         CPPUNIT_ASSERT((sent[0] == FlowReset { .flow = flowOf(40), .acknowledged = 7 }));
         CPPUNIT_ASSERT((sent[1] == FlowReset { .flow = flowOf(39), .acknowledged = 1039 }));
-        CPPUNIT_ASSERT(sent.back().flow == flowOf(1));
+        CPPUNIT_ASSERT(sent[39].flow == flowOf(1));
+        CPPUNIT_ASSERT(sent[40].flow == flowOf(41));
     }
 
     // Guards against memory that grows with the reports, and against new requests that are lost instead of old ones.
