--- a/src/libdecision/admissionqueue.cpp
+++ b/src/libdecision/admissionqueue.cpp
@@ -1,6 +1,7 @@
 #include "admissionqueue.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace kingcuptrail {
 
@@ -74,4 +75,9 @@
     return expired;
 }
 
+std::vector<WaitingOpening> removeAll(AdmissionQueue& queue)
+{
+    return std::exchange(queue.waiting, {});
+}
+
 }
--- a/src/libdecision/admissionqueue.h
+++ b/src/libdecision/admissionqueue.h
@@ -64,4 +64,7 @@
 /// Removes and returns the openings that have waited for longer than `maxWait`.
 std::vector<WaitingOpening> removeExpired(AdmissionQueue&, Millis now);
 
+/// Removes and returns all openings.
+std::vector<WaitingOpening> removeAll(AdmissionQueue&);
+
 }
--- a/src/libdecision/agentflows.cpp
+++ b/src/libdecision/agentflows.cpp
@@ -195,11 +195,11 @@
     return true;
 }
 
-std::vector<LostFlow> extractLostFlows(AgentFlows& table)
+std::vector<LostFlow> extractLostFlows(AgentFlows& table, Millis learntUntil)
 {
     std::vector<LostFlow> lost;
     for (const auto& [key, flow] : table.flows) {
-        if (flow.phase == FlowPhase::Open)
+        if (flow.phase == FlowPhase::Open && flow.openedAt <= learntUntil)
             lost.push_back({ .flow = key, .callerAcknowledged = flow.callerAcknowledged });
     }
     table.flows.clear();
--- a/src/libdecision/agentflows.h
+++ b/src/libdecision/agentflows.h
@@ -4,6 +4,7 @@
 #include "packet.h"
 
 #include <deque>
+#include <limits>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -154,8 +155,10 @@
 
 /// Removes every flow, since the upstream's process has ended, and returns those that are open and have to be reset. An
 /// opening that its caller has not completed is not returned: the caller may have accepted another upstream's answer and
-/// hold the flow there. The table is complete afterwards, since the agent sees every flow of the new process.
-std::vector<LostFlow> extractLostFlows(AgentFlows&);
+/// hold the flow there. Nor is a flow returned that was learnt after `learntUntil`: an upstream that has ended returns no
+/// packets, so that any flow, also one that is held elsewhere, may have been taken for one of its own. The table is complete
+/// afterwards, since the agent sees every flow of the new process.
+std::vector<LostFlow> extractLostFlows(AgentFlows&, Millis learntUntil = std::numeric_limits<Millis>::max());
 
 /// Stops counting flows as work whose time has expired.
 void expireWork(AgentFlows&, Millis now);
--- a/src/libdecision/flowadmission.cpp
+++ b/src/libdecision/flowadmission.cpp
@@ -17,7 +17,7 @@
     {
         if (admission.isLeaving)
             return OpeningRefusal::AgentLeaving;
-        if (!admission.upstream || now - admission.reportedAt > admission.options.reportLimit)
+        if (!admission.upstream || admission.endedAt || now - admission.reportedAt > admission.options.reportLimit)
             return OpeningRefusal::NoUpstream;
         if (admission.upstream->isDraining)
             return OpeningRefusal::UpstreamDraining;
@@ -82,11 +82,15 @@
             return ReportEffect::Stale;
         if (report.born > known.born || report.id != known.id)
             effect = ReportEffect::NewProcess;
-        else if (report.sequence <= known.sequence)
+        else if (report.sequence <= known.sequence || (admission.endedAt && now - *admission.endedAt < admission.options.lateReportLimit))
             return ReportEffect::Stale;
         else if (report.isDraining != known.isDraining || report.service != known.service || report.slots != known.slots)
             effect = ReportEffect::Changed;
     }
+    // The flows of an ended process were given up, so one that turns out to be running counts as changed.
+    if (admission.endedAt && effect == ReportEffect::Nothing)
+        effect = ReportEffect::Changed;
+    admission.endedAt.reset();
     admission.upstream = report;
     admission.reportedAt = now;
     admission.coldUntil = now + report.coldLeft;
@@ -101,9 +105,14 @@
     return true;
 }
 
+void recordUpstreamEnd(FlowAdmission& admission, Millis now)
+{
+    admission.endedAt = now;
+}
+
 bool isServing(const FlowAdmission& admission, Millis now)
 {
-    return admission.upstream && !admission.upstream->isDraining && now - admission.reportedAt <= admission.options.reportLimit;
+    return admission.upstream && !admission.endedAt && !admission.upstream->isDraining && now - admission.reportedAt <= admission.options.reportLimit;
 }
 
 void assumeCold(FlowAdmission& admission, const RouteTable& routes, Millis now)
--- a/src/libdecision/flowadmission.h
+++ b/src/libdecision/flowadmission.h
@@ -87,6 +87,9 @@
     /// The window in which a cold upstream's openings are counted, in milliseconds. A second plus a margin for an opening
     /// that is still on its way to the upstream.
     Millis coldWindow = 1150;
+    /// How long reports of an ended process may arrive late, in milliseconds: four retransmissions of TCP. One that reports
+    /// later is running, and its connections were refused for another reason.
+    Millis lateReportLimit = 3000;
 };
 
 /// An agent's state for deciding whether its upstream gets an opening packet.
@@ -94,6 +97,8 @@
     FlowAdmissionOptions options;
     std::optional<UpstreamReport> upstream;
     Millis reportedAt = 0;
+    /// When the upstream's process was found to have ended; empty once a report shows that a process is running.
+    std::optional<Millis> endedAt;
     /// Until when the upstream is cold, by this process's clock.
     Millis coldUntil = 0;
     /// When openings were admitted while the upstream was cold.
@@ -118,7 +123,7 @@
 
 /// The effect of a report on the agent's state.
 enum class ReportEffect : std::uint8_t {
-    /// From a process that has been replaced, or older than the last report.
+    /// From a process that has been replaced or has ended, or older than the last report.
     Stale,
     Nothing,
     /// Draining state, service or slots differ.
@@ -139,7 +144,10 @@
 /// process.
 bool applyShutdownNotice(FlowAdmission&, std::string_view id);
 
-/// Whether the upstream accepts new flows, judged by its reports alone.
+/// Records that the upstream's process was found to have ended. It gets no openings until the next report of another process.
+void recordUpstreamEnd(FlowAdmission&, Millis now);
+
+/// Whether the upstream accepts new flows, judged by its reports and a recorded end.
 bool isServing(const FlowAdmission&, Millis now);
 
 /// Treats the upstream as cold for the whole warm-up time until a report says how long it really stays cold. Used when it
--- a/src/libdecision/untrackedflows.h
+++ b/src/libdecision/untrackedflows.h
@@ -54,7 +54,7 @@
 /// Records a report that is not stale. `isNewProcess` is set if the report before it came from another process.
 void recordReport(UntrackedFlows&, const UpstreamReport&, bool isNewProcess);
 
-/// Records the upstream's notice that it shuts down.
+/// Records the upstream's notice that it shuts down, or that its process was found to have ended.
 void recordShutdown(UntrackedFlows&);
 
 enum class ConnectionOutcome : std::uint8_t {
@@ -63,6 +63,11 @@
     Unclear,
 };
 
+template <>
+struct EnumNames<ConnectionOutcome> {
+    static constexpr std::array<std::string_view, 3> names { "accepted", "refused", "unclear" };
+};
+
 /// Records the outcome of a connection attempt to the upstream.
 void recordConnection(UntrackedFlows&, ConnectionOutcome, Millis now);
 
--- a/tests/packets/testagentflows.cpp
+++ b/tests/packets/testagentflows.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(tableIsCompleteAfterTheIdleLimit);
     CPPUNIT_TEST(newUpstreamProcessLosesEveryFlow);
     CPPUNIT_TEST(uncompletedOpeningsAreNotReset);
+    CPPUNIT_TEST(flowsLearntWithoutAnUpstreamAreNotReset);
     CPPUNIT_TEST(workIsCountedFromRequestToAnswer);
     CPPUNIT_TEST(resentRequestsDoNotCountAsWork);
     CPPUNIT_TEST(abandonedOpeningsDoNotKeepSlots);
@@ -122,6 +123,18 @@
         CPPUNIT_ASSERT(answerHolderQuery(table, flowOf(5), 640, 20) == HolderAnswer::NotHeld);
     }
 
+    // An agent is restarted beside its upstream, which then ends. Until that is found, no packet of a search is returned, so
+    // that the agent takes flows of other upstreams for its own. Guards against resetting these.
+    void flowsLearntWithoutAnUpstreamAreNotReset()
+    {
+        AgentFlows table;
+        openFlow(table, flowOf(7), 100);
+        learnFlow(table, flowOf(8), 640, 200);
+        const auto lost = extractLostFlows(table, 150);
+        CPPUNIT_ASSERT(lost.size() == 1 && lost.front().flow == flowOf(7));
+        CPPUNIT_ASSERT(answerHolderQuery(table, flowOf(8), 640, 300) == HolderAnswer::NotHeld);
+    }
+
     // A balancer is paused with an opening packet in its socket, and the caller's copy opens the flow at another upstream
     // through another balancer. Two seconds later the paused balancer resumes and forwards the old packet to this agent,
     // whose upstream is then replaced. Guards against a reset of the flow, which the other upstream holds.
--- a/tests/packets/testflowadmission.cpp
+++ b/tests/packets/testflowadmission.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST(drainingTakesEffectWithTheReport);
     CPPUNIT_TEST(silentUpstreamGetsNothingBeforeItsAddressIsReused);
     CPPUNIT_TEST(lateReportOfAReplacedProcessIsStale);
+    CPPUNIT_TEST(lateReportOfAnEndedProcessIsStale);
     CPPUNIT_TEST(dataCentreOutHoldsUntilItIsBack);
     CPPUNIT_TEST(newerConfigurationDecides);
     CPPUNIT_TEST(nothingIsAdmittedWithoutACurrentView);
@@ -68,6 +69,20 @@
         CPPUNIT_ASSERT(!isServing(m_admission, 1901));
     }
 
+    // An upstream ends without a notice while its last report is on its way. Guards against openings for a process that has
+    // ended, and against an upstream that stays without openings although it is running.
+    void lateReportOfAnEndedProcessIsStale()
+    {
+        recordUpstreamEnd(m_admission, 500);
+        CPPUNIT_ASSERT(decide(500) == OpeningRefusal::NoUpstream && !isServing(m_admission, 500));
+        CPPUNIT_ASSERT(applyReport(m_admission, reportOf(1000, 2), 600) == ReportEffect::Stale);
+        CPPUNIT_ASSERT(decide(600) == OpeningRefusal::NoUpstream);
+        FlowAdmission replaced = m_admission;
+        CPPUNIT_ASSERT(applyReport(replaced, reportOf(2000, 1), 700) == ReportEffect::NewProcess && isServing(replaced, 700));
+        CPPUNIT_ASSERT(applyReport(m_admission, reportOf(1000, 8), 500 + m_admission.options.lateReportLimit) == ReportEffect::Changed);
+        CPPUNIT_ASSERT(decide(3600) == OpeningRefusal::None);
+    }
+
     // A report that was delayed by a partition arrives after its sender has crashed and a new process has reported for the
     // same address. It must not restore the old process's state and service.
     void lateReportOfAReplacedProcessIsStale()
