--- a/src/kingcuptrailctl/explanations.cpp
+++ b/src/kingcuptrailctl/explanations.cpp
@@ -104,7 +104,7 @@
         { "The upstream is cold and already has as many requests as it can serve during its warm-up.", "Nothing: this ends with the warm-up." },
         { "The upstream has reached its flow limit.", "Add upstreams, or raise the limit if their memory allows it." },
         { "All slots of the upstream are busy.", "Nothing if it is rare; if it is frequent, add upstreams." },
-        { "The upstream returned the opening packet.", "The upstream is draining or full: check its own log." },
+        { "The upstream returned the opening packet, or its process ended without having answered it.", "The upstream is draining or full: check its own log. Look for the agent's event upstreamEnded." },
         { "The opening waited at the agent until its caller's time limit.", "Add upstreams: more work arrives than is completed." },
         { "The upstream accepts flows but resets them during their requests; the opening is offered to another agent.", "Check that upstream's process, and the agent's event upstreamFailing." },
     } };
--- a/src/kingcuptraild/packets/agentstate.cpp
+++ b/src/kingcuptraild/packets/agentstate.cpp
@@ -1,5 +1,7 @@
 #include "agentstate.h"
 
+#include "libruntime/events.h"
+
 #include <algorithm>
 
 namespace kingcuptrail {
@@ -26,13 +28,31 @@
     return static_cast<std::uint32_t>(state.senders.size());
 }
 
-void deliverToUpstream(AgentState& state, std::span<const std::uint8_t> packet, std::uint32_t mark)
+void deliverToUpstream(AgentState& state, std::span<const std::uint8_t> packet, std::uint32_t mark, bool needsAnswer)
 {
     state.sendBuffer.assign(packet.begin(), packet.end());
     state.adapter.clearMarks(state.sendBuffer);
     state.adapter.setMark(state.sendBuffer, mark);
     const auto& upstream = state.role.settings.packets.upstream;
     state.network.sendPacket(state.sendBuffer, { upstream.address(), upstream.port() });
+    if (needsAnswer)
+        recordDelivery(state.upstreamEnd, state.role.clock.now());
+}
+
+// Callers of lost flows get a reset at once, so that they open new flows instead of sending into lost ones until their
+// deadlines.
+std::size_t resetLostFlows(AgentState& state, FlowLoss reason)
+{
+    const std::vector<LostFlow> lost = reason == FlowLoss::UpstreamEnded ? extractLostFlows(state.flows, state.upstreamEnd.lastPacketAt) : extractLostFlows(state.flows);
+    clearUnanswered(state.health);
+    forgetProcess(state.upstreamEnd);
+    for (const LostFlow& flow : lost) {
+        const auto packet = state.adapter.encodeReset(flow.flow, flow.callerAcknowledged);
+        state.network.sendPacket(packet, { asio::ip::address_v4(flow.flow.caller.address), state.role.settings.packets.ingress.port() });
+    }
+    state.resetFlows.increment(reason, lost.size());
+    logEvent(Event::FlowsGivenUp, { { "flows", lost.size() }, { "reason", nameOf(reason) } });
+    return lost.size();
 }
 
 }
--- a/src/kingcuptraild/packets/agentstate.h
+++ b/src/kingcuptraild/packets/agentstate.h
@@ -2,6 +2,8 @@
 
 #include "libdecision/agentflows.h"
 #include "libdecision/flowadmission.h"
+#include "libdecision/unansweredopenings.h"
+#include "libdecision/upstreamend.h"
 #include "libdecision/upstreamhealth.h"
 #include "libruntime/metrics.h"
 #include "packetrolestate.h"
@@ -25,6 +27,19 @@
     static constexpr std::array<std::string_view, 8> names { "delivered", "deliveredToLearn", "handedBack", "refused", "toCaller", "returned", "malformed", "forged" };
 };
 
+/// Why the flows of an upstream's process are lost.
+enum class FlowLoss : std::uint8_t {
+    /// Another process reports for the upstream.
+    UpstreamReplaced,
+    /// The upstream's process has ended without a notice.
+    UpstreamEnded,
+};
+
+template <>
+struct EnumNames<FlowLoss> {
+    static constexpr std::array<std::string_view, 2> names { "upstreamReplaced", "upstreamEnded" };
+};
+
 /// State shared by the parts of an agent.
 struct AgentState : PacketRoleState {
     using PacketRoleState::PacketRoleState;
@@ -32,6 +47,8 @@
     AgentFlows flows;
     FlowAdmission flowAdmission;
     UpstreamHealth health;
+    UpstreamEndDetection upstreamEnd;
+    UnansweredOpenings unansweredOpenings;
     /// The directory entry that this agent announces.
     PeerEntry self;
     /// Queued openings that can still be answered within their latency target. Overdue ones are not counted: a new opening
@@ -44,6 +61,7 @@
     std::vector<std::uint8_t> sendBuffer;
     EnumCounters<AgentPacketOutcome> packetOutcomes;
     EnumCounters<OpeningRefusal> refusals;
+    EnumCounters<FlowLoss> resetFlows;
 };
 
 /// Sends an answer that also carries this agent's load and configuration version.
@@ -55,7 +73,11 @@
 /// The mark that identifies the sender of a packet when the upstream returns it. Adds a sender that is not known yet.
 std::uint32_t markOf(AgentState&, std::uint32_t sender);
 
-/// Sends a copy of a caller's packet to the upstream, with the marks in the packet replaced by `mark`.
-void deliverToUpstream(AgentState&, std::span<const std::uint8_t> packet, std::uint32_t mark);
+/// Sends a copy of a caller's packet to the upstream, with the marks in the packet replaced by `mark`. `needsAnswer` is set
+/// for opening packets and packets with data.
+void deliverToUpstream(AgentState&, std::span<const std::uint8_t> packet, std::uint32_t mark, bool needsAnswer);
+
+/// Resets the callers of all flows of a process that has ended, and empties the flow table. Returns the number of resets.
+std::size_t resetLostFlows(AgentState&, FlowLoss);
 
 }
--- a/src/kingcuptraild/packets/connectionadmission.cpp
+++ b/src/kingcuptraild/packets/connectionadmission.cpp
@@ -66,8 +66,10 @@
     const Millis now = m_state.role.clock.now();
     logFlowEvent(Event::FlowAdmitted, flow, { { "upstream", m_state.flowAdmission.upstream->id }, { "atWork", m_state.flows.atWork }, { "open", m_state.flows.open }, { "waited", static_cast<std::uint64_t>(waited) }, { "reportAge", static_cast<std::uint64_t>(now - m_state.flowAdmission.reportedAt) }, { "version", m_state.network.routes().version }, { "outages", m_state.network.outages().revision } });
     beginFlow(m_state.flows, flow, now);
+    if (m_state.flows.flows.at(flow).phase == FlowPhase::Opening)
+        keepOpening(m_state.unansweredOpenings, { .flow = flow, .deliveredAt = now, .balancer = balancer, .packet = { packet.begin(), packet.end() } });
     recordOpening(m_state.health, now);
-    deliverToUpstream(m_state, packet, markOf(m_state, balancer));
+    deliverToUpstream(m_state, packet, markOf(m_state, balancer), true);
     m_state.packetOutcomes.increment(AgentPacketOutcome::Delivered);
     m_waitTimes.record(static_cast<double>(waited));
     sendReply(m_state, balancer, { .kind = wire::PeerKind::Admitted, .flow = flow });
@@ -147,6 +149,20 @@
     sendReply(m_state, balancer, { .kind = wire::PeerKind::Refused, .flow = flow, .refusal = refusal, .packet = packet });
 }
 
+// Balancers drop a refusal of an opening that was already admitted, except for the reason Returned, which lets them offer the
+// packet to another agent. Earlier releases know this reason as well.
+std::size_t ConnectionAdmission::returnOpenings()
+{
+    const std::vector<WaitingOpening> waiting = removeAll(m_queue);
+    const std::vector<UnansweredOpening> unanswered = takeUnanswered(m_state.unansweredOpenings, m_state.role.clock.now());
+    updateWaitingCount();
+    for (const WaitingOpening& opening : waiting)
+        refuse(opening.flow, opening.packet, opening.balancer, OpeningRefusal::Returned);
+    for (const UnansweredOpening& opening : unanswered)
+        refuse(opening.flow, opening.packet, opening.balancer, OpeningRefusal::Returned);
+    return waiting.size() + unanswered.size();
+}
+
 void ConnectionAdmission::updateWaitingCount()
 {
     m_state.waiting = countTimely(m_queue, m_state.role.clock.now());
--- a/src/kingcuptraild/packets/connectionadmission.h
+++ b/src/kingcuptraild/packets/connectionadmission.h
@@ -15,6 +15,9 @@
     void open(const PeerMessage& message, std::uint32_t sender);
     /// Refuses queued openings whose wait has expired, and admits others while the upstream has room.
     void admitWaiting();
+    /// Hands all openings that the upstream has not answered back to their balancers, since its process has ended. Returns
+    /// their number.
+    std::size_t returnOpenings();
     void refuse(const FlowKey& flow, std::span<const std::uint8_t> packet, std::uint32_t balancer, OpeningRefusal refusal);
 
     void exposeMetrics(std::string& out) const;
--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -51,6 +51,7 @@
     , m_announcement(role.context, role.platform)
     , m_untrackedFlows { .startedAtWall = unixMillis() }
     , m_connectCheck(role.context)
+    , m_endWatch(m_state, m_untrackedFlows, [this] { handleUpstreamEnd(); })
     , m_tickTimer(role.context)
     , m_shutdownTimer(role.context)
 {
@@ -109,6 +110,7 @@
     switch (message.kind) {
     case wire::PeerKind::Open:
         m_admission.open(message, sender);
+        m_endWatch.startIfNeeded();
         break;
     case wire::PeerKind::Forward:
         handleForward(message, sender);
@@ -142,12 +144,12 @@
     switch (action) {
     case CallerPacketAction::Deliver:
         m_state.packetOutcomes.increment(AgentPacketOutcome::Delivered);
-        deliverToUpstream(m_state, message.packet, index);
+        deliverToUpstream(m_state, message.packet, index, header->dataLength > 0);
         break;
     case CallerPacketAction::DeliverToLearn:
         m_state.packetOutcomes.increment(AgentPacketOutcome::DeliveredToLearn);
         m_learning.beginCheck(message.flow, { .requester = sender, .since = now, .isProbe = isProbe, .acknowledged = header->acknowledged });
-        deliverToUpstream(m_state, message.packet, index);
+        deliverToUpstream(m_state, message.packet, index, header->dataLength > 0);
         break;
     case CallerPacketAction::NotHeld:
         m_state.packetOutcomes.increment(AgentPacketOutcome::HandedBack);
@@ -158,6 +160,7 @@
         sendReply(m_state, sender, { .kind = peerKindOf(*answer), .flow = message.flow });
     else if (!isProbe && action == CallerPacketAction::NotHeld)
         sendReply(m_state, sender, { .kind = wire::PeerKind::NotHeld, .flow = message.flow, .packet = message.packet });
+    m_endWatch.startIfNeeded();
 }
 
 void PacketAgent::handleFind(const PeerMessage& message, std::uint32_t sender)
@@ -174,12 +177,14 @@
         m_state.packetOutcomes.increment(AgentPacketOutcome::Malformed);
         return;
     }
+    const Millis now = m_state.role.clock.now();
+    recordUpstreamPacket(m_state.upstreamEnd, now);
+    const FlowKey flow = header->flags.isReturned ? flowFromCaller(*header) : flowFromUpstream(*header);
+    discardOpening(m_state.unansweredOpenings, flow);
     if (header->flags.isReturned) {
-        handleReturned(flowFromCaller(*header), packet, *header);
+        handleReturned(flow, packet, *header);
         return;
     }
-    const FlowKey flow = flowFromUpstream(*header);
-    const Millis now = m_state.role.clock.now();
     const UpstreamPacketEffect effect = trackUpstreamPacket(m_state.flows, flow, *header, now);
     updateHealth(effect, now);
     if (const auto check = m_learning.finishCheck(flow)) {
@@ -269,10 +274,12 @@
     m_reports.increment(effect);
     if (effect == ReportEffect::Changed || effect == ReportEffect::NewProcess)
         logEvent(Event::UpstreamReported, { { "upstream", report.id }, { "news", nameOf(effect) }, { "service", report.service }, { "draining", report.isDraining ? "yes" : "no" }, { "born", report.born }, { "sequence", report.sequence }, { "coldLeft", static_cast<std::uint64_t>(report.coldLeft) } });
-    if (effect != ReportEffect::Stale)
+    if (effect != ReportEffect::Stale) {
         recordReport(m_untrackedFlows, report, effect == ReportEffect::NewProcess);
+        recordUpstreamReport(m_state.upstreamEnd);
+    }
     if (effect == ReportEffect::NewProcess)
-        resetLostFlows();
+        resetLostFlows(m_state, FlowLoss::UpstreamReplaced);
     m_state.flows.isComplete = knowsEveryFlow(m_untrackedFlows);
     announceState();
 }
@@ -315,18 +322,18 @@
     return m_state.network.announce(std::move(entry));
 }
 
-// A new upstream process holds none of the flows of the previous one. Their callers get a reset at once, so that they open new
-// flows instead of sending into lost ones until their deadlines.
-void PacketAgent::resetLostFlows()
+// The upstream's address refuses connections while packets are unanswered: its process has ended without a notice. All its
+// flows are lost, and openings that it has not answered may go to other agents.
+void PacketAgent::handleUpstreamEnd()
 {
-    const std::vector<LostFlow> lost = extractLostFlows(m_state.flows);
-    clearUnanswered(m_state.health);
-    for (const LostFlow& flow : lost) {
-        const auto packet = m_state.adapter.encodeReset(flow.flow, flow.callerAcknowledged);
-        m_state.network.sendPacket(packet, { asio::ip::address_v4(flow.flow.caller.address), m_state.role.settings.packets.ingress.port() });
-    }
-    m_resetFlows += lost.size();
-    logEvent(Event::FlowsGivenUp, { { "flows", lost.size() }, { "reason", "upstreamReplaced" } });
+    const Millis now = m_state.role.clock.now();
+    const UpstreamEndDetection signs = m_state.upstreamEnd;
+    recordUpstreamEnd(m_state.flowAdmission, now);
+    recordShutdown(m_untrackedFlows);
+    const std::size_t resets = resetLostFlows(m_state, FlowLoss::UpstreamEnded);
+    const std::size_t returned = m_admission.returnOpenings();
+    logEvent(Event::UpstreamEnded, { { "upstream", m_state.flowAdmission.upstream->id }, { "unanswered", signs.unanswered }, { "unansweredFor", static_cast<std::uint64_t>(now - signs.unansweredSince) }, { "refusals", signs.refusals }, { "reportAge", static_cast<std::uint64_t>(now - m_state.flowAdmission.reportedAt) }, { "resets", resets }, { "openingsReturned", returned } });
+    announceState();
 }
 
 void PacketAgent::handleOutages(const std::vector<std::string>& returned)
@@ -371,6 +378,9 @@
     checkUnansweredRequests(now);
     announceState();
     m_admission.admitWaiting();
+    // Openings that were admitted from the queue are not followed by a call of handleFlowMessage().
+    m_endWatch.startIfNeeded();
+    discardOldOpenings(m_state.unansweredOpenings, now);
     sendLoad(now);
     followStoreIfIsolated(now);
     m_tickTimer.start(tickInterval, [this] { tick(); });
@@ -471,7 +481,8 @@
     exposeCounters(out, "kingcuptrail_upstream_reports_total", "Reports of the upstream by what they changed.", m_reports);
     exposeCounters(out, "kingcuptrail_upstream_calls_malformed_total", "Calls of the upstream that could not be read, by reason.", m_malformedRequests);
     m_admission.exposeMetrics(out);
-    exposeCounter(out, "kingcuptrail_flows_reset_total", "Flows reset since their upstream's process ended.", m_resetFlows);
+    m_endWatch.exposeMetrics(out);
+    exposeCounters(out, "kingcuptrail_flows_reset_total", "Flows reset since their upstream's process ended, by how this was found.", m_state.resetFlows);
     exposeGauge(out, "kingcuptrail_open_flows", "Flows that the upstream holds.", m_state.flows.open);
     exposeGauge(out, "kingcuptrail_requests_at_work", "Requests that the upstream has not answered yet.", m_state.flows.atWork);
     exposeCounter(out, "kingcuptrail_store_calls_total", "Calls of the store.", m_announcement.callsMade() + (m_store ? m_store->callsMade() : 0));
--- a/src/kingcuptraild/packets/packetagent.h
+++ b/src/kingcuptraild/packets/packetagent.h
@@ -7,6 +7,7 @@
 #include "neighboursearches.h"
 #include "storefollower.h"
 #include "upstreamconnectcheck.h"
+#include "upstreamendwatch.h"
 
 namespace kingcuptrail {
 
@@ -33,7 +34,7 @@
 
     HttpResponse handleUpstreamRequest(const HttpRequest& request);
     void handleReport(const UpstreamReport& report);
-    void resetLostFlows();
+    void handleUpstreamEnd();
     void checkUpstreamPresence(Millis now);
     void withdrawFormerEntry();
     const PeerEntry& withdraw(PeerEntry entry, std::function<void()> done);
@@ -56,6 +57,7 @@
     std::unique_ptr<DatagramSocket> m_outbound;
     UntrackedFlows m_untrackedFlows;
     UpstreamConnectCheck m_connectCheck;
+    UpstreamEndWatch m_endWatch;
     bool m_isStarted = false;
     Delay m_tickTimer;
     Delay m_shutdownTimer;
@@ -67,7 +69,6 @@
 
     EnumCounters<ReportEffect> m_reports;
     EnumCounters<DecodeError> m_malformedRequests;
-    std::uint64_t m_resetFlows = 0;
 };
 
 }
--- a/src/kingcuptraild/packets/upstreamconnectcheck.cpp
+++ b/src/kingcuptraild/packets/upstreamconnectcheck.cpp
@@ -7,10 +7,10 @@
 {
 }
 
-void UpstreamConnectCheck::attempt(const asio::ip::tcp::endpoint& upstream, std::function<void(ConnectionOutcome)> onDone)
+bool UpstreamConnectCheck::attempt(const asio::ip::tcp::endpoint& upstream, std::function<void(ConnectionOutcome)> onDone)
 {
     if (m_isBusy)
-        return;
+        return false;
     m_isBusy = true;
     const std::weak_ptr<bool> alive = m_isAlive;
     m_socket.async_connect(upstream, [this, alive, onDone = std::move(onDone)](const asio::error_code& error) {
@@ -25,6 +25,13 @@
         else
             onDone(error == asio::error::connection_refused ? ConnectionOutcome::Refused : ConnectionOutcome::Unclear);
     });
+    return true;
+}
+
+void UpstreamConnectCheck::cancel()
+{
+    asio::error_code ignored;
+    m_socket.cancel(ignored);
 }
 
 }
--- a/src/kingcuptraild/packets/upstreamconnectcheck.h
+++ b/src/kingcuptraild/packets/upstreamconnectcheck.h
@@ -14,9 +14,12 @@
 public:
     explicit UpstreamConnectCheck(asio::io_context& context);
 
-    /// Connects and closes the connection; does nothing while an attempt is in progress. `onDone` is not called after this
-    /// object is destroyed.
-    void attempt(const asio::ip::tcp::endpoint& upstream, std::function<void(ConnectionOutcome)> onDone);
+    /// Connects and closes the connection; returns false and does nothing while an attempt is in progress. `onDone` is not
+    /// called after this object is destroyed.
+    bool attempt(const asio::ip::tcp::endpoint& upstream, std::function<void(ConnectionOutcome)> onDone);
+
+    /// Ends an attempt that is in progress; its outcome is Unclear.
+    void cancel();
 
 private:
     asio::ip::tcp::socket m_socket;
--- a/src/libruntime/events.h
+++ b/src/libruntime/events.h
@@ -61,6 +61,7 @@
     UpstreamMissing = 410,
     UpstreamFailing = 411,
     UpstreamAnswersAgain = 412,
+    UpstreamEnded = 413,
     // Safety
     WrongServicePacket = 500,
     OutcomeUnknown = 501,
--- a/tests/soak/soakupstream.cpp
+++ b/tests/soak/soakupstream.cpp
@@ -21,15 +21,26 @@
     : m_context(context)
     , m_options(std::move(options))
     , m_promises(promises)
+    , m_acceptor(context, { m_options.address, m_options.appPort })
     , m_reportTimer(context)
     , m_random(seed)
 {
     DatagramError error = DatagramError::None;
     m_socket = DatagramSocket::open(
         context, { m_options.address, m_options.appPort }, [this](std::span<std::uint8_t> packet, const asio::ip::udp::endpoint&) { handlePacket(packet); }, error);
+    acceptConnections();
     restart();
 }
 
+// A connection is closed at once; that it was accepted is all that the agent wants to know.
+void SoakUpstream::acceptConnections()
+{
+    m_acceptor.async_accept([this](const asio::error_code& error, const asio::ip::tcp::socket&) {
+        if (!error)
+            acceptConnections();
+    });
+}
+
 void SoakUpstream::restart()
 {
     m_flows.clear();
--- a/tests/soak/soakupstream.h
+++ b/tests/soak/soakupstream.h
@@ -6,6 +6,7 @@
 #include "promisechecker.h"
 #include "soakpackets.h"
 
+#include <asio/ip/tcp.hpp>
 #include <map>
 #include <random>
 
@@ -22,7 +23,7 @@
 };
 
 /// The upstream of an agent: accepts flows, answers each request with the request's text, returns packets of flows that it
-/// does not hold, and reports to its agent. Reports to the promise checker which openings reached it.
+/// does not hold, and reports to its agent. Accepts connections, by which its agent checks that it is running. Reports to the promise checker which openings reached it.
 class SoakUpstream {
 public:
     SoakUpstream(asio::io_context& context, UpstreamOptions options, PromiseChecker& promises, std::uint32_t seed);
@@ -38,6 +39,7 @@
         std::uint32_t received = 0;
     };
 
+    void acceptConnections();
     void handlePacket(std::span<std::uint8_t> packet);
     void answerData(const FlowKey& flow, Flow& state, const PacketHeader& header, const std::string& data);
     void returnPacket(std::span<std::uint8_t> packet);
@@ -49,6 +51,7 @@
     UpstreamOptions m_options;
     PromiseChecker& m_promises;
     std::unique_ptr<DatagramSocket> m_socket;
+    asio::ip::tcp::acceptor m_acceptor;
     Delay m_reportTimer;
     std::shared_ptr<HttpCall> m_call;
     std::map<std::string, Flow> m_flows;
--- a/tests/trustplatform/testpacketagent.cpp
+++ b/tests/trustplatform/testpacketagent.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(withdrawsStoredEntryOfMissingUpstream);
     CPPUNIT_TEST(withdrawsEntryWhenStoppedBeforeUpstreamCheck);
     CPPUNIT_TEST(answersProbeOfKnownFlow);
+    CPPUNIT_TEST(handsOpeningsBackWhenUpstreamEnds);
     CPPUNIT_TEST(copiesProbeToNeighbours);
     CPPUNIT_TEST(unsureAgentQueriesNeighbours);
     CPPUNIT_TEST_SUITE_END();
@@ -194,6 +195,55 @@
         }
     }
 
+    // An upstream reports and then ends without a notice; nothing listens at its address. Guards against openings that are
+    // lost with it, further openings for it, and searches that stay uncertain because its agent cannot deny flows.
+    void handsOpeningsBackWhenUpstreamEnds()
+    {
+        const std::uint16_t port = freePort();
+        Agent agent(m_context, settingsOf("agent-1", 1, port), m_options);
+        const Settings peerSettings = settingsOf("front-1", 2, port);
+        const Clock clock;
+        PeerNetwork peer(m_context, peerSettings, clock);
+        std::vector<OpeningRefusal> refusals;
+        unsigned admitted = 0;
+        unsigned denied = 0;
+        CPPUNIT_ASSERT(peer.start({
+            .onFlowMessage = [&](const PeerMessage& message, std::uint32_t) {
+                admitted += message.kind == wire::PeerKind::Admitted ? 1 : 0;
+                denied += message.kind == wire::PeerKind::NotHeld ? 1 : 0;
+                if (message.kind == wire::PeerKind::Refused)
+                    refusals.push_back(message.packet.empty() ? OpeningRefusal::None : message.refusal); },
+            .onOutages = [](const std::vector<std::string>&) {},
+        }));
+        std::vector<std::uint8_t> packet = callerPacket();
+        constexpr std::size_t flagsOffset = 10;
+        constexpr std::uint8_t opensBit = 1;
+        packet[flagsOffset] = opensBit;
+        DecodeError error = DecodeError::None;
+        const auto header = trustAdapter().decodePacket(packet, error);
+        CPPUNIT_ASSERT(header && isOpening(*header));
+        const FlowKey flow = flowFromCaller(*header);
+        peer.updateRoutes({ .version = 7, .routes = { { .address = flow.service, .shares = { { .service = "board" } }, .latencyTarget = 200 } }, .services = { { .name = "board" } } });
+        peer.updateOutages({ .revision = 3, .out = {} });
+        m_sequence = 70;
+        report(agent, "ready");
+        runUntil(m_context, [&] { return agent.agent.statusFields().find("\"routesVersion\":7") != std::string::npos; });
+        const FlowMessage opening { .kind = wire::PeerKind::Open, .flow = flow, .configVersion = 7, .packet = packet };
+        peer.send(host(1).to_uint(), opening);
+        peer.send(host(1).to_uint(), opening);
+        runUntil(m_context, [&] { return !refusals.empty(); });
+        CPPUNIT_ASSERT_EQUAL(2U, admitted);
+        CPPUNIT_ASSERT(refusals == std::vector { OpeningRefusal::Returned });
+        report(agent, "ready");
+        peer.send(host(1).to_uint(), opening);
+        peer.send(host(1).to_uint(), { .kind = wire::PeerKind::Find, .flow = flow });
+        runUntil(m_context, [&] { return refusals.size() == 2 && denied == 1; });
+        CPPUNIT_ASSERT(refusals.back() == OpeningRefusal::NoUpstream);
+        std::string metrics;
+        agent.agent.exposeMetrics(metrics);
+        CPPUNIT_ASSERT(metrics.find("kingcuptrail_upstream_connections_total{reason=\"refused\"} 2") != std::string::npos);
+    }
+
     /// A process of the same data centre that records the messages it receives and, if `holdsFlows`, answers that it holds
     /// every flow it is asked for.
     struct Neighbour {
