--- a/src/kingcuptraild/packets/agentstate.h
+++ b/src/kingcuptraild/packets/agentstate.h
@@ -2,6 +2,7 @@
 
 #include "libdecision/agentflows.h"
 #include "libdecision/flowadmission.h"
+#include "libdecision/routetimes.h"
 #include "libdecision/unansweredopenings.h"
 #include "libdecision/upstreamend.h"
 #include "libdecision/upstreamhealth.h"
@@ -49,6 +50,8 @@
     UpstreamHealth health;
     UpstreamEndDetection upstreamEnd;
     UnansweredOpenings unansweredOpenings;
+    RouteTimes routeTimes;
+    LatencyHistogram answerTimes;
     /// The directory entry that this agent announces.
     PeerEntry self;
     /// Queued openings that can still be answered within their latency target. Overdue ones are not counted: a new opening
--- a/src/kingcuptraild/packets/connectionadmission.cpp
+++ b/src/kingcuptraild/packets/connectionadmission.cpp
@@ -29,7 +29,7 @@
     const auto known = m_state.flows.flows.find(message.flow);
     const bool isRetransmission = known != m_state.flows.flows.end() && known->second.phase != FlowPhase::Closed;
     if (isRetransmission) {
-        admit(message.flow, message.packet, sender, 0);
+        admit(message.flow, message.packet, sender, {});
         return;
     }
     if (recordCopy(m_queue, message.flow, now)) {
@@ -38,7 +38,7 @@
     }
     const OpeningRefusal refusal = checkAdmission(message.flow, message.configVersion, message.needsFreeSlot, now);
     if (refusal == OpeningRefusal::None)
-        admit(message.flow, message.packet, sender, 0);
+        admit(message.flow, message.packet, sender, {});
     else if (refusal == OpeningRefusal::Busy && !message.needsFreeSlot)
         enqueueOpening(message, sender, header->acknowledged);
     else
@@ -61,17 +61,17 @@
     return refusal;
 }
 
-void ConnectionAdmission::admit(const FlowKey& flow, std::span<const std::uint8_t> packet, std::uint32_t balancer, Millis waited)
+void ConnectionAdmission::admit(const FlowKey& flow, std::span<const std::uint8_t> packet, std::uint32_t balancer, const QueueTimes& times)
 {
     const Millis now = m_state.role.clock.now();
-    logFlowEvent(Event::FlowAdmitted, flow, { { "upstream", m_state.flowAdmission.upstream->id }, { "atWork", m_state.flows.atWork }, { "open", m_state.flows.open }, { "waited", static_cast<std::uint64_t>(waited) }, { "reportAge", static_cast<std::uint64_t>(now - m_state.flowAdmission.reportedAt) }, { "version", m_state.network.routes().version }, { "outages", m_state.network.outages().revision } });
+    logFlowEvent(Event::FlowAdmitted, flow, { { "upstream", m_state.flowAdmission.upstream->id }, { "atWork", m_state.flows.atWork }, { "open", m_state.flows.open }, { "waited", static_cast<std::uint64_t>(times.waited) }, { "timelyWait", static_cast<std::uint64_t>(times.timelyWait) }, { "reportAge", static_cast<std::uint64_t>(now - m_state.flowAdmission.reportedAt) }, { "version", m_state.network.routes().version }, { "outages", m_state.network.outages().revision } });
     beginFlow(m_state.flows, flow, now);
     if (m_state.flows.flows.at(flow).phase == FlowPhase::Opening)
         keepOpening(m_state.unansweredOpenings, { .flow = flow, .deliveredAt = now, .balancer = balancer, .packet = { packet.begin(), packet.end() } });
     recordOpening(m_state.health, now);
     deliverToUpstream(m_state, packet, markOf(m_state, balancer), true);
     m_state.packetOutcomes.increment(AgentPacketOutcome::Delivered);
-    m_waitTimes.record(static_cast<double>(waited));
+    m_waitTimes.record(static_cast<double>(times.waited));
     sendReply(m_state, balancer, { .kind = wire::PeerKind::Admitted, .flow = flow });
 }
 
@@ -84,7 +84,7 @@
         .flow = message.flow,
         .startedAt = startedAt,
         .arrivedAt = now,
-        .timelyUntil = startedAt + (route ? route->latencyTarget / 2 : 0),
+        .timelyUntil = startedAt + (route ? timelyWait(m_state.routeTimes, message.flow.service, route->latencyTarget) : 0),
         .priority = route ? route->priority : 0,
         .balancer = sender,
         .packet = { message.packet.begin(), message.packet.end() },
@@ -134,7 +134,7 @@
         const auto taken = popNext(m_queue, now);
         updateWaitingCount();
         if (refusal == OpeningRefusal::None)
-            admit(taken->flow, taken->packet, taken->balancer, now - taken->arrivedAt);
+            admit(taken->flow, taken->packet, taken->balancer, { .waited = now - taken->arrivedAt, .timelyWait = taken->timelyUntil - taken->startedAt });
         else
             refuse(taken->flow, taken->packet, taken->balancer, refusal);
     }
--- a/src/kingcuptraild/packets/connectionadmission.h
+++ b/src/kingcuptraild/packets/connectionadmission.h
@@ -23,8 +23,15 @@
     void exposeMetrics(std::string& out) const;
 
 private:
+    /// The times of an opening that was queued, in milliseconds; both are 0 for one that was admitted at once.
+    struct QueueTimes {
+        Millis waited = 0;
+        /// How long it could wait for a timely answer, since its caller sent it first.
+        Millis timelyWait = 0;
+    };
+
     OpeningRefusal checkAdmission(const FlowKey& flow, ConfigVersion balancerVersion, bool needsFreeSlot, Millis now);
-    void admit(const FlowKey& flow, std::span<const std::uint8_t> packet, std::uint32_t balancer, Millis waited);
+    void admit(const FlowKey& flow, std::span<const std::uint8_t> packet, std::uint32_t balancer, const QueueTimes& times);
     void enqueueOpening(const PeerMessage& message, std::uint32_t sender, std::uint32_t retransmissions);
     void startQueueTimer();
     void updateWaitingCount();
--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -187,6 +187,10 @@
     }
     const UpstreamPacketEffect effect = trackUpstreamPacket(m_state.flows, flow, *header, now);
     updateHealth(effect, now);
+    if (effect.answerTime) {
+        recordRouteTime(m_state.routeTimes, flow.service, *effect.answerTime, now);
+        m_state.answerTimes.record(static_cast<double>(*effect.answerTime));
+    }
     if (const auto check = m_learning.finishCheck(flow)) {
         const bool isHeld = !header->flags.resets;
         sendReply(m_state, check->requester, { .kind = isHeld ? wire::PeerKind::Held : wire::PeerKind::NotHeld, .flow = flow });
@@ -481,6 +485,7 @@
     exposeCounters(out, "kingcuptrail_upstream_reports_total", "Reports of the upstream by what they changed.", m_reports);
     exposeCounters(out, "kingcuptrail_upstream_calls_malformed_total", "Calls of the upstream that could not be read, by reason.", m_malformedRequests);
     m_admission.exposeMetrics(out);
+    m_state.answerTimes.expose(out, "kingcuptrail_answer_milliseconds", "Time from an opening's delivery, or a request's first packet on an open flow, to the answer's first data, in milliseconds.");
     m_endWatch.exposeMetrics(out);
     exposeCounters(out, "kingcuptrail_flows_reset_total", "Flows reset since their upstream's process ended, by how this was found.", m_state.resetFlows);
     exposeGauge(out, "kingcuptrail_open_flows", "Flows that the upstream holds.", m_state.flows.open);
--- a/src/libdecision/admissionqueue.h
+++ b/src/libdecision/admissionqueue.h
@@ -16,7 +16,7 @@
     Millis arrivedAt = 0;
     /// When the latest copy arrived, which shows that the caller was still waiting.
     Millis seenAt = 0;
-    /// If the opening is admitted by this time, the answer is likely to meet the route's latency target.
+    /// If the opening is admitted by this time, the answer is likely to meet the route's latency target (timelyWait()).
     Millis timelyUntil = 0;
     /// 0 is the most urgent.
     std::uint32_t priority = 0;
--- a/src/libdecision/agentflows.cpp
+++ b/src/libdecision/agentflows.cpp
@@ -62,6 +62,14 @@
         return true;
     }
 
+    /// The beginning of a request whose first data packet arrives now. Callers that open a flow for one request send it with
+    /// the packet that completes the opening; on a flow that was opened in advance the pause before is not the upstream's.
+    Millis requestBegin(const AgentFlow& flow, const AgentFlowOptions& options, Millis now)
+    {
+        const bool followsOpening = !flow.hasAnswer && now - flow.openedAt <= options.openingWorkTime;
+        return followsOpening ? flow.openedAt : now;
+    }
+
     bool hasExpired(const AgentFlow& flow, const AgentFlowOptions& options, Millis now)
     {
         const Millis silence = now - flow.lastPacketAt;
@@ -116,8 +124,11 @@
     if (header.flags.acknowledges)
         flow.callerAcknowledged = header.acknowledged;
     const bool isNewData = advanceCallerSentEnd(flow, header.sequence + header.dataLength) && header.dataLength > 0;
-    table.requests += isNewData && !flow.hasRequest ? 1 : 0;
-    flow.hasRequest = flow.hasRequest || isNewData;
+    if (isNewData && !flow.hasRequest) {
+        ++table.requests;
+        flow.hasRequest = true;
+        flow.requestSince = requestBegin(flow, table.options, now);
+    }
     if (isNewData && flow.phase == FlowPhase::Open)
         countWork(table, key, flow, now + table.options.requestWorkTime);
     flow.callerEnded = flow.callerEnded || header.flags.ends;
@@ -163,8 +174,11 @@
         flow.callerAcknowledged = header.sequence;
     effect.isRequestAnswered = flow.hasRequest && header.dataLength > 0;
     effect.isRequestAborted = flow.hasRequest && header.flags.resets;
+    if (effect.isRequestAnswered)
+        effect.answerTime = now - flow.requestSince;
     if (header.dataLength > 0) {
         flow.hasRequest = false;
+        flow.hasAnswer = true;
         clearWork(table, flow);
     }
     flow.upstreamEnded = flow.upstreamEnded || header.flags.ends;
--- a/src/libdecision/agentflows.h
+++ b/src/libdecision/agentflows.h
@@ -38,6 +38,11 @@
     Millis lastPacketAt = 0;
     /// The caller has sent data, and the upstream has not sent any since.
     bool hasRequest = false;
+    /// When the request began, for the time of its answer: its first data packet, or the opening's delivery for a request that
+    /// follows its opening at once.
+    Millis requestSince = 0;
+    /// The upstream has answered a request of this flow.
+    bool hasAnswer = false;
     bool callerEnded = false;
     bool upstreamEnded = false;
     /// Until this time the flow counts as work in progress at the upstream, because it is being opened or its caller has
@@ -136,6 +141,8 @@
     /// How the upstream ended a request: with data, or with a reset before any data.
     bool isRequestAnswered = false;
     bool isRequestAborted = false;
+    /// The time from the request's beginning to this packet, if the packet answers one, in milliseconds.
+    std::optional<Millis> answerTime;
 };
 
 /// Updates a flow from a packet that the upstream sent to a caller.
