--- a/src/kingcuptraild/agent/answerstore.cpp
+++ b/src/kingcuptraild/agent/answerstore.cpp
@@ -2,6 +2,19 @@
 
 namespace kingcuptrail {
 
+namespace {
+
+    /// The memory of one entry apart from its key and body, in bytes: the nodes and strings of both containers.
+    constexpr std::size_t entryBytes = 160;
+
+    /// The key is stored twice.
+    std::size_t sizeOf(const std::string& key, const StoredAnswer& answer)
+    {
+        return entryBytes + 2 * key.size() + answer.body.size();
+    }
+
+}
+
 wire::LedgerAnswerT makeLedgerAnswer(const LedgerReply& reply)
 {
     wire::LedgerAnswerT answer;
@@ -30,12 +43,12 @@
 {
     if (answer.body.size() > maxAnswerBytes || m_answers.contains(key))
         return;
-    m_heldBytes += answer.body.size();
+    m_heldBytes += sizeOf(key, answer);
     m_answers.emplace(key, std::move(answer));
     m_order.push_back(key);
     while (m_heldBytes > maxHeldBytes) {
         const auto oldest = m_answers.find(m_order.front());
-        m_heldBytes -= oldest->second.body.size();
+        m_heldBytes -= sizeOf(oldest->first, oldest->second);
         m_answers.erase(oldest);
         m_order.pop_front();
     }
--- a/src/kingcuptraild/agent/answerstore.h
+++ b/src/kingcuptraild/agent/answerstore.h
@@ -36,6 +36,7 @@
 public:
     void add(const std::string& key, StoredAnswer answer);
     std::optional<StoredAnswer> find(std::string_view key) const;
+    /// The size of all entries, which includes their keys and an allowance for each entry.
     std::size_t heldBytes() const { return m_heldBytes; }
 
 private:
