--- a/src/kingcuptraild/packets/holderfinder.cpp
+++ b/src/kingcuptraild/packets/holderfinder.cpp
@@ -25,7 +25,7 @@
     constexpr Millis lateTickThreshold = 40;
     /// Packets of one flow that may wait for a search: the number that a caller has in flight.
     constexpr std::size_t maxPacketsPerSearch = 16;
-    /// Concurrent searches. While there are so many, further packets are dropped. With 1,200 bytes a packet and a few
+    /// Concurrent searches. While there are so many, packets of other flows are dropped. With 1,200 bytes a packet and a few
     /// packets a flow, this bounds the memory at about 10 MB.
     constexpr std::size_t maxSearches = 4096;
 
@@ -40,7 +40,7 @@
 // agents of the service are asked; the holder answers within a round trip and gets the packet.
 void HolderFinder::search(const FlowKey& flow, const PacketHeader& header, std::span<const std::uint8_t> packet)
 {
-    if (m_searches.size() >= maxSearches) {
+    if (m_searches.size() >= maxSearches && !m_searches.contains(flow)) {
         m_state.packetOutcomes.increment(CallerPacketOutcome::SearchFull);
         return;
     }
