--- a/tests/soak/storestandin.cpp
+++ b/tests/soak/storestandin.cpp
@@ -1,5 +1,7 @@
 #include "storestandin.h"
 
+#include <asio/post.hpp>
+
 namespace kingcuptrail {
 
 using nlohmann::json;
@@ -76,12 +78,15 @@
         responder->respond(jsonResponse(503, json::object()));
         return;
     }
-    std::erase_if(m_delays, [](const auto& delay) { return !delay; });
-    m_delays.push_back(std::make_unique<Delay>(m_context));
-    m_delays.back()->start(fault == StoreFault::Slow ? slowDelay : usualDelay, [this, host, request, responder] { answer(host, request, responder); });
-    constexpr std::size_t maxDelays = 4096;
-    if (m_delays.size() > maxDelays)
-        m_delays.erase(m_delays.begin(), m_delays.begin() + maxDelays / 2);
+    const std::uint64_t id = ++m_lastDelay;
+    auto delay = std::make_unique<Delay>(m_context);
+    Delay& timer = *delay;
+    m_delays.emplace(id, std::move(delay));
+    timer.start(fault == StoreFault::Slow ? slowDelay : usualDelay, [this, id, host, request, responder] {
+        // The removal is posted, because a timer must not be destroyed while its handler runs.
+        asio::post(m_context, [this, id] { m_delays.erase(id); });
+        answer(host, request, responder);
+    });
 }
 
 void StoreStandIn::answer(const std::string& host, const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder)
--- a/tests/soak/storestandin.h
+++ b/tests/soak/storestandin.h
@@ -74,7 +74,9 @@
     std::map<std::string, std::map<std::string, nlohmann::json>> m_objects;
     std::vector<Event> m_events;
     std::vector<PendingRequest> m_pendingRequests;
-    std::vector<std::unique_ptr<Delay>> m_delays;
+    /// The delayed requests, by number.
+    std::map<std::uint64_t, std::unique_ptr<Delay>> m_delays;
+    std::uint64_t m_lastDelay = 0;
     std::uint64_t m_revision = 1;
     std::uint64_t m_historyFrom = 0;
     std::minstd_rand m_random;
