--- a/src/kingcuptraild/packets/connectionadmission.h
+++ b/src/kingcuptraild/packets/connectionadmission.h
@@ -15,13 +15,23 @@
     void open(const PeerMessage& message, std::uint32_t sender);
     /// Refuses queued openings whose wait has expired, and admits others while the upstream has room.
     void admitWaiting();
+    /// Hands all openings that the upstream has not answered back to their balancers, since its process has ended. Returns
+    /// their number.
+    std::size_t returnOpenings();
     void refuse(const FlowKey& flow, std::span<const std::uint8_t> packet, std::uint32_t balancer, OpeningRefusal refusal);
 
     void exposeMetrics(std::string& out) const;
 
 private:
+    /// The times of an opening that was queued, in milliseconds; both are 0 for one that was admitted at once.
+    struct QueueTimes {
+        Millis waited = 0;
+        /// How long it could wait for a timely answer, since its caller sent it first.
+        Millis timelyWait = 0;
+    };
+
     OpeningRefusal checkAdmission(const FlowKey& flow, ConfigVersion balancerVersion, bool needsFreeSlot, Millis now);
-    void admit(const FlowKey& flow, std::span<const std::uint8_t> packet, std::uint32_t balancer, Millis waited);
+    void admit(const FlowKey& flow, std::span<const std::uint8_t> packet, std::uint32_t balancer, const QueueTimes& times);
     void enqueueOpening(const PeerMessage& message, std::uint32_t sender, std::uint32_t retransmissions);
     void startQueueTimer();
     void updateWaitingCount();
--- a/src/libdecision/agentflows.cpp
+++ b/src/libdecision/agentflows.cpp
@@ -62,6 +62,14 @@
         return true;
     }
 
+    /// The beginning of a request whose first data packet arrives now. Callers that open a flow for one request send it with
+    /// the packet that completes the opening; on a flow that was opened in advance the pause before is not the upstream's.
+    Millis requestBegin(const AgentFlow& flow, const AgentFlowOptions& options, Millis now)
+    {
+        const bool followsOpening = !flow.hasAnswer && now - flow.openedAt <= options.openingWorkTime;
+        return followsOpening ? flow.openedAt : now;
+    }
+
     bool hasExpired(const AgentFlow& flow, const AgentFlowOptions& options, Millis now)
     {
         const Millis silence = now - flow.lastPacketAt;
@@ -118,8 +126,11 @@
     if (header.flags.acknowledges)
         flow.callerAcknowledged = header.acknowledged;
     const bool isNewData = advanceCallerSentEnd(flow, header.sequence + header.dataLength) && header.dataLength > 0;
-    table.requests += isNewData && !flow.hasRequest ? 1 : 0;
-    flow.hasRequest = flow.hasRequest || isNewData;
+    if (isNewData && !flow.hasRequest) {
+        ++table.requests;
+        flow.hasRequest = true;
+        flow.requestSince = requestBegin(flow, table.options, now);
+    }
     if (isNewData && flow.phase == FlowPhase::Open)
         countWork(table, key, flow, now + table.options.requestWorkTime);
     flow.callerEnded = flow.callerEnded || header.flags.ends;
@@ -165,8 +176,11 @@
         flow.callerAcknowledged = header.sequence;
     effect.isRequestAnswered = flow.hasRequest && header.dataLength > 0;
     effect.isRequestAborted = flow.hasRequest && header.flags.resets;
+    if (effect.isRequestAnswered)
+        effect.answerTime = now - flow.requestSince;
     if (header.dataLength > 0) {
         flow.hasRequest = false;
+        flow.hasAnswer = true;
         clearWork(table, flow);
     }
     flow.upstreamEnded = flow.upstreamEnded || header.flags.ends;
@@ -197,11 +211,11 @@
     return true;
 }
 
-std::vector<LostFlow> extractLostFlows(AgentFlows& table)
+std::vector<LostFlow> extractLostFlows(AgentFlows& table, Millis learntUntil)
 {
     std::vector<LostFlow> lost;
     for (const auto& [key, flow] : table.flows) {
-        if (flow.phase == FlowPhase::Open)
+        if (flow.phase == FlowPhase::Open && flow.openedAt <= learntUntil)
             lost.push_back({ .flow = key, .callerAcknowledged = flow.callerAcknowledged });
     }
     table.flows.clear();
--- a/src/libdecision/agentflows.h
+++ b/src/libdecision/agentflows.h
@@ -4,6 +4,7 @@
 #include "packet.h"
 
 #include <deque>
+#include <limits>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -40,6 +41,11 @@
     Millis lastPacketAt = 0;
     /// The caller has sent data, and the upstream has not sent any since.
     bool hasRequest = false;
+    /// When the request began, for the time of its answer: its first data packet, or the opening's delivery for a request that
+    /// follows its opening at once.
+    Millis requestSince = 0;
+    /// The upstream has answered a request of this flow.
+    bool hasAnswer = false;
     bool callerEnded = false;
     bool upstreamEnded = false;
     /// Until this time the flow counts as work in progress at the upstream, because it is being opened or its caller has
@@ -139,6 +145,8 @@
     /// How the upstream ended a request: with data, or with a reset before any data.
     bool isRequestAnswered = false;
     bool isRequestAborted = false;
+    /// The time from the request's beginning to this packet, if the packet answers one, in milliseconds.
+    std::optional<Millis> answerTime;
 };
 
 /// Updates a flow from a packet that the upstream sent to a caller.
@@ -158,8 +166,10 @@
 
 /// Removes every flow, since the upstream's process has ended, and returns those that are open and have to be reset. An
 /// opening that its caller has not completed is not returned: the caller may have accepted another upstream's answer and
-/// hold the flow there. The table is complete afterwards, since the agent sees every flow of the new process.
-std::vector<LostFlow> extractLostFlows(AgentFlows&);
+/// hold the flow there. Nor is a flow returned that was learnt after `learntUntil`: an upstream that has ended returns no
+/// packets, so that any flow, also one that is held elsewhere, may have been taken for one of its own. The table is complete
+/// afterwards, since the agent sees every flow of the new process.
+std::vector<LostFlow> extractLostFlows(AgentFlows&, Millis learntUntil = std::numeric_limits<Millis>::max());
 
 /// Stops counting flows as work whose time has expired.
 void expireWork(AgentFlows&, Millis now);
