--- a/src/libruntime/events.cpp
+++ b/src/libruntime/events.cpp
@@ -128,7 +128,7 @@
             "Find the process that held it: its flowAdmitted line names the upstream." },
         { Event::FlowLearnt, EventLevel::Info, "flowLearnt", "A restarted agent learnt of a flow that its upstream already held.",
             "Nothing." },
-        { Event::LinesLeftOut, EventLevel::Warning, "linesLeftOut", "Log lines about flows were omitted because they exceeded the rate limit or the reader of the log was slow.",
+        { Event::LinesLeftOut, EventLevel::Warning, "linesLeftOut", "Log lines were left out: lines about flows exceeded the rate limit, or the reader of the log was slow.",
             "Nothing. The metrics count every flow." },
         { Event::SearchUncertain, EventLevel::Info, "searchUncertain", "No agent answered that it holds the flow, and not every agent answered that it does not; nothing was sent to the caller.",
             "Check the agent in waitsFor: it does not answer, or does not know its upstream yet. Unconfirmed directories are confirmed again without action." },
@@ -142,6 +142,8 @@
         std::shared_ptr<spdlog::logger> logger;
         LogFormat format = LogFormat::Text;
         LogRateLimiter flowLineLimiter;
+        /// Lines that were omitted or dropped and that no linesLeftOut line has counted yet.
+        std::uint64_t linesLeftOut = 0;
     };
 
     std::shared_ptr<spdlog::logger> makeLogger(std::string_view name, LogFormat format)
@@ -253,19 +255,44 @@
         return line.dump(-1, ' ', true, nlohmann::ordered_json::error_handler_t::replace);
     }
 
+    std::uint64_t droppedLines(const LogState& state)
+    {
+        const auto* sink = dynamic_cast<const NonBlockingSink*>(state.logger->sinks().front().get());
+        return sink ? sink->droppedLines() : 0;
+    }
+
+    /// Whether the line was written, and not dropped because the reader of the log is slow.
+    bool writeLine(const LogState& state, const EventInfo& info, const FlowKey* flow, std::initializer_list<EventField> fields)
+    {
+        const auto level = toLoggerLevel(info.level);
+        const std::uint64_t droppedBefore = droppedLines(state);
+        if (state.format == LogFormat::Json)
+            state.logger->log(level, "{}", jsonLine(*state.logger, info, flow, fields));
+        else
+            state.logger->log(level, "{}", textLine(info, flow, fields));
+        return droppedLines(state) == droppedBefore;
+    }
+
+    void reportLinesLeftOut(LogState& state)
+    {
+        const EventInfo* info = findInfo(Event::LinesLeftOut);
+        if (state.linesLeftOut == 0 || !state.logger->should_log(toLoggerLevel(info->level)))
+            return;
+        if (writeLine(state, *info, nullptr, { { "lines", state.linesLeftOut } }))
+            state.linesLeftOut = 0;
+    }
+
     void writeEvent(Event event, const FlowKey* flow, std::initializer_list<EventField> fields)
     {
         const EventInfo* info = findInfo(event);
-        if (!info)
+        LogState& state = currentLog();
+        if (!info || !state.logger->should_log(toLoggerLevel(info->level)))
             return;
-        const auto level = toLoggerLevel(info->level);
-        const LogState& state = currentLog();
-        if (!state.logger->should_log(level))
-            return;
-        if (state.format == LogFormat::Json)
-            state.logger->log(level, "{}", jsonLine(*state.logger, *info, flow, fields));
+        // The count follows the first line that is written again.
+        if (writeLine(state, *info, flow, fields))
+            reportLinesLeftOut(state);
         else
-            state.logger->log(level, "{}", textLine(*info, flow, fields));
+            ++state.linesLeftOut;
     }
 
 }
@@ -295,11 +322,13 @@
 
 void logFlowEvent(Event event, const FlowKey& flow, std::initializer_list<EventField> fields)
 {
-    LogRateLimiter& limiter = currentLog().flowLineLimiter;
-    if (!limiter.tryTakeToken(unixMillis()))
+    LogState& state = currentLog();
+    if (!state.flowLineLimiter.tryTakeToken(unixMillis()))
         return;
-    if (const std::uint64_t omitted = limiter.takeOmittedCount(); omitted > 0)
-        writeEvent(Event::LinesLeftOut, nullptr, { { "lines", omitted } });
+    if (const std::uint64_t omitted = state.flowLineLimiter.takeOmittedCount(); omitted > 0) {
+        state.linesLeftOut += omitted;
+        reportLinesLeftOut(state);
+    }
     writeEvent(event, &flow, fields);
 }
 
--- a/src/libruntime/logsink.cpp
+++ b/src/libruntime/logsink.cpp
@@ -47,6 +47,8 @@
     const bool hadRest = !text.empty();
     text.append(formatted.data(), formatted.size());
     const auto written = write(STDOUT_FILENO, text.data(), text.size());
+    if (written < 0)
+        ++m_dropped;
     if (written < 0 && hadRest)
         m_rest = text.substr(0, text.size() - formatted.size());
     else if (written > 0 && static_cast<std::size_t>(written) < text.size())
--- a/src/libruntime/logsink.h
+++ b/src/libruntime/logsink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <mutex>
 #include <spdlog/sinks/base_sink.h>
@@ -20,11 +21,13 @@
     std::uint64_t m_omitted = 0;
 };
 
-/// Writes lines to standard output without blocking: lines for which the pipe has no space are dropped.
+/// Writes lines to standard output without blocking: lines for which the pipe has no space are dropped and counted.
 class NonBlockingSink : public spdlog::sinks::base_sink<std::mutex> {
 public:
     NonBlockingSink();
 
+    std::uint64_t droppedLines() const { return m_dropped; }
+
 protected:
     void sink_it_(const spdlog::details::log_msg& message) override;
     void flush_() override { }
@@ -32,6 +35,7 @@
 private:
     /// The rest of a line that was written in part. It is written before the next line, so that lines are not mixed.
     std::string m_rest;
+    std::atomic<std::uint64_t> m_dropped = 0;
 };
 
 }
