--- a/bench/kingcuptrail-slopes/main.cpp
+++ b/bench/kingcuptrail-slopes/main.cpp
@@ -146,17 +146,25 @@
     const std::size_t peers = absl::GetFlag(FLAGS_peers);
     const int pid = absl::GetFlag(FLAGS_pid);
     const auto agent = parseEndpoint(absl::GetFlag(FLAGS_agent));
-    if (!agent)
+    if (!agent) {
+        std::cerr << "--agent is not an IP address and port\n";
         return 2;
+    }
     const Config config = fakeConfig(absl::GetFlag(FLAGS_services), 5);
     applyAndWait(context, platform, config);
     runFor(context, settleTime);
     FakeBalancers balancers(context, *agent, peers);
-    runUntil(context, settleLimit, [&] { return balancers.linked() == peers; });
+    if (!runUntil(context, settleLimit, [&] { return balancers.linked() == peers; })) {
+        std::cerr << "only " << balancers.linked() << " of " << peers << " links are up\n";
+        return 1;
+    }
     const ServiceConfig* service = config.findService(absl::GetFlag(FLAGS_agent_service));
     const ProcessUsage empty = readUsage(pid).value_or(ProcessUsage {});
     balancers.openFlows(service ? service->address : 0, absl::GetFlag(FLAGS_flows));
-    runUntil(context, settleLimit, [&] { return balancers.openedFlows() >= absl::GetFlag(FLAGS_flows); });
+    if (!runUntil(context, settleLimit, [&] { return balancers.openedFlows() >= absl::GetFlag(FLAGS_flows); })) {
+        std::cerr << "only " << balancers.openedFlows() << " of " << absl::GetFlag(FLAGS_flows) << " flows are open\n";
+        return 1;
+    }
     Measurement measured { .before = readUsage(pid).value_or(ProcessUsage {}), .bytes = balancers.linkBytes() };
     const Clock clock;
     const Millis start = clock.now();
