--- a/bench/kingcuptrail-bench/main.cpp
+++ b/bench/kingcuptrail-bench/main.cpp
@@ -127,7 +127,14 @@
                                  "  kingcuptrail-bench --admission [--seed=S] [--svg=FILE]");
     const std::vector<char*> arguments = absl::ParseCommandLine(argc, argv);
     const auto guard = kingcuptrail::fromName<kingcuptrail::DisabledGuard>(absl::GetFlag(FLAGS_without));
-    if (const std::uint64_t count = absl::GetFlag(FLAGS_histories); count > 0 && guard)
+    if (!guard) {
+        std::cerr << "--without: unknown guard " << absl::GetFlag(FLAGS_without) << "; the guards are";
+        for (const std::string_view name : kingcuptrail::EnumNames<kingcuptrail::DisabledGuard>::names)
+            std::cerr << ' ' << name;
+        std::cerr << '\n';
+        return static_cast<int>(kingcuptrail::ExitCode::BadUsage);
+    }
+    if (const std::uint64_t count = absl::GetFlag(FLAGS_histories); count > 0)
         return static_cast<int>(kingcuptrail::runHistories(count, std::max<std::uint64_t>(1, absl::GetFlag(FLAGS_seed)), *guard));
     if (absl::GetFlag(FLAGS_admission))
         return static_cast<int>(kingcuptrail::runAdmission(std::max<std::uint64_t>(1, absl::GetFlag(FLAGS_seed))));
