--- a/bench/libmodel/modelcallers.h
+++ b/bench/libmodel/modelcallers.h
@@ -80,7 +80,6 @@
     void handleFinal(const FlowPacket& packet);
     void handleRefusal(PendingRequest& pending, const RefusalVerdict& verdict);
     void retryOrEnd(RequestId first, const AttemptResult& result);
-    void tryOnNewFlow(RequestId first);
     void handleDeadline(RequestId first);
     void end(RequestId first, RequestEnd outcome, std::uint64_t detail);
     void sendToFabric(FlowPacket packet);
