--- a/src/libplatform/peerentryjson.cpp
+++ b/src/libplatform/peerentryjson.cpp
@@ -1,5 +1,7 @@
 #include "peerentryjson.h"
 
+#include <cmath>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace kingcuptrail {
@@ -22,6 +24,21 @@
         };
     }
 
+    /// A field that holds a number of this type. The library's own conversion of a number outside the type's range is undefined
+    /// or wraps around.
+    template <typename Number>
+    Number numberField(const json& document, const char* name)
+    {
+        using Limits = std::numeric_limits<Number>;
+        const json& value = document.at(name);
+        const bool isInRange = value.is_number_unsigned()
+            ? value.get<std::uint64_t>() <= Limits::max()
+            : value.is_number() && value.get<double>() >= 0 && value.get<double>() < std::ldexp(1.0, Limits::digits);
+        if (!isInRange)
+            throw json::other_error::create(0, "not a number in range", nullptr);
+        return value.get<Number>();
+    }
+
     PeerEntry entryFromJson(const json& document)
     {
         const auto role = fromName<PeerRole>(document.at("role").get<std::string>());
@@ -31,12 +48,12 @@
         return {
             .name = document.at("name").get<std::string>(),
             .role = *role,
-            .address = document.at("address").get<std::uint32_t>(),
+            .address = numberField<std::uint32_t>(document, "address"),
             .dataCentre = document.at("dataCentre").get<std::string>(),
             .service = document.at("service").get<std::string>(),
             .state = *state,
-            .slots = document.at("slots").get<std::uint32_t>(),
-            .epoch = document.at("epoch").get<std::uint64_t>(),
+            .slots = numberField<std::uint32_t>(document, "slots"),
+            .epoch = numberField<std::uint64_t>(document, "epoch"),
         };
     }
 
--- a/tests/packets/testpeermessage.cpp
+++ b/tests/packets/testpeermessage.cpp
@@ -117,6 +117,9 @@
         }
         CPPUNIT_ASSERT(parsePeerEntry(toJson(entry())) == entry());
         CPPUNIT_ASSERT(!parsePeerEntry(R"({"name":"x","role":"nobody"})"));
+        // Guards against undefined conversions of numbers that another program wrote to the store.
+        for (const std::string address : { "7e128", "-1", "4294967296", "4294967296.0", "\"1\"" })
+            CPPUNIT_ASSERT(!parsePeerEntry(R"({"name":"x","role":"agent","address":)" + address + R"(,"dataCentre":"n","service":"s","state":"ready","slots":1,"epoch":1})"));
     }
 };
 
