--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Builds the fuzzers with clang and runs each with RUNS inputs from a fixed SEED, starting from the cases in tests/fuzz/cases.
-# `tools/fuzz.sh RUNS SEED` sets both; an input that crashes is left in build-fuzz/ and should be added to the cases.
+# `tools/fuzz.sh RUNS SEED` sets both; an input that crashes is left in build-fuzz/ and should be added to the cases. The same
+# build, RUNS and SEED repeat a run, and the digest of the new inputs at the end of each line shows it.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 runs="${1:-200000}"
@@ -11,11 +12,13 @@
 targets=(packet report routes store peer)
 cmake --build "$build" --target "${targets[@]/#/fuzz_}"
 for target in "${targets[@]}"; do
-    # New inputs go to the build folder and not to the cases, so that runs from the same seed are reproducible.
+    # New inputs go to the build folder and not to the cases, so that runs from the same seed are reproducible. They also
+    # depend on addresses (pointers that are compared become parts of inputs) and on the times at which libFuzzer reads its
+    # inputs again and frees memory. Address randomisation and both timers are therefore off.
     found="$build/found-$target"
     rm -rf "$found" && mkdir -p "$found"
-    "$build/tests/fuzz/fuzz_$target" -runs="$runs" -seed="$seed" -max_len=4096 -timeout=5 -rss_limit_mb=1024 -print_final_stats=1 \
+    setarch -R "$build/tests/fuzz/fuzz_$target" -runs="$runs" -seed="$seed" -reload=0 -purge_allocator_interval=-1 -max_len=4096 -timeout=5 -rss_limit_mb=1024 -print_final_stats=1 \
         -artifact_prefix="$build/crash-$target-" "$found" "tests/fuzz/cases/$target" 2> "$build/fuzz-$target.log" \
         || { tail -n 40 "$build/fuzz-$target.log"; exit 1; }
-    echo "fuzz $target: $(grep -E 'number_of_executed_units' "$build/fuzz-$target.log"), $(grep -c . < <(ls "$found")) new inputs"
+    echo "fuzz $target: $(grep -E 'number_of_executed_units' "$build/fuzz-$target.log"), $(grep -c . < <(ls "$found")) new inputs, digest $(ls "$found" | sha256sum | cut -c1-12)"
 done
