--- a/src/kingcuptraild/packets/bulkgate.cpp
+++ b/src/kingcuptraild/packets/bulkgate.cpp
@@ -2,10 +2,16 @@
 
 #include "libruntime/events.h"
 
+#include <utility>
+
 namespace kingcuptrail {
 
 namespace {
 
+    /// A tick that comes this long after the previous one shows that the process has not handled packets for a while, in
+    /// milliseconds: half of the time after which callers send the first copy of an opening, through any balancer.
+    constexpr Millis maxTickGap = 100;
+
     std::uint64_t toKilobits(double megabits)
     {
         constexpr double kilobitsPerMegabit = 1000;
@@ -87,14 +93,17 @@
     return admitted;
 }
 
+void BulkGate::discardAfterGap(Millis now)
+{
+    const Millis gap = now - std::exchange(m_lastTickAt, now);
+    if (!m_held.empty() && (gap > maxTickGap || m_state.network.mayBeStale()))
+        discardHeld();
+}
+
 void BulkGate::refuseExpired(Millis now)
 {
     if (!isLimiting(m_state.bulk))
         return;
-    if (m_state.network.mayBeStale()) {
-        discardHeld();
-        return;
-    }
     updateActivity(m_state.bulk, now);
     for (const FlowKey& flow : takeExpired(m_state.bulk, now)) {
         const auto held = m_held.extract(flow);
--- a/src/kingcuptraild/packets/bulkgate.h
+++ b/src/kingcuptraild/packets/bulkgate.h
@@ -25,6 +25,9 @@
     bool admits(const FlowKey& flow, Millis startedAt, std::span<const std::uint8_t> packet);
     /// The held openings that have room now, in the order of their arrival.
     std::vector<HeldOpening> takeAdmitted(Millis now);
+    /// Discards the held openings after a gap between two calls, since copies may have been admitted through other balancers
+    /// meanwhile; to be called with each tick, before the two functions below.
+    void discardAfterGap(Millis now);
     /// Refuses the openings that have waited for too long; to be called several times a second.
     void refuseExpired(Millis now);
 
@@ -38,6 +41,7 @@
 
     BalancerState& m_state;
     std::unordered_map<FlowKey, HeldOpening> m_held;
+    Millis m_lastTickAt = 0;
     /// How long held openings waited, whether admitted or refused.
     LatencyHistogram m_waits;
 };
--- a/src/kingcuptraild/packets/connectionadmission.cpp
+++ b/src/kingcuptraild/packets/connectionadmission.cpp
@@ -66,7 +66,9 @@
     const Millis now = m_state.role.clock.now();
     logFlowEvent(Event::FlowAdmitted, flow, { { "upstream", m_state.flowAdmission.upstream->id }, { "atWork", m_state.flows.atWork }, { "open", m_state.flows.open }, { "waited", static_cast<std::uint64_t>(times.waited) }, { "timelyWait", static_cast<std::uint64_t>(times.timelyWait) }, { "reportAge", static_cast<std::uint64_t>(now - m_state.flowAdmission.reportedAt) }, { "version", m_state.network.routes().version }, { "outages", m_state.network.outages().revision } });
     beginFlow(m_state.flows, flow, now, balancer);
-    if (m_state.flows.flows.at(flow).phase == FlowPhase::Opening)
+    const AgentFlow& admitted = m_state.flows.flows.at(flow);
+    // Once the upstream has answered, the caller may have sent its request.
+    if (admitted.phase == FlowPhase::Opening && !admitted.answerSequence)
         keepOpening(m_state.unansweredOpenings, { .flow = flow, .deliveredAt = now, .balancer = balancer, .packet = { packet.begin(), packet.end() } });
     recordOpening(m_state.health, now);
     deliverToUpstream(m_state, packet, markOf(m_state, balancer), true);
--- a/src/kingcuptraild/packets/connectiondispatcher.cpp
+++ b/src/kingcuptraild/packets/connectiondispatcher.cpp
@@ -79,8 +79,9 @@
 
 void ConnectionDispatcher::updateWaitingOpenings(Millis now)
 {
-    m_bulkGate.refuseExpired(now);
+    m_bulkGate.discardAfterGap(now);
     offerAdmitted(now);
+    m_bulkGate.refuseExpired(now);
 }
 
 // Offers an opening to the best agent that has not had it yet. Without a configuration or agents the opening waits: a process
@@ -196,6 +197,9 @@
     // A refusal that comes after the opening has ended is from an agent that was paused, and the caller has moved on.
     if (opening == m_openings.end() && message.refusal != OpeningRefusal::Returned && message.refusal != OpeningRefusal::WaitedTooLong)
         return;
+    // Another agent has admitted the flow meanwhile.
+    if (opening == m_openings.end() && m_state.holderCache.contains(message.flow))
+        return;
     if (opening == m_openings.end()) {
         // The agent had admitted the opening; since then its upstream has returned the packet, or its time in the agent's
         // queue has run out.
--- a/src/kingcuptraild/packets/lostcallers.cpp
+++ b/src/kingcuptraild/packets/lostcallers.cpp
@@ -3,7 +3,6 @@
 #include "libruntime/events.h"
 
 #include <algorithm>
-#include <unordered_set>
 
 namespace kingcuptrail {
 
@@ -19,15 +18,21 @@
 {
 }
 
-// Looks up the caller only while a data centre is silent, so that a packet costs nothing more in usual operation.
 void LostCallers::recordCaller(std::uint32_t address)
 {
-    if (!m_isAnySilent)
+    if (!isEnabled())
         return;
     const Millis now = m_state.role.clock.now();
     const auto dataCentre = servedBy(m_table, address, now);
     if (!dataCentre || *dataCentre == m_state.role.settings.dataCentre)
         return;
+    const auto since = recordSeenHere(m_table, address, now);
+    const auto health = m_state.dataCentreHealth.dataCentres.find(*dataCentre);
+    if (health == m_state.dataCentreHealth.dataCentres.end() || health->second.state == DataCentreState::Reachable)
+        return;
+    // The routers had moved the caller here while its data centre still answered.
+    if (since && *since <= health->second.heardAt)
+        return;
     ++m_reroutedPackets;
     recordReroutedCaller(m_state.dataCentreHealth, *dataCentre, address, now);
 }
@@ -65,9 +70,7 @@
             endResets(m_table, dataCentre);
         return isOver;
     });
-    m_isAnySilent = false;
     for (const auto& [dataCentre, record] : m_state.dataCentreHealth.dataCentres) {
-        m_isAnySilent = m_isAnySilent || record.state != DataCentreState::Reachable;
         if (record.state == DataCentreState::Lost && m_lost.insert(dataCentre).second)
             beginLoss(dataCentre, now);
     }
@@ -82,15 +85,11 @@
 // The entries are removed from the cache, since their agents would not get another packet.
 std::vector<CachedFlow> LostCallers::extractCachedFlows(const std::string& dataCentre)
 {
-    std::unordered_set<std::uint32_t> agents;
-    for (const auto& [name, entry] : m_state.network.directory().entries) {
-        if (entry.role == PeerRole::Agent && entry.dataCentre == dataCentre)
-            agents.insert(entry.address);
-    }
     std::vector<CachedFlow> flows;
     std::erase_if(m_state.holderCache, [&](const auto& item) {
         const auto& [flow, holder] = item;
-        const bool isLost = agents.contains(holder.agent);
+        const PeerEntry* agent = findByAddress(m_state.network.directory(), holder.agent);
+        const bool isLost = agent && agent->dataCentre == dataCentre;
         if (isLost && !holder.hasEnded)
             flows.push_back({ .reset = { .flow = flow, .acknowledged = holder.acknowledged }, .usedAt = holder.usedAt });
         return isLost;
--- a/src/kingcuptraild/packets/lostcallers.h
+++ b/src/kingcuptraild/packets/lostcallers.h
@@ -34,7 +34,6 @@
     PendingRequestTable m_table;
     /// The data centres whose loss is being handled.
     std::set<std::string> m_lost;
-    bool m_isAnySilent = false;
     Millis m_lastSweepAt = 0;
     EnumCounters<PendingReportOutcome> m_reported;
     std::uint64_t m_reroutedPackets = 0;
--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -136,6 +136,7 @@
         return;
     }
     const Millis now = m_state.role.clock.now();
+    discardOpening(m_state.unansweredOpenings, message.flow);
     const std::uint32_t index = markOf(m_state, sender);
     const std::uint64_t requestsBefore = m_state.flows.requests;
     const CallerPacketAction action = trackCallerPacket(m_state.flows, message.flow, *header, now, sender);
--- a/src/libdecision/boundedtable.h
+++ b/src/libdecision/boundedtable.h
@@ -46,6 +46,12 @@
         return found != m_positions.end() ? &found->second->second : nullptr;
     }
 
+    Value* find(const Key& key)
+    {
+        const auto found = m_positions.find(key);
+        return found != m_positions.end() ? &found->second->second : nullptr;
+    }
+
     /// Removes the entries whose value fulfils `predicate`.
     template <typename Predicate>
     void removeIf(Predicate predicate)
--- a/src/libdecision/bulkadmission.cpp
+++ b/src/libdecision/bulkadmission.cpp
@@ -72,7 +72,9 @@
     void endActivity(BulkAdmission& admission, ObservedFlow& observed, Millis now)
     {
         observed.isActive = false;
-        recordServiceTime(admission.placeTime, static_cast<double>(now - observed.activeSince), admission.options.timeWeight);
+        // A flow that no agent admitted says nothing about the time that an upload takes.
+        if (observed.dataSince > 0)
+            recordServiceTime(admission.placeTime, static_cast<double>(now - observed.activeSince), admission.options.timeWeight);
     }
 
     void endFlow(BulkAdmission& admission, const FlowKey& flow, ObservedFlow& observed, Millis now)
@@ -118,8 +120,14 @@
         } else if (now - observed.dataSince >= options.bulkSpan) {
             countFlow(admission, flow, observed, CountedAs::Small, now);
         }
-        if (!observed.isActive && (exceedsWindow || observed.isExpected))
+        if (!observed.isActive && (exceedsWindow || observed.isExpected)) {
             beginActivity(admission, flow, observed, now);
+        } else if (observed.isActive && !exceedsWindow && now - observed.activeSince >= options.bulkSpan) {
+            // A long flow that goes on with small requests does not keep its place.
+            endActivity(admission, observed, now);
+            std::erase(admission.active, flow);
+            observed.isBulk = false;
+        }
         observed.isExpected = false;
     }
 
@@ -172,6 +180,13 @@
         return std::max(placeWait, decayTime + static_cast<double>(admission.waiting.size()) * interval);
     }
 
+    // Without a latency target an opening could not wait for any time.
+    bool isLimitedRoute(const BulkAdmission& admission, const RouteTable& routes, const PacketEndpoint& address)
+    {
+        const FlowRoute* route = findRoute(routes, address);
+        return route && route->latencyTarget > 0 && isBulkRoute(admission, address);
+    }
+
     void endQuietFlows(BulkAdmission& admission, Millis now)
     {
         std::erase_if(admission.active, [&](const FlowKey& flow) {
@@ -258,7 +273,7 @@
         return BulkDecision::Admit;
     if (isWaiting(admission, flow))
         return BulkDecision::Wait;
-    const std::size_t limit = isBulkRoute(admission, flow.service) ? bulkFlowLimit(admission, routes) : 0;
+    const std::size_t limit = isLimitedRoute(admission, routes, flow.service) ? bulkFlowLimit(admission, routes) : 0;
     const auto known = admission.flows.find(flow);
     const bool wasRefused = known != admission.flows.end() && known->second.wasRefused;
     if (limit == 0 || (known != admission.flows.end() && !wasRefused))
@@ -338,7 +353,7 @@
     bool isBlocked = false;
     std::deque<WaitingBulkOpening> remaining;
     for (const WaitingBulkOpening& opening : admission.waiting) {
-        const bool isLimited = limit > 0 && isBulkRoute(admission, opening.flow.service);
+        const bool isLimited = limit > 0 && isLimitedRoute(admission, routes, opening.flow.service);
         isBlocked = isBlocked || (isLimited && !hasRoom(admission, limit, now));
         if (isLimited && isBlocked) {
             remaining.push_back(opening);
--- a/src/libdecision/bulkadmission.h
+++ b/src/libdecision/bulkadmission.h
@@ -159,7 +159,7 @@
     BulkInputs lastInputs;
 };
 
-/// Whether the link is so small that bulk flows are limited. Otherwise all functions below return at once.
+/// Whether the link is so small that bulk flows are limited. Otherwise the functions that decide and record return at once.
 inline bool isLimiting(const BulkAdmission& admission)
 {
     return admission.options.linkMegabits > 0 && admission.options.linkMegabits < admission.options.unlimitedMegabits;
@@ -198,7 +198,7 @@
 /// has ended belong to it too.
 bool isBulkFlow(const BulkAdmission&, const FlowKey&);
 
-/// Whether at least half of the recent flows to `address` were bulk.
+/// Whether at least `minRouteFlows` flows to `address` are known and at least half of the recent ones were bulk.
 bool isBulkRoute(const BulkAdmission&, const PacketEndpoint& address);
 
 /// How many bulk flows may be active at the same time; 0 when no route has a latency target.
--- a/src/libdecision/pendingrequests.cpp
+++ b/src/libdecision/pendingrequests.cpp
@@ -25,8 +25,10 @@
     {
         const PeerEntry* balancer = findByAddress(directory, request.balancer);
         // The last packet may have come from a neighbour of the agent that probed.
-        if (balancer && balancer->role == PeerRole::Balancer)
-            table.callers.store(request.flow.caller.address, { .dataCentre = balancer->dataCentre, .servedAt = now });
+        if (!balancer || balancer->role != PeerRole::Balancer)
+            return;
+        const ServedCaller* known = table.callers.find(request.flow.caller.address);
+        table.callers.store(request.flow.caller.address, { .dataCentre = balancer->dataCentre, .servedAt = now, .seenHereSince = known ? known->seenHereSince : std::nullopt, .seenHereAt = known ? known->seenHereAt : 0 });
     }
 
     PendingReportOutcome recordRequest(PendingRequestTable& table, const PendingRequest& request, const std::string& dataCentre, const ReportReceiver& receiver, Millis now)
@@ -60,6 +62,17 @@
     return caller->dataCentre;
 }
 
+std::optional<Millis> recordSeenHere(PendingRequestTable& table, std::uint32_t callerAddress, Millis now)
+{
+    ServedCaller* caller = table.callers.find(callerAddress);
+    if (!caller)
+        return std::nullopt;
+    if (!caller->seenHereSince || now - caller->seenHereAt > table.options.callerRetention)
+        caller->seenHereSince = now;
+    caller->seenHereAt = now;
+    return caller->seenHereSince;
+}
+
 LossExtent beginResets(PendingRequestTable& table, const std::string& dataCentre, std::span<const CachedFlow> cached, Millis now)
 {
     std::vector<ResetCandidate> candidates;
--- a/src/libdecision/pendingrequests.h
+++ b/src/libdecision/pendingrequests.h
@@ -6,6 +6,7 @@
 #include "routetable.h"
 
 #include <deque>
+#include <optional>
 #include <string>
 
 namespace kingcuptrail {
@@ -58,6 +59,10 @@
 struct ServedCaller {
     std::string dataCentre;
     Millis servedAt = 0;
+    /// Since when packets of this caller have arrived at this balancer without a gap of `callerRetention`, and when the last one
+    /// did; nothing if none has.
+    std::optional<Millis> seenHereSince;
+    Millis seenHereAt = 0;
 };
 
 /// A flow whose caller is to be reset.
@@ -108,6 +113,10 @@
 /// The data centre whose balancer recently served the caller with this address, or nothing.
 std::optional<std::string> servedBy(const PendingRequestTable&, std::uint32_t callerAddress, Millis now);
 
+/// Records that a packet of a caller arrived here. Returns since when its packets have arrived, or nothing for an unknown
+/// caller. One that came here while its data centre still answered does not show that the routers find no balancer there.
+std::optional<Millis> recordSeenHere(PendingRequestTable&, std::uint32_t callerAddress, Millis now);
+
 /// A flow in a balancer's own cache whose holder is in the lost data centre.
 struct CachedFlow {
     FlowReset reset;
--- a/src/libdecision/unansweredopenings.h
+++ b/src/libdecision/unansweredopenings.h
@@ -35,7 +35,7 @@
 /// Keeps the packet of an opening that is delivered. A copy replaces only the balancer.
 void keepOpening(UnansweredOpenings&, const UnansweredOpening&);
 
-/// Removes an opening, since the upstream has answered it.
+/// Removes an opening, since the upstream has answered it or its caller has gone on.
 void discardOpening(UnansweredOpenings&, const FlowKey&);
 
 /// Removes openings that exceed the age limit.
--- a/tests/packets/testbulkadmission.cpp
+++ b/tests/packets/testbulkadmission.cpp
@@ -17,6 +17,8 @@
     CPPUNIT_TEST(flowsFromAnotherBalancerCount);
     CPPUNIT_TEST(callerThatLeavesSilentlyGivesUpItsPlace);
     CPPUNIT_TEST(flowWithManySmallRequestsIsNotBulk);
+    CPPUNIT_TEST(longFlowGivesUpItsPlace);
+    CPPUNIT_TEST(routeWithoutTargetIsNotLimited);
     CPPUNIT_TEST(nothingIsLimitedWithoutASmallLink);
     CPPUNIT_TEST(stateIsBounded);
     CPPUNIT_TEST_SUITE_END();
@@ -82,6 +84,32 @@
         return flows;
     }
 
+    // Guards against uploads that are refused on an idle link, because a flow that once carried much goes on with small requests.
+    void longFlowGivesUpItsPlace()
+    {
+        learnUploads();
+        const FlowKey flow = newFlow(feedPort);
+        for (int packet = 0; packet < 20; ++packet)
+            send(flow, fullPacket);
+        CPPUNIT_ASSERT(isBulkFlow(m_admission, flow) && m_admission.active.size() == 1);
+        for (int request = 0; request < 10; ++request) {
+            m_now += 200;
+            send(flow, 200);
+        }
+        CPPUNIT_ASSERT(!isBulkFlow(m_admission, flow) && m_admission.active.empty());
+    }
+
+    // Guards against uploads that may not wait at all, and against a wrong reason for an address without a route.
+    void routeWithoutTargetIsNotLimited()
+    {
+        learnUploads();
+        fillPlaces();
+        m_routes.routes[0].latencyTarget = 0;
+        CPPUNIT_ASSERT(open(newFlow(uploadPort)) == BulkDecision::Admit);
+        m_routes.routes.erase(m_routes.routes.begin());
+        CPPUNIT_ASSERT(open(newFlow(uploadPort)) == BulkDecision::Admit);
+    }
+
     // Guards against windows of uploads that fill the link together, at three times the usual rate (15 a second): at most
     // three are active, all others are admitted or refused within 200 ms, and feed requests pass untouched.
     void uploadsAtThreeTimesTheUsualRateLeaveRoom()
--- a/tests/packets/testpendingrequests.cpp
+++ b/tests/packets/testpendingrequests.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(lossOfPowerResetsSilentCallers);
     CPPUNIT_TEST(fullTableDropsOldest);
     CPPUNIT_TEST(recordsEndWithTimeout);
+    CPPUNIT_TEST(callersMovedBeforeTheSilenceAreKnown);
     CPPUNIT_TEST(foreignReportsAreRefused);
     CPPUNIT_TEST(staleReportAfterLossIsRefused);
     CPPUNIT_TEST(returningDataCentreKeepsItsFlows);
@@ -211,6 +212,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 0 }, table.callers.size());
     }
 
+    // The balancers of a data centre were restarted, and its callers were moved here for a while. Guards against taking them for
+    // evidence of a loss when the link to that data centre is cut later.
+    void callersMovedBeforeTheSilenceAreKnown()
+    {
+        PendingRequestTable table;
+        receive(table, northAgent, { requestOf(1) }, 100);
+        const std::uint32_t caller = flowOf(1).caller.address;
+        CPPUNIT_ASSERT(!recordSeenHere(table, caller + 1, 200));
+        CPPUNIT_ASSERT(recordSeenHere(table, caller, 200) == 200);
+        receive(table, northAgent, { requestOf(1) }, 5000);
+        CPPUNIT_ASSERT(recordSeenHere(table, caller, 9000) == 200);
+        CPPUNIT_ASSERT(recordSeenHere(table, caller, 19001) == 19001);
+    }
+
     // Guards against hosts that have callers reset by a forged report, and against records that no loss could ever use.
     void foreignReportsAreRefused()
     {
