--- a/tests/trustplatform/testlostcallers.cpp
+++ b/tests/trustplatform/testlostcallers.cpp
@@ -28,7 +28,11 @@
             , network(context, settings, clock)
         {
             settings.packets.seeds = { { host(1), port } };
-            CPPUNIT_ASSERT(network.start({ .onFlowMessage = [](const PeerMessage&, std::uint32_t) {}, .onOutages = [](const std::vector<std::string>&) {} }));
+            const auto answerPing = [this](const PeerMessage& message, std::uint32_t sender) {
+                if (message.kind == wire::PeerKind::Ping)
+                    network.send(sender, { .kind = wire::PeerKind::Load });
+            };
+            CPPUNIT_ASSERT(network.start({ .onFlowMessage = answerPing, .onOutages = [](const std::vector<std::string>&) {} }));
             network.announce(entry);
         }
 
