--- a/src/kingcuptraild/packets/flowholders.h
+++ b/src/kingcuptraild/packets/flowholders.h
@@ -33,7 +33,7 @@
     Millis usedAt = 0;
     /// The number that the caller last acknowledged in a packet that arrived here; 0 if there was none. A reset needs it.
     std::uint32_t acknowledged = 0;
-    /// The caller has sent its last packet with data or a reset here, so that a reset would mean nothing to it.
+    /// The caller has ended or reset the flow here; a reset would mean nothing to it.
     bool hasEnded = false;
 };
 
--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -437,12 +437,8 @@
         m_shutdownTimer.start(tickInterval, [this, done = std::move(done)] { shutDown(done); });
         return;
     }
-    if (!isUpstreamGone(now)) {
-        done();
-        return;
-    }
     const PeerEntry entry = lastEntry();
-    if (entry.name.empty()) {
+    if (!isUpstreamGone(now) || entry.name.empty()) {
         done();
         return;
     }
--- a/src/libdecision/agentflows.h
+++ b/src/libdecision/agentflows.h
@@ -166,9 +166,8 @@
 
 /// Removes every flow, since the upstream's process has ended, and returns those that are open and have to be reset. An
 /// opening that its caller has not completed is not returned: the caller may have accepted another upstream's answer and
-/// hold the flow there. Nor is a flow returned that was learnt after `learntUntil`: an upstream that has ended returns no
-/// packets, so that any flow, also one that is held elsewhere, may have been taken for one of its own. The table is complete
-/// afterwards, since the agent sees every flow of the new process.
+/// hold the flow there. Flows learnt after `learntUntil` are left out: an upstream that has ended returns no packets,
+/// so such a flow may be held elsewhere. The table is complete afterwards, since the agent sees every flow of the new process.
 std::vector<LostFlow> extractLostFlows(AgentFlows&, Millis learntUntil = std::numeric_limits<Millis>::max());
 
 /// Stops counting flows as work whose time has expired.
--- a/src/libdecision/bulkadmission.cpp
+++ b/src/libdecision/bulkadmission.cpp
@@ -88,7 +88,7 @@
         observed.hasEnded = true;
     }
 
-    // Adds to the bytes of the last half to whole `bulkSpan`. Two halves bound the error of the span without a list of packets.
+    // Counts bytes in two halves of `bulkSpan`, so that the sum covers between half of it and all, without a list of packets.
     void addBytes(ObservedFlow& observed, Millis half, double bytes, Millis now)
     {
         const Millis age = now - observed.halfSince;
--- a/src/libdecision/bulkadmission.h
+++ b/src/libdecision/bulkadmission.h
@@ -53,7 +53,7 @@
     /// The maximum number of observed flows, about 100 bytes each. 1,700 flows per second, each observed for `idleLimit` and
     /// `sweepInterval` at most, which is more than a balancer with a tenth of a core serves.
     std::size_t maxFlows = 4096;
-    /// The maximum number of routes with counts; the one without a count for the longest time is replaced. Deployments have
+    /// The maximum number of routes with counts; the one whose counts were halved least recently is replaced. Deployments have
     /// fewer than ten.
     std::size_t maxRoutes = 64;
     /// Flows of a route that must be known before it is judged. An end user's request and its two repetitions are three
@@ -69,7 +69,7 @@
     double timeWeight = 0.125;
 };
 
-/// Whether an observed flow has been counted in the totals of its route.
+/// As what a flow was last counted in the totals of its route.
 enum class CountedAs : std::uint8_t {
     Nothing,
     Small,
--- a/src/libdecision/datacentrehealth.h
+++ b/src/libdecision/datacentrehealth.h
@@ -15,7 +15,8 @@
     /// Nothing is received and pings are unanswered. A frozen, slow or cut-off data centre looks the same and keeps its
     /// flows.
     Silent,
-    /// Silent, and the routers send its callers here because no balancer there is ready: its flows are gone.
+    /// Silent, and the routers send its callers here because no balancer there is ready. Its flows are given up: no process
+    /// that could carry them answers.
     Lost,
 };
 
--- a/src/libdecision/flowadmission.h
+++ b/src/libdecision/flowadmission.h
@@ -144,7 +144,8 @@
 /// process.
 bool applyShutdownNotice(FlowAdmission&, std::string_view id);
 
-/// Records that the upstream's process was found to have ended. It gets no openings until the next report of another process.
+/// Records that the upstream's process was found to have ended. It gets no openings until another process
+/// reports, or until a report of the same one arrives after `lateReportLimit`, which shows that it runs.
 void recordUpstreamEnd(FlowAdmission&, Millis now);
 
 /// Whether the upstream accepts new flows, judged by its reports and a recorded end.
--- a/src/libdecision/upstreamend.h
+++ b/src/libdecision/upstreamend.h
@@ -57,7 +57,7 @@
 /// Whether there are unanswered packets whose age has to be checked regularly.
 bool needsCheck(const UpstreamEndDetection&);
 
-/// Begins regular checks.
+/// Starts the clock by which a pause between two checks is detected.
 void beginChecks(UpstreamEndDetection&, Millis now);
 
 /// One of the regular checks: whether to try a connection to the upstream now.
