--- a/src/libdecision/pendingrequests.cpp
+++ b/src/libdecision/pendingrequests.cpp
@@ -93,7 +93,7 @@
         known.insert(waiting.reset.flow);
     std::erase_if(candidates, [&known](const ResetCandidate& candidate) { return !known.insert(candidate.waiting.reset.flow).second; });
     // Callers of reported requests wait for an answer; most of the cached flows are idle.
-    std::ranges::stable_partition(candidates, [&pending](const ResetCandidate& candidate) { return pending.contains(candidate.waiting.reset.flow); });
+    std::stable_partition(candidates.begin(), candidates.end(), [&pending](const ResetCandidate& candidate) { return pending.contains(candidate.waiting.reset.flow); });
     candidates.resize(std::min(candidates.size(), table.options.maxResets - std::min(table.options.maxResets, table.resets.size())));
     extent.resets = candidates.size();
     for (ResetCandidate& candidate : candidates)
