--- a/src/libruntime/settings.cpp
+++ b/src/libruntime/settings.cpp
@@ -5,6 +5,7 @@
 
 #include <asio/ip/address.hpp>
 #include <charconv>
+#include <cstdlib>
 #include <nlohmann/json.hpp>
 
 namespace kingcuptrail {
@@ -17,6 +18,10 @@
     constexpr std::size_t maxSettingsBytes = std::size_t { 64 } * 1024;
     /// A link is closed only after at least two heartbeats are missing, since one may be late on a busy host.
     constexpr Millis heartbeatsInSilence = 2;
+    /// Environment variable that sets packets.toleratedDataCentreLosses where the file does not. A fleet that is upgraded host
+    /// by host may share one settings file with processes of an earlier version, which refuse a field that they do not know.
+    constexpr const char* toleratedLossesVariable = "KINGCUPTRAIL_TOLERATED_LOSSES";
+    constexpr std::size_t maxToleratedLosses = 16;
 
     enum class PortRule : std::uint8_t {
         /// 0 lets the operating system choose a port; used by tests.
@@ -110,6 +115,17 @@
             return agent;
         }
 
+        std::size_t readToleratedLosses(std::string_view text)
+        {
+            std::size_t losses = 0;
+            const auto parsed = std::from_chars(text.data(), text.data() + text.size(), losses);
+            const bool isNumber = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
+            if (isNumber && losses <= maxToleratedLosses)
+                return losses;
+            addFault(FaultKind::OutOfRange, "/packets/toleratedDataCentreLosses", std::string(toleratedLossesVariable) + " must be a number from 0 to 16.");
+            return 0;
+        }
+
         PacketSettings readPackets(const json& object)
         {
             PacketSettings packets;
@@ -119,6 +135,8 @@
                 packets.linkMegabits = object["linkMegabits"].get<double>();
             if (object.contains("toleratedDataCentreLosses"))
                 packets.toleratedDataCentreLosses = object["toleratedDataCentreLosses"].get<std::size_t>();
+            else if (const char* losses = std::getenv(toleratedLossesVariable))
+                packets.toleratedDataCentreLosses = readToleratedLosses(losses);
             packets.ready = readEndpoint(object, "/packets", "ready", PortRule::MayBeZero);
             packets.ingress = readEndpoint(object, "/packets", "ingress", PortRule::MustBeSet);
             readOptionalEndpoint(object, "upstream", packets.upstream);
--- a/tests/runtime/testsettings.cpp
+++ b/tests/runtime/testsettings.cpp
@@ -119,6 +119,17 @@
             CPPUNIT_ASSERT_EQUAL(std::string("/packets/toleratedDataCentreLosses"), faults.back().place);
         }
         faults.clear();
+        std::string unset = balancer;
+        const std::string field = R"(,"toleratedDataCentreLosses":2)";
+        unset.erase(unset.find(field), field.size());
+        for (const auto& [variable, expected] : { std::pair { "1", 1 }, std::pair { "17", -1 }, std::pair { "x", -1 } }) {
+            setenv("KINGCUPTRAIL_TOLERATED_LOSSES", variable, 1);
+            const auto byEnvironment = parseSettings(unset, faults);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(variable, expected, byEnvironment ? static_cast<int>(byEnvironment->packets.toleratedDataCentreLosses) : -1);
+            CPPUNIT_ASSERT(parseSettings(balancer, faults)->packets.toleratedDataCentreLosses == 2);
+        }
+        unsetenv("KINGCUPTRAIL_TOLERATED_LOSSES");
+        faults.clear();
         std::string agent = balancer;
         agent.replace(agent.find("packetBalancer"), 14, "packetAgent");
         CPPUNIT_ASSERT(!parseSettings(agent, faults));
