--- a/src/kingcuptrailctl/explanations.cpp
+++ b/src/kingcuptrailctl/explanations.cpp
@@ -115,6 +115,7 @@
         { "As many agents as are asked have refused the opening. The request did not run.", "lastRefusal in the log line is the reason of the last one." },
         { "Every agent answered that it does not hold the flow, so the balancer reset it.", "Find the end of the upstream's process that held it: the flow's line flowAdmitted names it." },
         { "The balancer's link had no room for one more large upload. The request did not run.", "Nothing if it is rare: callers try again through another balancer. If it is frequent, compare kingcuptrail_link_use of the balancers; add balancers or larger links, and check that packets.linkMegabits is right." },
+        { "The agent of the flow is in a data centre that is lost, so a balancer of another data centre reset the flow.", "Look at dataCentreLost of that balancer and check the power of the data centre." },
     } };
 
     constexpr Table<ChildFailure> children { {
