--- a/src/libdecision/pendingrequests.h
+++ b/src/libdecision/pendingrequests.h
@@ -12,8 +12,8 @@
 namespace kingcuptrail {
 
 struct PendingRequestOptions {
-    /// How long a record is kept when the timeout of its route is not known, in milliseconds: the longest deadline of the
-    /// deployments that this was made for is 4 s.
+    /// How long a record is kept when the timeout of its route is not known, in milliseconds. Callers wait for an
+    /// answer to most requests for 1 to 4 s.
     Millis defaultTimeout = 4000;
     /// How long it is remembered which data centre served a caller, in milliseconds. Callers of a data centre that is lost
     /// arrive here within about two seconds, when routers have noticed it.
