--- a/src/kingcuptraild/packets/flowlearning.cpp
+++ b/src/kingcuptraild/packets/flowlearning.cpp
@@ -53,7 +53,7 @@
 void FlowLearning::learnUnreturnedFlows()
 {
     const Millis now = m_state.role.clock.now();
-    const bool isUpstreamAlive = m_state.flowAdmission.upstream && !m_state.flowAdmission.endedAt && now - m_state.flowAdmission.reportedAt <= m_state.flowAdmission.options.reportLimit;
+    const bool isUpstreamAlive = isRunning(m_state.flowAdmission, now);
     for (const auto& [flow, check] : m_pendingChecks) {
         if (now - check.since < returnTimeout || !isUpstreamAlive)
             continue;
--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -32,9 +32,6 @@
     /// How long an agent that shuts down keeps checking whether it has an upstream, in milliseconds: the time of the first
     /// refused connections and a few ticks.
     constexpr Millis upstreamCheckTime = 600;
-    /// How long before an address may be reused by another upstream the agent stops sending to it, in milliseconds. A packet
-    /// is delivered within a few milliseconds.
-    constexpr Millis addressReuseMargin = 100;
 
     HttpResponse jsonReply(int status, std::string body)
     {
@@ -50,13 +47,14 @@
     , m_learning(m_state)
     , m_pendingReporter(m_state)
     , m_announcement(role.context, role.platform)
-    , m_untrackedFlows { .startedAtWall = unixMillis() }
+    , m_untrackedFlows { .options = untrackedFlowsOptions(role.settings.packets.reportInterval), .startedAtWall = unixMillis() }
     , m_connectCheck(role.context)
     , m_endWatch(m_state, m_untrackedFlows, [this] { handleUpstreamEnd(); })
+    , m_connection(m_state, [this] { handleUpstreamEnd(); })
     , m_tickTimer(role.context)
     , m_shutdownTimer(role.context)
 {
-    m_state.flowAdmission.options.reportLimit = role.settings.packets.addressReuse - addressReuseMargin;
+    m_state.flowAdmission.evidence.options = evidenceOptions(role.settings.packets.addressReuse, role.settings.packets.reportInterval);
     m_state.flows.completeAt = m_state.startedAt + m_state.flows.options.idleLimit;
     const bool hasPeers = m_state.network.start({
         .onFlowMessage = [this](const PeerMessage& message, std::uint32_t sender) { handleFlowMessage(message, sender); },
@@ -189,6 +187,9 @@
         handleReturned(flow, packet, *header);
         return;
     }
+    // Packets that waited in the socket during a pause of this process are as old as the pause.
+    if (!m_state.network.mayBeStale() && showsSameProcess(m_state.flows, flow, *header))
+        recordHeard(m_state.flowAdmission.evidence, now);
     const UpstreamPacketEffect effect = trackUpstreamPacket(m_state.flows, flow, *header, now);
     updateHealth(effect, now);
     if (effect.answerTime) {
@@ -340,7 +341,7 @@
     recordShutdown(m_untrackedFlows);
     const std::size_t resets = resetLostFlows(m_state, FlowLoss::UpstreamEnded);
     const std::size_t returned = m_admission.returnOpenings();
-    logEvent(Event::UpstreamEnded, { { "upstream", m_state.flowAdmission.upstream->id }, { "unanswered", signs.unanswered }, { "unansweredFor", static_cast<std::uint64_t>(now - signs.unansweredSince) }, { "refusals", signs.refusals }, { "reportAge", static_cast<std::uint64_t>(now - m_state.flowAdmission.reportedAt) }, { "resets", resets }, { "openingsReturned", returned } });
+    logEvent(Event::UpstreamEnded, { { "upstream", m_state.flowAdmission.upstream->id }, { "unanswered", signs.unanswered }, { "unansweredFor", static_cast<std::uint64_t>(now - signs.unansweredSince) }, { "refusals", std::max(signs.refusals, m_state.flowAdmission.evidence.refusals) }, { "reportAge", static_cast<std::uint64_t>(now - m_state.flowAdmission.reportedAt) }, { "resets", resets }, { "openingsReturned", returned } });
     announceState();
 }
 
@@ -383,6 +384,7 @@
     sweepFlows(m_state.flows, now);
     m_neighbours.expire(now);
     checkUpstreamPresence(now);
+    m_connection.tick(now);
     checkUnansweredRequests(now);
     announceState();
     m_admission.admitWaiting();
@@ -488,6 +490,7 @@
     m_pendingReporter.exposeMetrics(out);
     m_state.answerTimes.expose(out, "kingcuptrail_answer_milliseconds", "Time from an opening's delivery, or a request's first packet on an open flow, to the answer's first data, in milliseconds.");
     m_endWatch.exposeMetrics(out);
+    m_connection.exposeMetrics(out);
     exposeCounters(out, "kingcuptrail_flows_reset_total", "Flows reset since their upstream's process ended, by how this was found.", m_state.resetFlows);
     exposeGauge(out, "kingcuptrail_open_flows", "Flows that the upstream holds.", m_state.flows.open);
     exposeGauge(out, "kingcuptrail_requests_at_work", "Requests that the upstream has not answered yet.", m_state.flows.atWork);
--- a/src/kingcuptraild/packets/packetagent.h
+++ b/src/kingcuptraild/packets/packetagent.h
@@ -8,6 +8,7 @@
 #include "pendingreporter.h"
 #include "storefollower.h"
 #include "upstreamconnectcheck.h"
+#include "upstreamconnection.h"
 #include "upstreamendwatch.h"
 
 namespace kingcuptrail {
@@ -60,6 +61,7 @@
     UntrackedFlows m_untrackedFlows;
     UpstreamConnectCheck m_connectCheck;
     UpstreamEndWatch m_endWatch;
+    UpstreamConnection m_connection;
     bool m_isStarted = false;
     Delay m_tickTimer;
     Delay m_shutdownTimer;
--- a/src/libdecision/agentflows.cpp
+++ b/src/libdecision/agentflows.cpp
@@ -152,6 +152,12 @@
     return std::nullopt;
 }
 
+bool showsSameProcess(const AgentFlows& table, const FlowKey& key, const PacketHeader& header)
+{
+    const auto found = table.flows.find(key);
+    return found != table.flows.end() && found->second.phase != FlowPhase::Opening && !header.flags.opens && !header.flags.resets;
+}
+
 UpstreamPacketEffect trackUpstreamPacket(AgentFlows& table, const FlowKey& key, const PacketHeader& header, Millis now)
 {
     UpstreamPacketEffect effect { .isAnswer = header.flags.opens && header.flags.acknowledges };
--- a/src/libdecision/agentflows.h
+++ b/src/libdecision/agentflows.h
@@ -136,6 +136,10 @@
 /// without finding it.
 std::optional<HolderAnswer> answerToProbe(CallerPacketAction);
 
+/// Whether a packet from the upstream can come only from the process that accepted this flow. The answer to an opening can
+/// come from any process at the upstream's address.
+bool showsSameProcess(const AgentFlows&, const FlowKey&, const PacketHeader&);
+
 /// What a packet from the upstream changed in its flow's state.
 struct UpstreamPacketEffect {
     /// The flow was not in the table; the upstream held it before this process started.
--- a/src/libdecision/flowadmission.cpp
+++ b/src/libdecision/flowadmission.cpp
@@ -17,7 +17,7 @@
     {
         if (admission.isLeaving)
             return OpeningRefusal::AgentLeaving;
-        if (!admission.upstream || admission.endedAt || now - admission.reportedAt > admission.options.reportLimit)
+        if (!isRunning(admission, now) || !isResponsive(admission.evidence, now))
             return OpeningRefusal::NoUpstream;
         if (admission.upstream->isDraining)
             return OpeningRefusal::UpstreamDraining;
@@ -93,6 +93,7 @@
     admission.endedAt.reset();
     admission.upstream = report;
     admission.reportedAt = now;
+    recordHeard(admission.evidence, now);
     admission.coldUntil = now + report.coldLeft;
     return effect;
 }
@@ -110,9 +111,19 @@
     admission.endedAt = now;
 }
 
+bool isRunning(const FlowAdmission& admission, Millis now)
+{
+    return admission.upstream && !admission.endedAt && isSameProcess(admission.evidence, now);
+}
+
+bool takesFlows(const FlowAdmission& admission)
+{
+    return admission.upstream && !admission.endedAt && !admission.upstream->isDraining;
+}
+
 bool isServing(const FlowAdmission& admission, Millis now)
 {
-    return admission.upstream && !admission.endedAt && !admission.upstream->isDraining && now - admission.reportedAt <= admission.options.reportLimit;
+    return takesFlows(admission) && isRunning(admission, now) && isResponsive(admission.evidence, now);
 }
 
 void assumeCold(FlowAdmission& admission, const RouteTable& routes, Millis now)
--- a/src/libdecision/flowadmission.h
+++ b/src/libdecision/flowadmission.h
@@ -2,6 +2,7 @@
 
 #include "enumnames.h"
 #include "routetable.h"
+#include "upstreamevidence.h"
 
 #include <deque>
 #include <optional>
@@ -78,9 +79,6 @@
 };
 
 struct FlowAdmissionOptions {
-    /// An upstream that sends no report for longer gets no new flow, in milliseconds. Shorter than the time after which its
-    /// address may belong to another service, longer than a heartbeat interval.
-    Millis reportLimit = 1900;
     /// Requests per slot that may run or wait at the upstream before openings wait at the agent instead. With two, the next
     /// request is already there when a slot becomes free, so that no slot is idle for a round trip to the caller.
     double workPerSlot = 2.0;
@@ -97,6 +95,8 @@
     FlowAdmissionOptions options;
     std::optional<UpstreamReport> upstream;
     Millis reportedAt = 0;
+    /// Until when the process that sent the last report is known to be the one at its address.
+    UpstreamEvidence evidence;
     /// When the upstream's process was found to have ended; empty once a report shows that a process is running.
     std::optional<Millis> endedAt;
     /// Until when the upstream is cold, by this process's clock.
@@ -148,7 +148,14 @@
 /// reports, or until a report of the same one arrives after `lateReportLimit`, which shows that it runs.
 void recordUpstreamEnd(FlowAdmission&, Millis now);
 
-/// Whether the upstream accepts new flows, judged by its reports and a recorded end.
+/// Whether the process that sent the last report is known to run, so that it holds its flows.
+bool isRunning(const FlowAdmission&, Millis now);
+
+/// Whether the upstream is one to send new flows to, apart from the age of what is known of it: it has reported, and has
+/// neither ended nor announced that it shuts down.
+bool takesFlows(const FlowAdmission&);
+
+/// Whether the upstream accepts new flows, judged by its reports, by what shows that its process runs, and by a recorded end.
 bool isServing(const FlowAdmission&, Millis now);
 
 /// Treats the upstream as cold for the whole warm-up time until a report says how long it really stays cold. Used when it
--- a/src/libdecision/untrackedflows.cpp
+++ b/src/libdecision/untrackedflows.cpp
@@ -23,6 +23,16 @@
 
 }
 
+UntrackedFlowsOptions untrackedFlowsOptions(Millis reportInterval)
+{
+    constexpr Millis reportTimeout = 1000;
+    constexpr Millis missingReports = 3;
+    UntrackedFlowsOptions options;
+    options.laterConnectDelay = std::max(options.laterConnectDelay, reportInterval + reportInterval / 2);
+    options.silenceLimit = std::max(options.silenceLimit, missingReports * reportInterval + reportTimeout);
+    return options;
+}
+
 void recordReport(UntrackedFlows& untracked, const UpstreamReport& report, bool isNewProcess)
 {
     untracked.isKnownNew = untracked.isKnownNew || isNewProcess || (!untracked.hasReport && showsNewUpstream(untracked, report));
--- a/src/libdecision/untrackedflows.h
+++ b/src/libdecision/untrackedflows.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connectionoutcome.h"
 #include "flowadmission.h"
 
 namespace kingcuptrail {
@@ -15,20 +16,23 @@
     /// If no report arrives, the agent tries to connect to its upstream after this long, in milliseconds. A new upstream
     /// reports at once.
     Millis firstConnectDelay = 200;
-    /// The same delay after the last report, in milliseconds. Longer than a heartbeat interval.
+    /// The same delay after the last report, in milliseconds. Longer than a report interval.
     Millis laterConnectDelay = 2000;
     /// Number of refused connections, and minimum time between the first and the last in milliseconds, after which the
     /// upstream counts as gone. At least two, since an upstream that starts begins to listen a moment later.
     std::uint32_t minRefusals = 2;
     Millis refusalSpan = 100;
     /// An upstream that has sent nothing for this long counts as gone, in milliseconds of the agent's running time. Longer
-    /// than several heartbeat intervals, since a heartbeat may wait a second for an answer on a dead connection.
+    /// than several report intervals, since a report may wait a second for an answer on a dead connection.
     Millis silenceLimit = 4000;
     /// The time between two calls of recordListening() counts up to this limit, in milliseconds. A longer gap means that the
     /// process was paused and did not listen.
     Millis maxGap = 200;
 };
 
+/// The limits for an upstream that reports at this interval, in milliseconds.
+UntrackedFlowsOptions untrackedFlowsOptions(Millis reportInterval);
+
 /// Decides whether the upstream may hold flows from before the agent's start, which the agent has not seen. After a power
 /// failure of all hosts some agents start without an upstream, because it was being stopped, or receive its second report
 /// first. Unless such an agent can deny a flow, no search for a lost flow in the deployment ends with certainty, and the
@@ -57,17 +61,6 @@
 /// Records the upstream's notice that it shuts down, or that its process was found to have ended.
 void recordShutdown(UntrackedFlows&);
 
-enum class ConnectionOutcome : std::uint8_t {
-    Accepted,
-    Refused,
-    Unclear,
-};
-
-template <>
-struct EnumNames<ConnectionOutcome> {
-    static constexpr std::array<std::string_view, 3> names { "accepted", "refused", "unclear" };
-};
-
 /// Records the outcome of a connection attempt to the upstream.
 void recordConnection(UntrackedFlows&, ConnectionOutcome, Millis now);
 
--- /dev/null
+++ b/src/libdecision/upstreamevidence.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "connectionoutcome.h"
+#include "ids.h"
+
+#include <optional>
+
+namespace kingcuptrail {
+
+struct UpstreamEvidenceOptions {
+    /// How long the process that was last known to run at the upstream's address is certainly the only one there, in
+    /// milliseconds. Later the address may belong to an upstream of another service.
+    Millis reuseLimit = 1900;
+    /// An upstream that has sent neither a report nor a packet for longer gets no new flow, in milliseconds. A frozen process
+    /// keeps its connections, so they do not show that it works.
+    Millis silenceLimit = 1900;
+    /// How long before `reuseLimit` a connection to the upstream is tried, in milliseconds: enough for several attempts.
+    Millis connectLead = 500;
+    /// Minimum time between two attempts, and between the refusals that show the upstream's end, in milliseconds.
+    Millis connectInterval = 100;
+    std::uint32_t minRefusals = 2;
+};
+
+/// When the upstream's process was last known to run. A report shows it for `reuseLimit`. Upstreams may report less often than
+/// that; between two reports packets of flows that the process holds and an idle connection to it show that it has not been
+/// replaced. The connection's end is certain, since the upstream runs on the agent's host, and a new one proves the same
+/// process only while the address cannot have been reused. The connection is opened only when nothing else is recent, since
+/// each one costs the upstream work.
+struct UpstreamEvidence {
+    UpstreamEvidenceOptions options;
+    Millis runningAt = 0;
+    /// When the last report or packet arrived.
+    Millis heardAt = 0;
+    bool isConnected = false;
+    bool isConnecting = false;
+    /// A connection has ended and no other one has been tried since.
+    bool hasLostConnection = false;
+    std::optional<Millis> attemptedAt;
+    std::uint32_t refusals = 0;
+};
+
+/// Whether the identity of an upstream that reports at this interval can be known all the time, in milliseconds. When the
+/// address may be reused sooner than a connection can be checked several times, reports have to come more often than that.
+bool canBridgeReports(Millis addressReuse, Millis reportInterval);
+
+/// The limits for an address that may be reused after `addressReuse` and an upstream that reports each `reportInterval`, in
+/// milliseconds.
+UpstreamEvidenceOptions evidenceOptions(Millis addressReuse, Millis reportInterval);
+
+/// Records a report, or a packet that only the process that was known before can have sent.
+void recordHeard(UpstreamEvidence&, Millis now);
+
+/// Whether to try a connection to the upstream now.
+bool shouldConnect(const UpstreamEvidence&, Millis now);
+void recordConnecting(UpstreamEvidence&, Millis now);
+
+/// Records the outcome of that attempt. An accepted connection is to be kept while `isConnected` is set afterwards. Returns
+/// whether refusals show that the upstream's process has ended.
+bool recordConnectOutcome(UpstreamEvidence&, ConnectionOutcome, Millis now);
+
+/// Record a check of the connection: it is still open, or it has ended since the last check.
+void recordStillConnected(UpstreamEvidence&, Millis now);
+void recordDisconnected(UpstreamEvidence&);
+
+/// Whether the process that reported last is the one at the upstream's address.
+bool isSameProcess(const UpstreamEvidence&, Millis now);
+
+/// Whether the upstream has been heard recently enough to get new flows.
+bool isResponsive(const UpstreamEvidence&, Millis now);
+
+}
--- a/src/libruntime/events.cpp
+++ b/src/libruntime/events.cpp
@@ -106,7 +106,7 @@
             "Check the upstream's process. Requests on its open flows are aborted or get no answer; new flows go to other upstreams." },
         { Event::UpstreamAnswersAgain, EventLevel::Info, "upstreamAnswersAgain", "A failing upstream answered a request; it gets openings again.",
             "Nothing." },
-        { Event::UpstreamEnded, EventLevel::Warning, "upstreamEnded", "The upstream's process ended without a notice: packets to it are unanswered, and its address refuses connections. Its flows were reset, and openings that it had not answered were handed back.",
+        { Event::UpstreamEnded, EventLevel::Warning, "upstreamEnded", "The upstream's process ended without a notice: packets to it are unanswered or nothing has been heard from it, and its address refuses connections. Its flows were reset, and openings that it had not answered were handed back.",
             "Check why the upstream's process ended; its host or supervisor has to start it again. New flows go to other upstreams until a new process reports." },
         { Event::WrongServicePacket, EventLevel::Error, "wrongServicePacket", "A packet for another service arrived; the agent refused it and did not pass it to the upstream.",
             "Check whether two services share one address, or whether a balancer uses a very old configuration: compare the versions in kingcuptrailctl status." },
--- a/src/libruntime/settings.cpp
+++ b/src/libruntime/settings.cpp
@@ -1,5 +1,6 @@
 #include "settings.h"
 
+#include "libdecision/upstreamevidence.h"
 #include "libplatform/schemacheck.h"
 #include "settingsschema.h"
 
@@ -18,10 +19,16 @@
     constexpr std::size_t maxSettingsBytes = std::size_t { 64 } * 1024;
     /// A link is closed only after at least two heartbeats are missing, since one may be late on a busy host.
     constexpr Millis heartbeatsInSilence = 2;
-    /// Environment variable that sets packets.toleratedDataCentreLosses where the file does not. A fleet that is upgraded host
-    /// by host may share one settings file with processes of an earlier version, which refuse a field that they do not know.
-    constexpr const char* toleratedLossesVariable = "KINGCUPTRAIL_TOLERATED_LOSSES";
-    constexpr std::size_t maxToleratedLosses = 16;
+    /// A field of packets that an environment variable sets where the file does not. A fleet that is upgraded host by host may
+    /// share one settings file with processes of an earlier version, which refuse a field that they do not know.
+    struct EnvironmentNumber {
+        const char* field;
+        const char* variable;
+        std::uint64_t min;
+        std::uint64_t max;
+    };
+    constexpr EnvironmentNumber toleratedLosses { .field = "toleratedDataCentreLosses", .variable = "KINGCUPTRAIL_TOLERATED_LOSSES", .min = 0, .max = 16 };
+    constexpr EnvironmentNumber reportInterval { .field = "reportIntervalMs", .variable = "KINGCUPTRAIL_REPORT_INTERVAL_MS", .min = 10, .max = 600000 };
 
     enum class PortRule : std::uint8_t {
         /// 0 lets the operating system choose a port; used by tests.
@@ -115,15 +122,22 @@
             return agent;
         }
 
-        std::size_t readToleratedLosses(std::string_view text)
+        /// The number in the object, or that of the environment; `fallback` when neither is set or the latter is invalid.
+        std::uint64_t readNumber(const json& object, const EnvironmentNumber& source, std::uint64_t fallback)
         {
-            std::size_t losses = 0;
-            const auto parsed = std::from_chars(text.data(), text.data() + text.size(), losses);
+            if (object.contains(source.field))
+                return object[source.field].get<std::uint64_t>();
+            const char* value = std::getenv(source.variable);
+            if (!value)
+                return fallback;
+            const std::string_view text = value;
+            std::uint64_t number = 0;
+            const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
             const bool isNumber = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
-            if (isNumber && losses <= maxToleratedLosses)
-                return losses;
-            addFault(FaultKind::OutOfRange, "/packets/toleratedDataCentreLosses", std::string(toleratedLossesVariable) + " must be a number from 0 to 16.");
-            return 0;
+            if (isNumber && number >= source.min && number <= source.max)
+                return number;
+            addFault(FaultKind::OutOfRange, childPointer("/packets", source.field), std::string(source.variable) + " must be a number from " + std::to_string(source.min) + " to " + std::to_string(source.max) + ".");
+            return fallback;
         }
 
         PacketSettings readPackets(const json& object)
@@ -133,10 +147,8 @@
             readSeconds(object, "leaveSeconds", packets.leave);
             if (object.contains("linkMegabits"))
                 packets.linkMegabits = object["linkMegabits"].get<double>();
-            if (object.contains("toleratedDataCentreLosses"))
-                packets.toleratedDataCentreLosses = object["toleratedDataCentreLosses"].get<std::size_t>();
-            else if (const char* losses = std::getenv(toleratedLossesVariable))
-                packets.toleratedDataCentreLosses = readToleratedLosses(losses);
+            packets.toleratedDataCentreLosses = readNumber(object, toleratedLosses, packets.toleratedDataCentreLosses);
+            packets.reportInterval = static_cast<Millis>(readNumber(object, reportInterval, static_cast<std::uint64_t>(packets.reportInterval)));
             packets.ready = readEndpoint(object, "/packets", "ready", PortRule::MayBeZero);
             packets.ingress = readEndpoint(object, "/packets", "ingress", PortRule::MustBeSet);
             readOptionalEndpoint(object, "upstream", packets.upstream);
@@ -177,6 +189,8 @@
                 return;
             for (const char* field : { "upstream", "outbound", "control" })
                 requirePacketField(field);
+            if (!canBridgeReports(settings.packets.addressReuse, settings.packets.reportInterval))
+                addFault(FaultKind::Inconsistent, "/packets/addressReuseSeconds", "Too short for upstreams that report only each reportIntervalMs: must be at least 1 s, or a tenth of a second longer than one and a half such intervals.");
         }
 
         void requirePacketField(const char* field)
--- a/src/libruntime/settings.h
+++ b/src/libruntime/settings.h
@@ -61,6 +61,8 @@
     std::vector<asio::ip::tcp::endpoint> seeds;
     /// Time after which an address may be assigned to another upstream.
     Millis addressReuse = 2000;
+    /// Of an agent: how often its upstream reports.
+    Millis reportInterval = 1000;
     /// Time that the process may take to shut down gracefully.
     Millis leave = 6000;
     /// Capacity of this host's network link, in Mbit/s.
