--- a/src/kingcuptraild/packets/peernetwork.cpp
+++ b/src/kingcuptraild/packets/peernetwork.cpp
@@ -31,6 +31,7 @@
     constexpr std::size_t maxEntriesPerMessage = 6;
     /// How often the process checks for a pause, in milliseconds.
     constexpr Millis pauseCheckInterval = 100;
+    constexpr Millis trafficLogInterval = 10000;
 
 }
 
@@ -42,6 +43,8 @@
     , m_gossipTimer(context)
     , m_random(std::random_device {}())
     , m_ownAddress(settings.listen.address().to_v4().to_uint())
+    , m_startedAt(clock.now())
+    , m_trafficLoggedAt(m_startedAt)
     , m_fetchLimiter { .startedAt = clock.now() }
 {
 }
@@ -50,6 +53,8 @@
 {
     if (m_fetch)
         m_fetch->cancel();
+    if (m_socket)
+        logPeerTraffic(m_traffic, m_clock.now() - m_startedAt);
 }
 
 bool PeerNetwork::start(Handlers handlers)
@@ -201,14 +206,21 @@
 
 void PeerNetwork::send(std::uint32_t address, const FlowMessage& message)
 {
-    m_socket->send(m_encoder.encode(message), peerEndpoint(address));
+    transmit(m_encoder.encode(message), message.kind, address);
 }
 
 void PeerNetwork::sendToAll(std::span<const std::uint32_t> addresses, const FlowMessage& message)
 {
     const auto bytes = m_encoder.encode(message);
     for (const std::uint32_t address : addresses)
-        m_socket->send(bytes, peerEndpoint(address));
+        transmit(bytes, message.kind, address);
+}
+
+void PeerNetwork::transmit(std::span<const std::uint8_t> message, wire::PeerKind kind, std::uint32_t address)
+{
+    m_traffic.sentMessages.increment(kind);
+    m_traffic.sentBytes.increment(kind, message.size());
+    m_socket->send(message, peerEndpoint(address));
 }
 
 void PeerNetwork::sendPacket(std::span<const std::uint8_t> packet, const asio::ip::udp::endpoint& receiver)
@@ -240,6 +252,8 @@
         m_messageErrors.increment(PeerMessageError::Malformed);
         return;
     }
+    m_traffic.receivedMessages.increment(message->kind);
+    m_traffic.receivedBytes.increment(message->kind, datagram.size());
     if (m_handlers.onHeard)
         m_handlers.onHeard(sender);
     if (message->configVersion > m_view.routes.version)
@@ -278,10 +292,18 @@
     if (m_isFollowingStore)
         beat(m_readers, m_self.name, m_clock.now());
     gossipNearAndFar();
+    if (m_clock.now() - m_trafficLoggedAt >= trafficLogInterval)
+        logTraffic();
     const bool isStarting = m_view.routes.version == 0 || m_lastGossipAt == 0;
     m_gossipTimer.start(isStarting ? startGossipInterval : std::max(gossipInterval, pauseCheckInterval), [this] { gossipPeriodically(); });
 }
 
+void PeerNetwork::logTraffic()
+{
+    m_trafficLoggedAt = m_clock.now();
+    logPeerTraffic(m_traffic, m_trafficLoggedAt - m_startedAt);
+}
+
 std::vector<std::uint32_t> PeerNetwork::nearPeers() const
 {
     std::vector<std::uint32_t> near;
@@ -339,7 +361,7 @@
     std::erase_if(gossip.entries, [](const PeerEntry& entry) { return entry.name.empty(); });
     if (gossip.entries.size() > maxEntriesPerMessage)
         gossip.entries.resize(maxEntriesPerMessage);
-    m_socket->send(m_encoder.encode(gossip), peerEndpoint(address));
+    transmit(m_encoder.encode(gossip), wire::PeerKind::News, address);
 }
 
 // No search can end with a flow declared lost while directories differ. The bytes of a comparison grow with the difference and
@@ -355,7 +377,7 @@
 
 void PeerNetwork::sendDigests(std::uint32_t address, bool wantsAnswer, bool differsMuch)
 {
-    m_socket->send(m_encoder.encode(DigestsMessage { .configVersion = m_view.routes.version, .digests = bucketDigestsOf(m_directory), .wantsAnswer = wantsAnswer, .differsMuch = differsMuch }), peerEndpoint(address));
+    transmit(m_encoder.encode(DigestsMessage { .configVersion = m_view.routes.version, .digests = bucketDigestsOf(m_directory), .wantsAnswer = wantsAnswer, .differsMuch = differsMuch }), wire::PeerKind::DirectoryDigests, address);
 }
 
 // The entries are sent before the digests, so that the peer's answer does not repeat entries that it has just received.
@@ -405,6 +427,8 @@
             m_messageErrors.increment(PeerMessageError::ViewFetchFailed);
             return;
         }
+        ++m_traffic.viewsReceived;
+        m_traffic.viewBytesReceived += response->body.size();
         FrameError error = FrameError::None;
         const auto view = decodeView(response->body, error);
         if (view)
@@ -435,10 +459,13 @@
     updateEntries(view.entries);
 }
 
-void PeerNetwork::serveView(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) const
+void PeerNetwork::serveView(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder)
 {
     const ViewParts parts { .routes = queryValue(request.target, "routes") != "0", .entries = queryValue(request.target, "entries") != "0" };
-    responder->respond({ .headers = { { "Content-Type", "application/octet-stream" } }, .body = encodeView(view(), parts) });
+    std::string body = encodeView(view(), parts);
+    ++m_traffic.viewsSent;
+    m_traffic.viewBytesSent += body.size();
+    responder->respond({ .headers = { { "Content-Type", "application/octet-stream" } }, .body = std::move(body) });
 }
 
 asio::ip::udp::endpoint PeerNetwork::peerEndpoint(std::uint32_t address) const
@@ -453,6 +480,7 @@
     exposeCounter(out, "kingcuptrail_peer_datagrams_sent_total", "Datagrams sent to other processes, callers and the upstream.", counts.sent);
     exposeCounter(out, "kingcuptrail_peer_datagrams_unsent_total", "Datagrams that the host did not take.", counts.sendFailed);
     exposeCounters(out, "kingcuptrail_peer_trouble_total", "Messages and views that were not taken, by reason.", m_messageErrors);
+    exposePeerTraffic(out, m_traffic);
     exposeGauge(out, "kingcuptrail_routes_version", "Configuration in force.", static_cast<double>(m_view.routes.version));
     exposeGauge(out, "kingcuptrail_directory_entries", "Processes that are known.", static_cast<double>(m_directory.entries.size()));
 }
--- a/src/kingcuptraild/packets/peernetwork.h
+++ b/src/kingcuptraild/packets/peernetwork.h
@@ -12,6 +12,7 @@
 #include "libruntime/metrics.h"
 #include "libruntime/settings.h"
 #include "pausemeter.h"
+#include "peertraffic.h"
 
 #include <random>
 
@@ -96,6 +97,8 @@
     void exposeMetrics(std::string& out) const;
 
 private:
+    void transmit(std::span<const std::uint8_t> message, wire::PeerKind kind, std::uint32_t address);
+    void logTraffic();
     bool mergeEntry(const PeerEntry& entry);
     void updateDigests();
     void handleDatagram(std::span<const std::uint8_t> datagram, std::uint32_t sender);
@@ -114,7 +117,7 @@
     void fetchView(std::uint32_t address, const ViewParts& parts);
     void abandonFetch();
     void updateView(const DeploymentView& view);
-    void serveView(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) const;
+    void serveView(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
     asio::ip::udp::endpoint peerEndpoint(std::uint32_t address) const;
 
     asio::io_context& m_context;
@@ -139,6 +142,9 @@
     std::uint64_t m_agentsDigest = 0;
     PauseMeter m_pauseMeter;
     Millis m_lastGossipAt = 0;
+    Millis m_startedAt;
+    Millis m_trafficLoggedAt;
+    PeerTraffic m_traffic;
     ViewFetchLimiter m_fetchLimiter;
     /// The peer that named a newer configuration while a fetch was in progress, and its version.
     std::uint32_t m_newerVersionPeer = 0;
--- a/src/libprotocol/peermessage.h
+++ b/src/libprotocol/peermessage.h
@@ -10,6 +10,31 @@
 
 namespace kingcuptrail {
 
+template <>
+struct EnumNames<wire::PeerKind> {
+    static constexpr std::array<std::string_view, 18> names {
+        "gossip",
+        "open",
+        "forward",
+        "find",
+        "probe",
+        "admitted",
+        "refused",
+        "held",
+        "notHeld",
+        "unsure",
+        "ping",
+        "load",
+        "findNear",
+        "heldNear",
+        "notHeldNear",
+        "unsureNear",
+        "directoryDigests",
+        "pendingRequests",
+    };
+};
+static_assert(EnumNames<wire::PeerKind>::names.size() == static_cast<std::size_t>(wire::PeerKind::MAX) + 1);
+
 /// A decoded message between processes. `packet` and `table` point into the datagram.
 struct PeerMessage {
     wire::PeerKind kind = wire::PeerKind::News;
--- a/src/libruntime/events.cpp
+++ b/src/libruntime/events.cpp
@@ -68,6 +68,8 @@
             "Nothing." },
         { Event::LeftBehindRemoved, EventLevel::Info, "leftBehindRemoved", "The announcement of a process that had reported its shutdown but could not withdraw its announcement was removed from the store.",
             "Nothing, unless outcome repeatedly names a reason: the store then rejects removals." },
+        { Event::PeerTraffic, EventLevel::Info, "peerTraffic", "What this process has exchanged with others since its start, logged every ten seconds and when it stops: gossip, digests and views keep all processes' views equal; the rest are messages about flows.",
+            "Nothing. The metrics kingcuptrail_peer_bytes_sent_total and kingcuptrail_peer_messages_sent_total have all kinds." },
         { Event::PlatformTrouble, EventLevel::Warning, "platformTrouble", "Calls to the platform fail; the last known state remains in use.",
             "Check the platform's service. Flows continue; changes of configuration and membership are delayed." },
         { Event::PlatformBack, EventLevel::Info, "platformBack", "Calls to the platform succeed again.",
--- a/src/libruntime/events.h
+++ b/src/libruntime/events.h
@@ -45,6 +45,7 @@
     StoreFollowed = 326,
     DirectoryTaken = 327,
     LeftBehindRemoved = 328,
+    PeerTraffic = 329,
     PlatformTrouble = 330,
     PlatformBack = 331,
     // Health of other data centres
--- a/tests/trustplatform/testpeernetwork.cpp
+++ b/tests/trustplatform/testpeernetwork.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(fetchFromPausedPeerIsAbandoned);
     CPPUNIT_TEST(directoriesConverge);
     CPPUNIT_TEST(newProcessLearnsWholeDirectory);
+    CPPUNIT_TEST(trafficIsCountedByKind);
     CPPUNIT_TEST_SUITE_END();
 
     static asio::ip::address_v4 host(unsigned char number)
@@ -172,6 +173,21 @@
         CPPUNIT_ASSERT(second.network.directory().entries.contains("agent-200"));
     }
 
+    // Guards against control traffic that nobody can tell from the callers' packets.
+    void trafficIsCountedByKind()
+    {
+        const std::uint16_t port = freePort();
+        Process first(m_context, 1, port);
+        const Process second(m_context, 2, port);
+        first.network.compareDirectory(host(2).to_uint());
+        first.network.send(host(2).to_uint(), { .kind = wire::PeerKind::Ping });
+        const auto hasLine = [](const Process& process, const char* line) { return process.metrics().find(line) != std::string::npos; };
+        runUntil(m_context, [&] { return hasLine(second, R"(kingcuptrail_peer_messages_received_total{reason="ping"} 1)"); });
+        CPPUNIT_ASSERT(hasLine(first, R"(kingcuptrail_peer_messages_sent_total{reason="ping"} 1)"));
+        CPPUNIT_ASSERT(hasLine(first, R"(kingcuptrail_peer_messages_sent_total{reason="directoryDigests"} 1)"));
+        CPPUNIT_ASSERT(!hasLine(first, R"(kingcuptrail_peer_bytes_sent_total{reason="directoryDigests"} 0)"));
+    }
+
     asio::io_context m_context;
 };
 
