--- a/src/kingcuptraild/packets/holderfinder.cpp
+++ b/src/kingcuptraild/packets/holderfinder.cpp
@@ -82,12 +82,17 @@
 {
     AgentsByDataCentre agents;
     const Millis now = m_state.role.clock.now();
-    const bool isAnyLost = hasLostDataCentre(m_state.dataCentreHealth);
-    for (const auto& [name, entry] : m_state.network.directory().entries) {
-        const bool isLost = isAnyLost && stateOf(m_state.dataCentreHealth, entry.dataCentre) == DataCentreState::Lost;
-        const bool mayHold = mayHoldFlows(entry) && !isLost && !isPresumedGone(m_state.unresponsiveAgents, entry.address, now);
-        if (mayHold && (!service || entry.service == *service))
-            agents[entry.dataCentre].push_back(entry.address);
+    for (const auto& [dataCentre, members] : m_state.network.directory().dataCentres) {
+        if (stateOf(m_state.dataCentreHealth, dataCentre) == DataCentreState::Lost)
+            continue;
+        std::vector<std::uint32_t> addresses;
+        for (const auto& [agentService, ofService] : members.agents) {
+            if (!service || agentService == *service)
+                addresses.insert(addresses.end(), ofService.begin(), ofService.end());
+        }
+        std::erase_if(addresses, [&](std::uint32_t address) { return isPresumedGone(m_state.unresponsiveAgents, address, now); });
+        if (!addresses.empty())
+            agents.emplace(dataCentre, std::move(addresses));
     }
     return agents;
 }
--- a/src/kingcuptraild/packets/neighboursearches.cpp
+++ b/src/kingcuptraild/packets/neighboursearches.cpp
@@ -57,12 +57,9 @@
 std::vector<std::uint32_t> NeighbourSearches::neighbours(std::span<const std::uint32_t> excluded) const
 {
     std::vector<std::uint32_t> addresses;
-    for (const auto& [name, entry] : m_state.network.directory().entries) {
-        const bool isNeighbour = mayHoldFlows(entry) && entry.dataCentre == m_state.role.settings.dataCentre && entry.address != m_state.network.ownAddress();
-        const bool isExcluded = std::ranges::find(excluded, entry.address) != excluded.end();
-        if (isNeighbour && !isExcluded)
-            addresses.push_back(entry.address);
-    }
+    for (const auto& [service, agents] : membersOf(m_state.network.directory(), m_state.role.settings.dataCentre).agents)
+        addresses.insert(addresses.end(), agents.begin(), agents.end());
+    std::erase_if(addresses, [&](std::uint32_t address) { return address == m_state.network.ownAddress() || std::ranges::find(excluded, address) != excluded.end(); });
     return addresses;
 }
 
--- a/src/kingcuptraild/packets/packetbalancer.cpp
+++ b/src/kingcuptraild/packets/packetbalancer.cpp
@@ -215,18 +215,13 @@
 
 std::size_t PacketBalancer::readerRank() const
 {
-    std::size_t rank = 0;
-    for (const auto& [name, entry] : m_state.network.directory().entries) {
-        const bool isBefore = entry.role == PeerRole::Balancer && entry.state == PeerState::Ready && name < m_state.role.settings.name;
-        rank += isBefore ? 1 : 0;
-    }
-    return rank;
+    return balancersBefore(m_state.network.directory(), m_state.role.settings.name);
 }
 
 void PacketBalancer::pingUnresponsiveAgents(Millis now)
 {
     m_lastPingAt = now;
-    resetImplausibleSilence(m_state.unresponsiveAgents, countAgents());
+    resetImplausibleSilence(m_state.unresponsiveAgents, m_state.network.directory().agentCount);
     std::erase_if(m_state.unresponsiveAgents.silentSince, [this](const auto& item) { return !findByAddress(m_state.network.directory(), item.first); });
     std::vector<std::uint32_t> pingTargets;
     for (const auto& [address, load] : m_state.agentLoads) {
@@ -243,12 +238,6 @@
     m_state.network.sendToAll(pingTargets, { .kind = wire::PeerKind::Ping, .configVersion = m_state.network.routes().version });
 }
 
-std::size_t PacketBalancer::countAgents() const
-{
-    const auto isAgent = [](const auto& item) { return mayHoldFlows(item.second); };
-    return static_cast<std::size_t>(std::ranges::count_if(m_state.network.directory().entries, isAgent));
-}
-
 void PacketBalancer::expireCachedHolders(Millis now)
 {
     m_lastSweepAt = now;
--- a/src/kingcuptraild/packets/packetbalancer.h
+++ b/src/kingcuptraild/packets/packetbalancer.h
@@ -29,7 +29,6 @@
     void handleDataCentreChange(const DataCentreChange& change);
     void tick();
     void pingUnresponsiveAgents(Millis now);
-    std::size_t countAgents() const;
     void expireCachedHolders(Millis now);
     bool isReady() const;
     void openIngress();
--- a/src/kingcuptraild/packets/peernetwork.cpp
+++ b/src/kingcuptraild/packets/peernetwork.cpp
@@ -1,5 +1,6 @@
 #include "peernetwork.h"
 
+#include "libdecision/peerchoice.h"
 #include "libruntime/events.h"
 
 #include <algorithm>
@@ -117,7 +118,6 @@
 {
     if (!mergeEntry(entry))
         return;
-    updateDigests();
     logEvent(Event::PeerChanged, { { "peer", entry.name }, { "role", nameOf(entry.role) }, { "state", nameOf(entry.state) }, { "epoch", entry.epoch } });
     // An agent announces itself to every balancer, so balancers do not pass its entry on. Agents do.
     const bool isAnnouncedDirectly = entry.role == PeerRole::Agent && m_self.role == PeerRole::Balancer;
@@ -139,19 +139,12 @@
     }
     if (taken.empty())
         return;
-    updateDigests();
     // The list may contain balancers that this process did not know when it announced itself.
     for (const PeerEntry* entry : taken)
         announceToBalancer(*entry);
     logEvent(Event::DirectoryTaken, { { "entries", entries.size() }, { "new", taken.size() }, { "known", m_directory.entries.size() } });
 }
 
-void PeerNetwork::updateDigests()
-{
-    m_digest = digestOf(m_directory);
-    m_agentsDigest = agentsDigestOf(m_directory);
-}
-
 bool PeerNetwork::mergeEntry(const PeerEntry& entry)
 {
     if (entry.name == m_self.name && !m_self.name.empty()) {
@@ -175,7 +168,6 @@
         self.epoch = std::max(self.epoch, unixMillis());
     m_self = std::move(self);
     applyEntry(m_directory, m_self);
-    updateDigests();
     gossipToRandomPeers(changeFanout, { m_self });
     for (const auto& [name, entry] : m_directory.entries)
         announceToBalancer(entry);
@@ -279,8 +271,8 @@
         updateEntries(entries);
     for (const ReaderHeartbeat& reader : readerHeartbeatsOf(message))
         recordHeartbeat(m_readers, reader, m_lastGossipAt);
-    recordPeerDigest(m_agentsAgreement, message.table->agents_digest() == m_agentsDigest, m_clock.now());
-    if (message.table->digest() != m_digest)
+    recordPeerDigest(m_agentsAgreement, message.table->agents_digest() == agentsDigestOf(m_directory), m_clock.now());
+    if (message.table->digest() != digestOf(m_directory))
         compareDirectory(sender);
     if (message.table->wants_answer())
         sendGossip(sender, { m_self }, false);
@@ -304,39 +296,31 @@
     logPeerTraffic(m_traffic, m_trafficLoggedAt - m_startedAt);
 }
 
-std::vector<std::uint32_t> PeerNetwork::nearPeers() const
-{
-    std::vector<std::uint32_t> near;
-    for (const auto& [name, entry] : m_directory.entries) {
-        if (entry.state != PeerState::Gone && entry.address != m_ownAddress && entry.dataCentre == m_settings.dataCentre)
-            near.push_back(entry.address);
-    }
-    return near;
-}
-
 // Of the two receivers of a round, one is in the same data centre and the other is any peer: half of the bytes stay within the
 // data centre, and gossip still spreads between data centres.
 void PeerNetwork::gossipNearAndFar()
 {
     const std::vector<PeerEntry> own = m_self.name.empty() ? std::vector<PeerEntry> {} : std::vector { m_self };
-    const std::vector<std::uint32_t> near = nearPeers();
-    if (near.empty()) {
-        gossipToRandomPeers(gossipFanout, own);
-        return;
-    }
-    sendGossip(near[m_random() % near.size()], own, true);
-    gossipToRandomPeers(gossipFanout - 1, own);
+    const std::vector<std::uint32_t> near = randomAddresses(membersOf(m_directory, m_settings.dataCentre).peers, 1, m_ownAddress, m_random);
+    for (const std::uint32_t peer : near)
+        sendGossip(peer, own, true);
+    gossipToRandomPeers(gossipFanout - near.size(), own);
 }
 
-std::vector<std::uint32_t> PeerNetwork::knownPeers() const
+std::vector<std::uint32_t> PeerNetwork::randomPeers(std::size_t count)
 {
-    std::vector<std::uint32_t> peers;
-    for (const auto& [name, entry] : m_directory.entries) {
-        if (entry.state != PeerState::Gone && entry.address != m_ownAddress)
-            peers.push_back(entry.address);
+    if (m_lastGossipAt != 0) {
+        std::vector<std::uint32_t> peers = randomAddresses(m_directory.peers, count, m_ownAddress, m_random);
+        if (!peers.empty())
+            return peers;
     }
-    if (m_lastGossipAt != 0 && !peers.empty())
-        return peers;
+    return randomAddresses(startPeers(), count, m_ownAddress, m_random);
+}
+
+// A process that has received no gossip asks its seeds as well.
+std::vector<std::uint32_t> PeerNetwork::startPeers() const
+{
+    std::vector<std::uint32_t> peers = m_directory.peers;
     for (const auto& seed : m_settings.packets.seeds) {
         const std::uint32_t address = seed.address().to_v4().to_uint();
         if (address != m_ownAddress && std::ranges::find(peers, address) == peers.end())
@@ -347,17 +331,13 @@
 
 void PeerNetwork::gossipToRandomPeers(std::size_t count, const std::vector<PeerEntry>& changed, bool wantsAnswer)
 {
-    std::vector<std::uint32_t> peers = knownPeers();
-    std::ranges::shuffle(peers, m_random);
-    if (peers.size() > count)
-        peers.resize(count);
-    for (const std::uint32_t peer : peers)
+    for (const std::uint32_t peer : randomPeers(count))
         sendGossip(peer, changed, wantsAnswer);
 }
 
 void PeerNetwork::sendGossip(std::uint32_t address, const std::vector<PeerEntry>& changed, bool wantsAnswer)
 {
-    GossipMessage gossip { .configVersion = m_view.routes.version, .digest = m_digest, .agentsDigest = m_agentsDigest, .outages = &m_view.outages, .entries = changed, .readers = currentHeartbeats(m_readers, m_clock.now()), .wantsAnswer = wantsAnswer };
+    GossipMessage gossip { .configVersion = m_view.routes.version, .digest = digestOf(m_directory), .agentsDigest = agentsDigestOf(m_directory), .outages = &m_view.outages, .entries = changed, .readers = currentHeartbeats(m_readers, m_clock.now()), .wantsAnswer = wantsAnswer };
     std::erase_if(gossip.entries, [](const PeerEntry& entry) { return entry.name.empty(); });
     if (gossip.entries.size() > maxEntriesPerMessage)
         gossip.entries.resize(maxEntriesPerMessage);
--- a/src/kingcuptraild/packets/pendingreporter.cpp
+++ b/src/kingcuptraild/packets/pendingreporter.cpp
@@ -51,9 +51,9 @@
 std::vector<std::uint32_t> PendingReporter::receivers() const
 {
     std::vector<std::uint32_t> balancers;
-    for (const auto& [name, entry] : m_state.network.directory().entries) {
-        if (entry.role == PeerRole::Balancer && entry.state == PeerState::Ready && entry.dataCentre != m_state.role.settings.dataCentre)
-            balancers.push_back(entry.address);
+    for (const auto& [dataCentre, members] : m_state.network.directory().dataCentres) {
+        if (dataCentre != m_state.role.settings.dataCentre)
+            balancers.insert(balancers.end(), members.readyBalancers.begin(), members.readyBalancers.end());
     }
     return balancers;
 }
--- a/src/libdecision/datacentrehealth.cpp
+++ b/src/libdecision/datacentrehealth.cpp
@@ -152,10 +152,8 @@
     std::vector<std::uint32_t> agentsIn(const Directory& directory, std::string_view dataCentre)
     {
         std::vector<std::uint32_t> agents;
-        for (const auto& [name, entry] : directory.entries) {
-            if (mayHoldFlows(entry) && entry.dataCentre == dataCentre)
-                agents.push_back(entry.address);
-        }
+        for (const auto& [service, members] : membersOf(directory, dataCentre).agents)
+            agents.insert(agents.end(), members.begin(), members.end());
         return agents;
     }
 
--- a/src/libdecision/directory.cpp
+++ b/src/libdecision/directory.cpp
@@ -1,8 +1,6 @@
 #include "directory.h"
 
 #include <algorithm>
-#include <functional>
-#include <numeric>
 #include <xxhash.h>
 
 namespace kingcuptrail {
@@ -34,15 +32,73 @@
         return XXH3_64bits_withSeed(entry.name.data(), entry.name.size(), entry.epoch);
     }
 
-    template <typename Predicate>
-    std::uint64_t agentsDigest(const Directory& directory, Predicate counts)
+    std::uint64_t addressDigest(std::uint32_t address)
     {
-        std::uint64_t digest = 0;
-        for (const auto& [name, entry] : directory.entries) {
-            if (mayHoldFlows(entry) && counts(entry))
-                digest ^= XXH3_64bits(&entry.address, sizeof(entry.address));
+        return XXH3_64bits(&address, sizeof(address));
+    }
+
+    bool isReadyBalancer(const PeerEntry& entry)
+    {
+        return entry.role == PeerRole::Balancer && entry.state == PeerState::Ready;
+    }
+
+    /// The order of the list does not matter.
+    void removeOne(std::vector<std::uint32_t>& addresses, std::uint32_t address)
+    {
+        const auto found = std::ranges::find(addresses, address);
+        if (found == addresses.end())
+            return;
+        *found = addresses.back();
+        addresses.pop_back();
+    }
+
+    void removeName(std::vector<std::string>& names, const std::string& name)
+    {
+        if (const auto found = std::ranges::find(names, name); found != names.end())
+            names.erase(found);
+    }
+
+    void addMember(Directory& directory, const PeerEntry& entry)
+    {
+        if (entry.state == PeerState::Gone)
+            return;
+        DataCentreMembers& members = directory.dataCentres[entry.dataCentre];
+        directory.peers.push_back(entry.address);
+        members.peers.push_back(entry.address);
+        if (isReadyBalancer(entry)) {
+            directory.readyBalancers.insert(std::ranges::lower_bound(directory.readyBalancers, entry.name), entry.name);
+            members.readyBalancers.push_back(entry.address);
+        }
+        if (mayHoldFlows(entry)) {
+            ++directory.agentCount;
+            members.agents[entry.service].push_back(entry.address);
+            members.agentsDigest ^= addressDigest(entry.address);
+            directory.agentsDigest ^= addressDigest(entry.address);
         }
-        return digest;
+    }
+
+    void removeMember(Directory& directory, const PeerEntry& entry)
+    {
+        if (entry.state == PeerState::Gone)
+            return;
+        DataCentreMembers& members = directory.dataCentres.at(entry.dataCentre);
+        removeOne(directory.peers, entry.address);
+        removeOne(members.peers, entry.address);
+        if (isReadyBalancer(entry)) {
+            removeName(directory.readyBalancers, entry.name);
+            removeOne(members.readyBalancers, entry.address);
+        }
+        if (mayHoldFlows(entry)) {
+            --directory.agentCount;
+            removeOne(members.agents.at(entry.service), entry.address);
+            members.agentsDigest ^= addressDigest(entry.address);
+            directory.agentsDigest ^= addressDigest(entry.address);
+        }
+    }
+
+    bool hasSameMembership(const PeerEntry& before, const PeerEntry& after)
+    {
+        return before.role == after.role && before.address == after.address && before.dataCentre == after.dataCentre && before.service == after.service && before.state == after.state;
     }
 
 }
@@ -50,18 +106,27 @@
 bool applyEntry(Directory& directory, PeerEntry entry)
 {
     const auto known = directory.entries.find(entry.name);
-    std::uint64_t& bucketDigest = directory.bucketDigests[bucketOf(entry.name)];
-    if (known != directory.entries.end()) {
-        if (entry.epoch <= known->second.epoch)
-            return false;
-        removeFromService(directory, known->second);
-        removeAddress(directory, known->second);
-        bucketDigest ^= digestOf(known->second);
+    const bool isKnown = known != directory.entries.end();
+    if (isKnown && entry.epoch <= known->second.epoch)
+        return false;
+    const std::size_t bucket = bucketOf(entry.name);
+    const std::uint64_t digestChange = digestOf(entry) ^ (isKnown ? digestOf(known->second) : 0);
+    directory.bucketDigests[bucket] ^= digestChange;
+    directory.digest ^= digestChange;
+    if (!isKnown)
+        directory.bucketNames[bucket].push_back(entry.name);
+    // Most announcements only renew the epoch.
+    if (!isKnown || !hasSameMembership(known->second, entry)) {
+        if (isKnown) {
+            removeFromService(directory, known->second);
+            removeAddress(directory, known->second);
+            removeMember(directory, known->second);
+        }
+        if (entry.role == PeerRole::Agent && entry.state == PeerState::Ready)
+            directory.readyAgents[entry.service].insert(entry.name);
+        directory.namesByAddress[entry.address].insert(entry.name);
+        addMember(directory, entry);
     }
-    bucketDigest ^= digestOf(entry);
-    if (entry.role == PeerRole::Agent && entry.state == PeerState::Ready)
-        directory.readyAgents[entry.service].insert(entry.name);
-    directory.namesByAddress[entry.address].insert(entry.name);
     directory.entries.insert_or_assign(entry.name, std::move(entry));
     return true;
 }
@@ -89,19 +154,33 @@
     return XXH3_64bits(name.data(), name.size()) % directoryBuckets;
 }
 
-std::uint64_t digestOf(const Directory& directory)
+std::uint64_t agentsDigestOf(const Directory& directory, std::string_view dataCentre, std::span<const std::uint32_t> excluded)
 {
-    return std::accumulate(directory.bucketDigests.begin(), directory.bucketDigests.end(), std::uint64_t { 0 }, std::bit_xor {});
+    std::uint64_t digest = membersOf(directory, dataCentre).agentsDigest;
+    for (auto address = excluded.begin(); address != excluded.end(); ++address) {
+        const auto names = directory.namesByAddress.find(*address);
+        const bool isRepeated = std::find(excluded.begin(), address, *address) != address;
+        if (names == directory.namesByAddress.end() || isRepeated)
+            continue;
+        for (const std::string& name : names->second) {
+            const PeerEntry& entry = directory.entries.at(name);
+            if (mayHoldFlows(entry) && entry.dataCentre == dataCentre)
+                digest ^= addressDigest(*address);
+        }
+    }
+    return digest;
 }
 
-std::uint64_t agentsDigestOf(const Directory& directory)
+const DataCentreMembers& membersOf(const Directory& directory, std::string_view dataCentre)
 {
-    return agentsDigest(directory, [](const PeerEntry&) { return true; });
+    static const DataCentreMembers nobody;
+    const auto found = directory.dataCentres.find(dataCentre);
+    return found != directory.dataCentres.end() ? found->second : nobody;
 }
 
-std::uint64_t agentsDigestOf(const Directory& directory, std::string_view dataCentre, std::span<const std::uint32_t> excluded)
+std::size_t balancersBefore(const Directory& directory, std::string_view name)
 {
-    return agentsDigest(directory, [&](const PeerEntry& entry) { return entry.dataCentre == dataCentre && std::ranges::find(excluded, entry.address) == excluded.end(); });
+    return static_cast<std::size_t>(std::ranges::lower_bound(directory.readyBalancers, name) - directory.readyBalancers.begin());
 }
 
 const PeerEntry* findByAddress(const Directory& directory, std::uint32_t address)
--- a/src/libdecision/directory.h
+++ b/src/libdecision/directory.h
@@ -57,12 +57,34 @@
 /// Number of hash buckets by which directories are compared; a power of two.
 inline constexpr std::size_t directoryBuckets = 256;
 
+/// The addresses of the processes in one data centre, in no order. An address stands here once for each name.
+struct DataCentreMembers {
+    /// Processes that are not gone.
+    std::vector<std::uint32_t> peers;
+    /// Agents that may hold flows, by service.
+    std::map<std::string, std::vector<std::uint32_t>, std::less<>> agents;
+    std::vector<std::uint32_t> readyBalancers;
+    std::uint64_t agentsDigest = 0;
+};
+
 /// All known processes by name. Gossip makes the directories of all processes equal after some rounds. An entry does not
-/// mean that its process is alive.
+/// mean that its process is alive. The other fields are derived from the entries and kept up to date with each of them, so that
+/// the cost of a message does not grow with the number of entries.
 struct Directory {
     std::map<std::string, PeerEntry, std::less<>> entries;
     /// Digests of names and epochs; the index is bucketOf() of the name.
     std::array<std::uint64_t, directoryBuckets> bucketDigests {};
+    /// The names in each bucket.
+    std::array<std::vector<std::string>, directoryBuckets> bucketNames;
+    std::uint64_t digest = 0;
+    std::uint64_t agentsDigest = 0;
+    /// Number of agents that may hold flows.
+    std::size_t agentCount = 0;
+    std::map<std::string, DataCentreMembers, std::less<>> dataCentres;
+    /// Addresses of the processes that are not gone, in no order.
+    std::vector<std::uint32_t> peers;
+    /// Names of the balancers that are ready, sorted.
+    std::vector<std::string> readyBalancers;
     /// Names of the agents that accept new flows, by service, so that an opening's cost depends on the agents of its
     /// service and not on all agents.
     std::map<std::string, std::set<std::string>, std::less<>> readyAgents;
@@ -90,12 +112,18 @@
 std::size_t bucketOf(std::string_view name);
 
 /// A digest that is equal in all processes that know the same entries with the same epochs.
-std::uint64_t digestOf(const Directory&);
+inline std::uint64_t digestOf(const Directory& directory)
+{
+    return directory.digest;
+}
 
 /// A digest over the addresses of the agents that may hold flows. It ignores balancers and epochs, which don't affect
 /// which agents are asked about a flow, so after a power failure processes agree on it while the rest of their
 /// directories still differs.
-std::uint64_t agentsDigestOf(const Directory&);
+inline std::uint64_t agentsDigestOf(const Directory& directory)
+{
+    return directory.agentsDigest;
+}
 
 /// The same digest over the agents of one data centre, without those in `excluded`.
 std::uint64_t agentsDigestOf(const Directory&, std::string_view dataCentre, std::span<const std::uint32_t> excluded);
@@ -103,6 +131,12 @@
 /// The agents that accept new flows for a service, in the order of their names.
 std::vector<const PeerEntry*> readyAgentsOf(const Directory&, std::string_view service);
 
+/// The members of a data centre; empty when none is known there.
+const DataCentreMembers& membersOf(const Directory&, std::string_view dataCentre);
+
+/// Number of balancers that are ready and come before `name` in the order of names.
+std::size_t balancersBefore(const Directory&, std::string_view name);
+
 /// The entry of the process at this address that has not announced that it is gone, or null.
 const PeerEntry* findByAddress(const Directory&, std::uint32_t address);
 
--- a/src/libdecision/directorydifference.cpp
+++ b/src/libdecision/directorydifference.cpp
@@ -31,16 +31,17 @@
         return {};
     const std::vector<std::uint32_t> own = foldedDigests(directory, buckets);
     DirectoryDifference difference;
-    for (const auto& [name, entry] : directory.entries) {
-        const std::size_t bucket = bucketOf(name) % buckets;
-        if (own[bucket] == bucketDigests[bucket])
+    for (std::size_t bucket = 0; bucket < directoryBuckets; ++bucket) {
+        if (own[bucket % buckets] == bucketDigests[bucket % buckets])
             continue;
-        if (difference.entries.size() == options.maxEntries) {
-            difference.entries.clear();
-            difference.isLarge = true;
-            return difference;
+        for (const std::string& name : directory.bucketNames[bucket]) {
+            if (difference.entries.size() == options.maxEntries) {
+                difference.entries.clear();
+                difference.isLarge = true;
+                return difference;
+            }
+            difference.entries.push_back(directory.entries.at(name));
         }
-        difference.entries.push_back(entry);
     }
     return difference;
 }
