--- a/src/kingcuptraild/packets/flowholders.h
+++ b/src/kingcuptraild/packets/flowholders.h
@@ -54,6 +54,8 @@
     AgentsByDataCentre asked;
     /// Decides which of the unsure agents are probed with the first packet, and when.
     ProbePlan plan;
+    /// Only the most probable holders have been asked so far.
+    bool asksLikelyHolders = false;
     /// The time for answers has passed once, and agents that had not answered by then are treated as unsure.
     bool hasProbedLateAgents = false;
     /// The number that the caller last acknowledged; a reset needs it.
--- a/src/kingcuptraild/packets/holderfinder.cpp
+++ b/src/kingcuptraild/packets/holderfinder.cpp
@@ -18,6 +18,11 @@
     /// Searches that are started in one tick when the first agents become known, so that a backlog does not delay the packets
     /// of a balancer on a small host.
     constexpr std::size_t maxSearchesBegunPerTick = 16;
+    /// Agents that are asked before all others: those that the flow's hash ranks first. The second and third held the flow when
+    /// the first one had just been sent another opening.
+    constexpr std::size_t likelyHolderCount = 3;
+    /// How long they may take to answer before all others are asked as well, in milliseconds: a few round trips.
+    constexpr Millis likelyHolderTimeout = 10;
     /// How long a delegate may take to answer, in milliseconds: several round trips.
     constexpr Millis delegateTimeout = 30;
     /// A tick that comes this long after the previous one shows that the process is behind with its work, in milliseconds:
@@ -36,8 +41,8 @@
 {
 }
 
-// A flow is missing from the cache when another balancer opened it, or when this process started after it was opened. All
-// agents of the service are asked; the holder answers within a round trip and gets the packet.
+// A flow is missing from the cache when another balancer opened it, or when this process started after it was opened. The most
+// probable holders are asked first, then all agents; the holder answers within a round trip and gets the packet.
 void HolderFinder::search(const FlowKey& flow, const PacketHeader& header, std::span<const std::uint8_t> packet)
 {
     if (m_searches.size() >= maxSearches && !m_searches.contains(flow)) {
@@ -58,11 +63,61 @@
 
 void HolderFinder::begin(const FlowKey& flow, PendingSearch& waiting)
 {
-    const AgentsByDataCentre agents = agentsToQuery(serviceForFlow(m_state.network.routes(), flow));
+    const std::string* service = serviceForFlow(m_state.network.routes(), flow);
+    if (askLikelyHolders(flow, waiting, service))
+        return;
+    const AgentsByDataCentre agents = agentsToQuery(service);
     waiting.search = beginSearch(addressesOf(agents), m_state.role.clock.now());
     queryAgents(flow, waiting, agents);
 }
 
+// After a loss of balancers or a restart of all processes many flows are searched for at once, and a search among all agents
+// costs a message for each of them. The likeliest holder gets the packet itself, so that it need not be asked again when it
+// was restarted and only its upstream knows the flow. In a small data centre asking everybody costs no more.
+bool HolderFinder::askLikelyHolders(const FlowKey& flow, PendingSearch& waiting, const std::string* service)
+{
+    if (!service)
+        return false;
+    const std::string& dataCentre = m_state.role.settings.dataCentre;
+    const DataCentreMembers& near = membersOf(m_state.network.directory(), dataCentre);
+    const auto agents = near.agents.find(*service);
+    if (agents == near.agents.end() || agents->second.size() <= likelyHolderCount + 1)
+        return false;
+    std::vector<std::uint32_t> likely = likelyHolders(flow, agents->second, likelyHolderCount);
+    std::erase_if(likely, [this](std::uint32_t agent) { return m_state.unresponsiveAgents.silentSince.contains(agent); });
+    if (likely.empty())
+        return false;
+    waiting.search = beginSearch(likely, m_state.role.clock.now());
+    waiting.asked[dataCentre] = likely;
+    waiting.asksLikelyHolders = true;
+    addProbedAgent(waiting.plan, { .address = likely.front(), .dataCentre = dataCentre });
+    m_state.network.send(likely.front(), { .kind = wire::PeerKind::Probe, .flow = flow, .configVersion = m_state.network.routes().version, .packet = waiting.packets.front() });
+    m_state.packetOutcomes.increment(CallerPacketOutcome::Probed);
+    queryDirectly(flow, waiting, std::span(likely).subspan(1));
+    return true;
+}
+
+void HolderFinder::askOtherAgents(const FlowKey& flow, PendingSearch& waiting, const AgentsByDataCentre& known, std::span<const std::uint32_t> missing)
+{
+    waiting.asksLikelyHolders = false;
+    waiting.search.startedAt = m_state.role.clock.now();
+    queryAgents(flow, waiting, filterAgents(known, missing));
+}
+
+void HolderFinder::widenSearches(Millis now)
+{
+    const auto isDue = [now](const auto& item) { return item.second.asksLikelyHolders && now - item.second.search.startedAt >= likelyHolderTimeout; };
+    if (std::ranges::none_of(m_searches, isDue))
+        return;
+    const AgentsByDataCentre known = possibleHolders(nullptr);
+    for (auto& item : m_searches) {
+        if (!isDue(item))
+            continue;
+        const auto missing = addMissingAgents(item.second.search, addressesOf(known));
+        askOtherAgents(item.first, item.second, known, missing);
+    }
+}
+
 // Starts the searches that had no agent to query. After a loss of power, callers' packets arrive before any agent is known. If
 // such a search ended, it would start again only with the caller's next retransmission, up to 1.6 s later.
 void HolderFinder::beginDeferredSearches()
@@ -291,8 +346,7 @@
     // began. The flow is lost only when every agent that is known now has denied it.
     const AgentsByDataCentre known = possibleHolders(nullptr);
     if (const auto missing = addMissingAgents(waiting.search, addressesOf(known)); !missing.empty()) {
-        waiting.search.startedAt = m_state.role.clock.now();
-        queryAgents(flow, waiting, filterAgents(known, missing));
+        askOtherAgents(flow, waiting, known, missing);
         return;
     }
     // The periodic check repeats this until a peer has confirmed the directory.
@@ -386,6 +440,7 @@
 void HolderFinder::tick(Millis now)
 {
     beginDeferredSearches();
+    widenSearches(now);
     probeLateAgents(now);
     endConfirmedSearches();
     std::erase_if(m_searches, [&](const auto& item) {
--- a/src/kingcuptraild/packets/holderfinder.h
+++ b/src/kingcuptraild/packets/holderfinder.h
@@ -26,6 +26,9 @@
     AgentsByDataCentre possibleHolders(const std::string* service) const;
     AgentsByDataCentre agentsToQuery(const std::string* service) const;
     void begin(const FlowKey& flow, PendingSearch& waiting);
+    bool askLikelyHolders(const FlowKey& flow, PendingSearch& waiting, const std::string* service);
+    void askOtherAgents(const FlowKey& flow, PendingSearch& waiting, const AgentsByDataCentre& known, std::span<const std::uint32_t> missing);
+    void widenSearches(Millis now);
     void beginDeferredSearches();
     void queryAgents(const FlowKey& flow, PendingSearch& waiting, const AgentsByDataCentre& agents);
     void queryDelegate(const FlowKey& flow, PendingSearch& waiting, const std::string& dataCentre, std::span<const std::uint32_t> members, std::span<const std::uint8_t> packet);
--- a/src/libdecision/agentchoice.cpp
+++ b/src/libdecision/agentchoice.cpp
@@ -66,4 +66,19 @@
     return order;
 }
 
+std::vector<std::uint32_t> likelyHolders(const FlowKey& flow, std::span<const std::uint32_t> agents, std::size_t count)
+{
+    const std::uint64_t hash = flowHash(flow);
+    std::vector<std::pair<std::uint64_t, std::uint32_t>> weighted;
+    weighted.reserve(agents.size());
+    for (const std::uint32_t agent : agents)
+        weighted.emplace_back(rankWeight(hash, agent), agent);
+    const std::size_t size = std::min(count, weighted.size());
+    std::ranges::partial_sort(weighted, weighted.begin() + static_cast<std::ptrdiff_t>(size));
+    std::vector<std::uint32_t> likely;
+    for (std::size_t index = 0; index < size; ++index)
+        likely.push_back(weighted[index].second);
+    return likely;
+}
+
 }
--- a/src/libdecision/agentchoice.h
+++ b/src/libdecision/agentchoice.h
@@ -51,4 +51,9 @@
 /// decides, so that balancers with the same load reports don't all choose the same agent.
 std::vector<std::uint32_t> chooseAgents(const FlowKey&, std::span<const AgentCandidate>, const AgentChoiceOptions&, Millis now);
 
+/// Up to `count` of these agents, the most probable holder of the flow first. Agents with equal loads are ranked by the flow's
+/// hash, so while upstreams have free slots most flows are opened at the agent that the hash ranks first, and any balancer can
+/// tell which one that is.
+std::vector<std::uint32_t> likelyHolders(const FlowKey&, std::span<const std::uint32_t> agents, std::size_t count);
+
 }
--- a/src/libdecision/probeplan.cpp
+++ b/src/libdecision/probeplan.cpp
@@ -74,6 +74,11 @@
     plan.waiting.push_back(std::move(agent));
 }
 
+void addProbedAgent(ProbePlan& plan, UnsureAgent agent)
+{
+    plan.probed.push_back(std::move(agent));
+}
+
 std::vector<ProbeGroup> nextProbes(ProbePlan& plan, const HolderSearch& search, const AgentsByDataCentre& asked, bool isNearOverdue)
 {
     const bool isFarDue = isNearOverdue || !mayNearAgentHold(plan, search, asked);
--- a/src/libdecision/probeplan.h
+++ b/src/libdecision/probeplan.h
@@ -55,6 +55,9 @@
 
 void addUnsureAgent(ProbePlan&, UnsureAgent agent);
 
+/// Records that an agent was sent the packet before it was known whether it is unsure.
+void addProbedAgent(ProbePlan&, UnsureAgent agent);
+
 /// Returns the probes to send now and counts their agents as probed. Agents of the balancer's own data centre come first,
 /// since it holds most flows. Other data centres follow when these agents have denied the flow or when `isNearOverdue` is
 /// set. Agents of other services come last, when all others have denied it, since they hold the flow only if its route has
--- a/tests/packets/testbalancing.cpp
+++ b/tests/packets/testbalancing.cpp
@@ -2,6 +2,7 @@
 #include "libdecision/holdersearch.h"
 #include "packetfixtures.h"
 
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <map>
 
@@ -12,6 +13,7 @@
     CPPUNIT_TEST(nearAgentIsPreferredWhileItHasCapacity);
     CPPUNIT_TEST(silentAgentComesLast);
     CPPUNIT_TEST(equalAgentsShareFlows);
+    CPPUNIT_TEST(hashNamesTheHolder);
     CPPUNIT_TEST(flowIsLostOnlyWhenAllAgentsDeny);
     CPPUNIT_TEST(agentsLearntDuringTheSearchAreAsked);
     CPPUNIT_TEST(holderEndsTheSearch);
@@ -60,6 +62,36 @@
             CPPUNIT_ASSERT(flows > 850 && flows < 1150);
     }
 
+    // Guards against a search that asks first agents at which the flow was not opened: it would cost a message for each agent
+    // of the fleet. Every fourth upstream has answered a request lately, as on a fleet that is sized for its peak.
+    void hashNamesTheHolder()
+    {
+        std::vector<AgentCandidate> candidates;
+        std::vector<std::uint32_t> near;
+        for (std::uint32_t address = 1; address <= 544; ++address) {
+            AgentCandidate agent { .address = address, .isNear = address <= 110, .load = { .slots = 2, .usual = address % 4 == 0 ? 0.1F : 0.0F } };
+            candidates.push_back(agent);
+            if (address <= 110)
+                near.push_back(address);
+        }
+        unsigned first = 0;
+        unsigned amongThree = 0;
+        constexpr unsigned flows = 1000;
+        for (std::uint16_t caller = 0; caller < flows; ++caller) {
+            // Another opening went to one agent since its last report.
+            candidates[caller % 110].load.sentSinceReport = 1;
+            const std::uint32_t holder = chooseAgents(flowOf(caller), candidates, {}, 0).front();
+            candidates[caller % 110].load.sentSinceReport = 0;
+            const std::vector<std::uint32_t> likely = likelyHolders(flowOf(caller), near, 3);
+            CPPUNIT_ASSERT_EQUAL(std::size_t { 3 }, likely.size());
+            first += likely.front() == holder ? 1 : 0;
+            amongThree += std::ranges::find(likely, holder) != likely.end() ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(first >= flows * 9 / 10);
+        CPPUNIT_ASSERT(amongThree >= flows * 99 / 100);
+        CPPUNIT_ASSERT(likelyHolders(flowOf(1), {}, 3).empty());
+    }
+
     // A balancer searches for a flow whose agent is cut off, and the other agents deny the flow. Guards against a reset of
     // a flow that its upstream still holds.
     void flowIsLostOnlyWhenAllAgentsDeny()
