--- a/src/kingcuptrailctl/commands.cpp
+++ b/src/kingcuptrailctl/commands.cpp
@@ -16,6 +16,7 @@
         { "explain", "CODE|REASON", false, explain, "explain an event number or a reason, and what to do about it" },
         { "trace", "FLOW", false, traceFlow, "list the log lines about one flow in order of time, from log files or standard input" },
         { "openings", "SPAN", false, showOpenings, "count the results of flow openings per interval of SPAN milliseconds, from log files or standard input" },
+        { "spread", "", false, showSpread, "show how long each change took to reach half, nine tenths and all of the processes, from log files or standard input" },
         { "forget", "NAME", true, forgetDaemon, "remove a daemon that will not return from the platform's list" },
     });
 
--- a/src/kingcuptrailctl/commands.h
+++ b/src/kingcuptrailctl/commands.h
@@ -16,7 +16,7 @@
     std::vector<asio::ip::tcp::endpoint> daemons;
     /// The administration endpoint that explain queries.
     std::optional<asio::ip::tcp::endpoint> daemon;
-    /// Log files that trace and openings read; if empty, standard input.
+    /// Log files that trace, openings and spread read; if empty, standard input.
     std::vector<std::string> logs;
     /// Return only when the change is in force on every daemon.
     bool wait = false;
@@ -51,6 +51,7 @@
 CommandResult showStatus(const std::string& argument, const CtlOptions& options);
 CommandResult explain(const std::string& code, const CtlOptions& options);
 CommandResult showOpenings(const std::string& argument, const CtlOptions& options);
+CommandResult showSpread(const std::string& argument, const CtlOptions& options);
 CommandResult traceFlow(const std::string& flow, const CtlOptions& options);
 CommandResult forgetDaemon(const std::string& name, const CtlOptions& options);
 
--- a/src/kingcuptrailctl/loglines.cpp
+++ b/src/kingcuptrailctl/loglines.cpp
@@ -1,5 +1,6 @@
 #include "loglines.h"
 
+#include <algorithm>
 #include <fstream>
 #include <iostream>
 
@@ -48,4 +49,13 @@
     return found != line.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
 }
 
+std::uint64_t quantile(std::vector<std::uint64_t> values, double part)
+{
+    if (values.empty())
+        return 0;
+    std::ranges::sort(values);
+    const auto index = static_cast<std::size_t>(part * static_cast<double>(values.size()));
+    return values[std::min(index, values.size() - 1)];
+}
+
 }
--- a/src/kingcuptrailctl/loglines.h
+++ b/src/kingcuptrailctl/loglines.h
@@ -19,4 +19,7 @@
 std::string textOf(const nlohmann::json& line, std::string_view field);
 std::uint64_t numberOf(const nlohmann::json& line, std::string_view field);
 
+/// The value below which the fraction `part` of the values lies; 0 without values.
+std::uint64_t quantile(std::vector<std::uint64_t> values, double part);
+
 }
--- a/src/kingcuptrailctl/main.cpp
+++ b/src/kingcuptrailctl/main.cpp
@@ -11,7 +11,7 @@
 ABSL_FLAG(std::string, platform, "", "the platform's object API, as ADDRESS:PORT");
 ABSL_FLAG(std::vector<std::string>, daemons, {}, "administration endpoints to query, ADDRESS:PORT,...; by default those of the daemons registered in the platform");
 ABSL_FLAG(std::string, daemon, "", "for explain: the administration endpoint of a daemon whose counts of the reason are shown");
-ABSL_FLAG(std::vector<std::string>, logs, {}, "for trace and openings: log files, FILE,...; by default standard input");
+ABSL_FLAG(std::vector<std::string>, logs, {}, "for trace, openings and spread: log files, FILE,...; by default standard input");
 ABSL_FLAG(bool, json, false, "print one JSON object");
 ABSL_FLAG(bool, wait, false, "wait until the change is in force on every daemon; after the timeout, list the daemons where it is not");
 ABSL_FLAG(double, timeout, 30, "time limit in seconds of a change, and of the wait until it is in force");
@@ -24,7 +24,7 @@
                                  "  --platform=ADDRESS:PORT      the platform's object API\n"
                                  "  --daemons=ADDRESS:PORT,...   administration endpoints to query; by default those of the daemons registered in the platform\n"
                                  "  --daemon=ADDRESS:PORT        for explain: a daemon whose counts of the reason are shown\n"
-                                 "  --logs=FILE,...              for trace and openings: log files; by default standard input\n"
+                                 "  --logs=FILE,...              for trace, openings and spread: log files; by default standard input\n"
                                  "  --wait                       wait until the change is in force on every daemon\n"
                                  "  --timeout=SECONDS            time limit of a change, and of the wait until it is in force (30)\n"
                                  "  --json                       print one JSON object\n"
--- a/src/kingcuptrailctl/openingscommand.cpp
+++ b/src/kingcuptrailctl/openingscommand.cpp
@@ -24,16 +24,6 @@
         std::uint64_t linesLeftOut = 0;
     };
 
-    /// The value below which the fraction `part` of the values lies; 0 without values.
-    std::uint64_t quantile(std::vector<std::uint64_t> values, double part)
-    {
-        if (values.empty())
-            return 0;
-        std::ranges::sort(values);
-        const auto index = static_cast<std::size_t>(part * static_cast<double>(values.size()));
-        return values[std::min(index, values.size() - 1)];
-    }
-
     void recordLine(OpeningSpan& span, const std::string& event, const json& line)
     {
         if (event == "flowOffered") {
--- a/tests/ctl/testcommands.cpp
+++ b/tests/ctl/testcommands.cpp
@@ -104,6 +104,7 @@
     CPPUNIT_TEST(removedDaemonIsNotQueried);
     CPPUNIT_TEST(traceOrdersLinesOfOneFlow);
     CPPUNIT_TEST(openingsAreCountedBySpan);
+    CPPUNIT_TEST(spreadCountsEachProcessOnce);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<TestEnvironment> m_environment;
@@ -304,6 +305,36 @@
         CPPUNIT_ASSERT(noSpan.code == ExitCode::Usage);
         CPPUNIT_ASSERT(unreadable.code == ExitCode::FileUnreadable);
     }
+
+    // Guards against a restarted process that counts as one which learnt of a change late, and against wrong figures because
+    // of lines of another form.
+    void spreadCountsEachProcessOnce()
+    {
+        const std::string path = "spread-" + std::to_string(getpid()) + ".log";
+        {
+            std::ofstream log(path);
+            for (int process = 0; process < 10; ++process)
+                log << R"({"time":)" << 1000 + 10 * process << R"(,"process":"front-)" << process << R"(","name":"routesInForce","version":5})" << "\n";
+            log << R"({"time":9000,"process":"front-0","name":"routesInForce","version":5})"
+                << "\n"
+                << R"({"time":2000,"process":"front-1","name":"peerChanged","peer":"agent-1","state":"gone","epoch":3})"
+                << "\n"
+                << R"({"time":"soon","process":"front-2","name":"routesInForce","version":5})"
+                << "\n"
+                << R"({"time":2500,"process":7,"name":"peerChan)"
+                << "\n";
+        }
+        const CommandResult found = showSpread("", { .logs = { path } });
+        unlink(path.c_str());
+        const json changes = json::parse(found.json).at("changes");
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, changes.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("routes 5"), changes[0].at("change").get<std::string>());
+        CPPUNIT_ASSERT_EQUAL(10, changes[0].at("processes").get<int>());
+        CPPUNIT_ASSERT_EQUAL(50, changes[0].at("half").get<int>());
+        CPPUNIT_ASSERT_EQUAL(90, changes[0].at("all").get<int>());
+        CPPUNIT_ASSERT_EQUAL(std::string("peer agent-1 gone 3"), changes[1].at("change").get<std::string>());
+        CPPUNIT_ASSERT(found.text.find("NINE TENTHS") != std::string::npos);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestCommands);
