--- a/src/kingcuptraild/packets/neighboursearches.cpp
+++ b/src/kingcuptraild/packets/neighboursearches.cpp
@@ -56,9 +56,7 @@
 
 std::vector<std::uint32_t> NeighbourSearches::neighbours(std::span<const std::uint32_t> excluded) const
 {
-    std::vector<std::uint32_t> addresses;
-    for (const auto& [service, agents] : membersOf(m_state.network.directory(), m_state.role.settings.dataCentre).agents)
-        addresses.insert(addresses.end(), agents.begin(), agents.end());
+    std::vector<std::uint32_t> addresses = membersOf(m_state.network.directory(), m_state.role.settings.dataCentre).allAgents;
     std::erase_if(addresses, [&](std::uint32_t address) { return address == m_state.network.ownAddress() || std::ranges::find(excluded, address) != excluded.end(); });
     return addresses;
 }
--- a/src/kingcuptraild/packets/peernetwork.cpp
+++ b/src/kingcuptraild/packets/peernetwork.cpp
@@ -14,10 +14,13 @@
     /// many processes there are.
     constexpr Millis gossipInterval = 250;
     constexpr std::size_t gossipFanout = 2;
-    /// Peers to which a change is sent at once. With eight each, 5,000 processes know it after five rounds.
+    /// Peers to which a change of the configuration or of the outages is sent at once. With eight each, 5,000 processes know it
+    /// after five rounds.
     constexpr std::size_t changeFanout = 8;
-    /// Peers to which a received announcement is passed on. With two each it reaches nearly all processes, and the periodic
-    /// rounds reach the rest.
+    /// Peers in each data centre to which a process announces itself. More than one, since a datagram may be lost.
+    constexpr std::size_t announcementFanout = 2;
+    /// Peers of the own data centre to which a received announcement is passed on. With two each it reaches nearly all
+    /// processes there, and the periodic rounds reach the rest.
     constexpr std::size_t relayFanout = 2;
     /// Time between two rounds while a process has no configuration or has received no gossip, in milliseconds. A round costs
     /// three datagrams, and the process can serve only after an answer.
@@ -42,6 +45,7 @@
     , m_clock(clock)
     , m_fetchIdleTimer(context)
     , m_gossipTimer(context)
+    , m_comparisonTimer(context)
     , m_random(std::random_device {}())
     , m_ownAddress(settings.listen.address().to_v4().to_uint())
     , m_startedAt(clock.now())
@@ -123,8 +127,20 @@
     const bool isAnnouncedDirectly = entry.role == PeerRole::Agent && m_self.role == PeerRole::Balancer;
     // No answer is requested: a receiver whose digest differs compares directories anyway, and an answer to each copy would
     // only repeat what the sender knows.
-    if (!isAnnouncedDirectly)
-        gossipToRandomPeers(relayFanout, { entry }, false);
+    if (isAnnouncedDirectly)
+        return;
+    if (tryRelay(m_relayBudget, m_clock.now()))
+        relay(entry);
+    else
+        ++m_notRelayed;
+}
+
+// An agent's announcement goes to other agents only, since it has been sent to every balancer.
+void PeerNetwork::relay(const PeerEntry& entry)
+{
+    const DataCentreMembers& near = membersOf(m_directory, m_settings.dataCentre);
+    for (const std::uint32_t peer : randomAddresses(entry.role == PeerRole::Agent ? near.allAgents : near.peers, relayFanout, m_ownAddress, m_random))
+        sendGossip(peer, { entry }, GossipPurpose::Announcement);
 }
 
 // After a restart of all processes each of them learns of all others at once. Passing on and logging the entries one by one
@@ -168,12 +184,23 @@
         self.epoch = std::max(self.epoch, unixMillis());
     m_self = std::move(self);
     applyEntry(m_directory, m_self);
-    gossipToRandomPeers(changeFanout, { m_self });
+    announceChange();
     for (const auto& [name, entry] : m_directory.entries)
         announceToBalancer(entry);
     return m_self;
 }
 
+// Without gossip from any peer this process may know none of them, and asks its seeds.
+void PeerNetwork::announceChange()
+{
+    if (m_lastGossipAt == 0) {
+        gossipToRandomPeers(changeFanout, { m_self });
+        return;
+    }
+    for (const std::uint32_t peer : randomInEachDataCentre(m_directory, announcementFanout, m_ownAddress, m_random))
+        sendGossip(peer, { m_self }, GossipPurpose::Question);
+}
+
 // An announcement that is passed on from peer to peer misses some processes, which learn of it some tenths of a second later.
 // A balancer among them would not ask a new agent for flows that other balancers have already opened there. An agent therefore
 // announces itself to each balancer directly, with one datagram each.
@@ -181,7 +208,7 @@
 {
     const bool isAnnounced = m_self.role == PeerRole::Agent && !m_self.name.empty();
     if (isAnnounced && entry.role == PeerRole::Balancer && entry.state != PeerState::Gone)
-        sendGossip(entry.address, { m_self }, false);
+        sendGossip(entry.address, { m_self }, GossipPurpose::Announcement);
 }
 
 void PeerNetwork::setFollowingStore(bool isFollowing)
@@ -254,6 +281,10 @@
         handleGossip(*message, sender);
     else if (message->kind == wire::PeerKind::DirectoryDigests)
         handleDigests(*message, sender);
+    else if (message->kind == wire::PeerKind::EntryDigests)
+        handleEntryDigests(*message, sender);
+    else if (message->kind == wire::PeerKind::EntryRequest)
+        sendEntries(sender, entriesWithDigests(m_directory, entryDigestsOf(*message), std::min(message->table->max_entries(), maxEntries())));
     else
         m_handlers.onFlowMessage(*message, sender);
 }
@@ -275,7 +306,7 @@
     if (message.table->digest() != digestOf(m_directory))
         compareDirectory(sender);
     if (message.table->wants_answer())
-        sendGossip(sender, { m_self }, false);
+        sendGossip(sender, { m_self }, GossipPurpose::Answer);
 }
 
 void PeerNetwork::gossipPeriodically()
@@ -303,7 +334,7 @@
     const std::vector<PeerEntry> own = m_self.name.empty() ? std::vector<PeerEntry> {} : std::vector { m_self };
     const std::vector<std::uint32_t> near = randomAddresses(membersOf(m_directory, m_settings.dataCentre).peers, 1, m_ownAddress, m_random);
     for (const std::uint32_t peer : near)
-        sendGossip(peer, own, true);
+        sendGossip(peer, own, GossipPurpose::Question);
     gossipToRandomPeers(gossipFanout - near.size(), own);
 }
 
@@ -329,15 +360,18 @@
     return peers;
 }
 
-void PeerNetwork::gossipToRandomPeers(std::size_t count, const std::vector<PeerEntry>& changed, bool wantsAnswer)
+void PeerNetwork::gossipToRandomPeers(std::size_t count, const std::vector<PeerEntry>& changed)
 {
     for (const std::uint32_t peer : randomPeers(count))
-        sendGossip(peer, changed, wantsAnswer);
+        sendGossip(peer, changed, GossipPurpose::Question);
 }
 
-void PeerNetwork::sendGossip(std::uint32_t address, const std::vector<PeerEntry>& changed, bool wantsAnswer)
+void PeerNetwork::sendGossip(std::uint32_t address, const std::vector<PeerEntry>& changed, GossipPurpose purpose)
 {
-    GossipMessage gossip { .configVersion = m_view.routes.version, .digest = digestOf(m_directory), .agentsDigest = agentsDigestOf(m_directory), .outages = &m_view.outages, .entries = changed, .readers = currentHeartbeats(m_readers, m_clock.now()), .wantsAnswer = wantsAnswer };
+    GossipMessage gossip { .configVersion = m_view.routes.version, .digest = digestOf(m_directory), .agentsDigest = agentsDigestOf(m_directory), .outages = &m_view.outages, .entries = changed, .readers = {}, .wantsAnswer = purpose == GossipPurpose::Question };
+    // Announcements are many, and the regular rounds carry the heartbeats.
+    if (purpose != GossipPurpose::Announcement)
+        gossip.readers = currentHeartbeats(m_readers, m_clock.now());
     std::erase_if(gossip.entries, [](const PeerEntry& entry) { return entry.name.empty(); });
     if (gossip.entries.size() > maxEntriesPerMessage)
         gossip.entries.resize(maxEntriesPerMessage);
@@ -348,27 +382,41 @@
 // not with the size of the directory, so that it can be repeated at short intervals.
 void PeerNetwork::compareDirectory(std::uint32_t address)
 {
-    const Millis now = m_clock.now();
-    if (m_lastComparisonAt > 0 && now - m_lastComparisonAt < DirectoryDifferenceOptions {}.interval)
-        return;
-    m_lastComparisonAt = now;
-    sendDigests(address, true, false);
+    if (tryBeginComparison(m_comparisons, isFar(address), m_clock.now()))
+        sendDigests(address, true, false);
+}
+
+bool PeerNetwork::isFar(std::uint32_t address) const
+{
+    const PeerEntry* entry = findByAddress(m_directory, address);
+    return entry && entry->dataCentre != m_settings.dataCentre;
 }
 
 void PeerNetwork::sendDigests(std::uint32_t address, bool wantsAnswer, bool differsMuch)
 {
-    transmit(m_encoder.encode(DigestsMessage { .configVersion = m_view.routes.version, .digests = bucketDigestsOf(m_directory), .wantsAnswer = wantsAnswer, .differsMuch = differsMuch }), wire::PeerKind::DirectoryDigests, address);
+    transmit(m_encoder.encode(DigestsMessage { .configVersion = m_view.routes.version, .digests = bucketDigestsOf(m_directory), .wantsAnswer = wantsAnswer, .differsMuch = differsMuch, .maxEntries = maxEntries() }), wire::PeerKind::DirectoryDigests, address);
 }
 
-// The entries are sent before the digests, so that the peer's answer does not repeat entries that it has just received.
+// The receiver answers with digests of single entries where the buckets differ, so that neither side sends what the other has.
 void PeerNetwork::handleDigests(const PeerMessage& message, std::uint32_t sender)
 {
-    const DirectoryDifference difference = differenceTo(m_directory, digestsOf(message));
-    for (std::size_t first = 0; first < difference.entries.size(); first += maxEntriesPerMessage) {
-        const std::size_t count = std::min(maxEntriesPerMessage, difference.entries.size() - first);
-        const auto begin = difference.entries.begin() + static_cast<std::ptrdiff_t>(first);
-        sendGossip(sender, { begin, begin + static_cast<std::ptrdiff_t>(count) }, false);
+    if (message.table->max_entries() == 0) {
+        answerWithDifference(message, sender);
+        return;
     }
+    if (!message.table->wants_answer())
+        return;
+    EntryDigests digests = entryDigestsFor(m_directory, digestsOf(message), m_random());
+    if (!digests.buckets.empty())
+        transmit(m_encoder.encode(EntryDigestsMessage { .configVersion = m_view.routes.version, .digests = std::move(digests), .maxEntries = maxEntries() }), wire::PeerKind::EntryDigests, sender);
+}
+
+// Processes of an earlier release do not know the digests of single entries. The entries are sent before the digests, so that
+// the peer's answer does not repeat entries that it has just received.
+void PeerNetwork::answerWithDifference(const PeerMessage& message, std::uint32_t sender)
+{
+    const DirectoryDifference difference = differenceTo(m_directory, digestsOf(message));
+    sendEntries(sender, difference.entries);
     // A large difference is seen first by the process that has the entries and needs no fetch itself, so it notifies the peer,
     // which then fetches the directory.
     const bool isAnswer = !message.table->wants_answer();
@@ -378,6 +426,30 @@
         fetchDirectory(sender);
 }
 
+void PeerNetwork::handleEntryDigests(const PeerMessage& message, std::uint32_t sender)
+{
+    const EntryDigests ofPeer = entryDigestsOf(message);
+    const DirectoryExchange exchange = exchangeFor(m_directory, ofPeer, std::min(message.table->max_entries(), maxEntries()), maxEntries());
+    sendEntries(sender, exchange.entries);
+    if (!exchange.wanted.empty())
+        transmit(m_encoder.encode(EntryDigestsMessage { .kind = wire::PeerKind::EntryRequest, .configVersion = m_view.routes.version, .digests = { .buckets = ofPeer.buckets, .digests = exchange.wanted }, .maxEntries = maxEntries() }), wire::PeerKind::EntryRequest, sender);
+    if (exchange.isPartial)
+        m_comparisonTimer.start(DirectoryDifferenceOptions {}.interval, [this, sender] { compareDirectory(sender); });
+}
+
+void PeerNetwork::sendEntries(std::uint32_t address, std::span<const PeerEntry> entries)
+{
+    for (std::size_t first = 0; first < entries.size(); first += maxEntriesPerMessage) {
+        const auto part = entries.subspan(first, std::min(maxEntriesPerMessage, entries.size() - first));
+        sendGossip(address, { part.begin(), part.end() }, GossipPurpose::Announcement);
+    }
+}
+
+std::uint32_t PeerNetwork::maxEntries() const
+{
+    return static_cast<std::uint32_t>(acceptedEntries(m_settings.packets.linkMegabits));
+}
+
 void PeerNetwork::fetchDirectory(std::uint32_t address)
 {
     if (!m_fetch && tryBeginDirectoryFetch(m_fetchLimiter, m_directory.entries.size(), m_clock.now()))
@@ -461,6 +533,7 @@
     exposeCounter(out, "kingcuptrail_peer_datagrams_unsent_total", "Datagrams that the host did not take.", counts.sendFailed);
     exposeCounters(out, "kingcuptrail_peer_trouble_total", "Messages and views that were not taken, by reason.", m_messageErrors);
     exposePeerTraffic(out, m_traffic);
+    exposeCounter(out, "kingcuptrail_announcements_not_relayed_total", "Announcements that were not passed on because too many came at once; comparisons of directories spread them.", m_notRelayed);
     exposeGauge(out, "kingcuptrail_routes_version", "Configuration in force.", static_cast<double>(m_view.routes.version));
     exposeGauge(out, "kingcuptrail_directory_entries", "Processes that are known.", static_cast<double>(m_directory.entries.size()));
 }
--- a/src/kingcuptraild/packets/peernetwork.h
+++ b/src/kingcuptraild/packets/peernetwork.h
@@ -2,6 +2,7 @@
 
 #include "libdecision/directoryagreement.h"
 #include "libdecision/directorydifference.h"
+#include "libdecision/relaybudget.h"
 #include "libdecision/viewfetchlimiter.h"
 #include "libhttp/httpclient.h"
 #include "libhttp/httpserver.h"
@@ -104,13 +105,27 @@
     void handleGossip(const PeerMessage& message, std::uint32_t sender);
     void gossipPeriodically();
     void announceToBalancer(const PeerEntry& entry);
-    void gossipToRandomPeers(std::size_t count, const std::vector<PeerEntry>& changed, bool wantsAnswer = true);
-    void sendGossip(std::uint32_t address, const std::vector<PeerEntry>& changed, bool wantsAnswer);
+    enum class GossipPurpose : std::uint8_t {
+        /// One of the regular rounds, or a request; the receiver answers.
+        Question,
+        Answer,
+        /// Tells of changed entries only.
+        Announcement,
+    };
+    void gossipToRandomPeers(std::size_t count, const std::vector<PeerEntry>& changed);
+    void announceChange();
+    void relay(const PeerEntry& entry);
+    void sendGossip(std::uint32_t address, const std::vector<PeerEntry>& changed, GossipPurpose purpose);
     std::vector<std::uint32_t> randomPeers(std::size_t count);
     std::vector<std::uint32_t> startPeers() const;
     void sendDigests(std::uint32_t address, bool wantsAnswer, bool differsMuch);
     void handleDigests(const PeerMessage& message, std::uint32_t sender);
     void fetchDirectory(std::uint32_t address);
+    void answerWithDifference(const PeerMessage& message, std::uint32_t sender);
+    void handleEntryDigests(const PeerMessage& message, std::uint32_t sender);
+    void sendEntries(std::uint32_t address, std::span<const PeerEntry> entries);
+    std::uint32_t maxEntries() const;
+    bool isFar(std::uint32_t address) const;
     void gossipNearAndFar();
     void fetchRoutes(std::uint32_t address, ConfigVersion offered);
     void fetchView(std::uint32_t address, const ViewParts& parts);
@@ -128,6 +143,7 @@
     std::shared_ptr<HttpCall> m_fetch;
     Delay m_fetchIdleTimer;
     Delay m_gossipTimer;
+    Delay m_comparisonTimer;
     PeerMessageEncoder m_encoder;
     std::minstd_rand m_random;
 
@@ -146,7 +162,9 @@
     /// The peer that named a newer configuration while a fetch was in progress, and its version.
     std::uint32_t m_newerVersionPeer = 0;
     ConfigVersion m_newerVersion = 0;
-    Millis m_lastComparisonAt = 0;
+    DirectoryComparisons m_comparisons;
+    RelayBudget m_relayBudget;
+    std::uint64_t m_notRelayed = 0;
     /// Whether peers know the same agents.
     DirectoryAgreement m_agentsAgreement;
     EnumCounters<PeerMessageError> m_messageErrors;
--- a/src/kingcuptraild/packets/peertraffic.cpp
+++ b/src/kingcuptraild/packets/peertraffic.cpp
@@ -6,9 +6,14 @@
 
 namespace {
 
+    std::uint64_t aboutDirectories(const EnumCounters<wire::PeerKind>& counters)
+    {
+        return counters.count(wire::PeerKind::DirectoryDigests) + counters.count(wire::PeerKind::EntryDigests) + counters.count(wire::PeerKind::EntryRequest);
+    }
+
     std::uint64_t aboutFlows(const EnumCounters<wire::PeerKind>& counters)
     {
-        return counters.total() - counters.count(wire::PeerKind::News) - counters.count(wire::PeerKind::DirectoryDigests);
+        return counters.total() - counters.count(wire::PeerKind::News) - aboutDirectories(counters);
     }
 
 }
@@ -16,14 +21,13 @@
 void logPeerTraffic(const PeerTraffic& traffic, Millis uptime)
 {
     constexpr auto gossip = wire::PeerKind::News;
-    constexpr auto digests = wire::PeerKind::DirectoryDigests;
     logEvent(Event::PeerTraffic, {
         { "uptime", static_cast<std::uint64_t>(uptime) },
         { "gossipSent", traffic.sentMessages.count(gossip) },
         { "gossipBytesSent", traffic.sentBytes.count(gossip) },
         { "gossipReceived", traffic.receivedMessages.count(gossip) },
-        { "digestsSent", traffic.sentMessages.count(digests) },
-        { "digestBytesSent", traffic.sentBytes.count(digests) },
+        { "digestsSent", aboutDirectories(traffic.sentMessages) },
+        { "digestBytesSent", aboutDirectories(traffic.sentBytes) },
         { "viewsSent", traffic.viewsSent },
         { "viewBytesSent", traffic.viewBytesSent },
         { "viewsReceived", traffic.viewsReceived },
--- a/src/libdecision/datacentrehealth.cpp
+++ b/src/libdecision/datacentrehealth.cpp
@@ -149,14 +149,6 @@
         return isDue && (name != health.ownDataCentre || isOwnDataCentreWitness(health, now));
     }
 
-    std::vector<std::uint32_t> agentsIn(const Directory& directory, std::string_view dataCentre)
-    {
-        std::vector<std::uint32_t> agents;
-        for (const auto& [service, members] : membersOf(directory, dataCentre).agents)
-            agents.insert(agents.end(), members.begin(), members.end());
-        return agents;
-    }
-
 }
 
 void recordHeard(DataCentreHealth& health, std::string_view dataCentre, Millis now)
@@ -209,7 +201,7 @@
     for (auto& [name, record] : health.dataCentres) {
         if (!isRoundDue(health, name, record, now))
             continue;
-        const std::vector<std::uint32_t> agents = agentsIn(directory, name);
+        const std::vector<std::uint32_t>& agents = membersOf(directory, name).allAgents;
         record.knownAgents = agents.size();
         record.lastRoundAt = now;
         const std::vector<std::uint32_t> chosen = agentsForRound(health.options, record, agents, seed);
--- a/src/libdecision/directory.cpp
+++ b/src/libdecision/directory.cpp
@@ -72,6 +72,7 @@
         if (mayHoldFlows(entry)) {
             ++directory.agentCount;
             members.agents[entry.service].push_back(entry.address);
+            members.allAgents.push_back(entry.address);
             members.agentsDigest ^= addressDigest(entry.address);
             directory.agentsDigest ^= addressDigest(entry.address);
         }
@@ -91,6 +92,7 @@
         if (mayHoldFlows(entry)) {
             --directory.agentCount;
             removeOne(members.agents.at(entry.service), entry.address);
+            removeOne(members.allAgents, entry.address);
             members.agentsDigest ^= addressDigest(entry.address);
             directory.agentsDigest ^= addressDigest(entry.address);
         }
@@ -149,6 +151,11 @@
     return known != directory.entries.end() && known->second.state == PeerState::Gone && known->second.epoch >= listed.epoch;
 }
 
+std::uint32_t entryDigest(const PeerEntry& entry)
+{
+    return static_cast<std::uint32_t>(digestOf(entry));
+}
+
 std::size_t bucketOf(std::string_view name)
 {
     return XXH3_64bits(name.data(), name.size()) % directoryBuckets;
--- a/src/libdecision/directory.h
+++ b/src/libdecision/directory.h
@@ -61,8 +61,9 @@
 struct DataCentreMembers {
     /// Processes that are not gone.
     std::vector<std::uint32_t> peers;
-    /// Agents that may hold flows, by service.
+    /// Agents that may hold flows, by service and all together.
     std::map<std::string, std::vector<std::uint32_t>, std::less<>> agents;
+    std::vector<std::uint32_t> allAgents;
     std::vector<std::uint32_t> readyBalancers;
     std::uint64_t agentsDigest = 0;
 };
@@ -108,6 +109,9 @@
     return entry.role == PeerRole::Agent && entry.state != PeerState::Gone;
 }
 
+/// A digest of one entry, by its name and epoch.
+std::uint32_t entryDigest(const PeerEntry&);
+
 /// The hash bucket of a directory that this name belongs to.
 std::size_t bucketOf(std::string_view name);
 
--- a/src/libdecision/peerchoice.cpp
+++ b/src/libdecision/peerchoice.cpp
@@ -38,4 +38,14 @@
     return chosen;
 }
 
+std::vector<std::uint32_t> randomInEachDataCentre(const Directory& directory, std::size_t perDataCentre, std::uint32_t self, std::minstd_rand& random)
+{
+    std::vector<std::uint32_t> chosen;
+    for (const auto& [dataCentre, members] : directory.dataCentres) {
+        const std::vector<std::uint32_t> inDataCentre = randomAddresses(members.peers, perDataCentre, self, random);
+        chosen.insert(chosen.end(), inDataCentre.begin(), inDataCentre.end());
+    }
+    return chosen;
+}
+
 }
--- a/src/libprotocol/peermessage.cpp
+++ b/src/libprotocol/peermessage.cpp
@@ -169,6 +169,23 @@
     builder.add_digests(digests);
     builder.add_wants_answer(message.wantsAnswer);
     builder.add_differs_much(message.differsMuch);
+    builder.add_max_entries(message.maxEntries);
+    m_builder.Finish(builder.Finish());
+    return finishedBytes(m_builder);
+}
+
+std::span<const std::uint8_t> PeerMessageEncoder::encode(const EntryDigestsMessage& message)
+{
+    m_builder.Clear();
+    const auto digests = m_builder.CreateVector(message.digests.digests);
+    const auto buckets = m_builder.CreateVector(message.digests.buckets);
+    wire::PeerMessageBuilder builder(m_builder);
+    builder.add_kind(message.kind);
+    builder.add_config_version(message.configVersion);
+    builder.add_digests(digests);
+    builder.add_buckets(buckets);
+    builder.add_differs_much(message.digests.isPartial);
+    builder.add_max_entries(message.maxEntries);
     m_builder.Finish(builder.Finish());
     return finishedBytes(m_builder);
 }
@@ -233,6 +250,14 @@
     return packed ? std::vector<std::uint32_t>(packed->begin(), packed->end()) : std::vector<std::uint32_t> {};
 }
 
+EntryDigests entryDigestsOf(const PeerMessage& message)
+{
+    EntryDigests digests { .digests = digestsOf(message), .isPartial = message.table->differs_much() };
+    if (const auto* buckets = message.table->buckets())
+        digests.buckets.assign(buckets->begin(), buckets->end());
+    return digests;
+}
+
 std::vector<PendingRequest> pendingRequestsOf(const PeerMessage& message)
 {
     std::vector<PendingRequest> requests;
--- a/src/libprotocol/peermessage.h
+++ b/src/libprotocol/peermessage.h
@@ -3,6 +3,7 @@
 #include "framing.h"
 #include "libdecision/agentchoice.h"
 #include "libdecision/agentflows.h"
+#include "libdecision/directorydifference.h"
 #include "libdecision/flowadmission.h"
 #include "libdecision/pendingreports.h"
 #include "libdecision/storereaders.h"
@@ -12,7 +13,7 @@
 
 template <>
 struct EnumNames<wire::PeerKind> {
-    static constexpr std::array<std::string_view, 18> names {
+    static constexpr std::array<std::string_view, 20> names {
         "gossip",
         "open",
         "forward",
@@ -31,6 +32,8 @@
         "unsureNear",
         "directoryDigests",
         "pendingRequests",
+        "entryDigests",
+        "entryRequest",
     };
 };
 static_assert(EnumNames<wire::PeerKind>::names.size() == static_cast<std::size_t>(wire::PeerKind::MAX) + 1);
@@ -101,6 +104,17 @@
     bool wantsAnswer = false;
     /// The receiver lacks so many entries that it must fetch the whole directory.
     bool differsMuch = false;
+    /// How many entries the sender accepts in answer; 0 when it does not know EntryDigests.
+    std::uint32_t maxEntries = 0;
+};
+
+/// Digests of single entries, or a request for those entries.
+struct EntryDigestsMessage {
+    wire::PeerKind kind = wire::PeerKind::EntryDigests;
+    ConfigVersion configVersion = 0;
+    EntryDigests digests;
+    /// How many entries the sender accepts.
+    std::uint32_t maxEntries = 0;
 };
 
 /// Encodes messages into a reused buffer, so that encoding a packet needs no allocation. The returned bytes are valid until
@@ -110,6 +124,7 @@
     std::span<const std::uint8_t> encode(const FlowMessage&);
     std::span<const std::uint8_t> encode(const GossipMessage&);
     std::span<const std::uint8_t> encode(const DigestsMessage&);
+    std::span<const std::uint8_t> encode(const EntryDigestsMessage&);
 
 private:
     flatbuffers::FlatBufferBuilder m_builder { 2048 };
@@ -124,6 +139,8 @@
 std::vector<PeerEntry> entriesOf(const flatbuffers::Vector<flatbuffers::Offset<wire::PeerEntry>>& packed);
 /// The digests in a DirectoryDigests message.
 std::vector<std::uint32_t> digestsOf(const PeerMessage&);
+/// The content of an EntryDigests or EntryRequest message.
+EntryDigests entryDigestsOf(const PeerMessage&);
 /// The heartbeats of the store's readers in a News message.
 std::vector<ReaderHeartbeat> readerHeartbeatsOf(const PeerMessage&);
 /// The requests in a PendingRequests message, at most maxPendingRequestsPerMessage. The limit bounds the work that a forged
--- a/tests/fuzz/fuzzpeer.cpp
+++ b/tests/fuzz/fuzzpeer.cpp
@@ -15,6 +15,7 @@
         entriesOf(*message);
         readerHeartbeatsOf(*message);
         digestsOf(*message);
+        exchangeFor({}, entryDigestsOf(*message), 1, 1);
         pendingRequestsOf(*message);
         outagesOf(*message);
         holderAnswerOf(message->kind);
--- a/tests/packets/testdirectory.cpp
+++ b/tests/packets/testdirectory.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST_SUITE(TestDirectory);
     CPPUNIT_TEST(derivedFieldsFollowEveryChange);
     CPPUNIT_TEST(randomAddressesAreDifferentAndFair);
+    CPPUNIT_TEST(announcementReachesEveryDataCentre);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint32_t names = 400;
@@ -52,6 +53,7 @@
         const DataCentreMembers& members = membersOf(directory, dataCentre);
         CPPUNIT_ASSERT(sorted(members.peers) == addressesWhere(directory, [&](const PeerEntry& entry) { return entry.state != PeerState::Gone && entry.dataCentre == dataCentre; }));
         CPPUNIT_ASSERT(sorted(members.readyBalancers) == addressesWhere(directory, [&](const PeerEntry& entry) { return entry.role == PeerRole::Balancer && entry.state == PeerState::Ready && entry.dataCentre == dataCentre; }));
+        CPPUNIT_ASSERT(sorted(members.allAgents) == addressesWhere(directory, [&](const PeerEntry& entry) { return mayHoldFlows(entry) && entry.dataCentre == dataCentre; }));
         for (const std::string service : { "board", "filing" }) {
             const auto found = members.agents.find(service);
             const std::vector<std::uint32_t> agents = found != members.agents.end() ? sorted(found->second) : std::vector<std::uint32_t> {};
@@ -112,6 +114,31 @@
             CPPUNIT_ASSERT_EQUAL(std::size_t { size } - 1, seen.size());
         }
     }
+
+    // A fleet in five data centres. Guards against an announcement that many processes learn of only with a later round of
+    // gossip, and against messages between data centres that grow with the fleet.
+    void announcementReachesEveryDataCentre()
+    {
+        for (const std::uint32_t size : { 300U, 1000U, 2000U }) {
+            Directory directory;
+            for (std::uint32_t number = 0; number < size; ++number)
+                applyEntry(directory, { .name = "agent-" + std::to_string(number), .address = number, .dataCentre = std::to_string(number % 5), .service = "board", .epoch = 1 });
+            std::minstd_rand random(size);
+            const std::vector<std::uint32_t> first = randomInEachDataCentre(directory, 2, 0, random);
+            CPPUNIT_ASSERT_EQUAL(std::size_t { 10 }, first.size());
+            std::set<std::uint32_t> reached(first.begin(), first.end());
+            std::vector<std::uint32_t> relaying(first.begin(), first.end());
+            while (!relaying.empty()) {
+                const std::uint32_t relay = relaying.back();
+                relaying.pop_back();
+                for (const std::uint32_t peer : randomAddresses(membersOf(directory, std::to_string(relay % 5)).allAgents, 2, relay, random)) {
+                    if (reached.insert(peer).second)
+                        relaying.push_back(peer);
+                }
+            }
+            CPPUNIT_ASSERT(reached.size() >= size * 7 / 10);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestDirectory);
