--- a/src/kingcuptraild/packets/holderfinder.cpp
+++ b/src/kingcuptraild/packets/holderfinder.cpp
@@ -250,7 +250,7 @@
 // so that they have to deny the flow as well.
 void HolderFinder::handleUnsureDelegate(const PeerMessage& message, PendingSearch& waiting, std::span<const std::uint32_t> members)
 {
-    const DelegatedAnswer answer = classifyDelegatedAnswer(waiting.search, members, message.denied, message.excluded);
+    const DelegatedAnswer answer = classifyDelegatedAnswer(waiting.search, members, { .denied = message.denied, .open = message.excluded, .haveOthersDenied = message.haveOthersDenied });
     addMissingAgents(waiting.search, message.excluded);
     SearchState state = SearchState::Asking;
     for (const std::uint32_t agent : answer.denied)
--- a/src/kingcuptraild/packets/neighboursearches.cpp
+++ b/src/kingcuptraild/packets/neighboursearches.cpp
@@ -9,8 +9,6 @@
 
     /// Time limit of a search among neighbours, in milliseconds. The balancer probes agents without an answer long before.
     constexpr Millis neighbourSearchTimeout = 100;
-    /// The most agents that an answer may name, so that it fits into one datagram.
-    constexpr std::size_t maxAgentsInAnswer = 250;
 
 }
 
@@ -82,15 +80,13 @@
     else if (answer.open.empty() && delegated.isSameDirectory)
         sendReply(m_state, delegated.balancer, { .kind = wire::PeerKind::NotHeldNear, .flow = flow });
     else
-        replyUnsure(delegated.balancer, flow, std::move(answer));
+        replyUnsure(delegated.balancer, flow, shortenAnswer(std::move(answer), delegated.isSameDirectory));
     m_searches.erase(found);
 }
 
 void NeighbourSearches::replyUnsure(std::uint32_t balancer, const FlowKey& flow, DelegatedAnswer answer)
 {
-    if (answer.denied.size() + answer.open.size() > maxAgentsInAnswer)
-        answer = {};
-    sendReply(m_state, balancer, { .kind = wire::PeerKind::UnsureNear, .flow = flow, .excluded = std::move(answer.open), .denied = std::move(answer.denied) });
+    sendReply(m_state, balancer, { .kind = wire::PeerKind::UnsureNear, .flow = flow, .excluded = std::move(answer.open), .denied = std::move(answer.denied), .haveOthersDenied = answer.haveOthersDenied });
 }
 
 // The agents that denied the flow and the agents that were unsure or did not answer, including this agent.
--- a/src/libdecision/holdersearch.cpp
+++ b/src/libdecision/holdersearch.cpp
@@ -1,6 +1,7 @@
 #include "holdersearch.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace kingcuptrail {
 
@@ -15,11 +16,9 @@
 // Answers of the agents known first don't show that the others don't hold the flow.
 std::vector<std::uint32_t> addMissingAgents(HolderSearch& search, std::span<const std::uint32_t> agents)
 {
+    const std::unordered_set<std::uint32_t> asked(search.asked.begin(), search.asked.end());
     std::vector<std::uint32_t> missing;
-    for (const std::uint32_t agent : agents) {
-        if (std::ranges::find(search.asked, agent) == search.asked.end())
-            missing.push_back(agent);
-    }
+    std::ranges::copy_if(agents, std::back_inserter(missing), [&asked](std::uint32_t agent) { return !asked.contains(agent); });
     search.asked.insert(search.asked.end(), missing.begin(), missing.end());
     search.awaited.insert(search.awaited.end(), missing.begin(), missing.end());
     if (!missing.empty() && search.state == SearchState::HeldByNobody)
@@ -52,16 +51,29 @@
     return awaited;
 }
 
-DelegatedAnswer classifyDelegatedAnswer(const HolderSearch& search, std::span<const std::uint32_t> members, std::span<const std::uint32_t> denied, std::span<const std::uint32_t> open)
+DelegatedAnswer shortenAnswer(DelegatedAnswer answer, bool isSameDirectory)
+{
+    if (answer.denied.size() + answer.open.size() <= maxAgentsInAnswer)
+        return answer;
+    if (!isSameDirectory || answer.open.size() > maxAgentsInAnswer)
+        return {};
+    answer.denied.clear();
+    answer.haveOthersDenied = true;
+    return answer;
+}
+
+DelegatedAnswer classifyDelegatedAnswer(const HolderSearch& search, std::span<const std::uint32_t> members, const DelegatedAnswer& received)
 {
     DelegatedAnswer answer;
+    const std::unordered_set<std::uint32_t> awaited(search.awaited.begin(), search.awaited.end());
+    const std::unordered_set<std::uint32_t> denied(received.denied.begin(), received.denied.end());
+    const std::unordered_set<std::uint32_t> open(received.open.begin(), received.open.end());
     for (const std::uint32_t agent : members) {
-        const bool isAwaited = std::ranges::find(search.awaited, agent) != search.awaited.end();
-        if (std::ranges::find(denied, agent) != denied.end())
+        if (denied.contains(agent) || (received.haveOthersDenied && !open.contains(agent)))
             answer.denied.push_back(agent);
-        else if (!isAwaited)
+        else if (!awaited.contains(agent))
             continue;
-        else if (std::ranges::find(open, agent) != open.end())
+        else if (open.contains(agent))
             answer.open.push_back(agent);
         else
             answer.unknown.push_back(agent);
--- a/src/libdecision/holdersearch.h
+++ b/src/libdecision/holdersearch.h
@@ -57,11 +57,20 @@
     std::vector<std::uint32_t> open;
     /// Agents that it does not know.
     std::vector<std::uint32_t> unknown;
+    /// Every other agent that the asking balancer knows there has denied the flow, and `denied` is not listed.
+    bool haveOthersDenied = false;
 };
 
-/// Classifies those of `members` that have not denied the flow yet by an answer for their data centre. An agent that has
+/// The most agents that an answer for a data centre may name, so that it fits into one datagram.
+inline constexpr std::size_t maxAgentsInAnswer = 250;
+
+/// Shortens an answer that names too many agents. While the balancer knows the same agents, those that could not deny the flow
+/// are enough, so that a search can be certain in a data centre of any size; otherwise such an answer names nobody.
+DelegatedAnswer shortenAnswer(DelegatedAnswer, bool isSameDirectory);
+
+/// Classifies those of `members` that have not denied the flow yet by the answer received for their data centre. An agent that has
 /// answered unsure itself is left out unless the answer lists it as denied.
-DelegatedAnswer classifyDelegatedAnswer(const HolderSearch&, std::span<const std::uint32_t> members, std::span<const std::uint32_t> denied, std::span<const std::uint32_t> open);
+DelegatedAnswer classifyDelegatedAnswer(const HolderSearch&, std::span<const std::uint32_t> members, const DelegatedAnswer& received);
 
 /// Records one agent's answer and returns the resulting state. An agent that was not asked counts only if it holds the
 /// flow.
--- a/src/libdecision/probeplan.cpp
+++ b/src/libdecision/probeplan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <unordered_set>
 #include <utility>
 
 namespace kingcuptrail {
@@ -59,10 +60,11 @@
 
 AgentsByDataCentre filterAgents(const AgentsByDataCentre& all, std::span<const std::uint32_t> agents)
 {
+    const std::unordered_set<std::uint32_t> wanted(agents.begin(), agents.end());
     AgentsByDataCentre chosen;
     for (const auto& [dataCentre, members] : all) {
         for (const std::uint32_t member : members) {
-            if (contains(agents, member))
+            if (wanted.contains(member))
                 chosen[dataCentre].push_back(member);
         }
     }
--- a/src/libprotocol/peermessage.cpp
+++ b/src/libprotocol/peermessage.cpp
@@ -86,6 +86,7 @@
         message.excluded.assign(excluded->begin(), excluded->end());
     if (const auto* denied = table->denied())
         message.denied.assign(denied->begin(), denied->end());
+    message.haveOthersDenied = table->others_denied();
     error = FrameError::None;
     return message;
 }
@@ -125,6 +126,7 @@
         builder.add_excluded(excluded);
     if (!message.denied.empty())
         builder.add_denied(denied);
+    builder.add_others_denied(message.haveOthersDenied);
     if (!message.pending.empty())
         builder.add_pending(pending);
     m_builder.Finish(builder.Finish());
--- a/src/libprotocol/peermessage.h
+++ b/src/libprotocol/peermessage.h
@@ -56,8 +56,9 @@
     std::uint32_t holder = 0;
     /// Of FindNear: agents that must not be queried. Of UnsureNear: agents that were queried and gave no definite answer.
     std::vector<std::uint32_t> excluded;
-    /// Of UnsureNear: agents that certainly do not hold the flow.
+    /// Of UnsureNear: agents that certainly do not hold the flow, or that all others do not hold it.
     std::vector<std::uint32_t> denied;
+    bool haveOthersDenied = false;
     std::span<const std::uint8_t> packet;
     /// Access to the fields of the less frequent kinds, which are not decoded in advance.
     const wire::PeerMessage* table = nullptr;
@@ -79,6 +80,7 @@
     std::uint32_t holder = 0;
     std::vector<std::uint32_t> excluded;
     std::vector<std::uint32_t> denied;
+    bool haveOthersDenied = false;
     /// Of PendingRequests; what exceeds maxPendingRequestsPerMessage is not encoded.
     std::span<const PendingRequest> pending;
     const AgentLoad* load = nullptr;
--- a/tests/packets/testprobeplan.cpp
+++ b/tests/packets/testprobeplan.cpp
@@ -69,6 +69,7 @@
     CPPUNIT_TEST(fewAgentsAreProbedDirectly);
     CPPUNIT_TEST(lastOpenAgentsOfALargeCentreAreProbedDirectly);
     CPPUNIT_TEST(disagreementLeavesOnlyOneAgentUndecided);
+    CPPUNIT_TEST(largeDataCentreCanDenyAFlow);
     CPPUNIT_TEST_SUITE_END();
 
     // All processes are restarted while the upstreams keep running, so no agent knows a flow. Guards against one copy of
@@ -196,7 +197,7 @@
         recordAnswer(search, 4, HolderAnswer::Unsure);
         const std::vector<std::uint32_t> denied { 1, 2, 3, 4 };
         const std::vector<std::uint32_t> open { 6, 9 };
-        const DelegatedAnswer answer = classifyDelegatedAnswer(search, members, denied, open);
+        const DelegatedAnswer answer = classifyDelegatedAnswer(search, members, { .denied = denied, .open = open });
         CPPUNIT_ASSERT(answer.denied == denied);
         CPPUNIT_ASSERT(answer.open == std::vector<std::uint32_t> { 6 });
         CPPUNIT_ASSERT(answer.unknown == std::vector<std::uint32_t> { 5 });
@@ -208,6 +209,32 @@
         CPPUNIT_ASSERT(recordAnswer(search, 6, HolderAnswer::NotHeld) == SearchState::Asking);
         CPPUNIT_ASSERT(recordAnswer(search, 9, HolderAnswer::NotHeld) == SearchState::HeldByNobody);
     }
+
+    // A data centre with more agents than an answer can name, two of which are unsure. Guards against searches there that can
+    // never be certain, so that callers of lost flows wait for their deadlines.
+    void largeDataCentreCanDenyAFlow()
+    {
+        for (const std::uint32_t size : { 140U, 300U, 1000U }) {
+            std::vector<std::uint32_t> members;
+            DelegatedAnswer complete;
+            for (std::uint32_t agent = 1; agent <= size; ++agent) {
+                members.push_back(agent);
+                (agent % 100 == 0 && agent <= 200 ? complete.open : complete.denied).push_back(agent);
+            }
+            const DelegatedAnswer sent = shortenAnswer(complete, true);
+            CPPUNIT_ASSERT(sent.denied.size() + sent.open.size() <= maxAgentsInAnswer);
+            HolderSearch search = beginSearch(members, 1000);
+            const DelegatedAnswer answer = classifyDelegatedAnswer(search, members, sent);
+            CPPUNIT_ASSERT(answer.denied == complete.denied && answer.open == complete.open && answer.unknown.empty());
+            // While the directories differ, an agent that is not named may be one that was not asked.
+            const bool isNamed = size <= maxAgentsInAnswer;
+            CPPUNIT_ASSERT_EQUAL(isNamed, classifyDelegatedAnswer(search, members, shortenAnswer(complete, false)).unknown.empty());
+        }
+        DelegatedAnswer unsure { .denied = { 1 } };
+        for (std::uint32_t agent = 2; agent <= 300; ++agent)
+            unsure.open.push_back(agent);
+        CPPUNIT_ASSERT(shortenAnswer(unsure, true).open.empty() && !shortenAnswer(unsure, true).haveOthersDenied);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestProbePlan);
