--- a/src/kingcuptraild/packets/peertraffic.cpp
+++ b/src/kingcuptraild/packets/peertraffic.cpp
@@ -22,18 +22,18 @@
 {
     constexpr auto gossip = wire::PeerKind::News;
     logEvent(Event::PeerTraffic, {
-        { "uptime", static_cast<std::uint64_t>(uptime) },
-        { "gossipSent", traffic.sentMessages.count(gossip) },
-        { "gossipBytesSent", traffic.sentBytes.count(gossip) },
-        { "gossipReceived", traffic.receivedMessages.count(gossip) },
-        { "digestsSent", aboutDirectories(traffic.sentMessages) },
-        { "digestBytesSent", aboutDirectories(traffic.sentBytes) },
-        { "viewsSent", traffic.viewsSent },
-        { "viewBytesSent", traffic.viewBytesSent },
-        { "viewsReceived", traffic.viewsReceived },
-        { "flowMessagesSent", aboutFlows(traffic.sentMessages) },
-        { "flowBytesSent", aboutFlows(traffic.sentBytes) },
-    });
+                                     { "uptime", static_cast<std::uint64_t>(uptime) },
+                                     { "gossipSent", traffic.sentMessages.count(gossip) },
+                                     { "gossipBytesSent", traffic.sentBytes.count(gossip) },
+                                     { "gossipReceived", traffic.receivedMessages.count(gossip) },
+                                     { "digestsSent", aboutDirectories(traffic.sentMessages) },
+                                     { "digestBytesSent", aboutDirectories(traffic.sentBytes) },
+                                     { "viewsSent", traffic.viewsSent },
+                                     { "viewBytesSent", traffic.viewBytesSent },
+                                     { "viewsReceived", traffic.viewsReceived },
+                                     { "flowMessagesSent", aboutFlows(traffic.sentMessages) },
+                                     { "flowBytesSent", aboutFlows(traffic.sentBytes) },
+                                 });
 }
 
 void exposePeerTraffic(std::string& out, const PeerTraffic& traffic)
--- a/tests/ctl/testcommands.cpp
+++ b/tests/ctl/testcommands.cpp
@@ -314,7 +314,8 @@
         {
             std::ofstream log(path);
             for (int process = 0; process < 10; ++process)
-                log << R"({"time":)" << 1000 + 10 * process << R"(,"process":"front-)" << process << R"(","name":"routesInForce","version":5})" << "\n";
+                log << R"({"time":)" << 1000 + 10 * process << R"(,"process":"front-)" << process << R"(","name":"routesInForce","version":5})"
+                    << "\n";
             log << R"({"time":9000,"process":"front-0","name":"routesInForce","version":5})"
                 << "\n"
                 << R"({"time":2000,"process":"front-1","name":"peerChanged","peer":"agent-1","state":"gone","epoch":3})"
