--- a/tests/scenarios/verbs.lua
+++ b/tests/scenarios/verbs.lua
@@ -226,13 +226,14 @@
         local seen = status(name)
         if not seen or #seen.members < deployment.upstreamCount then return false end
         for _, member in ipairs(seen.members) do
-            if not member.linked or not member.announced then return false end
+            -- An agent whose upstream does not listen yet reports that it drains, and gets no flows until it serves.
+            if not member.linked or not member.announced or member.state ~= "serving" then return false end
         end
     end
     return true
 end
 
-function waitUntilReady(limit) waitFor("every daemon to be linked", limit or 15000, isReady) end
+function waitUntilReady(limit) waitFor("every daemon to be linked and every upstream to serve", limit or 15000, isReady) end
 
 -- Starts the fabric with balancers at these ports.
 local function startFabric(ports)
@@ -246,7 +247,7 @@
     } })
 end
 
--- Starts a whole deployment and returns when every daemon is linked. spec.services lists services with name, count, slots and
+-- Starts a whole deployment and returns when every daemon is linked and every upstream serves. spec.services lists services with name, count, slots and
 -- flags of their upstreams, which are distributed over the data centres in turn. spec.relays puts a relay in front of each
 -- balancer, a service's relays one in front of each of its agents; spec.slowPlatform names the balancer that reaches the
 -- platform through a relay.
