--- a/src/kingcuptraild/packets/holderfinder.cpp
+++ b/src/kingcuptraild/packets/holderfinder.cpp
@@ -18,8 +18,8 @@
     /// Searches that are started in one tick when the first agents become known, so that a backlog does not delay the packets
     /// of a balancer on a small host.
     constexpr std::size_t maxSearchesBegunPerTick = 16;
-    /// Agents that are asked before all others: those that the flow's hash ranks first. The second and third held the flow when
-    /// the first one had just been sent another opening.
+    /// Agents that are asked before all others: those that the flow's hash ranks first. The first one was passed over when
+    /// another opening had just been sent to it.
     constexpr std::size_t likelyHolderCount = 3;
     /// How long they may take to answer before all others are asked as well, in milliseconds: a few round trips.
     constexpr Millis likelyHolderTimeout = 10;
@@ -104,6 +104,7 @@
     queryAgents(flow, waiting, filterAgents(known, missing));
 }
 
+// Asks all other agents where the likely holders are late.
 void HolderFinder::widenSearches(Millis now)
 {
     const auto isDue = [now](const auto& item) { return item.second.asksLikelyHolders && now - item.second.search.startedAt >= likelyHolderTimeout; };
--- a/src/kingcuptraild/packets/peernetwork.h
+++ b/src/kingcuptraild/packets/peernetwork.h
@@ -34,7 +34,8 @@
 /// A process's view of the whole deployment (configuration, outages and the directory of processes) and the gossip protocol
 /// that spreads it. Each process regularly sends the versions of its view to a few random peers in a gossip message (wire
 /// kind News); a peer that is behind fetches the view over TCP. Changes in the store thus reach processes that cannot reach
-/// the store, at a cost for each process that does not grow with the number of processes.
+/// the store, at a cost for each process that does not grow with the number of processes. directorycomparison.cpp implements the
+/// comparison of directories, viewexchange.cpp the transfer of views, peernetwork.cpp the rest.
 class PeerNetwork {
 public:
     struct Handlers {
@@ -98,13 +99,9 @@
     void exposeMetrics(std::string& out) const;
 
 private:
-    void transmit(std::span<const std::uint8_t> message, wire::PeerKind kind, std::uint32_t address);
-    void logTraffic();
-    bool mergeEntry(const PeerEntry& entry);
-    void handleDatagram(std::span<const std::uint8_t> datagram, std::uint32_t sender);
-    void handleGossip(const PeerMessage& message, std::uint32_t sender);
-    void gossipPeriodically();
-    void announceToBalancer(const PeerEntry& entry);
+    /// The most directory entries that one gossip message carries.
+    static constexpr std::size_t maxEntriesPerMessage = 6;
+
     enum class GossipPurpose : std::uint8_t {
         /// One of the regular rounds, or a request; the receiver answers.
         Question,
@@ -112,6 +109,15 @@
         /// Tells of changed entries only.
         Announcement,
     };
+
+    void transmit(std::span<const std::uint8_t> message, wire::PeerKind kind, std::uint32_t address);
+    void logTraffic();
+    bool mergeEntry(const PeerEntry& entry);
+    void handleDatagram(std::span<const std::uint8_t> datagram, std::uint32_t sender);
+    void handleGossip(const PeerMessage& message, std::uint32_t sender);
+    void gossipPeriodically();
+    void gossipNearAndFar();
+    void announceToBalancer(const PeerEntry& entry);
     void gossipToRandomPeers(std::size_t count, const std::vector<PeerEntry>& changed);
     void announceChange();
     void relay(const PeerEntry& entry);
@@ -120,13 +126,12 @@
     std::vector<std::uint32_t> startPeers() const;
     void sendDigests(std::uint32_t address, bool wantsAnswer, bool differsMuch);
     void handleDigests(const PeerMessage& message, std::uint32_t sender);
-    void fetchDirectory(std::uint32_t address);
     void answerWithDifference(const PeerMessage& message, std::uint32_t sender);
     void handleEntryDigests(const PeerMessage& message, std::uint32_t sender);
     void sendEntries(std::uint32_t address, std::span<const PeerEntry> entries);
     std::uint32_t maxEntries() const;
     bool isFar(std::uint32_t address) const;
-    void gossipNearAndFar();
+    void fetchDirectory(std::uint32_t address);
     void fetchRoutes(std::uint32_t address, ConfigVersion offered);
     void fetchView(std::uint32_t address, const ViewParts& parts);
     void abandonFetch();
--- a/tests/runtime/testsettings.cpp
+++ b/tests/runtime/testsettings.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(everyFaultIsListed);
     CPPUNIT_TEST(endpointsNeedAddressAndPort);
     CPPUNIT_TEST(packetRolesRequireTheirFields);
+    CPPUNIT_TEST(reportsMustBeBridged);
     CPPUNIT_TEST_SUITE_END();
 
     static json balancer()
@@ -143,6 +144,25 @@
         CPPUNIT_ASSERT(!parseSettings(badSeed, faults));
         CPPUNIT_ASSERT_EQUAL(std::string("/packets/seeds/0"), faults.front().place);
     }
+
+    // Guards against an agent that could not keep its upstream in service between two reports.
+    void reportsMustBeBridged()
+    {
+        const auto settingsWith = [](const std::string& reuseSeconds, const std::string& interval) {
+            return R"({"role":"packetAgent","name":"a","dataCentre":"north","listen":"10.0.0.1:7720","admin":"10.0.0.1:9464","platform":"10.0.0.2:80","packets":{"ingress":"10.0.0.1:8172","ready":"10.0.0.1:8167","upstream":"10.0.0.1:80","outbound":"10.0.0.1:81","control":"10.0.0.1:82","addressReuseSeconds":)" + reuseSeconds + interval + "}}";
+        };
+        std::vector<Fault> faults;
+        const auto settings = parseSettings(settingsWith("2", R"(,"reportIntervalMs":3000)"), faults);
+        CPPUNIT_ASSERT(settings && settings->packets.reportInterval == 3000);
+        CPPUNIT_ASSERT(!parseSettings(settingsWith("0.5", R"(,"reportIntervalMs":3000)"), faults));
+        CPPUNIT_ASSERT(faults.back().kind == FaultKind::Inconsistent && faults.back().place == "/packets/addressReuseSeconds");
+        for (const auto& [variable, expected] : { std::pair { "770", 770 }, std::pair { "9", -1 }, std::pair { "", -1 } }) {
+            setenv("KINGCUPTRAIL_REPORT_INTERVAL_MS", variable, 1);
+            const auto byEnvironment = parseSettings(settingsWith("2", ""), faults);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(variable, expected, byEnvironment ? static_cast<int>(byEnvironment->packets.reportInterval) : -1);
+        }
+        unsetenv("KINGCUPTRAIL_REPORT_INTERVAL_MS");
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestSettings);
