--- a/src/libdecision/directorydifference.cpp
+++ b/src/libdecision/directorydifference.cpp
@@ -20,8 +20,7 @@
     std::vector<std::uint8_t> distinct(std::vector<std::uint8_t> buckets)
     {
         std::ranges::sort(buckets);
-        const auto repeated = std::ranges::unique(buckets);
-        buckets.erase(repeated.begin(), repeated.end());
+        buckets.erase(std::unique(buckets.begin(), buckets.end()), buckets.end());
         return buckets;
     }
 
