--- a/src/kingcuptrailctl/spreadcommand.cpp
+++ b/src/kingcuptrailctl/spreadcommand.cpp
@@ -43,6 +43,7 @@
     Spread spreadOf(const std::string& change, const TimesByProcess& times)
     {
         std::vector<std::uint64_t> delays;
+        delays.reserve(times.size());
         for (const auto& [process, time] : times)
             delays.push_back(time);
         const std::uint64_t begunAt = *std::ranges::min_element(delays);
@@ -68,6 +69,7 @@
     if (failure)
         return *failure;
     std::vector<Spread> spreads;
+    spreads.reserve(changes.size());
     for (const auto& [change, times] : changes)
         spreads.push_back(spreadOf(change, times));
     std::ranges::stable_sort(spreads, std::greater(), &Spread::all);
