--- a/src/libruntime/settings.cpp
+++ b/src/libruntime/settings.cpp
@@ -122,15 +122,16 @@
             return agent;
         }
 
-        /// The number in the object, or that of the environment; `fallback` when neither is set or the latter is invalid.
+        /// The number in the object, or that of the environment; `fallback` when neither is set, the latter is empty or invalid.
         std::uint64_t readNumber(const json& object, const EnvironmentNumber& source, std::uint64_t fallback)
         {
             if (object.contains(source.field))
                 return object[source.field].get<std::uint64_t>();
+            // A deployment without a value fills its template with nothing.
             const char* value = std::getenv(source.variable);
-            if (!value)
+            const std::string_view text = value ? value : "";
+            if (text.empty())
                 return fallback;
-            const std::string_view text = value;
             std::uint64_t number = 0;
             const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
             const bool isNumber = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
