--- a/src/kingcuptraild/packets/holderfinder.cpp
+++ b/src/kingcuptraild/packets/holderfinder.cpp
@@ -353,7 +353,7 @@
     // The periodic check repeats this until a peer has confirmed the directory.
     if (!isDirectoryComplete())
         return;
-    logFlowEvent(Event::FlowLost, flow, { { "directory", m_state.network.directory().entries.size() }, { "milliseconds", static_cast<std::uint64_t>(m_state.role.clock.now() - waiting.search.startedAt) } });
+    logFlowEvent(Event::FlowLost, flow, { { "directory", m_state.network.directory().entries.size() }, { "denied", waiting.search.asked.size() }, { "silent", m_state.unresponsiveAgents.silentSince.size() }, { "milliseconds", static_cast<std::uint64_t>(m_state.role.clock.now() - waiting.search.startedAt) } });
     sendReset(m_state, flow, waiting.acknowledged, ResetReason::HeldByNobody);
     m_searchOutcomes.increment(state);
     m_searches.erase(found);
--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -279,10 +279,14 @@
 void PacketAgent::handleReport(const UpstreamReport& report)
 {
     const Millis now = m_state.role.clock.now();
+    const UpstreamReport previous = m_state.flowAdmission.upstream.value_or(UpstreamReport {});
+    const auto previousAge = static_cast<std::uint64_t>(now - m_state.flowAdmission.reportedAt);
     const ReportEffect effect = applyReport(m_state.flowAdmission, report, now);
     m_reports.increment(effect);
     if (effect == ReportEffect::Changed || effect == ReportEffect::NewProcess)
-        logEvent(Event::UpstreamReported, { { "upstream", report.id }, { "news", nameOf(effect) }, { "service", report.service }, { "draining", report.isDraining ? "yes" : "no" }, { "born", report.born }, { "sequence", report.sequence }, { "coldLeft", static_cast<std::uint64_t>(report.coldLeft) } });
+        logEvent(Event::UpstreamReported, { { "upstream", report.id }, { "news", nameOf(effect) }, { "service", report.service }, { "slots", report.slots }, { "draining", report.isDraining ? "yes" : "no" }, { "born", report.born }, { "sequence", report.sequence }, { "coldLeft", static_cast<std::uint64_t>(report.coldLeft) }, { "previous", previous.id }, { "previousBorn", previous.born }, { "previousAge", previousAge }, { "open", m_state.flows.open } });
+    if (effect == ReportEffect::Stale)
+        logEvent(Event::StaleReport, { { "upstream", report.id }, { "service", report.service }, { "born", report.born }, { "sequence", report.sequence }, { "known", previous.id }, { "knownBorn", previous.born }, { "knownSequence", previous.sequence }, { "knownAge", previousAge } });
     if (effect != ReportEffect::Stale) {
         recordReport(m_untrackedFlows, report, effect == ReportEffect::NewProcess);
         recordUpstreamReport(m_state.upstreamEnd);
--- a/src/kingcuptraild/packets/peernetwork.cpp
+++ b/src/kingcuptraild/packets/peernetwork.cpp
@@ -114,7 +114,7 @@
 {
     if (!mergeEntry(entry))
         return;
-    logEvent(Event::PeerChanged, { { "peer", entry.name }, { "role", nameOf(entry.role) }, { "state", nameOf(entry.state) }, { "epoch", entry.epoch } });
+    logEvent(Event::PeerChanged, { { "peer", entry.name }, { "role", nameOf(entry.role) }, { "state", nameOf(entry.state) }, { "service", entry.service }, { "slots", entry.slots }, { "epoch", entry.epoch } });
     // An agent announces itself to every balancer, so balancers do not pass its entry on. Agents do.
     const bool isAnnouncedDirectly = entry.role == PeerRole::Agent && m_self.role == PeerRole::Balancer;
     // No answer is requested: a receiver whose digest differs compares directories anyway, and an answer to each copy would
--- a/src/libdecision/agentflows.cpp
+++ b/src/libdecision/agentflows.cpp
@@ -172,6 +172,7 @@
     }
     AgentFlow& flow = found->second;
     flow.lastPacketAt = now;
+    flow.upstreamPacketAt = now;
     if (effect.isAnswer)
         flow.answerSequence = header.sequence;
     else if (flow.phase == FlowPhase::Opening)
@@ -222,7 +223,7 @@
     std::vector<LostFlow> lost;
     for (const auto& [key, flow] : table.flows) {
         if (flow.phase == FlowPhase::Open && flow.openedAt <= learntUntil)
-            lost.push_back({ .flow = key, .callerAcknowledged = flow.callerAcknowledged });
+            lost.push_back({ .flow = key, .callerAcknowledged = flow.callerAcknowledged, .openedAt = flow.openedAt, .lastPacketAt = flow.lastPacketAt, .upstreamPacketAt = flow.upstreamPacketAt });
     }
     table.flows.clear();
     table.atWork = 0;
--- a/src/libdecision/agentflows.h
+++ b/src/libdecision/agentflows.h
@@ -39,6 +39,8 @@
     std::uint32_t balancer = 0;
     Millis openedAt = 0;
     Millis lastPacketAt = 0;
+    /// When the upstream's last packet of this flow passed; 0 for never.
+    Millis upstreamPacketAt = 0;
     /// The caller has sent data, and the upstream has not sent any since.
     bool hasRequest = false;
     /// When the request began, for the time of its answer: its first data packet, or the opening's delivery for a request that
@@ -166,6 +168,10 @@
 struct LostFlow {
     FlowKey flow;
     std::uint32_t callerAcknowledged = 0;
+    /// When the flow was opened, when its last packet passed, and when the upstream's last packet did.
+    Millis openedAt = 0;
+    Millis lastPacketAt = 0;
+    Millis upstreamPacketAt = 0;
 };
 
 /// Removes every flow, since the upstream's process has ended, and returns those that are open and have to be reset. An
--- a/src/libruntime/events.cpp
+++ b/src/libruntime/events.cpp
@@ -110,6 +110,8 @@
             "Nothing." },
         { Event::UpstreamEnded, EventLevel::Warning, "upstreamEnded", "The upstream's process ended without a notice: packets to it are unanswered or nothing has been heard from it, and its address refuses connections. Its flows were reset, and openings that it had not answered were handed back.",
             "Check why the upstream's process ended; its host or supervisor has to start it again. New flows go to other upstreams until a new process reports." },
+        { Event::StaleReport, EventLevel::Info, "staleReport", "A report of the upstream was not taken: it is older than the last one, or from a process that has been replaced or has ended.",
+            "Nothing for single lines. If they repeat for a process that runs, compare born and knownBorn: the clock of its host may have been set back." },
         { Event::WrongServicePacket, EventLevel::Error, "wrongServicePacket", "A packet for another service arrived; the agent refused it and did not pass it to the upstream.",
             "Check whether two services share one address, or whether a balancer uses a very old configuration: compare the versions in kingcuptrailctl status." },
         { Event::OutcomeUnknown, EventLevel::Error, "outcomeUnknown", "A request may have run, but its answer was lost.",
@@ -136,6 +138,8 @@
             "Check the agent in waitsFor: it does not answer, or does not know its upstream yet. Unconfirmed directories are confirmed again without action." },
         { Event::BulkOpeningHeld, EventLevel::Info, "bulkOpeningHeld", "An opening of a route with large uploads waits at the balancer, because as many as the link may carry at once are active or the link is full.",
             "Nothing for single cases: the opening is admitted or refused within maxWait. If it is frequent, the balancers' links are too small for the uploads." },
+        { Event::FlowReset, EventLevel::Info, "flowReset", "An agent reset an open flow because its upstream does not hold it any more. The ages say when the flow was opened, when its last packets passed and when the upstream last reported.",
+            "Nothing after the end of an upstream's process. Otherwise compare upstream with the process that the flow was opened at (flowAdmitted)." },
     });
 
     constexpr auto textPattern = "%Y-%m-%dT%H:%M:%S.%eZ %l %n %v";
--- a/src/libruntime/events.h
+++ b/src/libruntime/events.h
@@ -68,6 +68,7 @@
     UpstreamFailing = 411,
     UpstreamAnswersAgain = 412,
     UpstreamEnded = 413,
+    StaleReport = 414,
     // Safety
     WrongServicePacket = 500,
     OutcomeUnknown = 501,
@@ -83,6 +84,7 @@
     FlowLearnt = 606,
     LinesLeftOut = 607,
     BulkOpeningHeld = 609,
+    FlowReset = 610,
 };
 
 enum class EventLevel : std::uint8_t {
