--- a/src/libdecision/flowadmission.cpp
+++ b/src/libdecision/flowadmission.cpp
@@ -6,6 +6,20 @@
 
 namespace {
 
+    bool isLateReport(const FlowAdmission& admission, const UpstreamReport& report, Millis now)
+    {
+        return std::ranges::any_of(admission.replaced, [&](const ReplacedProcess& process) {
+            return process.id == report.id && process.born == report.born && now - process.replacedAt < admission.options.lateReportLimit;
+        });
+    }
+
+    void rememberReplaced(FlowAdmission& admission, Millis now)
+    {
+        admission.replaced.push_back({ .id = admission.upstream->id, .born = admission.upstream->born, .replacedAt = now });
+        if (admission.replaced.size() > maxReplacedProcesses)
+            admission.replaced.pop_front();
+    }
+
     bool hasColdCapacity(FlowAdmission& admission, double rate, Millis now)
     {
         while (!admission.coldOpenings.empty() && now - admission.coldOpenings.front() >= admission.options.coldWindow)
@@ -74,6 +88,8 @@
 ReportEffect applyReport(FlowAdmission& admission, const UpstreamReport& report, Millis now)
 {
     ReportEffect effect = ReportEffect::Nothing;
+    if (isLateReport(admission, report, now))
+        return ReportEffect::Stale;
     if (!admission.upstream) {
         effect = ReportEffect::Changed;
     } else {
@@ -87,6 +103,11 @@
         else if (report.isDraining != known.isDraining || report.service != known.service || report.slots != known.slots)
             effect = ReportEffect::Changed;
     }
+    if (effect == ReportEffect::NewProcess) {
+        if (report.service != admission.upstream->service && isSameProcess(admission.evidence, now))
+            return ReportEffect::Stale;
+        rememberReplaced(admission, now);
+    }
     // The flows of an ended process were given up, so one that turns out to be running counts as changed.
     if (admission.endedAt && effect == ReportEffect::Nothing)
         effect = ReportEffect::Changed;
--- a/src/libdecision/flowadmission.h
+++ b/src/libdecision/flowadmission.h
@@ -85,15 +85,28 @@
     /// The window in which a cold upstream's openings are counted, in milliseconds. A second plus a margin for an opening
     /// that is still on its way to the upstream.
     Millis coldWindow = 1150;
-    /// How long reports of an ended process may arrive late, in milliseconds: four retransmissions of TCP. One that reports
-    /// later is running, and its connections were refused for another reason.
+    /// How long reports of a process that has ended or was replaced may arrive late, in milliseconds: four retransmissions of TCP.
+    /// One that reports later is running, and its connections were refused for another reason.
     Millis lateReportLimit = 3000;
 };
 
+/// A process that has reported for the upstream until another one did. An upstream may keep its id when it starts again.
+struct ReplacedProcess {
+    std::string id;
+    std::uint64_t born = 0;
+    Millis replacedAt = 0;
+};
+
+/// The number of replaced processes that are remembered.
+inline constexpr std::size_t maxReplacedProcesses = 8;
+
 /// An agent's state for deciding whether its upstream gets an opening packet.
 struct FlowAdmission {
     FlowAdmissionOptions options;
     std::optional<UpstreamReport> upstream;
+    /// The processes before it, the latest last. Start times alone do not order processes that started in the same millisecond or
+    /// whose host's clock was set back in between.
+    std::deque<ReplacedProcess> replaced;
     Millis reportedAt = 0;
     /// Until when the process that sent the last report is known to be the one at its address.
     UpstreamEvidence evidence;
@@ -123,12 +136,13 @@
 
 /// The effect of a report on the agent's state.
 enum class ReportEffect : std::uint8_t {
-    /// From a process that has been replaced or has ended, or older than the last report.
+    /// From a process that has been replaced or has ended, or older than the last report; or from a process of another service
+    /// while the known one runs, so that the address cannot have been reused yet.
     Stale,
     Nothing,
     /// Draining state, service or slots differ.
     Changed,
-    /// A new process reports for the upstream; the flows of the previous one are lost.
+    /// A new process reports for the upstream. It may have accepted flows before this report.
     NewProcess,
 };
 
--- a/tests/packets/testflowadmission.cpp
+++ b/tests/packets/testflowadmission.cpp
@@ -11,6 +11,8 @@
     CPPUNIT_TEST(silentUpstreamGetsNothingBeforeItsAddressIsReused);
     CPPUNIT_TEST(lateReportOfAReplacedProcessIsStale);
     CPPUNIT_TEST(lateReportOfAnEndedProcessIsStale);
+    CPPUNIT_TEST(lateReportWithTheSameStartIsStale);
+    CPPUNIT_TEST(otherServiceIsNotBelievedWhileTheProcessRuns);
     CPPUNIT_TEST(dataCentreOutHoldsUntilItIsBack);
     CPPUNIT_TEST(newerConfigurationDecides);
     CPPUNIT_TEST(nothingIsAdmittedWithoutACurrentView);
@@ -99,6 +101,31 @@
         CPPUNIT_ASSERT(decide(30) == OpeningRefusal::UpstreamDraining);
     }
 
+    // Two processes started in the same millisecond. Guards against reports that replace each other in turns, and against a process
+    // that stays ignored although it was the other one whose report was late.
+    void lateReportWithTheSameStartIsStale()
+    {
+        UpstreamReport second = reportOf(1000, 1);
+        second.id = "i-second";
+        CPPUNIT_ASSERT(applyReport(m_admission, second, 10) == ReportEffect::NewProcess);
+        CPPUNIT_ASSERT(applyReport(m_admission, reportOf(1000, 2), 20) == ReportEffect::Stale);
+        CPPUNIT_ASSERT_EQUAL(std::string("i-second"), m_admission.upstream->id);
+        CPPUNIT_ASSERT(applyReport(m_admission, reportOf(1000, 9), 10 + m_admission.options.lateReportLimit) == ReportEffect::NewProcess);
+        CPPUNIT_ASSERT(applyReport(m_admission, second, 20 + m_admission.options.lateReportLimit) == ReportEffect::Stale);
+    }
+
+    // Guards against flows that are given up for a report of another service although the address cannot have been reused yet.
+    void otherServiceIsNotBelievedWhileTheProcessRuns()
+    {
+        UpstreamReport other = reportOf(2000, 1);
+        other.service = "intake";
+        CPPUNIT_ASSERT(applyReport(m_admission, other, 1900) == ReportEffect::Stale);
+        CPPUNIT_ASSERT_EQUAL(std::string("board"), m_admission.upstream->service);
+        recordUpstreamEnd(m_admission, 1900);
+        CPPUNIT_ASSERT(applyReport(m_admission, other, 1900) == ReportEffect::Stale);
+        CPPUNIT_ASSERT(applyReport(m_admission, other, 1901) == ReportEffect::NewProcess);
+    }
+
     void dataCentreOutHoldsUntilItIsBack()
     {
         CPPUNIT_ASSERT(applyOutages(m_outages, { .revision = 5, .out = { "north" } }));
