--- a/src/kingcuptraild/packets/agentstate.cpp
+++ b/src/kingcuptraild/packets/agentstate.cpp
@@ -39,20 +39,24 @@
         recordDelivery(state.upstreamEnd, state.role.clock.now());
 }
 
+void resetLostFlow(AgentState& state, const LostFlow& flow, FlowLoss reason)
+{
+    const Millis now = state.role.clock.now();
+    const auto packet = state.adapter.encodeReset(flow.flow, flow.callerAcknowledged);
+    state.network.sendPacket(packet, { asio::ip::address_v4(flow.flow.caller.address), state.role.settings.packets.ingress.port() });
+    state.resetFlows.increment(reason);
+    logFlowEvent(Event::FlowReset, flow.flow, { { "reason", nameOf(reason) }, { "upstream", state.flowAdmission.upstream ? state.flowAdmission.upstream->id : "" }, { "openedAge", static_cast<std::uint64_t>(now - flow.openedAt) }, { "packetAge", static_cast<std::uint64_t>(now - flow.lastPacketAt) }, { "upstreamPacketAge", static_cast<std::uint64_t>(now - flow.upstreamPacketAt) }, { "reportAge", static_cast<std::uint64_t>(now - state.flowAdmission.reportedAt) } });
+}
+
 // Callers of lost flows get a reset at once, so that they open new flows instead of sending into lost ones until their
 // deadlines.
 std::size_t resetLostFlows(AgentState& state, FlowLoss reason)
 {
-    const Millis now = state.role.clock.now();
     const std::vector<LostFlow> lost = reason == FlowLoss::UpstreamEnded ? extractLostFlows(state.flows, state.upstreamEnd.lastPacketAt) : extractLostFlows(state.flows);
     clearUnanswered(state.health);
     forgetProcess(state.upstreamEnd);
-    for (const LostFlow& flow : lost) {
-        const auto packet = state.adapter.encodeReset(flow.flow, flow.callerAcknowledged);
-        state.network.sendPacket(packet, { asio::ip::address_v4(flow.flow.caller.address), state.role.settings.packets.ingress.port() });
-        logFlowEvent(Event::FlowReset, flow.flow, { { "reason", nameOf(reason) }, { "upstream", state.flowAdmission.upstream ? state.flowAdmission.upstream->id : "" }, { "openedAge", static_cast<std::uint64_t>(now - flow.openedAt) }, { "packetAge", static_cast<std::uint64_t>(now - flow.lastPacketAt) }, { "upstreamPacketAge", static_cast<std::uint64_t>(now - flow.upstreamPacketAt) }, { "reportAge", static_cast<std::uint64_t>(now - state.flowAdmission.reportedAt) } });
-    }
-    state.resetFlows.increment(reason, lost.size());
+    for (const LostFlow& flow : lost)
+        resetLostFlow(state, flow, reason);
     logEvent(Event::FlowsGivenUp, { { "flows", lost.size() }, { "reason", nameOf(reason) } });
     return lost.size();
 }
--- a/src/kingcuptraild/packets/agentstate.h
+++ b/src/kingcuptraild/packets/agentstate.h
@@ -2,6 +2,7 @@
 
 #include "libdecision/agentflows.h"
 #include "libdecision/flowadmission.h"
+#include "libdecision/flowverification.h"
 #include "libdecision/routetimes.h"
 #include "libdecision/unansweredopenings.h"
 #include "libdecision/upstreamend.h"
@@ -21,24 +22,27 @@
     Returned,
     Malformed,
     Forged,
+    SentToVerify,
 };
 
 template <>
 struct EnumNames<AgentPacketOutcome> {
-    static constexpr std::array<std::string_view, 8> names { "delivered", "deliveredToLearn", "handedBack", "refused", "toCaller", "returned", "malformed", "forged" };
+    static constexpr std::array<std::string_view, 9> names { "delivered", "deliveredToLearn", "handedBack", "refused", "toCaller", "returned", "malformed", "forged", "sentToVerify" };
 };
 
-/// Why the flows of an upstream's process are lost.
+/// What shows that the upstream has lost a flow.
 enum class FlowLoss : std::uint8_t {
-    /// Another process reports for the upstream.
+    /// A process of another service reports at the upstream's address, which is reused only some time after its process has ended.
     UpstreamReplaced,
     /// The upstream's process has ended without a notice.
     UpstreamEnded,
+    /// The process at the upstream's address returned a packet of the flow.
+    Returned,
 };
 
 template <>
 struct EnumNames<FlowLoss> {
-    static constexpr std::array<std::string_view, 2> names { "upstreamReplaced", "upstreamEnded" };
+    static constexpr std::array<std::string_view, 3> names { "upstreamReplaced", "upstreamEnded", "returned" };
 };
 
 /// State shared by the parts of an agent.
@@ -80,6 +84,9 @@
 /// for opening packets and packets with data.
 void deliverToUpstream(AgentState&, std::span<const std::uint8_t> packet, std::uint32_t mark, bool needsAnswer);
 
+/// Resets the caller of a flow that the upstream has lost.
+void resetLostFlow(AgentState&, const LostFlow&, FlowLoss);
+
 /// Resets the callers of all flows of a process that has ended, and empties the flow table. Returns the number of resets.
 std::size_t resetLostFlows(AgentState&, FlowLoss);
 
--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -45,6 +45,7 @@
     , m_admission(m_state)
     , m_neighbours(m_state)
     , m_learning(m_state)
+    , m_verifier(m_state)
     , m_pendingReporter(m_state)
     , m_announcement(role.context, role.platform)
     , m_untrackedFlows { .options = untrackedFlowsOptions(role.settings.packets.reportInterval), .startedAtWall = unixMillis() }
@@ -145,6 +146,7 @@
     const bool isProbe = message.kind == wire::PeerKind::Probe;
     switch (action) {
     case CallerPacketAction::Deliver:
+        keepCallerPacket(m_state.flows, message.flow, *header, message.packet);
         m_state.packetOutcomes.increment(AgentPacketOutcome::Delivered);
         deliverToUpstream(m_state, message.packet, index, header->dataLength > 0);
         break;
@@ -233,7 +235,7 @@
 void PacketAgent::handleReturned(const FlowKey& flow, std::span<std::uint8_t> packet, const PacketHeader& header)
 {
     m_state.packetOutcomes.increment(AgentPacketOutcome::Returned);
-    forgetFlow(m_state.flows, flow);
+    m_verifier.handleReturned(flow);
     const auto check = m_learning.finishCheck(flow);
     const bool isProbe = check && check->isProbe;
     if (header.mark == 0 || header.mark > m_state.senders.size())
@@ -292,7 +294,7 @@
         recordUpstreamReport(m_state.upstreamEnd);
     }
     if (effect == ReportEffect::NewProcess)
-        resetLostFlows(m_state, FlowLoss::UpstreamReplaced);
+        handleNewProcess(previous.service != report.service);
     m_state.flows.isComplete = knowsEveryFlow(m_untrackedFlows);
     announceState();
 }
@@ -335,6 +337,19 @@
     return m_state.network.announce(std::move(entry));
 }
 
+// Packets of flows must not reach another service. A process of the same service may have been sent openings before its
+// first report arrived, so its flows are told from those of its predecessor one by one.
+void PacketAgent::handleNewProcess(bool isOtherService)
+{
+    if (isOtherService) {
+        resetLostFlows(m_state, FlowLoss::UpstreamReplaced);
+        return;
+    }
+    clearUnanswered(m_state.health);
+    forgetProcess(m_state.upstreamEnd);
+    logEvent(Event::FlowsVerified, { { "flows", m_verifier.begin() }, { "reason", "newProcess" } });
+}
+
 // The upstream's address refuses connections while packets are unanswered: its process has ended without a notice. All its
 // flows are lost, and openings that it has not answered may go to other agents.
 void PacketAgent::handleUpstreamEnd()
--- a/src/kingcuptraild/packets/packetagent.h
+++ b/src/kingcuptraild/packets/packetagent.h
@@ -3,6 +3,7 @@
 #include "agentannouncement.h"
 #include "connectionadmission.h"
 #include "flowlearning.h"
+#include "flowverifier.h"
 #include "kingcuptraild/role.h"
 #include "neighboursearches.h"
 #include "pendingreporter.h"
@@ -36,6 +37,7 @@
 
     HttpResponse handleUpstreamRequest(const HttpRequest& request);
     void handleReport(const UpstreamReport& report);
+    void handleNewProcess(bool isOtherService);
     void handleUpstreamEnd();
     void checkUpstreamPresence(Millis now);
     void withdrawFormerEntry();
@@ -54,6 +56,7 @@
     ConnectionAdmission m_admission;
     NeighbourSearches m_neighbours;
     FlowLearning m_learning;
+    FlowVerifier m_verifier;
     PendingReporter m_pendingReporter;
     AgentAnnouncement m_announcement;
     std::unique_ptr<StoreFollower> m_store;
--- a/src/libdecision/agentflows.cpp
+++ b/src/libdecision/agentflows.cpp
@@ -120,6 +120,7 @@
         if (!header.flags.resets && !acknowledgesAnswerOf(flow, header.acknowledged))
             return CallerPacketAction::NotHeld;
         setPhase(table, flow, FlowPhase::Open);
+        flow.isConfirmed = !header.flags.resets;
     }
     flow.lastPacketAt = now;
     flow.balancer = balancer;
@@ -139,6 +140,16 @@
     return CallerPacketAction::Deliver;
 }
 
+void keepCallerPacket(AgentFlows& table, const FlowKey& key, const PacketHeader& header, std::span<const std::uint8_t> packet)
+{
+    const auto found = table.flows.find(key);
+    if (found == table.flows.end() || found->second.phase != FlowPhase::Open || header.flags.resets)
+        return;
+    std::vector<std::uint8_t>& kept = found->second.callerPacket;
+    if (kept.empty() || packet.size() < kept.size())
+        kept.assign(packet.begin(), packet.end());
+}
+
 std::optional<HolderAnswer> answerToProbe(CallerPacketAction action)
 {
     switch (action) {
@@ -173,6 +184,7 @@
     AgentFlow& flow = found->second;
     flow.lastPacketAt = now;
     flow.upstreamPacketAt = now;
+    flow.isConfirmed = flow.isConfirmed || (!effect.isAnswer && !header.flags.resets);
     if (effect.isAnswer)
         flow.answerSequence = header.sequence;
     else if (flow.phase == FlowPhase::Opening)
@@ -218,12 +230,17 @@
     return true;
 }
 
+LostFlow toLostFlow(const FlowKey& key, const AgentFlow& flow)
+{
+    return { .flow = key, .callerAcknowledged = flow.callerAcknowledged, .openedAt = flow.openedAt, .lastPacketAt = flow.lastPacketAt, .upstreamPacketAt = flow.upstreamPacketAt };
+}
+
 std::vector<LostFlow> extractLostFlows(AgentFlows& table, Millis learntUntil)
 {
     std::vector<LostFlow> lost;
     for (const auto& [key, flow] : table.flows) {
         if (flow.phase == FlowPhase::Open && flow.openedAt <= learntUntil)
-            lost.push_back({ .flow = key, .callerAcknowledged = flow.callerAcknowledged, .openedAt = flow.openedAt, .lastPacketAt = flow.lastPacketAt, .upstreamPacketAt = flow.upstreamPacketAt });
+            lost.push_back(toLostFlow(key, flow));
     }
     table.flows.clear();
     table.atWork = 0;
--- a/src/libdecision/agentflows.h
+++ b/src/libdecision/agentflows.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <limits>
 #include <optional>
+#include <span>
 #include <unordered_map>
 #include <vector>
 
@@ -50,6 +51,11 @@
     bool hasAnswer = false;
     bool callerEnded = false;
     bool upstreamEnded = false;
+    /// A packet of the caller or of the upstream has shown that this upstream holds the flow. Not set for a flow that was learnt
+    /// because the upstream did not return its packet: another upstream may hold it.
+    bool isConfirmed = false;
+    /// The shortest packet that the caller has sent on the open flow, for FlowVerification; empty if there was none.
+    std::vector<std::uint8_t> callerPacket;
     /// Until this time the flow counts as work in progress at the upstream, because it is being opened or its caller has
     /// sent data that is not answered. 0 when it does not count.
     Millis workUntil = 0;
@@ -133,6 +139,9 @@
 /// the address of the packet's sender, 0 if unknown.
 CallerPacketAction trackCallerPacket(AgentFlows&, const FlowKey&, const PacketHeader&, Millis now, std::uint32_t balancer = 0);
 
+/// Keeps a caller's packet that was delivered on an open flow, if it is shorter than the one that is kept. A reset is not kept.
+void keepCallerPacket(AgentFlows&, const FlowKey&, const PacketHeader&, std::span<const std::uint8_t> packet);
+
 /// The immediate answer to a balancer that sent a packet to find the flow's holder; nothing when only the upstream can show
 /// whether it holds the flow. A flow that is already known needs an explicit Held, or the balancer's search would end
 /// without finding it.
@@ -174,6 +183,8 @@
     Millis upstreamPacketAt = 0;
 };
 
+LostFlow toLostFlow(const FlowKey&, const AgentFlow&);
+
 /// Removes every flow, since the upstream's process has ended, and returns those that are open and have to be reset. An
 /// opening that its caller has not completed is not returned: the caller may have accepted another upstream's answer and
 /// hold the flow there. Flows learnt after `learntUntil` are left out: an upstream that has ended returns no packets,
--- a/src/libruntime/events.cpp
+++ b/src/libruntime/events.cpp
@@ -112,6 +112,8 @@
             "Check why the upstream's process ended; its host or supervisor has to start it again. New flows go to other upstreams until a new process reports." },
         { Event::StaleReport, EventLevel::Info, "staleReport", "A report of the upstream was not taken: it is older than the last one, or from a process that has been replaced or has ended.",
             "Nothing for single lines. If they repeat for a process that runs, compare born and knownBorn: the clock of its host may have been set back." },
+        { Event::FlowsVerified, EventLevel::Info, "flowsVerified", "Another process reports for the upstream. A packet of each open flow is delivered again, and the flows that the upstream returns are reset.",
+            "Nothing. The flowReset lines name the flows that the previous process held." },
         { Event::WrongServicePacket, EventLevel::Error, "wrongServicePacket", "A packet for another service arrived; the agent refused it and did not pass it to the upstream.",
             "Check whether two services share one address, or whether a balancer uses a very old configuration: compare the versions in kingcuptrailctl status." },
         { Event::OutcomeUnknown, EventLevel::Error, "outcomeUnknown", "A request may have run, but its answer was lost.",
--- a/src/libruntime/events.h
+++ b/src/libruntime/events.h
@@ -69,6 +69,7 @@
     UpstreamAnswersAgain = 412,
     UpstreamEnded = 413,
     StaleReport = 414,
+    FlowsVerified = 415,
     // Safety
     WrongServicePacket = 500,
     OutcomeUnknown = 501,
