--- a/src/kingcuptraild/packets/agentstate.cpp
+++ b/src/kingcuptraild/packets/agentstate.cpp
@@ -33,8 +33,7 @@
     state.sendBuffer.assign(packet.begin(), packet.end());
     state.adapter.clearMarks(state.sendBuffer);
     state.adapter.setMark(state.sendBuffer, mark);
-    const auto& upstream = state.role.settings.packets.upstream;
-    state.network.sendPacket(state.sendBuffer, { upstream.address(), upstream.port() });
+    state.upstreamSocket->send(state.sendBuffer);
     if (needsAnswer)
         recordDelivery(state.upstreamEnd, state.role.clock.now());
 }
--- a/src/kingcuptraild/packets/agentstate.h
+++ b/src/kingcuptraild/packets/agentstate.h
@@ -9,6 +9,7 @@
 #include "libdecision/upstreamhealth.h"
 #include "libruntime/metrics.h"
 #include "packetrolestate.h"
+#include "upstreamsocket.h"
 
 namespace kingcuptrail {
 
@@ -34,7 +35,7 @@
 enum class FlowLoss : std::uint8_t {
     /// A process of another service reports at the upstream's address, which is reused only some time after its process has ended.
     UpstreamReplaced,
-    /// The upstream's process has ended without a notice.
+    /// No process has bound the upstream's port.
     UpstreamEnded,
     /// The process at the upstream's address returned a packet of the flow.
     Returned,
@@ -66,6 +67,7 @@
     /// in this list plus one.
     std::vector<std::uint32_t> senders;
     std::vector<std::uint8_t> sendBuffer;
+    std::unique_ptr<UpstreamSocket> upstreamSocket;
     EnumCounters<AgentPacketOutcome> packetOutcomes;
     EnumCounters<OpeningRefusal> refusals;
     EnumCounters<FlowLoss> resetFlows;
--- a/src/kingcuptraild/packets/connectionadmission.cpp
+++ b/src/kingcuptraild/packets/connectionadmission.cpp
@@ -160,8 +160,10 @@
     updateWaitingCount();
     for (const WaitingOpening& opening : waiting)
         refuse(opening.flow, opening.packet, opening.balancer, OpeningRefusal::Returned);
-    for (const UnansweredOpening& opening : unanswered)
+    for (const UnansweredOpening& opening : unanswered) {
+        forgetFlow(m_state.flows, opening.flow);
         refuse(opening.flow, opening.packet, opening.balancer, OpeningRefusal::Returned);
+    }
     return waiting.size() + unanswered.size();
 }
 
--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -50,8 +50,8 @@
     , m_announcement(role.context, role.platform)
     , m_untrackedFlows { .options = untrackedFlowsOptions(role.settings.packets.reportInterval), .startedAtWall = unixMillis() }
     , m_connectCheck(role.context)
-    , m_endWatch(m_state, m_untrackedFlows, [this] { handleUpstreamEnd(); })
-    , m_connection(m_state, [this] { handleUpstreamEnd(); })
+    , m_endWatch(m_state, m_untrackedFlows, [this] { handleUpstreamEndSigns(); })
+    , m_connection(m_state, [this] { handleUpstreamEndSigns(); })
     , m_tickTimer(role.context)
     , m_shutdownTimer(role.context)
 {
@@ -65,9 +65,12 @@
     DatagramError error = DatagramError::None;
     m_outbound = DatagramSocket::open(
         role.context, { outbound.address(), outbound.port() }, [this](std::span<std::uint8_t> packet, const asio::ip::udp::endpoint&) { handleUpstreamDatagram(packet); }, error);
-    m_isStarted = hasPeers && m_outbound;
+    const auto& upstream = role.settings.packets.upstream;
+    m_state.upstreamSocket = std::make_unique<UpstreamSocket>(role.context, [this] { handleUpstreamEnd(); });
+    const bool hasUpstreamSocket = m_state.upstreamSocket->open(role.settings.listen.address(), { upstream.address(), upstream.port() });
+    m_isStarted = hasPeers && m_outbound && hasUpstreamSocket;
     if (!m_isStarted) {
-        logEvent(Event::ChildGaveUp, { { "child", hasPeers ? "outbound" : "peers" }, { "reason", nameOf(ChildFailure::BindFailed) } });
+        logEvent(Event::ChildGaveUp, { { "child", hasPeers && m_outbound ? "upstream" : (hasPeers ? "outbound" : "peers") }, { "reason", nameOf(ChildFailure::BindFailed) } });
         return;
     }
     role.root.add({ .name = "control", .make = [this](const FailureHandler& onFailure) {
@@ -280,6 +283,7 @@
 
 void PacketAgent::handleReport(const UpstreamReport& report)
 {
+    m_state.upstreamSocket->handleRefusal();
     const Millis now = m_state.role.clock.now();
     const UpstreamReport previous = m_state.flowAdmission.upstream.value_or(UpstreamReport {});
     const auto previousAge = static_cast<std::uint64_t>(now - m_state.flowAdmission.reportedAt);
@@ -350,17 +354,34 @@
     logEvent(Event::FlowsVerified, { { "flows", m_verifier.begin() }, { "reason", "newProcess" } });
 }
 
-// The upstream's address refuses connections while packets are unanswered: its process has ended without a notice. All its
-// flows are lost, and openings that it has not answered may go to other agents.
+// The upstream's address refuses connections. Its process may have ended, or only closed its listener: it gets no new flows, and
+// openings that it has not answered may go to other agents, but its flows are kept until they are known to be lost.
+void PacketAgent::handleUpstreamEndSigns()
+{
+    recordEnd(m_state.upstreamEnd, { .verified = m_verifier.begin() });
+}
+
+// No process has bound the upstream's port. All flows are lost.
 void PacketAgent::handleUpstreamEnd()
 {
-    const Millis now = m_state.role.clock.now();
+    const bool isKnown = m_untrackedFlows.isGone && (!m_state.flowAdmission.upstream || m_state.flowAdmission.endedAt);
+    if (isKnown && m_state.flows.flows.empty())
+        return;
+    ++m_portsClosed;
     const UpstreamEndDetection signs = m_state.upstreamEnd;
-    recordUpstreamEnd(m_state.flowAdmission, now);
     recordShutdown(m_untrackedFlows);
     const std::size_t resets = resetLostFlows(m_state, FlowLoss::UpstreamEnded);
+    if (m_state.flowAdmission.upstream)
+        recordEnd(signs, { .resets = resets });
+}
+
+void PacketAgent::recordEnd(const UpstreamEndDetection& signs, const EndedFlows& flows)
+{
+    const Millis now = m_state.role.clock.now();
+    recordUpstreamEnd(m_state.flowAdmission, now);
+    forgetProcess(m_state.upstreamEnd);
     const std::size_t returned = m_admission.returnOpenings();
-    logEvent(Event::UpstreamEnded, { { "upstream", m_state.flowAdmission.upstream->id }, { "unanswered", signs.unanswered }, { "unansweredFor", static_cast<std::uint64_t>(now - signs.unansweredSince) }, { "refusals", std::max(signs.refusals, m_state.flowAdmission.evidence.refusals) }, { "reportAge", static_cast<std::uint64_t>(now - m_state.flowAdmission.reportedAt) }, { "resets", resets }, { "openingsReturned", returned } });
+    logEvent(Event::UpstreamEnded, { { "upstream", m_state.flowAdmission.upstream->id }, { "unanswered", signs.unanswered }, { "unansweredFor", static_cast<std::uint64_t>(now - signs.unansweredSince) }, { "refusals", std::max(signs.refusals, m_state.flowAdmission.evidence.refusals) }, { "reportAge", static_cast<std::uint64_t>(now - m_state.flowAdmission.reportedAt) }, { "resets", flows.resets }, { "verified", flows.verified }, { "openingsReturned", returned } });
     announceState();
 }
 
@@ -510,7 +531,8 @@
     m_state.answerTimes.expose(out, "kingcuptrail_answer_milliseconds", "Time from an opening's delivery, or a request's first packet on an open flow, to the answer's first data, in milliseconds.");
     m_endWatch.exposeMetrics(out);
     m_connection.exposeMetrics(out);
-    exposeCounters(out, "kingcuptrail_flows_reset_total", "Flows reset since their upstream's process ended, by how this was found.", m_state.resetFlows);
+    exposeCounter(out, "kingcuptrail_upstream_port_closed_total", "Times that the host reported the upstream's port to be unbound: its process had ended.", m_portsClosed);
+    exposeCounters(out, "kingcuptrail_flows_reset_total", "Flows reset because their upstream has lost them, by what showed it.", m_state.resetFlows);
     exposeGauge(out, "kingcuptrail_open_flows", "Flows that the upstream holds.", m_state.flows.open);
     exposeGauge(out, "kingcuptrail_requests_at_work", "Requests that the upstream has not answered yet.", m_state.flows.atWork);
     exposeCounter(out, "kingcuptrail_store_calls_total", "Calls of the store.", m_announcement.callsMade() + (m_store ? m_store->callsMade() : 0));
--- a/src/kingcuptraild/packets/packetagent.h
+++ b/src/kingcuptraild/packets/packetagent.h
@@ -26,6 +26,12 @@
     void shutDown(std::function<void()> done) override;
 
 private:
+    /// What became of the flows of a process that seems to have ended.
+    struct EndedFlows {
+        std::size_t resets = 0;
+        std::size_t verified = 0;
+    };
+
     void handleFlowMessage(const PeerMessage& message, std::uint32_t sender);
     void handleForward(const PeerMessage& message, std::uint32_t sender);
     void handleFind(const PeerMessage& message, std::uint32_t sender);
@@ -38,7 +44,9 @@
     HttpResponse handleUpstreamRequest(const HttpRequest& request);
     void handleReport(const UpstreamReport& report);
     void handleNewProcess(bool isOtherService);
+    void handleUpstreamEndSigns();
     void handleUpstreamEnd();
+    void recordEnd(const UpstreamEndDetection& signs, const EndedFlows& flows);
     void checkUpstreamPresence(Millis now);
     void withdrawFormerEntry();
     const PeerEntry& withdraw(PeerEntry entry, std::function<void()> done);
@@ -74,6 +82,7 @@
     float m_lastSentLoad = 0;
     Millis m_loadSentAt = 0;
 
+    std::uint64_t m_portsClosed = 0;
     EnumCounters<ReportEffect> m_reports;
     EnumCounters<DecodeError> m_malformedRequests;
 };
--- a/src/libruntime/events.cpp
+++ b/src/libruntime/events.cpp
@@ -108,7 +108,7 @@
             "Check the upstream's process. Requests on its open flows are aborted or get no answer; new flows go to other upstreams." },
         { Event::UpstreamAnswersAgain, EventLevel::Info, "upstreamAnswersAgain", "A failing upstream answered a request; it gets openings again.",
             "Nothing." },
-        { Event::UpstreamEnded, EventLevel::Warning, "upstreamEnded", "The upstream's process ended without a notice: packets to it are unanswered or nothing has been heard from it, and its address refuses connections. Its flows were reset, and openings that it had not answered were handed back.",
+        { Event::UpstreamEnded, EventLevel::Warning, "upstreamEnded", "The upstream's process seems to have ended without a notice: its address refuses connections, or no process has bound its port. Openings that it had not answered were handed back. With a closed port its flows were reset (resets); otherwise they are verified one by one (verified).",
             "Check why the upstream's process ended; its host or supervisor has to start it again. New flows go to other upstreams until a new process reports." },
         { Event::StaleReport, EventLevel::Info, "staleReport", "A report of the upstream was not taken: it is older than the last one, or from a process that has been replaced or has ended.",
             "Nothing for single lines. If they repeat for a process that runs, compare born and knownBorn: the clock of its host may have been set back." },
