--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -201,6 +201,10 @@
         recordRouteTime(m_state.routeTimes, flow.service, *effect.answerTime, now);
         m_state.answerTimes.record(static_cast<double>(*effect.answerTime));
     }
+    if (!header->flags.resets) {
+        recordFlowPacket(m_untrackedFlows);
+        m_state.flows.isComplete = knowsEveryFlow(m_untrackedFlows);
+    }
     if (const auto check = m_learning.finishCheck(flow)) {
         const bool isHeld = !header->flags.resets;
         sendReply(m_state, check->requester, { .kind = isHeld ? wire::PeerKind::Held : wire::PeerKind::NotHeld, .flow = flow });
@@ -309,6 +313,7 @@
 {
     if (m_untrackedFlows.isGone && !m_untrackedFlows.hasReport)
         withdrawFormerEntry();
+    m_untrackedFlows.mayRefuseConnections = !m_state.flows.isComplete && lastEntry().state == PeerState::Draining;
     if (recordListening(m_untrackedFlows, now)) {
         m_state.flows.isComplete = knowsEveryFlow(m_untrackedFlows);
         if (!m_untrackedFlows.hasReport)
@@ -469,6 +474,10 @@
     if (!m_state.flowAdmission.isLeaving) {
         m_state.flowAdmission.isLeaving = true;
         m_shutdownStartedAt = now;
+        if (!isServing(m_state.flowAdmission, now)) {
+            beginFinalCheck(m_untrackedFlows);
+            m_verifier.begin();
+        }
         announceState();
     }
     const Millis shutdownDuration = now - m_shutdownStartedAt;
@@ -480,7 +489,7 @@
         return;
     }
     const PeerEntry entry = lastEntry();
-    if (!isUpstreamGone(now) || entry.name.empty()) {
+    if (!isUpstreamGone() || entry.name.empty()) {
         done();
         return;
     }
@@ -488,11 +497,11 @@
     m_state.self = withdraw(entry, done);
 }
 
-// The entry is removed from the directory and the store only when the upstream is gone. The entry of a running upstream stays,
-// since the restarted agent would announce it again.
-bool PacketAgent::isUpstreamGone(Millis now) const
+// The entry is removed from the directory and the store only when the upstream is gone: searches for the flows of one that runs
+// have to ask the next process of this agent. An upstream that drains or is silent may still serve its flows.
+bool PacketAgent::isUpstreamGone() const
 {
-    return m_untrackedFlows.isGone || (m_untrackedFlows.hasReport && !isServing(m_state.flowAdmission, now));
+    return m_untrackedFlows.isGone && m_state.flows.open == 0;
 }
 
 // The entry under this agent's name: its own announcement, or that of an earlier process whose upstream did not come back.
--- a/src/kingcuptraild/packets/packetagent.h
+++ b/src/kingcuptraild/packets/packetagent.h
@@ -57,7 +57,7 @@
     void sendLoad(Millis now);
     void followStoreIfIsolated(Millis now);
     bool isServingNow() const;
-    bool isUpstreamGone(Millis now) const;
+    bool isUpstreamGone() const;
     PeerEntry lastEntry() const;
 
     AgentState m_state;
--- a/src/libdecision/untrackedflows.cpp
+++ b/src/libdecision/untrackedflows.cpp
@@ -18,7 +18,7 @@
 
     bool isRefused(const UntrackedFlows& untracked)
     {
-        return !untracked.isPresent && untracked.refusals >= untracked.options.minRefusals && untracked.lastRefusalAt - untracked.firstRefusalAt >= untracked.options.refusalSpan;
+        return !untracked.isPresent && !untracked.mayRefuseConnections && untracked.refusals >= untracked.options.minRefusals && untracked.lastRefusalAt - untracked.firstRefusalAt >= untracked.options.refusalSpan;
     }
 
 }
@@ -38,6 +38,7 @@
     untracked.isKnownNew = untracked.isKnownNew || isNewProcess || (!untracked.hasReport && showsNewUpstream(untracked, report));
     untracked.hasReport = true;
     untracked.isGone = false;
+    untracked.isGoneForCertain = false;
     untracked.isPresent = false;
     untracked.refusals = 0;
     untracked.silence = 0;
@@ -46,6 +47,14 @@
 void recordShutdown(UntrackedFlows& untracked)
 {
     untracked.isGone = true;
+    untracked.isGoneForCertain = true;
+}
+
+void recordFlowPacket(UntrackedFlows& untracked)
+{
+    untracked.silence = 0;
+    untracked.refusals = 0;
+    untracked.isGone = untracked.isGone && untracked.isGoneForCertain;
 }
 
 void recordConnection(UntrackedFlows& untracked, ConnectionOutcome outcome, Millis now)
@@ -71,13 +80,22 @@
     return true;
 }
 
+void beginFinalCheck(UntrackedFlows& untracked)
+{
+    untracked.isFinalCheck = true;
+    untracked.isPresent = false;
+    untracked.refusals = 0;
+}
+
 bool mayBeFoundGone(const UntrackedFlows& untracked)
 {
-    return !untracked.hasReport && !untracked.isGone && !untracked.isPresent;
+    return (!untracked.hasReport || untracked.isFinalCheck) && !untracked.isGone && !untracked.isPresent;
 }
 
 bool shouldConnect(const UntrackedFlows& untracked)
 {
+    if (untracked.isFinalCheck)
+        return mayBeFoundGone(untracked);
     const Millis delay = untracked.hasReport ? untracked.options.laterConnectDelay : untracked.options.firstConnectDelay;
     return !untracked.isGone && !untracked.isKnownNew && !untracked.isPresent && untracked.silence >= delay;
 }
--- a/src/libdecision/untrackedflows.h
+++ b/src/libdecision/untrackedflows.h
@@ -49,6 +49,12 @@
     std::uint32_t refusals = 0;
     Millis firstRefusalAt = 0;
     Millis lastRefusalAt = 0;
+    /// `isGone` rests on the upstream's own notice or on its closed port, not on refused connections or silence.
+    bool isGoneForCertain = false;
+    /// The upstream was draining when this was last known, so that it may refuse connections and serve its flows.
+    bool mayRefuseConnections = false;
+    /// The agent shuts down and has to find out whether its upstream is gone.
+    bool isFinalCheck = false;
     /// A connection was accepted or timed out, so only the silence limit can show that the upstream is gone.
     bool isPresent = false;
     Millis lastListenedAt = 0;
@@ -58,9 +64,12 @@
 /// Records a report that is not stale. `isNewProcess` is set if the report before it came from another process.
 void recordReport(UntrackedFlows&, const UpstreamReport&, bool isNewProcess);
 
-/// Records the upstream's notice that it shuts down, or that its process was found to have ended.
+/// Records the upstream's notice that it shuts down, or that its port was closed.
 void recordShutdown(UntrackedFlows&);
 
+/// Records a packet of the upstream on one of its flows: it runs, although it may not report or may refuse connections.
+void recordFlowPacket(UntrackedFlows&);
+
 /// Records the outcome of a connection attempt to the upstream.
 void recordConnection(UntrackedFlows&, ConnectionOutcome, Millis now);
 
@@ -68,8 +77,11 @@
 /// upstream is first found to be gone.
 bool recordListening(UntrackedFlows&, Millis now);
 
-/// Whether refused connections may soon show that there is no upstream: no report has arrived and no connection was
-/// accepted.
+/// Begins to check by connections whether the upstream is gone, although it has reported; for an agent that shuts down.
+void beginFinalCheck(UntrackedFlows&);
+
+/// Whether refused connections may soon show that there is no upstream: no report has arrived or the final check has begun, and no
+/// connection was accepted.
 bool mayBeFoundGone(const UntrackedFlows&);
 
 /// Whether to try a connection to the upstream now.
--- a/tests/packets/testuntrackedflows.cpp
+++ b/tests/packets/testuntrackedflows.cpp
@@ -15,6 +15,8 @@
     CPPUNIT_TEST(upstreamThatShutsDownHoldsNothing);
     CPPUNIT_TEST(laterReportOverridesGone);
     CPPUNIT_TEST(refusalsMayShowAMissingUpstream);
+    CPPUNIT_TEST(drainingUpstreamMayRefuseConnections);
+    CPPUNIT_TEST(packetOfAFlowShowsARunningUpstream);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint64_t startedAt = 1790000000000;
@@ -51,6 +53,34 @@
         CPPUNIT_ASSERT(!recordListening(state, 1410));
     }
 
+    // Guards against an agent that denies the flows of a draining upstream because it has closed its listener.
+    void drainingUpstreamMayRefuseConnections()
+    {
+        UntrackedFlows state = untracked();
+        state.mayRefuseConnections = true;
+        listen(state, 1000, 1300);
+        recordConnection(state, ConnectionOutcome::Refused, 1200);
+        recordConnection(state, ConnectionOutcome::Refused, 1300);
+        CPPUNIT_ASSERT(!recordListening(state, 1310) && !knowsEveryFlow(state));
+    }
+
+    // Guards against an agent that denies flows of an upstream whose reports are lost while it serves its flows.
+    void packetOfAFlowShowsARunningUpstream()
+    {
+        UntrackedFlows state = untracked();
+        listen(state, 1000, 4900);
+        recordFlowPacket(state);
+        listen(state, 5000, 8800);
+        CPPUNIT_ASSERT(!knowsEveryFlow(state));
+        listen(state, 8900, 9000);
+        CPPUNIT_ASSERT(knowsEveryFlow(state));
+        recordFlowPacket(state);
+        CPPUNIT_ASSERT(!knowsEveryFlow(state));
+        recordShutdown(state);
+        recordFlowPacket(state);
+        CPPUNIT_ASSERT(knowsEveryFlow(state));
+    }
+
     // An agent is restarted beside a running upstream whose next heartbeat is due later. The upstream accepts a connection,
     // so its flows must not count as lost.
     void upstreamThatListensMayHoldFlows()
--- a/tests/trustplatform/testflowevidence.cpp
+++ b/tests/trustplatform/testflowevidence.cpp
@@ -94,6 +94,7 @@
     CPPUNIT_TEST(refusedConnectionsKeepFlowsOfReadyUpstream);
     CPPUNIT_TEST(endedProcessResetsItsFlows);
     CPPUNIT_TEST(stoppedAgentStaysKnownBesideDrainingUpstream);
+    CPPUNIT_TEST(restartedAgentDoesNotDenyFlowsOfDrainingUpstream);
     CPPUNIT_TEST_SUITE_END();
 
     /// Everything that a test runs, in the order of its construction.
@@ -108,7 +109,7 @@
             , balancer(context, balancerSettings, clock)
         {
             CPPUNIT_ASSERT(agent.isStarted());
-            CPPUNIT_ASSERT(balancer.start({ .onFlowMessage = [](const PeerMessage&, std::uint32_t) {}, .onOutages = [](const std::vector<std::string>&) {} }));
+            CPPUNIT_ASSERT(balancer.start({ .onFlowMessage = [this](const PeerMessage& message, std::uint32_t) { denials += message.kind == wire::PeerKind::NotHeld ? 1 : 0; }, .onOutages = [](const std::vector<std::string>&) {} }));
             balancer.updateRoutes({ .version = 7, .routes = { { .address = boardAddress, .shares = { { .service = "board" } }, .latencyTarget = 200 } }, .services = { { .name = "board" } } });
             balancer.updateOutages({ .revision = 3, .out = {} });
             DatagramError error = DatagramError::None;
@@ -221,6 +222,7 @@
         std::set<std::uint16_t> answered;
         std::set<std::uint16_t> acknowledged;
         std::set<std::uint16_t> reset;
+        unsigned denials = 0;
     };
 
     /// Longer than the agent takes to find the end of its upstream, and than several of its regular checks.
@@ -337,6 +339,17 @@
         deployment.runFor(settlingTime);
         CPPUNIT_ASSERT(deployment.announcedState() == PeerState::Draining);
     }
+
+    // Guards against an agent that starts beside a draining upstream, takes refused connections for its end and denies its flows.
+    void restartedAgentDoesNotDenyFlowsOfDrainingUpstream()
+    {
+        Deployment deployment(m_context, m_options);
+        deployment.balancer.updateEntry({ .name = "agent-1", .address = host(1).to_uint(), .dataCentre = "north", .service = "board", .state = PeerState::Draining, .slots = 5, .epoch = 1000 });
+        deployment.runFor(settlingTime);
+        deployment.balancer.send(host(1).to_uint(), { .kind = wire::PeerKind::Find, .flow = Deployment::flow(1), .configVersion = 7, .acknowledged = upstreamSequence + 1 });
+        deployment.runFor(settlingTime);
+        CPPUNIT_ASSERT_EQUAL(0U, deployment.denials);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestFlowEvidence);
