--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -12,6 +12,7 @@
 ABSL_FLAG(unsigned, balancers, 2, "balancers in each of two data centres");
 ABSL_FLAG(unsigned, agents, 3, "agents in each of two data centres");
 ABSL_FLAG(bool, modulo, false, "routers choose by hash modulo the number of balancers in rotation");
+ABSL_FLAG(bool, upstream_faults, false, "upstreams also end, pause, report late and close their listeners");
 ABSL_FLAG(std::string, program, PROGRAM_KINGCUPTRAILD, "path of kingcuptraild");
 ABSL_FLAG(std::string, folder, "", "folder for settings and logs; kept when a promise is broken");
 
@@ -35,15 +36,23 @@
         , m_timer(context)
         , m_storeFaultTimer(context)
         , m_bringBackTimer(context)
+        , m_upstreamTimer(context)
         , m_random(seed)
+        , m_upstreamRandom(seed + 1)
     {
     }
 
-    void start() { scheduleNext(); }
+    void start(bool hasUpstreamFaults)
+    {
+        scheduleNext();
+        if (hasUpstreamFaults)
+            scheduleUpstreamFault();
+    }
 
     void stop()
     {
         m_timer.cancel();
+        m_upstreamTimer.cancel();
         clearStoreFault();
         bringBack();
         for (auto& upstream : m_fleet.upstreams()) {
@@ -165,6 +174,48 @@
         }
     }
 
+    // These faults have a random sequence of their own, so that a seed injects the same other faults with and without them.
+    void scheduleUpstreamFault()
+    {
+        injectUpstreamFault();
+        m_upstreamTimer.start(100 + upstreamRandomBelow(500), [this] { scheduleUpstreamFault(); });
+    }
+
+    std::uint32_t upstreamRandomBelow(std::uint32_t below) { return static_cast<std::uint32_t>(m_upstreamRandom() >> 8) % below; }
+
+    void injectUpstreamFault()
+    {
+        SoakUpstream& upstream = *m_fleet.upstreams()[upstreamRandomBelow(static_cast<std::uint32_t>(m_fleet.upstreams().size()))];
+        const Millis time = 50 + upstreamRandomBelow(1500);
+        const std::string host = upstream.options().host;
+        switch (upstreamRandomBelow(6)) {
+        case 0:
+            logFault("restart upstream of " + host + " with its report " + std::to_string(time) + " ms late");
+            upstream.restartWithLateReport(time);
+            m_draining.erase(&upstream);
+            break;
+        case 1:
+            logFault("end upstream of " + host + " for " + std::to_string(time) + " ms");
+            upstream.end(time);
+            m_draining.erase(&upstream);
+            break;
+        case 2:
+            logFault("pause upstream of " + host + " for " + std::to_string(2 * time) + " ms");
+            upstream.pause(2 * time);
+            break;
+        case 3:
+            logFault("drain upstream of " + host + " without a listener");
+            upstream.closeListener();
+            upstream.startDraining();
+            m_draining.insert(&upstream);
+            break;
+        default:
+            logFault("late report of the former upstream of " + host);
+            upstream.sendLateReport();
+            break;
+        }
+    }
+
     static void logFault(const std::string& what) { std::cout << Clock().now() << " " << what << "\n"; }
 
     Fleet& m_fleet;
@@ -172,7 +223,9 @@
     Delay m_timer;
     Delay m_storeFaultTimer;
     Delay m_bringBackTimer;
+    Delay m_upstreamTimer;
     std::minstd_rand m_random;
+    std::minstd_rand m_upstreamRandom;
     std::string m_storeFaultHost;
     std::string m_dataCentreOut;
     std::set<SoakUpstream*> m_draining;
@@ -228,7 +281,7 @@
     Fleet fleet(context, { .program = absl::GetFlag(FLAGS_program), .folder = folder, .seed = seed, .balancers = absl::GetFlag(FLAGS_balancers), .agents = absl::GetFlag(FLAGS_agents), .isModulo = absl::GetFlag(FLAGS_modulo) }, promises);
     FaultInjector faults(context, fleet, promises, seed);
     runFor(context, fleet, startTime);
-    faults.start();
+    faults.start(absl::GetFlag(FLAGS_upstream_faults));
     runFor(context, fleet, Millis { absl::GetFlag(FLAGS_seconds) } * 1000);
     faults.stop();
     runFor(context, fleet, recoveryTime);
--- a/tests/soak/soakupstream.cpp
+++ b/tests/soak/soakupstream.cpp
@@ -21,15 +21,29 @@
     : m_context(context)
     , m_options(std::move(options))
     , m_promises(promises)
-    , m_acceptor(context, { m_options.address, m_options.appPort })
+    , m_acceptor(context)
     , m_reportTimer(context)
     , m_random(seed)
+    , m_changeTimer(context)
 {
+    restart();
+}
+
+void SoakUpstream::openSockets()
+{
+    if (!m_acceptor.is_open()) {
+        m_acceptor = asio::ip::tcp::acceptor(m_context, { m_options.address, m_options.appPort });
+        acceptConnections();
+    }
+    if (m_socket)
+        return;
     DatagramError error = DatagramError::None;
     m_socket = DatagramSocket::open(
-        context, { m_options.address, m_options.appPort }, [this](std::span<std::uint8_t> packet, const asio::ip::udp::endpoint&) { handlePacket(packet); }, error);
-    acceptConnections();
-    restart();
+        m_context, { m_options.address, m_options.appPort }, [this](std::span<std::uint8_t> packet, const asio::ip::udp::endpoint&) {
+            if (m_isPaused)
+                m_unread.emplace_back(packet.begin(), packet.end());
+            else
+                handlePacket(packet); }, error);
 }
 
 // A connection is closed at once; that it was accepted is all that the agent wants to know.
@@ -43,13 +57,66 @@
 
 void SoakUpstream::restart()
 {
+    startProcess();
+    sendReport();
+}
+
+void SoakUpstream::restartWithLateReport(Millis reportDelay)
+{
+    startProcess();
+    m_reportTimer.start(reportDelay, [this] { sendReport(); });
+}
+
+void SoakUpstream::end(Millis downTime)
+{
+    m_changeTimer.cancel();
+    m_reportTimer.cancel();
+    m_acceptor.close();
+    m_socket.reset();
+    m_unread.clear();
     m_flows.clear();
+    m_promises.recordProcess(m_options.host, ++m_processNumber);
+    m_changeTimer.start(downTime, [this] { restart(); });
+}
+
+void SoakUpstream::pause(Millis time)
+{
+    m_isPaused = true;
+    m_reportTimer.cancel();
+    m_changeTimer.start(time, [this] {
+        m_isPaused = false;
+        for (auto& packet : std::exchange(m_unread, {}))
+            handlePacket(packet);
+        sendReport();
+    });
+}
+
+void SoakUpstream::sendLateReport()
+{
+    if (m_previousStart == 0)
+        return;
+    HttpRequest request { .method = "PUT", .target = "/targets/i-" + m_options.host + "-" + std::to_string(m_previousStart), .headers = { { "Content-Type", "application/json" } }, .body = body(m_previousStart, ++m_previousSequence) };
+    HttpCall::Handlers handlers;
+    handlers.onDone = [](const std::optional<HttpResponse>&, const HttpOutcome&) {};
+    m_lateCall = startHttpCall(m_context, { m_options.address, m_options.controlPort }, std::move(request), { .connectTimeout = 300, .timeout = 350 }, std::move(handlers));
+}
+
+void SoakUpstream::startProcess()
+{
+    m_changeTimer.cancel();
+    if (m_call)
+        m_call->cancel();
+    m_isPaused = false;
+    m_unread.clear();
+    m_flows.clear();
+    openSockets();
+    m_previousStart = m_startedAt;
+    m_previousSequence = m_sequence;
     m_startedAt = std::max(m_startedAt + 1, wallMillis());
     m_sequence = 0;
     m_isDraining = false;
     m_promises.recordProcess(m_options.host, ++m_processNumber);
     m_promises.recordRestart(m_options.host);
-    sendReport();
 }
 
 void SoakUpstream::startDraining()
@@ -117,7 +184,7 @@
     m_socket->send(encodePacket(fields), { m_options.address, m_options.outboundPort });
 }
 
-std::string SoakUpstream::body() const
+std::string SoakUpstream::body(std::uint64_t startedAt, std::uint64_t sequence) const
 {
     return nlohmann::json {
         { "service", m_options.service },
@@ -126,8 +193,8 @@
         { "slots", 5 },
         { "state", m_isDraining ? "draining" : "ready" },
         { "warmup-left-ms", 0 },
-        { "sequence", m_sequence },
-        { "born", m_startedAt },
+        { "sequence", sequence },
+        { "born", startedAt },
     }
         .dump();
 }
@@ -142,7 +209,7 @@
         if (response && response->status == 200 && isDraining && process == m_processNumber && m_isDraining)
             m_promises.recordDraining(m_options.host);
     };
-    HttpRequest request { .method = "PUT", .target = "/targets/i-" + m_options.host + "-" + std::to_string(m_processNumber), .headers = { { "Content-Type", "application/json" } }, .body = body() };
+    HttpRequest request { .method = "PUT", .target = "/targets/i-" + m_options.host + "-" + std::to_string(m_startedAt), .headers = { { "Content-Type", "application/json" } }, .body = body(m_startedAt, m_sequence) };
     m_call = startHttpCall(m_context, { m_options.address, m_options.controlPort }, std::move(request), { .connectTimeout = 300, .timeout = 350 }, std::move(handlers));
     m_reportTimer.start(reportInterval, [this] { sendReport(); });
 }
--- a/tests/soak/soakupstream.h
+++ b/tests/soak/soakupstream.h
@@ -30,7 +30,17 @@
 
     /// Simulates the end of the process and the immediate start of a new one, which holds no flows.
     void restart();
+    /// As restart(), but the new process accepts flows for some time before its first report arrives.
+    void restartWithLateReport(Millis reportDelay);
+    /// Ends the process: nothing is bound to its port until the next process starts.
+    void end(Millis downTime);
+    /// Stops the process and continues it: it keeps its flows, and packets wait in its socket.
+    void pause(Millis time);
+    /// Sends a report of the process before this one.
+    void sendLateReport();
     void startDraining();
+    /// Accepts no more connections, as some programs do while they drain.
+    void closeListener() { m_acceptor.close(); }
     const UpstreamOptions& options() const { return m_options; }
 
 private:
@@ -39,13 +49,15 @@
         std::uint32_t received = 0;
     };
 
+    void openSockets();
+    void startProcess();
     void acceptConnections();
     void handlePacket(std::span<std::uint8_t> packet);
     void answerData(const FlowKey& flow, Flow& state, const PacketHeader& header, const std::string& data);
     void returnPacket(std::span<std::uint8_t> packet);
     void send(const PacketFields& fields);
     void sendReport();
-    std::string body() const;
+    std::string body(std::uint64_t startedAt, std::uint64_t sequence) const;
 
     asio::io_context& m_context;
     UpstreamOptions m_options;
@@ -60,6 +72,12 @@
     std::uint64_t m_sequence = 0;
     std::uint32_t m_processNumber = 0;
     bool m_isDraining = false;
+    bool m_isPaused = false;
+    std::vector<std::vector<std::uint8_t>> m_unread;
+    Delay m_changeTimer;
+    std::uint64_t m_previousStart = 0;
+    std::uint64_t m_previousSequence = 0;
+    std::shared_ptr<HttpCall> m_lateCall;
 };
 
 }
