--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -45,13 +45,13 @@
     , m_admission(m_state)
     , m_neighbours(m_state)
     , m_learning(m_state)
-    , m_verifier(m_state)
     , m_pendingReporter(m_state)
     , m_announcement(role.context, role.platform)
     , m_untrackedFlows { .options = untrackedFlowsOptions(role.settings.packets.reportInterval), .startedAtWall = unixMillis() }
+    , m_loss(m_state, m_untrackedFlows, m_admission, [this] { announceState(); })
     , m_connectCheck(role.context)
-    , m_endWatch(m_state, m_untrackedFlows, [this] { handleUpstreamEndSigns(); })
-    , m_connection(m_state, [this] { handleUpstreamEndSigns(); })
+    , m_endWatch(m_state, m_untrackedFlows, [this] { m_loss.handleEndSigns(); })
+    , m_connection(m_state, [this] { m_loss.handleEndSigns(); })
     , m_tickTimer(role.context)
     , m_shutdownTimer(role.context)
 {
@@ -66,7 +66,7 @@
     m_outbound = DatagramSocket::open(
         role.context, { outbound.address(), outbound.port() }, [this](std::span<std::uint8_t> packet, const asio::ip::udp::endpoint&) { handleUpstreamDatagram(packet); }, error);
     const auto& upstream = role.settings.packets.upstream;
-    m_state.upstreamSocket = std::make_unique<UpstreamSocket>(role.context, [this] { handleUpstreamEnd(); });
+    m_state.upstreamSocket = std::make_unique<UpstreamSocket>(role.context, [this] { m_loss.handlePortClosed(); });
     const bool hasUpstreamSocket = m_state.upstreamSocket->open(role.settings.listen.address(), { upstream.address(), upstream.port() });
     m_isStarted = hasPeers && m_outbound && hasUpstreamSocket;
     if (!m_isStarted) {
@@ -242,7 +242,7 @@
 void PacketAgent::handleReturned(const FlowKey& flow, std::span<std::uint8_t> packet, const PacketHeader& header)
 {
     m_state.packetOutcomes.increment(AgentPacketOutcome::Returned);
-    m_verifier.handleReturned(flow);
+    m_loss.handleReturned(flow);
     const auto check = m_learning.finishCheck(flow);
     const bool isProbe = check && check->isProbe;
     if (header.mark == 0 || header.mark > m_state.senders.size())
@@ -302,7 +302,7 @@
         recordUpstreamReport(m_state.upstreamEnd);
     }
     if (effect == ReportEffect::NewProcess)
-        handleNewProcess(previous.service != report.service);
+        m_loss.handleNewProcess(previous.service != report.service);
     m_state.flows.isComplete = knowsEveryFlow(m_untrackedFlows);
     announceState();
 }
@@ -346,50 +346,6 @@
     return m_state.network.announce(std::move(entry));
 }
 
-// Packets of flows must not reach another service. A process of the same service may have been sent openings before its
-// first report arrived, so its flows are told from those of its predecessor one by one.
-void PacketAgent::handleNewProcess(bool isOtherService)
-{
-    if (isOtherService) {
-        resetLostFlows(m_state, FlowLoss::UpstreamReplaced);
-        return;
-    }
-    clearUnanswered(m_state.health);
-    forgetProcess(m_state.upstreamEnd);
-    logEvent(Event::FlowsVerified, { { "flows", m_verifier.begin() }, { "reason", "newProcess" } });
-}
-
-// The upstream's address refuses connections. Its process may have ended, or only closed its listener: it gets no new flows, and
-// openings that it has not answered may go to other agents, but its flows are kept until they are known to be lost.
-void PacketAgent::handleUpstreamEndSigns()
-{
-    recordEnd(m_state.upstreamEnd, { .verified = m_verifier.begin() });
-}
-
-// No process has bound the upstream's port. All flows are lost.
-void PacketAgent::handleUpstreamEnd()
-{
-    const bool isKnown = m_untrackedFlows.isGone && (!m_state.flowAdmission.upstream || m_state.flowAdmission.endedAt);
-    if (isKnown && m_state.flows.flows.empty())
-        return;
-    ++m_portsClosed;
-    const UpstreamEndDetection signs = m_state.upstreamEnd;
-    recordShutdown(m_untrackedFlows);
-    const std::size_t resets = resetLostFlows(m_state, FlowLoss::UpstreamEnded);
-    if (m_state.flowAdmission.upstream)
-        recordEnd(signs, { .resets = resets });
-}
-
-void PacketAgent::recordEnd(const UpstreamEndDetection& signs, const EndedFlows& flows)
-{
-    const Millis now = m_state.role.clock.now();
-    recordUpstreamEnd(m_state.flowAdmission, now);
-    forgetProcess(m_state.upstreamEnd);
-    const std::size_t returned = m_admission.returnOpenings();
-    logEvent(Event::UpstreamEnded, { { "upstream", m_state.flowAdmission.upstream->id }, { "unanswered", signs.unanswered }, { "unansweredFor", static_cast<std::uint64_t>(now - signs.unansweredSince) }, { "refusals", std::max(signs.refusals, m_state.flowAdmission.evidence.refusals) }, { "reportAge", static_cast<std::uint64_t>(now - m_state.flowAdmission.reportedAt) }, { "resets", flows.resets }, { "verified", flows.verified }, { "openingsReturned", returned } });
-    announceState();
-}
-
 void PacketAgent::handleOutages(const std::vector<std::string>& returned)
 {
     if (std::ranges::find(returned, m_state.role.settings.dataCentre) != returned.end())
@@ -476,7 +432,7 @@
         m_shutdownStartedAt = now;
         if (!isServing(m_state.flowAdmission, now)) {
             beginFinalCheck(m_untrackedFlows);
-            m_verifier.begin();
+            m_loss.verifyFlows();
         }
         announceState();
     }
@@ -540,8 +496,7 @@
     m_state.answerTimes.expose(out, "kingcuptrail_answer_milliseconds", "Time from an opening's delivery, or a request's first packet on an open flow, to the answer's first data, in milliseconds.");
     m_endWatch.exposeMetrics(out);
     m_connection.exposeMetrics(out);
-    exposeCounter(out, "kingcuptrail_upstream_port_closed_total", "Times that the host reported the upstream's port to be unbound: its process had ended.", m_portsClosed);
-    exposeCounters(out, "kingcuptrail_flows_reset_total", "Flows reset because their upstream has lost them, by what showed it.", m_state.resetFlows);
+    m_loss.exposeMetrics(out);
     exposeGauge(out, "kingcuptrail_open_flows", "Flows that the upstream holds.", m_state.flows.open);
     exposeGauge(out, "kingcuptrail_requests_at_work", "Requests that the upstream has not answered yet.", m_state.flows.atWork);
     exposeCounter(out, "kingcuptrail_store_calls_total", "Calls of the store.", m_announcement.callsMade() + (m_store ? m_store->callsMade() : 0));
--- a/src/kingcuptraild/packets/packetagent.h
+++ b/src/kingcuptraild/packets/packetagent.h
@@ -3,7 +3,6 @@
 #include "agentannouncement.h"
 #include "connectionadmission.h"
 #include "flowlearning.h"
-#include "flowverifier.h"
 #include "kingcuptraild/role.h"
 #include "neighboursearches.h"
 #include "pendingreporter.h"
@@ -11,6 +10,7 @@
 #include "upstreamconnectcheck.h"
 #include "upstreamconnection.h"
 #include "upstreamendwatch.h"
+#include "upstreamloss.h"
 
 namespace kingcuptrail {
 
@@ -26,12 +26,6 @@
     void shutDown(std::function<void()> done) override;
 
 private:
-    /// What became of the flows of a process that seems to have ended.
-    struct EndedFlows {
-        std::size_t resets = 0;
-        std::size_t verified = 0;
-    };
-
     void handleFlowMessage(const PeerMessage& message, std::uint32_t sender);
     void handleForward(const PeerMessage& message, std::uint32_t sender);
     void handleFind(const PeerMessage& message, std::uint32_t sender);
@@ -43,10 +37,6 @@
 
     HttpResponse handleUpstreamRequest(const HttpRequest& request);
     void handleReport(const UpstreamReport& report);
-    void handleNewProcess(bool isOtherService);
-    void handleUpstreamEndSigns();
-    void handleUpstreamEnd();
-    void recordEnd(const UpstreamEndDetection& signs, const EndedFlows& flows);
     void checkUpstreamPresence(Millis now);
     void withdrawFormerEntry();
     const PeerEntry& withdraw(PeerEntry entry, std::function<void()> done);
@@ -64,12 +54,12 @@
     ConnectionAdmission m_admission;
     NeighbourSearches m_neighbours;
     FlowLearning m_learning;
-    FlowVerifier m_verifier;
     PendingReporter m_pendingReporter;
     AgentAnnouncement m_announcement;
     std::unique_ptr<StoreFollower> m_store;
     std::unique_ptr<DatagramSocket> m_outbound;
     UntrackedFlows m_untrackedFlows;
+    UpstreamLoss m_loss;
     UpstreamConnectCheck m_connectCheck;
     UpstreamEndWatch m_endWatch;
     UpstreamConnection m_connection;
@@ -82,7 +72,6 @@
     float m_lastSentLoad = 0;
     Millis m_loadSentAt = 0;
 
-    std::uint64_t m_portsClosed = 0;
     EnumCounters<ReportEffect> m_reports;
     EnumCounters<DecodeError> m_malformedRequests;
 };
