--- a/src/libdecision/untrackedflows.cpp
+++ b/src/libdecision/untrackedflows.cpp
@@ -76,6 +76,13 @@
     untracked.lastListenedAt = now;
     if (untracked.isGone || (untracked.silence < untracked.options.silenceLimit && !isRefused(untracked)))
         return false;
+    // A process that accepted a connection may be paused and continue with its flows, so it is asked again.
+    if (untracked.isPresent) {
+        untracked.isPresent = false;
+        untracked.refusals = 0;
+        untracked.silence = 0;
+        return false;
+    }
     untracked.isGone = true;
     return true;
 }
--- a/src/libdecision/untrackedflows.h
+++ b/src/libdecision/untrackedflows.h
@@ -22,8 +22,9 @@
     /// upstream counts as gone. At least two, since an upstream that starts begins to listen a moment later.
     std::uint32_t minRefusals = 2;
     Millis refusalSpan = 100;
-    /// An upstream that has sent nothing for this long counts as gone, in milliseconds of the agent's running time. Longer
-    /// than several report intervals, since a report may wait a second for an answer on a dead connection.
+    /// An upstream that has sent nothing for this long and has not accepted a connection counts as gone, in milliseconds of the
+    /// agent's running time. Longer than several report intervals, since a report may wait a second for an answer on a dead
+    /// connection.
     Millis silenceLimit = 4000;
     /// The time between two calls of recordListening() counts up to this limit, in milliseconds. A longer gap means that the
     /// process was paused and did not listen.
@@ -55,7 +56,7 @@
     bool mayRefuseConnections = false;
     /// The agent shuts down and has to find out whether its upstream is gone.
     bool isFinalCheck = false;
-    /// A connection was accepted or timed out, so only the silence limit can show that the upstream is gone.
+    /// A connection was accepted or timed out, so the upstream runs or is paused. After the silence limit it is asked again.
     bool isPresent = false;
     Millis lastListenedAt = 0;
     Millis silence = 0;
--- a/tests/packets/testuntrackedflows.cpp
+++ b/tests/packets/testuntrackedflows.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(refusalsMayShowAMissingUpstream);
     CPPUNIT_TEST(drainingUpstreamMayRefuseConnections);
     CPPUNIT_TEST(packetOfAFlowShowsARunningUpstream);
+    CPPUNIT_TEST(pausedUpstreamKeepsItsFlows);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint64_t startedAt = 1790000000000;
@@ -64,6 +65,23 @@
         CPPUNIT_ASSERT(!recordListening(state, 1310) && !knowsEveryFlow(state));
     }
 
+    // Guards against an agent that denies the flows of an upstream that is paused for longer than the silence limit.
+    void pausedUpstreamKeepsItsFlows()
+    {
+        UntrackedFlows state = untracked();
+        for (Millis from = 1000; from < 20000; from += 4000) {
+            listen(state, from, from + 300);
+            CPPUNIT_ASSERT(shouldConnect(state));
+            recordConnection(state, ConnectionOutcome::Accepted, from + 300);
+            listen(state, from + 400, from + 3900);
+            CPPUNIT_ASSERT(!knowsEveryFlow(state));
+        }
+        listen(state, 21000, 21300);
+        recordConnection(state, ConnectionOutcome::Refused, 21200);
+        recordConnection(state, ConnectionOutcome::Refused, 21300);
+        CPPUNIT_ASSERT(recordListening(state, 21310) && knowsEveryFlow(state));
+    }
+
     // Guards against an agent that denies flows of an upstream whose reports are lost while it serves its flows.
     void packetOfAFlowShowsARunningUpstream()
     {
