--- a/src/kingcuptraild/packets/upstreamloss.cpp
+++ b/src/kingcuptraild/packets/upstreamloss.cpp
@@ -62,6 +62,7 @@
 void UpstreamLoss::exposeMetrics(std::string& out) const
 {
     exposeCounter(out, "kingcuptrail_upstream_port_closed_total", "Times that the host reported the upstream's port to be unbound: its process had ended.", m_portsClosed);
+    exposeCounter(out, "kingcuptrail_upstream_packets_unsent_total", "Packets to the upstream that the host did not take.", m_state.upstreamSocket->unsent());
     exposeCounters(out, "kingcuptrail_flows_reset_total", "Flows reset because their upstream has lost them, by what showed it.", m_state.resetFlows);
 }
 
--- a/src/kingcuptraild/packets/upstreamsocket.cpp
+++ b/src/kingcuptraild/packets/upstreamsocket.cpp
@@ -3,6 +3,7 @@
 #include <asio/buffer.hpp>
 #include <asio/post.hpp>
 #include <sys/socket.h>
+#include <utility>
 
 namespace kingcuptrail {
 
@@ -45,9 +46,15 @@
 {
     asio::error_code error;
     m_socket.send(asio::buffer(packet.data(), packet.size()), 0, error);
-    if (error != asio::error::connection_refused)
-        return;
-    m_socket.send(asio::buffer(packet.data(), packet.size()), 0, error);
+    if (error == asio::error::connection_refused) {
+        handleRefusalLater();
+        m_socket.send(asio::buffer(packet.data(), packet.size()), 0, error);
+    }
+    m_unsent += error ? 1 : 0;
+}
+
+void UpstreamSocket::handleRefusalLater()
+{
     if (std::exchange(m_isRefused, true))
         return;
     asio::post(m_context, [this, alive = std::weak_ptr<bool>(m_isAlive)] {
