--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -313,7 +313,7 @@
 {
     if (m_untrackedFlows.isGone && !m_untrackedFlows.hasReport)
         withdrawFormerEntry();
-    m_untrackedFlows.mayRefuseConnections = !m_state.flows.isComplete && lastEntry().state == PeerState::Draining;
+    m_untrackedFlows.mayRefuseConnections = !m_state.flows.isComplete && wasDraining();
     if (recordListening(m_untrackedFlows, now)) {
         m_state.flows.isComplete = knowsEveryFlow(m_untrackedFlows);
         if (!m_untrackedFlows.hasReport)
@@ -457,7 +457,13 @@
 // have to ask the next process of this agent. An upstream that drains or is silent may still serve its flows.
 bool PacketAgent::isUpstreamGone() const
 {
-    return m_untrackedFlows.isGone && m_state.flows.open == 0;
+    return m_untrackedFlows.isGone && (m_untrackedFlows.isGoneForCertain || m_state.flows.open == 0);
+}
+
+// Whether the upstream was draining when this agent, or before its first report an earlier process of it, last knew of it.
+bool PacketAgent::wasDraining() const
+{
+    return m_state.flowAdmission.upstream ? m_state.flowAdmission.upstream->isDraining : lastEntry().state == PeerState::Draining;
 }
 
 // The entry under this agent's name: its own announcement, or that of an earlier process whose upstream did not come back.
--- a/src/kingcuptraild/packets/packetagent.h
+++ b/src/kingcuptraild/packets/packetagent.h
@@ -48,6 +48,7 @@
     void followStoreIfIsolated(Millis now);
     bool isServingNow() const;
     bool isUpstreamGone() const;
+    bool wasDraining() const;
     PeerEntry lastEntry() const;
 
     AgentState m_state;
--- a/tests/trustplatform/testflowevidence.cpp
+++ b/tests/trustplatform/testflowevidence.cpp
@@ -94,6 +94,7 @@
     CPPUNIT_TEST(refusedConnectionsKeepFlowsOfReadyUpstream);
     CPPUNIT_TEST(endedProcessResetsItsFlows);
     CPPUNIT_TEST(stoppedAgentStaysKnownBesideDrainingUpstream);
+    CPPUNIT_TEST(stoppedAgentIsGoneAfterItsUpstreamsNotice);
     CPPUNIT_TEST(restartedAgentDoesNotDenyFlowsOfDrainingUpstream);
     CPPUNIT_TEST_SUITE_END();
 
@@ -153,13 +154,19 @@
         void report(const Report& sent)
         {
             const std::string body = R"({"service":")" + sent.service + R"(","address":"127.84.1.1:1","zone":"north","slots":5,"warmup-left-ms":0,"born":)" + std::to_string(sent.born) + R"(,"state":")" + sent.state + R"(","sequence":)" + std::to_string(sent.sequence) + "}";
+            call({ .method = "PUT", .target = "/targets/" + sent.id, .body = body });
+        }
+
+        /// Calls the agent as the upstream does, and waits for its answer.
+        void call(HttpRequest request)
+        {
             bool isDone = false;
             HttpCall::Handlers handlers;
             handlers.onDone = [&isDone](const std::optional<HttpResponse>& response, const HttpOutcome&) {
                 isDone = true;
                 CPPUNIT_ASSERT(response && response->status == 200);
             };
-            const auto call = startHttpCall(context, settings.packets.control, { .method = "PUT", .target = "/targets/" + sent.id, .body = body }, {}, std::move(handlers));
+            const auto running = startHttpCall(context, settings.packets.control, std::move(request), {}, std::move(handlers));
             runUntil(context, [&isDone] { return isDone; });
         }
 
@@ -340,6 +347,19 @@
         CPPUNIT_ASSERT(deployment.announcedState() == PeerState::Draining);
     }
 
+    // Guards against the entry of a host that is removed with its upstream: every search would wait for its agent. A flow that the
+    // upstream has not closed is no reason to keep it.
+    void stoppedAgentIsGoneAfterItsUpstreamsNotice()
+    {
+        Deployment deployment(m_context, m_options);
+        deployment.listen();
+        deployment.report({});
+        deployment.open(1);
+        deployment.call({ .method = "DELETE", .target = "/targets/i-1" });
+        deployment.agent.shutDown([] {});
+        runUntil(m_context, [&] { return deployment.announcedState() == PeerState::Gone; });
+    }
+
     // Guards against an agent that starts beside a draining upstream, takes refused connections for its end and denies its flows.
     void restartedAgentDoesNotDenyFlowsOfDrainingUpstream()
     {
