--- a/tests/scenarios/runner/childprocess.cpp
+++ b/tests/scenarios/runner/childprocess.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <asio/read_until.hpp>
+#include <cerrno>
 #include <csignal>
 #include <fcntl.h>
 #include <sys/prctl.h>
@@ -15,6 +16,15 @@
     constexpr int exitCannotExecute = 127;
     constexpr int signalBase = 128;
 
+    /// Waits until the child has closed the descriptors that it inherited, or has failed. Until then it holds every listening socket
+    /// of this process, and an address that is closed here could not be bound again.
+    void awaitChild(int descriptor)
+    {
+        char ignored = 0;
+        while (read(descriptor, &ignored, 1) < 0 && errno == EINTR) { }
+        close(descriptor);
+    }
+
     [[noreturn]] void execute(const std::string& program, std::vector<char*>& arguments, int output, pid_t parent)
     {
         prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -66,11 +76,19 @@
     for (std::string& word : words)
         pointers.push_back(word.data());
     pointers.push_back(nullptr);
+    std::array<int, 2> started {};
+    if (pipe2(started.data(), O_CLOEXEC) != 0) {
+        close(pipe[0]);
+        close(pipe[1]);
+        return nullptr;
+    }
     const pid_t parent = getpid();
     const pid_t pid = fork();
     if (pid == 0)
         execute(program, pointers, pipe[1], parent);
     close(pipe[1]);
+    close(started[1]);
+    awaitChild(started[0]);
     auto output = std::make_shared<Output>(context, pipe[0], std::move(onLine));
     if (pid < 0)
         return nullptr;
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -253,6 +253,7 @@
         sum.opened += caller->counts().opened;
         sum.served += caller->counts().served;
         sum.resets += caller->counts().resets;
+        sum.lateRefusals += caller->counts().lateRefusals;
     }
     return sum;
 }
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -246,7 +246,7 @@
 {
     const std::uint64_t flowsTried = after.flowsTried - before.flowsTried;
     const std::uint64_t opened = after.opened - before.opened;
-    std::cout << "fault-free window: flows tried " << flowsTried << ", opened " << opened << "; in all: flows tried " << after.flowsTried << ", served " << after.served << ", resets " << after.resets << "\n";
+    std::cout << "fault-free window: flows tried " << flowsTried << ", opened " << opened << "; in all: flows tried " << after.flowsTried << ", served " << after.served << ", resets " << after.resets << ", late refusals " << after.lateRefusals << "\n";
     if (opened * 100 < flowsTried * minOpenedPercent)
         promises.recordViolation(Promise::Recovers, std::to_string(opened) + " openings answered of " + std::to_string(flowsTried));
 }
--- a/tests/soak/soakcaller.cpp
+++ b/tests/soak/soakcaller.cpp
@@ -13,6 +13,13 @@
     constexpr int maxOpeningSends = 4;
     constexpr int maxRequestSends = 12;
     constexpr std::uint32_t firstSequence = 1000;
+    /// How far the sequence number of a reset may be from the caller's last acknowledgement once the flow is open.
+    constexpr std::uint32_t resetWindow = 76800;
+
+    bool isInResetWindow(std::uint32_t sequence, std::uint32_t acknowledged)
+    {
+        return sequence - acknowledged + resetWindow <= 2 * resetWindow;
+    }
 
 }
 
@@ -89,6 +96,12 @@
     if (found == m_flows.end())
         return;
     Flow& flow = found->second;
+    // A caller whose flow is open takes only resets for this flow. An opening may be refused at one balancer after a copy of it
+    // has opened the flow through another.
+    if (header->flags.resets && flow.isOpen && !isInResetWindow(header->sequence, flow.answerSequence + 1)) {
+        ++m_counts.lateRefusals;
+        return;
+    }
     if (header->flags.resets) {
         ++m_counts.resets;
         if (flow.isOpen)
--- a/tests/soak/soakcaller.h
+++ b/tests/soak/soakcaller.h
@@ -16,6 +16,8 @@
     std::uint64_t opened = 0;
     std::uint64_t served = 0;
     std::uint64_t resets = 0;
+    /// Refusals of openings that came when the flow was open.
+    std::uint64_t lateRefusals = 0;
 };
 
 /// A caller behind the routers: opens flows, sends requests on them, some after a pause, and uses a flow until it ends or is
