--- a/src/libdecision/agentflows.h
+++ b/src/libdecision/agentflows.h
@@ -183,6 +183,7 @@
     Millis upstreamPacketAt = 0;
 };
 
+/// What a reset of this flow and its log line need.
 LostFlow toLostFlow(const FlowKey&, const AgentFlow&);
 
 /// Removes every flow, since the upstream's process has ended, and returns those that are open and have to be reset. An
--- a/src/libdecision/flowverification.h
+++ b/src/libdecision/flowverification.h
@@ -15,6 +15,7 @@
     std::size_t copiesPerStep = 64;
 };
 
+/// A flow of which it is not known whether the upstream holds it.
 struct UnverifiedFlow {
     unsigned copiesSent = 0;
     Millis nextCopyAt = 0;
