--- a/review/standins/driver.cpp
+++ b/review/standins/driver.cpp
@@ -20,6 +20,7 @@
         const bool hasTrouble = environment("TROUBLE") != "0";
         world.note(hasTrouble ? "with the disruption" : "without the disruption");
         const int result = play(world, hasTrouble);
+        world.note(std::to_string(world.endedDaemons().size()) + " daemons ended by themselves");
         const std::string text = result == ruleBroken ? "the rule was broken" : (result == ruleHeld ? "the rule held" : "the case could not run");
         world.note(text);
         std::cout << text << "\n";
