--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -7,9 +7,9 @@
 namespace {
 
 constexpr Millis usualTimeout = 15000;
-constexpr Millis longTimeout = 45000;
+constexpr Millis longTimeout = 30000;
 constexpr Millis shortPause = 10000;
-constexpr Millis longPause = 28000;
+constexpr Millis longPause = 25000;
 constexpr std::size_t flowsEach = 10;
 
 struct IdleFlow {
@@ -28,7 +28,7 @@
     world.runFor(3000);
     if (hasTrouble) {
         world.store().write("config", "main", configuration(7, { "board" }, longTimeout));
-        world.note("the store has confirmed version 7 of the configuration: idle-timeout-ms is 45000");
+        world.note("the store has confirmed version 7 of the configuration: idle-timeout-ms is 30000");
     }
     const Millis timeout = hasTrouble ? longTimeout : usualTimeout;
     world.runFor(5000);
