--- a/review/standins/world.cpp
+++ b/review/standins/world.cpp
@@ -1004,7 +1004,7 @@
 
 Endpoint routeTo(std::uint32_t number)
 {
-    return { .address = (198U << 24U) | (18U << 16U) | number, .port = 443 };
+    return { .address = (127U << 24U) | (18U << 16U) | number, .port = 443 };
 }
 
 std::string configuration(std::uint64_t version, const std::vector<std::string>& services, Millis idleTimeout)
--- a/review/standins/world.h
+++ b/review/standins/world.h
@@ -336,7 +336,7 @@
 /// Reads the settings of a run from the environment that run.sh sets; empty if a variable is missing.
 std::string environment(const char* name);
 
-/// The configuration `version` with one route to each of the services, at 198.18.0.1, 198.18.0.2 and so on, port 443.
+/// The configuration `version` with one route to each of the services, at the addresses of routeTo(1), routeTo(2) and so on.
 std::string configuration(std::uint64_t version, const std::vector<std::string>& services, Millis idleTimeout);
 Endpoint routeTo(std::uint32_t number);
 
