--- a/src/kingcuptraild/packets/connectionadmission.cpp
+++ b/src/kingcuptraild/packets/connectionadmission.cpp
@@ -37,6 +37,7 @@
         return;
     }
     const OpeningRefusal refusal = checkAdmission(message.flow, message.configVersion, message.needsFreeSlot, now);
+    m_byNewerVersion += refusal == OpeningRefusal::None && message.configVersion > m_state.network.routes().version ? 1 : 0;
     if (refusal == OpeningRefusal::None)
         admit(message.flow, message.packet, sender, {});
     else if (refusal == OpeningRefusal::Busy && !message.needsFreeSlot)
@@ -64,7 +65,7 @@
 void ConnectionAdmission::admit(const FlowKey& flow, std::span<const std::uint8_t> packet, std::uint32_t balancer, const QueueTimes& times)
 {
     const Millis now = m_state.role.clock.now();
-    logFlowEvent(Event::FlowAdmitted, flow, { { "upstream", m_state.flowAdmission.upstream->id }, { "atWork", m_state.flows.atWork }, { "open", m_state.flows.open }, { "waited", static_cast<std::uint64_t>(times.waited) }, { "timelyWait", static_cast<std::uint64_t>(times.timelyWait) }, { "reportAge", static_cast<std::uint64_t>(now - m_state.flowAdmission.reportedAt) }, { "version", m_state.network.routes().version }, { "outages", m_state.network.outages().revision } });
+    logFlowEvent(Event::FlowAdmitted, flow, { { "upstream", m_state.flowAdmission.upstream->id }, { "service", m_state.flowAdmission.upstream->service }, { "evidenceAge", static_cast<std::uint64_t>(now - m_state.flowAdmission.evidence.runningAt) }, { "atWork", m_state.flows.atWork }, { "open", m_state.flows.open }, { "waited", static_cast<std::uint64_t>(times.waited) }, { "timelyWait", static_cast<std::uint64_t>(times.timelyWait) }, { "reportAge", static_cast<std::uint64_t>(now - m_state.flowAdmission.reportedAt) }, { "version", m_state.network.routes().version }, { "outages", m_state.network.outages().revision } });
     beginFlow(m_state.flows, flow, now, balancer);
     const AgentFlow& admitted = m_state.flows.flows.at(flow);
     // Once the upstream has answered, the caller may have sent its request.
@@ -147,7 +148,7 @@
     m_state.refusals.increment(refusal);
     m_state.packetOutcomes.increment(AgentPacketOutcome::Refused);
     const Millis now = m_state.role.clock.now();
-    logFlowEvent(Event::OpeningRefused, flow, { { "reason", nameOf(refusal) }, { "atWork", m_state.flows.atWork }, { "open", m_state.flows.open }, { "waiting", m_queue.waiting.size() }, { "reportAge", static_cast<std::uint64_t>(now - m_state.flowAdmission.reportedAt) }, { "version", m_state.network.routes().version }, { "outages", m_state.network.outages().revision } });
+    logFlowEvent(Event::OpeningRefused, flow, { { "reason", nameOf(refusal) }, { "service", m_state.flowAdmission.upstream ? m_state.flowAdmission.upstream->service : "" }, { "atWork", m_state.flows.atWork }, { "open", m_state.flows.open }, { "waiting", m_queue.waiting.size() }, { "reportAge", static_cast<std::uint64_t>(now - m_state.flowAdmission.reportedAt) }, { "version", m_state.network.routes().version }, { "outages", m_state.network.outages().revision } });
     sendReply(m_state, balancer, { .kind = wire::PeerKind::Refused, .flow = flow, .refusal = refusal, .packet = packet });
 }
 
@@ -174,6 +175,7 @@
 
 void ConnectionAdmission::exposeMetrics(std::string& out) const
 {
+    exposeCounter(out, "kingcuptrail_openings_by_newer_version_total", "Openings admitted for a balancer with a newer configuration than this agent's.", m_byNewerVersion);
     m_waitTimes.expose(out, "kingcuptrail_opening_wait_milliseconds", "How long admitted openings waited here, in milliseconds.");
 }
 
--- a/src/kingcuptraild/packets/connectionadmission.h
+++ b/src/kingcuptraild/packets/connectionadmission.h
@@ -41,6 +41,7 @@
     Delay m_queueTimer;
     bool m_isQueueTimerOn = false;
     LatencyHistogram m_waitTimes;
+    std::uint64_t m_byNewerVersion = 0;
 };
 
 }
--- a/src/kingcuptraild/packets/connectiondispatcher.cpp
+++ b/src/kingcuptraild/packets/connectiondispatcher.cpp
@@ -116,7 +116,8 @@
     opening.triedAgents.push_back(*next);
     offerTo(*next, flow, opening);
     const AgentLoad& load = m_state.agentLoads[*next];
-    logFlowEvent(Event::FlowOffered, flow, { { "agent", addressText(*next) }, { "service", *service }, { "atWork", load.atWork }, { "loadAge", static_cast<std::uint64_t>(now - load.receivedAt) }, { "candidates", ranking.size() }, { "try", opening.triedAgents.size() }, { "version", m_state.network.routes().version } });
+    const PeerEntry* entry = findReadyAgent(m_state.network.directory(), *next, *service);
+    logFlowEvent(Event::FlowOffered, flow, { { "agent", addressText(*next) }, { "peer", entry ? entry->name : "" }, { "epoch", entry ? entry->epoch : 0 }, { "service", *service }, { "atWork", load.atWork }, { "loadAge", static_cast<std::uint64_t>(now - load.receivedAt) }, { "candidates", ranking.size() }, { "try", opening.triedAgents.size() }, { "version", m_state.network.routes().version } });
 }
 
 void ConnectionDispatcher::offerTo(std::uint32_t agent, const FlowKey& flow, PendingOpening& opening)
--- a/src/kingcuptraild/packets/peernetwork.cpp
+++ b/src/kingcuptraild/packets/peernetwork.cpp
@@ -164,7 +164,13 @@
         }
         return false;
     }
-    return applyEntry(m_directory, entry);
+    if (!applyEntry(m_directory, entry))
+        return false;
+    if (entry.state == PeerState::Gone)
+        return true;
+    for (const PeerEntry* other : othersAtAddress(m_directory, entry))
+        logEvent(Event::AddressReused, { { "peer", entry.name }, { "state", nameOf(entry.state) }, { "service", entry.service }, { "epoch", entry.epoch }, { "other", other->name }, { "otherState", nameOf(other->state) }, { "otherService", other->service }, { "otherEpoch", other->epoch } });
+    return true;
 }
 
 const PeerEntry& PeerNetwork::announce(PeerEntry self)
--- a/src/libdecision/directory.cpp
+++ b/src/libdecision/directory.cpp
@@ -145,6 +145,35 @@
     return agents;
 }
 
+const PeerEntry* findReadyAgent(const Directory& directory, std::uint32_t address, std::string_view service)
+{
+    const PeerEntry* latest = nullptr;
+    const auto names = directory.namesByAddress.find(address);
+    if (names == directory.namesByAddress.end())
+        return nullptr;
+    for (const std::string& name : names->second) {
+        const PeerEntry& entry = directory.entries.at(name);
+        const bool isReady = entry.role == PeerRole::Agent && entry.state == PeerState::Ready && entry.service == service;
+        if (isReady && (!latest || entry.epoch > latest->epoch))
+            latest = &entry;
+    }
+    return latest;
+}
+
+std::vector<const PeerEntry*> othersAtAddress(const Directory& directory, const PeerEntry& entry)
+{
+    std::vector<const PeerEntry*> others;
+    const auto names = directory.namesByAddress.find(entry.address);
+    if (names == directory.namesByAddress.end())
+        return others;
+    for (const std::string& name : names->second) {
+        const PeerEntry& other = directory.entries.at(name);
+        if (name != entry.name && other.state != PeerState::Gone)
+            others.push_back(&other);
+    }
+    return others;
+}
+
 bool isStaleListing(const Directory& directory, const PeerEntry& listed)
 {
     const auto known = directory.entries.find(listed.name);
--- a/src/libdecision/directory.h
+++ b/src/libdecision/directory.h
@@ -135,6 +135,13 @@
 /// The agents that accept new flows for a service, in the order of their names.
 std::vector<const PeerEntry*> readyAgentsOf(const Directory&, std::string_view service);
 
+/// The entry by which this address is offered flows of a service, or null. Of several names, the one that was announced last.
+const PeerEntry* findReadyAgent(const Directory&, std::uint32_t address, std::string_view service);
+
+/// The other names that were announced for this entry's address and have not announced that they are gone. An address belongs to
+/// one process, so the host of an earlier name is gone.
+std::vector<const PeerEntry*> othersAtAddress(const Directory&, const PeerEntry&);
+
 /// The members of a data centre; empty when none is known there.
 const DataCentreMembers& membersOf(const Directory&, std::string_view dataCentre);
 
--- a/src/libruntime/events.h
+++ b/src/libruntime/events.h
@@ -48,6 +48,7 @@
     PeerTraffic = 329,
     PlatformTrouble = 330,
     PlatformBack = 331,
+    AddressReused = 332,
     // Health of other data centres
     DataCentreSilent = 341,
     DataCentreLost = 342,
