--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -60,7 +60,7 @@
     for (std::uint32_t index = 0; index < m_options.callers; ++index) {
         m_callers.push_back(std::make_unique<SoakCaller>(
             context, addressOf(201 + index), ingressPort, std::vector { boardAddress, intakeAddress },
-            [this](const FlowKey& flow, std::span<const std::uint8_t> packet) { route(flow, packet); }, promises, m_options.seed * 31 + index));
+            [this](const FlowKey& flow, std::span<const std::uint8_t> packet) { route(flow, packet); }, promises, m_options.seed * 31 + index, m_options.callerPorts));
     }
     pollReady();
 }
@@ -135,6 +135,7 @@
     daemon.process = ChildProcess::start(m_context, m_options.program, { "--settings=" + daemon.settingsPath }, [log](const std::string& line) { *log << line << "\n"; });
     daemon.isEnding = false;
     daemon.isPaused = false;
+    daemon.isReplaced = false;
     m_promises.recordDisturbance(daemon.name);
 }
 
@@ -180,6 +181,39 @@
     });
 }
 
+void Fleet::replaceHost(SoakDaemon& daemon, const HostReplacement& replacement)
+{
+    constexpr Millis stopTime = 1500;
+    SoakUpstream& upstream = *upstreamOf(daemon);
+    m_promises.recordDisturbance(daemon.name);
+    const bool isPlanned = replacement.isPlanned && daemon.process && !daemon.isPaused;
+    daemon.isEnding = true;
+    daemon.isReplaced = true;
+    daemon.timer->cancel();
+    if (daemon.process)
+        daemon.process->signal(isPlanned ? SIGTERM : SIGKILL);
+    if (isPlanned)
+        daemon.timer->start(stopTime, [&daemon] { daemon.process->signal(SIGKILL); });
+    const std::string name = "host-" + std::to_string(++m_replacedHosts);
+    upstream.replace(replacement.downTime, name, replacement.service, replacement.reportDelay, [this, &daemon, name] {
+        daemon.name = name;
+        daemon.settingsPath = m_options.folder + "/" + name + ".json";
+        writeSettings(daemon);
+        start(daemon);
+    });
+}
+
+SoakUpstream* Fleet::upstreamOf(const SoakDaemon& daemon)
+{
+    const auto found = std::ranges::find(m_upstreams, daemon.name, [](const auto& upstream) { return upstream->options().host; });
+    return found != m_upstreams.end() ? found->get() : nullptr;
+}
+
+std::size_t Fleet::countUpstreams(const std::string& service) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_upstreams, [&](const auto& upstream) { return !upstream->isReplaced() && upstream->options().service == service; }));
+}
+
 void Fleet::takeOut(const std::string& dataCentre)
 {
     m_store.write("evacuations", dataCentre, json::object());
@@ -261,7 +295,7 @@
 void Fleet::checkProcesses()
 {
     for (const auto& daemon : m_daemons) {
-        if (!daemon->process || !daemon->process->exitCode())
+        if (!daemon->process || !daemon->process->exitCode() || daemon->isReplaced)
             continue;
         if (!daemon->isEnding) {
             m_promises.recordViolation(Promise::StaysUp, daemon->name + " exited with code " + std::to_string(*daemon->process->exitCode()));
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -17,6 +17,8 @@
     std::uint32_t balancers = 2;
     std::uint32_t agents = 3;
     std::uint32_t callers = 2;
+    /// Ports that each caller uses in turn.
+    std::uint16_t callerPorts = 60000;
     /// Routers choose by the flow's hash modulo the number of balancers in rotation, so that nearly every flow moves when a
     /// balancer leaves or joins.
     bool isModulo = false;
@@ -35,11 +37,25 @@
     /// The soak has ended the process or is ending it; an exit is expected.
     bool isEnding = false;
     bool isPaused = false;
+    /// Its host is gone; another one gets the address.
+    bool isReplaced = false;
     /// Balancers only: readiness probes that the routers have sent since the last success.
     int unansweredProbes = 2;
     std::shared_ptr<HttpCall> readyCall;
 };
 
+/// How an agent's host is replaced by one with another name at the same address.
+struct HostReplacement {
+    /// The service of the new host's upstream.
+    std::string service;
+    /// How long nothing uses the address, in milliseconds.
+    Millis downTime = 0;
+    /// How long after its start the new upstream sends its first report, in milliseconds.
+    Millis reportDelay = 0;
+    /// The agent is told to stop, and can announce that it is gone; otherwise its host loses power.
+    bool isPlanned = false;
+};
+
 /// A deployment of real daemons on loopback addresses of their own, with stand-ins for the store, the routers, the upstreams
 /// and the callers in this process. Ends only processes that it has started.
 class Fleet {
@@ -54,6 +70,10 @@
     void kill(SoakDaemon& daemon, Millis downFor);
     void terminate(SoakDaemon& daemon);
     void pause(SoakDaemon& daemon, Millis time);
+    void replaceHost(SoakDaemon& daemon, const HostReplacement& replacement);
+    SoakUpstream* upstreamOf(const SoakDaemon& daemon);
+    /// The number of upstreams of this service that are not being replaced.
+    std::size_t countUpstreams(const std::string& service) const;
     void takeOut(const std::string& dataCentre);
     void bringBack(const std::string& dataCentre);
     void changeConfiguration();
@@ -81,6 +101,7 @@
     std::vector<std::unique_ptr<SoakUpstream>> m_upstreams;
     std::vector<std::unique_ptr<SoakCaller>> m_callers;
     std::uint64_t m_configVersion = 0;
+    unsigned m_replacedHosts = 0;
 };
 
 }
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,10 +1,11 @@
-#include "fleet.h"
+#include "addressreuse.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 #include <csignal>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
 
 ABSL_FLAG(unsigned, seed, 1, "seed of the random faults");
@@ -13,6 +14,8 @@
 ABSL_FLAG(unsigned, agents, 3, "agents in each of two data centres");
 ABSL_FLAG(bool, modulo, false, "routers choose by hash modulo the number of balancers in rotation");
 ABSL_FLAG(bool, upstream_faults, false, "upstreams also end, pause, report late and close their listeners");
+ABSL_FLAG(bool, address_reuse, false, "addresses of upstreams and of whole hosts are used again by another service");
+ABSL_FLAG(unsigned, callers, 2, "callers; each opens 25 flows a second");
 ABSL_FLAG(std::string, program, PROGRAM_KINGCUPTRAILD, "path of kingcuptraild");
 ABSL_FLAG(std::string, folder, "", "folder for settings and logs; kept when a promise is broken");
 
@@ -26,6 +29,8 @@
 /// Percentage of the openings in the final fault-free window that have to be answered.
 constexpr std::uint64_t minOpenedPercent = 95;
 constexpr Millis checkInterval = 50;
+/// Few enough that callers use each port several times in a run.
+constexpr std::uint16_t reusedCallerPorts = 150;
 
 /// Injects overlapping faults of every kind, drawn from the seed.
 class FaultInjector {
@@ -39,12 +44,15 @@
         , m_upstreamTimer(context)
         , m_random(seed)
         , m_upstreamRandom(seed + 1)
+        , m_addressReuse(context, fleet, seed + 2, logFault)
     {
     }
 
-    void start(bool hasUpstreamFaults)
+    void start(bool hasUpstreamFaults, bool hasAddressReuse)
     {
         scheduleNext();
+        if (hasAddressReuse)
+            m_addressReuse.start();
         if (hasUpstreamFaults)
             scheduleUpstreamFault();
     }
@@ -53,10 +61,11 @@
     {
         m_timer.cancel();
         m_upstreamTimer.cancel();
+        m_addressReuse.stop();
         clearStoreFault();
         bringBack();
         for (auto& upstream : m_fleet.upstreams()) {
-            if (m_draining.contains(upstream.get()))
+            if (m_draining.contains(upstream.get()) && !upstream->isReplaced())
                 upstream->restart();
         }
     }
@@ -163,6 +172,8 @@
     void restartUpstream()
     {
         SoakUpstream& upstream = randomUpstream();
+        if (upstream.isReplaced())
+            return;
         if (randomBelow(2) == 0 || m_draining.contains(&upstream)) {
             logFault("restart upstream of " + upstream.options().host);
             m_draining.erase(&upstream);
@@ -188,6 +199,8 @@
         SoakUpstream& upstream = *m_fleet.upstreams()[upstreamRandomBelow(static_cast<std::uint32_t>(m_fleet.upstreams().size()))];
         const Millis time = 50 + upstreamRandomBelow(1500);
         const std::string host = upstream.options().host;
+        if (upstream.isReplaced())
+            return;
         switch (upstreamRandomBelow(6)) {
         case 0:
             logFault("restart upstream of " + host + " with its report " + std::to_string(time) + " ms late");
@@ -226,6 +239,7 @@
     Delay m_upstreamTimer;
     std::minstd_rand m_random;
     std::minstd_rand m_upstreamRandom;
+    AddressReuse m_addressReuse;
     std::string m_storeFaultHost;
     std::string m_dataCentreOut;
     std::set<SoakUpstream*> m_draining;
@@ -253,8 +267,12 @@
 
 int report(const PromiseChecker& promises, const std::string& folder)
 {
-    for (const auto& [promise, cases] : promises.violations())
+    std::ofstream all(folder + "/violations");
+    for (const auto& [promise, cases] : promises.violations()) {
+        for (const std::string& each : cases)
+            all << nameOf(promise) << " " << each << "\n";
         std::cout << "BROKEN " << nameOf(promise) << " " << cases.size() << " times, first: " << cases.front() << "\n";
+    }
     if (!promises.hasViolations()) {
         std::filesystem::remove_all(folder);
         std::cout << "all promises held\n";
@@ -278,10 +296,14 @@
     asio::io_context context;
     const Clock clock;
     PromiseChecker promises(clock);
-    Fleet fleet(context, { .program = absl::GetFlag(FLAGS_program), .folder = folder, .seed = seed, .balancers = absl::GetFlag(FLAGS_balancers), .agents = absl::GetFlag(FLAGS_agents), .isModulo = absl::GetFlag(FLAGS_modulo) }, promises);
+    const bool hasAddressReuse = absl::GetFlag(FLAGS_address_reuse);
+    FleetOptions options { .program = absl::GetFlag(FLAGS_program), .folder = folder, .seed = seed, .balancers = absl::GetFlag(FLAGS_balancers), .agents = absl::GetFlag(FLAGS_agents), .callers = absl::GetFlag(FLAGS_callers), .isModulo = absl::GetFlag(FLAGS_modulo) };
+    if (hasAddressReuse)
+        options.callerPorts = reusedCallerPorts;
+    Fleet fleet(context, std::move(options), promises);
     FaultInjector faults(context, fleet, promises, seed);
     runFor(context, fleet, startTime);
-    faults.start(absl::GetFlag(FLAGS_upstream_faults));
+    faults.start(absl::GetFlag(FLAGS_upstream_faults), hasAddressReuse);
     runFor(context, fleet, Millis { absl::GetFlag(FLAGS_seconds) } * 1000);
     faults.stop();
     runFor(context, fleet, recoveryTime);
--- a/tests/soak/promisechecker.cpp
+++ b/tests/soak/promisechecker.cpp
@@ -21,12 +21,23 @@
     return found == m_disturbedAt.end() || m_clock.now() - found->second > undisturbedTime;
 }
 
-void PromiseChecker::recordOpening(const std::string& upstream, const std::string& service, const std::string& dataCentre, const PacketEndpoint& address)
+bool PromiseChecker::isAllowed(const PacketEndpoint& address, const std::string& service) const
 {
-    const Millis now = m_clock.now();
     const auto allowed = m_allowedServices.find(toServiceAddress(address));
-    if (allowed == m_allowedServices.end() || !allowed->second.contains(service))
-        recordViolation(Promise::RightService, toString(address) + " was opened at upstream " + upstream);
+    return allowed != m_allowedServices.end() && allowed->second.contains(service);
+}
+
+void PromiseChecker::recordRequest(const std::string& upstream, const std::string& service, const FlowKey& flow, const std::string& request)
+{
+    if (!isAllowed(flow.service, service))
+        recordViolation(Promise::RightService, "request " + request + " of " + toString(flow) + " ran at upstream " + upstream + " of " + service);
+}
+
+void PromiseChecker::recordOpening(const std::string& upstream, const std::string& service, const std::string& dataCentre, const FlowKey& flow)
+{
+    const Millis now = m_clock.now();
+    if (!isAllowed(flow.service, service))
+        recordViolation(Promise::RightService, toString(flow) + " was opened at upstream " + upstream + " of " + service);
     if (!isUndisturbed(upstream))
         return;
     if (const auto draining = m_drainingSince.find(upstream); draining != m_drainingSince.end() && now - draining->second > drainBound)
--- a/tests/soak/promisechecker.h
+++ b/tests/soak/promisechecker.h
@@ -16,7 +16,7 @@
 enum class Promise : std::uint8_t {
     /// Broken when a caller's open flow is reset although the upstream process that holds it is running.
     FlowKept,
-    /// Broken when an opening reaches an upstream of a service that no configuration mapped to its address.
+    /// Broken when an opening or a request reaches an upstream of a service that no configuration mapped to its address.
     RightService,
     /// Broken when an opening reaches an upstream too long after its agent confirmed that it is draining.
     DrainHeld,
@@ -55,7 +55,9 @@
     void allowService(const PacketEndpoint& address, const std::string& service) { m_allowedServices[toServiceAddress(address)].insert(service); }
 
     /// Records that an upstream accepted an opening, and checks whether it may have reached this upstream.
-    void recordOpening(const std::string& upstream, const std::string& service, const std::string& dataCentre, const PacketEndpoint& address);
+    void recordOpening(const std::string& upstream, const std::string& service, const std::string& dataCentre, const FlowKey& flow);
+    /// Checks whether a request may run at this upstream.
+    void recordRequest(const std::string& upstream, const std::string& service, const FlowKey& flow, const std::string& request);
     /// Records that an upstream answered the flow with this sequence number; it holds the flow if the caller acknowledges it.
     void recordAnswer(const std::string& flow, std::uint32_t sequence, const std::string& upstream, std::uint32_t process) { m_answers[flow][sequence] = { upstream, process }; }
     void recordProcess(const std::string& upstream, std::uint32_t process) { m_processes[upstream] = process; }
@@ -73,6 +75,7 @@
     };
 
     bool isUndisturbed(const std::string& host) const;
+    bool isAllowed(const PacketEndpoint& address, const std::string& service) const;
 
     const Clock& m_clock;
     std::map<std::string, Millis> m_disturbedAt;
--- a/tests/soak/soakcaller.cpp
+++ b/tests/soak/soakcaller.cpp
@@ -13,6 +13,7 @@
     constexpr int maxOpeningSends = 4;
     constexpr int maxRequestSends = 12;
     constexpr std::uint32_t firstSequence = 1000;
+    constexpr std::uint16_t firstPort = 1024;
     /// How far the sequence number of a reset may be from the caller's last acknowledgement once the flow is open.
     constexpr std::uint32_t resetWindow = 76800;
 
@@ -23,7 +24,7 @@
 
 }
 
-SoakCaller::SoakCaller(asio::io_context& context, const asio::ip::address_v4& address, std::uint16_t port, std::vector<PacketEndpoint> services, Route route, PromiseChecker& promises, std::uint32_t seed)
+SoakCaller::SoakCaller(asio::io_context& context, const asio::ip::address_v4& address, std::uint16_t port, std::vector<PacketEndpoint> services, Route route, PromiseChecker& promises, std::uint32_t seed, std::uint16_t portCount)
     : m_context(context)
     , m_address(address)
     , m_services(std::move(services))
@@ -31,6 +32,7 @@
     , m_promises(promises)
     , m_nextTimer(context)
     , m_random(seed)
+    , m_portCount(portCount)
 {
     DatagramError error = DatagramError::None;
     m_socket = DatagramSocket::open(
@@ -43,8 +45,12 @@
     m_nextTimer.start(flowInterval, [this] { beginFlow(); });
     if (m_isStopped)
         return;
-    const FlowKey key { .caller = { .address = m_address.to_uint(), .port = ++m_nextPort }, .service = m_services[m_random() % m_services.size()] };
-    Flow& flow = m_flows[toString(key)];
+    m_lastPort = static_cast<std::uint16_t>(m_lastPort % m_portCount + 1);
+    const FlowKey key { .caller = { .address = m_address.to_uint(), .port = static_cast<std::uint16_t>(firstPort + m_lastPort) }, .service = m_services[m_random() % m_services.size()] };
+    const auto [entry, isNew] = m_flows.try_emplace(toString(key));
+    if (!isNew)
+        return;
+    Flow& flow = entry->second;
     flow.key = key;
     flow.requestsLeft = 1 + static_cast<int>(m_random() % 30);
     flow.timer = std::make_unique<Delay>(m_context);
--- a/tests/soak/soakcaller.h
+++ b/tests/soak/soakcaller.h
@@ -27,7 +27,7 @@
     /// Sends a caller's packet to a balancer, as the routers would.
     using Route = std::function<void(const FlowKey&, std::span<const std::uint8_t>)>;
 
-    SoakCaller(asio::io_context& context, const asio::ip::address_v4& address, std::uint16_t port, std::vector<PacketEndpoint> services, Route route, PromiseChecker& promises, std::uint32_t seed);
+    SoakCaller(asio::io_context& context, const asio::ip::address_v4& address, std::uint16_t port, std::vector<PacketEndpoint> services, Route route, PromiseChecker& promises, std::uint32_t seed, std::uint16_t portCount);
 
     const CallerCounts& counts() const { return m_counts; }
     void stop() { m_isStopped = true; }
@@ -63,7 +63,8 @@
     Delay m_nextTimer;
     std::unordered_map<std::string, Flow> m_flows;
     std::minstd_rand m_random;
-    std::uint16_t m_nextPort = 1024;
+    std::uint16_t m_portCount;
+    std::uint16_t m_lastPort = 0;
     std::uint64_t m_nextRequest = 0;
     CallerCounts m_counts;
     bool m_isStopped = false;
--- a/tests/soak/soakupstream.cpp
+++ b/tests/soak/soakupstream.cpp
@@ -68,6 +68,25 @@
 }
 
 void SoakUpstream::end(Millis downTime)
+{
+    stopProcess();
+    m_changeTimer.start(downTime, [this] { restart(); });
+}
+
+void SoakUpstream::replace(Millis downTime, const std::string& host, const std::string& service, Millis reportDelay, std::function<void()> onStarted)
+{
+    stopProcess();
+    m_isReplaced = true;
+    m_changeTimer.start(downTime, [this, host, service, reportDelay, onStarted = std::move(onStarted)] {
+        m_options.host = host;
+        m_options.service = service;
+        m_isReplaced = false;
+        onStarted();
+        restartWithLateReport(reportDelay);
+    });
+}
+
+void SoakUpstream::stopProcess()
 {
     m_changeTimer.cancel();
     m_reportTimer.cancel();
@@ -76,7 +95,6 @@
     m_unread.clear();
     m_flows.clear();
     m_promises.recordProcess(m_options.host, ++m_processNumber);
-    m_changeTimer.start(downTime, [this] { restart(); });
 }
 
 void SoakUpstream::pause(Millis time)
@@ -138,7 +156,7 @@
     if (isOpening(*header)) {
         const auto [found, isNew] = m_flows.try_emplace(name, Flow { .sequence = static_cast<std::uint32_t>(m_random()) });
         if (isNew)
-            m_promises.recordOpening(m_options.host, m_options.service, m_options.dataCentre, header->destination);
+            m_promises.recordOpening(m_options.host, m_options.service, m_options.dataCentre, flow);
         m_promises.recordAnswer(name, found->second.sequence, m_options.host, m_processNumber);
         send({ .source = flow.service, .destination = flow.caller, .flags = { .opens = true, .acknowledges = true }, .sequence = found->second.sequence, .acknowledged = header->sequence + 1 });
         return;
@@ -160,6 +178,7 @@
 // The answer repeats the text of the request. A request that is sent again is answered again.
 void SoakUpstream::answerData(const FlowKey& flow, Flow& state, const PacketHeader& header, const std::string& data)
 {
+    m_promises.recordRequest(m_options.host, m_options.service, flow, data);
     state.received = header.sequence + header.dataLength;
     send({
         .source = flow.service,
--- a/tests/soak/soakupstream.h
+++ b/tests/soak/soakupstream.h
@@ -34,6 +34,9 @@
     void restartWithLateReport(Millis reportDelay);
     /// Ends the process: nothing is bound to its port until the next process starts.
     void end(Millis downTime);
+    /// Ends the process. After `downTime` one of the given service starts at its address, and `onStarted` is called. Its first
+    /// report comes `reportDelay` later.
+    void replace(Millis downTime, const std::string& host, const std::string& service, Millis reportDelay, std::function<void()> onStarted);
     /// Stops the process and continues it: it keeps its flows, and packets wait in its socket.
     void pause(Millis time);
     /// Sends a report of the process before this one.
@@ -42,6 +45,8 @@
     /// Accepts no more connections, as some programs do while they drain.
     void closeListener() { m_acceptor.close(); }
     const UpstreamOptions& options() const { return m_options; }
+    /// Whether the process has ended and one of another host or service has not started yet.
+    bool isReplaced() const { return m_isReplaced; }
 
 private:
     struct Flow {
@@ -49,6 +54,7 @@
         std::uint32_t received = 0;
     };
 
+    void stopProcess();
     void openSockets();
     void startProcess();
     void acceptConnections();
@@ -73,6 +79,7 @@
     std::uint32_t m_processNumber = 0;
     bool m_isDraining = false;
     bool m_isPaused = false;
+    bool m_isReplaced = false;
     std::vector<std::vector<std::uint8_t>> m_unread;
     Delay m_changeTimer;
     std::uint64_t m_previousStart = 0;
