--- a/src/kingcuptraild/packets/connectionadmission.cpp
+++ b/src/kingcuptraild/packets/connectionadmission.cpp
@@ -36,25 +36,26 @@
         sendReply(m_state, sender, { .kind = wire::PeerKind::Admitted, .flow = message.flow });
         return;
     }
-    const OpeningRefusal refusal = checkAdmission(message.flow, message.configVersion, message.needsFreeSlot, now);
+    const OpeningRefusal refusal = checkAdmission(message.flow, { .service = message.service, .version = message.configVersion, .needsFreeSlot = message.needsFreeSlot }, now);
     m_byNewerVersion += refusal == OpeningRefusal::None && message.configVersion > m_state.network.routes().version ? 1 : 0;
     if (refusal == OpeningRefusal::None)
         admit(message.flow, message.packet, sender, {});
     else if (refusal == OpeningRefusal::Busy && !message.needsFreeSlot)
         enqueueOpening(message, sender, header->acknowledged);
     else
-        refuse(message.flow, message.packet, sender, refusal);
+        refuse(message.flow, message.packet, sender, refusal, message.service);
 }
 
-OpeningRefusal ConnectionAdmission::checkAdmission(const FlowKey& flow, ConfigVersion balancerVersion, bool needsFreeSlot, Millis now)
+OpeningRefusal ConnectionAdmission::checkAdmission(const FlowKey& flow, const Offer& offer, Millis now)
 {
     m_state.flowAdmission.mayViewBeStale = m_state.network.mayBeStale();
     const OpeningRequest attempt {
         .address = flow.service,
-        .balancerVersion = balancerVersion,
+        .service = offer.service,
+        .balancerVersion = offer.version,
         .openFlows = m_state.flows.open,
         .atWork = m_state.flows.atWork,
-        .needsFreeSlot = needsFreeSlot,
+        .needsFreeSlot = offer.needsFreeSlot,
     };
     const OpeningRefusal refusal = decideOpening(m_state.flowAdmission, m_state.network.routes(), m_state.network.outages(), attempt, now);
     if (refusal == OpeningRefusal::None && !acceptsOpening(m_state.health, now))
@@ -90,6 +91,7 @@
         .timelyUntil = startedAt + (route ? timelyWait(m_state.routeTimes, message.flow.service, route->latencyTarget) : 0),
         .priority = route ? route->priority : 0,
         .balancer = sender,
+        .service = std::string(message.service),
         .packet = { message.packet.begin(), message.packet.end() },
     };
     const bool isQueued = enqueue(m_queue, std::move(opening), m_state.flowAdmission.upstream->slots);
@@ -131,7 +133,7 @@
     while (const WaitingOpening* next = peekNext(m_queue, now)) {
         // An opening that will miss its latency target anyway gets an idle slot only: queued at the upstream, it would delay
         // openings that can still meet theirs.
-        const OpeningRefusal refusal = checkAdmission(next->flow, 0, !isTimely(*next, now), now);
+        const OpeningRefusal refusal = checkAdmission(next->flow, { .service = next->service, .needsFreeSlot = !isTimely(*next, now) }, now);
         if (refusal == OpeningRefusal::Busy)
             return;
         const auto taken = popNext(m_queue, now);
@@ -139,16 +141,16 @@
         if (refusal == OpeningRefusal::None)
             admit(taken->flow, taken->packet, taken->balancer, { .waited = now - taken->arrivedAt, .timelyWait = taken->timelyUntil - taken->startedAt });
         else
-            refuse(taken->flow, taken->packet, taken->balancer, refusal);
+            refuse(taken->flow, taken->packet, taken->balancer, refusal, taken->service);
     }
 }
 
-void ConnectionAdmission::refuse(const FlowKey& flow, std::span<const std::uint8_t> packet, std::uint32_t balancer, OpeningRefusal refusal)
+void ConnectionAdmission::refuse(const FlowKey& flow, std::span<const std::uint8_t> packet, std::uint32_t balancer, OpeningRefusal refusal, std::string_view service)
 {
     m_state.refusals.increment(refusal);
     m_state.packetOutcomes.increment(AgentPacketOutcome::Refused);
     const Millis now = m_state.role.clock.now();
-    logFlowEvent(Event::OpeningRefused, flow, { { "reason", nameOf(refusal) }, { "service", m_state.flowAdmission.upstream ? m_state.flowAdmission.upstream->service : "" }, { "atWork", m_state.flows.atWork }, { "open", m_state.flows.open }, { "waiting", m_queue.waiting.size() }, { "reportAge", static_cast<std::uint64_t>(now - m_state.flowAdmission.reportedAt) }, { "version", m_state.network.routes().version }, { "outages", m_state.network.outages().revision } });
+    logFlowEvent(Event::OpeningRefused, flow, { { "reason", nameOf(refusal) }, { "offered", service }, { "service", m_state.flowAdmission.upstream ? m_state.flowAdmission.upstream->service : "" }, { "atWork", m_state.flows.atWork }, { "open", m_state.flows.open }, { "waiting", m_queue.waiting.size() }, { "reportAge", static_cast<std::uint64_t>(now - m_state.flowAdmission.reportedAt) }, { "version", m_state.network.routes().version }, { "outages", m_state.network.outages().revision } });
     sendReply(m_state, balancer, { .kind = wire::PeerKind::Refused, .flow = flow, .refusal = refusal, .packet = packet });
 }
 
--- a/src/kingcuptraild/packets/connectionadmission.h
+++ b/src/kingcuptraild/packets/connectionadmission.h
@@ -18,7 +18,7 @@
     /// Hands all openings that the upstream has not answered back to their balancers, since its process has ended. Returns
     /// their number.
     std::size_t returnOpenings();
-    void refuse(const FlowKey& flow, std::span<const std::uint8_t> packet, std::uint32_t balancer, OpeningRefusal refusal);
+    void refuse(const FlowKey& flow, std::span<const std::uint8_t> packet, std::uint32_t balancer, OpeningRefusal refusal, std::string_view service = {});
 
     void exposeMetrics(std::string& out) const;
 
@@ -30,7 +30,15 @@
         Millis timelyWait = 0;
     };
 
-    OpeningRefusal checkAdmission(const FlowKey& flow, ConfigVersion balancerVersion, bool needsFreeSlot, Millis now);
+    /// What the balancer has said about an opening.
+    struct Offer {
+        std::string_view service;
+        /// The version of its configuration; 0 if it no longer counts.
+        ConfigVersion version = 0;
+        bool needsFreeSlot = false;
+    };
+
+    OpeningRefusal checkAdmission(const FlowKey& flow, const Offer& offer, Millis now);
     void admit(const FlowKey& flow, std::span<const std::uint8_t> packet, std::uint32_t balancer, const QueueTimes& times);
     void enqueueOpening(const PeerMessage& message, std::uint32_t sender, std::uint32_t retransmissions);
     void startQueueTimer();
--- a/src/kingcuptraild/packets/connectiondispatcher.cpp
+++ b/src/kingcuptraild/packets/connectiondispatcher.cpp
@@ -38,11 +38,12 @@
         return;
     }
     // A retransmission goes to the agent that admitted the first packet, so that a flow is not opened at two agents. If that
-    // agent has left an offer unanswered or its data centre is lost, the opening is offered anew.
+    // agent has left an offer unanswered, its data centre is lost or the route is gone, the opening is offered anew.
     if (const auto holder = m_state.holderCache.find(flow); holder != m_state.holderCache.end()) {
-        if (m_state.agentLoads[holder->second.agent].unanswered == 0 && !isInLostDataCentre(m_state, holder->second.agent)) {
+        const std::string* service = serviceForFlow(m_state.network.routes(), flow);
+        if (service && m_state.agentLoads[holder->second.agent].unanswered == 0 && !isInLostDataCentre(m_state, holder->second.agent)) {
             holder->second.usedAt = now;
-            m_state.network.send(holder->second.agent, { .kind = wire::PeerKind::Open, .flow = flow, .configVersion = m_state.network.routes().version, .packet = packet });
+            m_state.network.send(holder->second.agent, { .kind = wire::PeerKind::Open, .flow = flow, .configVersion = m_state.network.routes().version, .service = *service, .packet = packet });
             m_state.packetOutcomes.increment(CallerPacketOutcome::Offered);
             return;
         }
@@ -114,6 +115,8 @@
         return;
     }
     opening.triedAgents.push_back(*next);
+    opening.service = *service;
+    opening.version = m_state.network.routes().version;
     offerTo(*next, flow, opening);
     const AgentLoad& load = m_state.agentLoads[*next];
     const PeerEntry* entry = findReadyAgent(m_state.network.directory(), *next, *service);
@@ -124,7 +127,7 @@
 {
     opening.agent = agent;
     ++m_state.agentLoads[agent].sentSinceReport;
-    m_state.network.send(agent, { .kind = wire::PeerKind::Open, .flow = flow, .configVersion = m_state.network.routes().version, .needsFreeSlot = needsFreeSlot(m_offerPolicy, opening.busyAgents), .packet = opening.packet });
+    m_state.network.send(agent, { .kind = wire::PeerKind::Open, .flow = flow, .configVersion = opening.version, .needsFreeSlot = needsFreeSlot(m_offerPolicy, opening.busyAgents), .service = opening.service, .packet = opening.packet });
     m_state.packetOutcomes.increment(CallerPacketOutcome::Offered);
 }
 
--- a/src/kingcuptraild/packets/flowholders.h
+++ b/src/kingcuptraild/packets/flowholders.h
@@ -14,6 +14,9 @@
 /// An opening packet that is offered to one agent after the other.
 struct PendingOpening {
     PacketBytes packet;
+    /// The service that the configuration gave the flow at the last choice of an agent, and that configuration's version.
+    std::string service;
+    ConfigVersion version = 0;
     std::vector<std::uint32_t> triedAgents;
     /// The agent whose answer is awaited; 0 when there is no agent to offer the opening to.
     std::uint32_t agent = 0;
--- a/src/libdecision/admissionqueue.h
+++ b/src/libdecision/admissionqueue.h
@@ -4,6 +4,7 @@
 #include "packet.h"
 
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace kingcuptrail {
@@ -21,6 +22,8 @@
     /// 0 is the most urgent.
     std::uint32_t priority = 0;
     std::uint32_t balancer = 0;
+    /// The service that the opening is for; empty if the balancer is of an earlier release.
+    std::string service;
     std::vector<std::uint8_t> packet;
 };
 
--- a/src/libdecision/flowadmission.cpp
+++ b/src/libdecision/flowadmission.cpp
@@ -27,12 +27,25 @@
         return static_cast<double>(admission.coldOpenings.size()) + 1 <= rate;
     }
 
+    // Which service an address is routed to is decided by the newer configuration of the two. Which service this upstream is of is
+    // decided here alone.
+    OpeningRefusal refusalByRoute(const FlowAdmission& admission, const RouteTable& routes, const OpeningRequest& request)
+    {
+        if (allowsService(routes, request.address, admission.upstream->service))
+            return OpeningRefusal::None;
+        if (routes.version >= request.balancerVersion)
+            return OpeningRefusal::WrongService;
+        return request.service.empty() ? OpeningRefusal::ViewInDoubt : OpeningRefusal::None;
+    }
+
     OpeningRefusal refusalByState(const FlowAdmission& admission, const RouteTable& routes, const OutageView& outages, const OpeningRequest& request, Millis now)
     {
         if (admission.isLeaving)
             return OpeningRefusal::AgentLeaving;
         if (!isRunning(admission, now) || !isResponsive(admission.evidence, now))
             return OpeningRefusal::NoUpstream;
+        if (!request.service.empty() && request.service != admission.upstream->service)
+            return OpeningRefusal::WrongService;
         if (admission.upstream->isDraining)
             return OpeningRefusal::UpstreamDraining;
         if (admission.mayViewBeStale)
@@ -41,11 +54,7 @@
             return OpeningRefusal::DataCentreOut;
         if (routes.version == 0 || outages.revision == 0)
             return OpeningRefusal::NoConfiguration;
-        // If the balancer has a newer configuration, its decision applies.
-        const bool decidesHere = routes.version >= request.balancerVersion;
-        if (decidesHere && !allowsService(routes, request.address, admission.upstream->service))
-            return OpeningRefusal::WrongService;
-        return OpeningRefusal::None;
+        return refusalByRoute(admission, routes, request);
     }
 
 }
--- a/src/libdecision/flowadmission.h
+++ b/src/libdecision/flowadmission.h
@@ -23,7 +23,7 @@
     ViewInDoubt,
     /// No configuration is known.
     NoConfiguration,
-    /// The configuration in force does not route the address to this upstream's service.
+    /// The opening is for another service than this upstream's, or the configuration in force does not route its address to it.
     WrongService,
     /// The upstream is cold and has reached its admission rate.
     Cold,
@@ -123,6 +123,9 @@
 /// One opening packet and the upstream's load when it arrives.
 struct OpeningRequest {
     PacketEndpoint address;
+    /// The service for which the balancer offers the opening; empty if it is of an earlier release. The balancer knows this agent's
+    /// service from an announcement of any age, which may be that of another process at this address.
+    std::string_view service;
     /// Version of the configuration by which the balancer chose this agent's service.
     ConfigVersion balancerVersion = 0;
     std::uint32_t openFlows = 0;
--- a/src/libprotocol/peermessage.cpp
+++ b/src/libprotocol/peermessage.cpp
@@ -87,6 +87,8 @@
     if (const auto* denied = table->denied())
         message.denied.assign(denied->begin(), denied->end());
     message.haveOthersDenied = table->others_denied();
+    if (const auto* service = table->service())
+        message.service = service->string_view();
     error = FrameError::None;
     return message;
 }
@@ -106,6 +108,9 @@
     flatbuffers::Offset<flatbuffers::Vector<const wire::PendingRequest*>> pending;
     if (!message.pending.empty())
         pending = packPending(m_builder, message.pending);
+    flatbuffers::Offset<flatbuffers::String> service;
+    if (!message.service.empty())
+        service = m_builder.CreateString(message.service);
     const wire::Flow flow = toWire(message.flow);
     wire::PeerMessageBuilder builder(m_builder);
     builder.add_kind(message.kind);
@@ -127,6 +132,8 @@
     if (!message.denied.empty())
         builder.add_denied(denied);
     builder.add_others_denied(message.haveOthersDenied);
+    if (!message.service.empty())
+        builder.add_service(service);
     if (!message.pending.empty())
         builder.add_pending(pending);
     m_builder.Finish(builder.Finish());
--- a/src/libprotocol/peermessage.h
+++ b/src/libprotocol/peermessage.h
@@ -38,7 +38,7 @@
 };
 static_assert(EnumNames<wire::PeerKind>::names.size() == static_cast<std::size_t>(wire::PeerKind::MAX) + 1);
 
-/// A decoded message between processes. `packet` and `table` point into the datagram.
+/// A decoded message between processes. `packet`, `service` and `table` point into the datagram.
 struct PeerMessage {
     wire::PeerKind kind = wire::PeerKind::News;
     FlowKey flow;
@@ -52,6 +52,8 @@
     std::uint64_t digest = 0;
     /// Of Open: the agent must refuse the opening instead of queueing it, since other agents may have a free slot.
     bool needsFreeSlot = false;
+    /// Of Open: the service that the opening is for; empty if the sender is of an earlier release. Points into the datagram.
+    std::string_view service;
     /// Of HeldNear: the address of the agent that holds the flow.
     std::uint32_t holder = 0;
     /// Of FindNear: agents that must not be queried. Of UnsureNear: agents that were queried and gave no definite answer.
@@ -77,6 +79,7 @@
     std::uint32_t acknowledged = 0;
     std::uint64_t digest = 0;
     bool needsFreeSlot = false;
+    std::string_view service;
     std::uint32_t holder = 0;
     std::vector<std::uint32_t> excluded;
     std::vector<std::uint32_t> denied;
--- a/tests/packets/testflowadmission.cpp
+++ b/tests/packets/testflowadmission.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(otherServiceIsNotBelievedWhileTheProcessRuns);
     CPPUNIT_TEST(dataCentreOutHoldsUntilItIsBack);
     CPPUNIT_TEST(newerConfigurationDecides);
+    CPPUNIT_TEST(openingForAnotherServiceIsRefused);
     CPPUNIT_TEST(nothingIsAdmittedWithoutACurrentView);
     CPPUNIT_TEST(coldRateHoldsInEverySecond);
     CPPUNIT_TEST(withoutARateAColdUpstreamIsBoundedByItsWork);
@@ -36,9 +37,9 @@
     }
 
 private:
-    OpeningRefusal decide(Millis now, ConfigVersion balancerVersion = 7, std::uint32_t atWork = 0)
+    OpeningRefusal decide(Millis now, ConfigVersion balancerVersion = 7, std::uint32_t atWork = 0, std::string_view service = {})
     {
-        return decideOpening(m_admission, m_routes, m_outages, { .address = flowOf(1).service, .balancerVersion = balancerVersion, .atWork = atWork }, now);
+        return decideOpening(m_admission, m_routes, m_outages, { .address = flowOf(1).service, .service = service, .balancerVersion = balancerVersion, .atWork = atWork }, now);
     }
 
     void admitsWithACompleteView()
@@ -144,10 +145,23 @@
         CPPUNIT_ASSERT(applyRoutes(m_routes, routesTo("intake", 9)));
         CPPUNIT_ASSERT(decide(10, 7) == OpeningRefusal::WrongService);
         CPPUNIT_ASSERT(decide(10, 9) == OpeningRefusal::WrongService);
-        CPPUNIT_ASSERT(decide(10, 11) == OpeningRefusal::None);
+        CPPUNIT_ASSERT(decide(10, 9, 0, "board") == OpeningRefusal::WrongService);
+        CPPUNIT_ASSERT(decide(10, 11, 0, "board") == OpeningRefusal::None);
+        CPPUNIT_ASSERT(decide(10, 11) == OpeningRefusal::ViewInDoubt);
         CPPUNIT_ASSERT(!applyRoutes(m_routes, routesTo("board", 8)));
     }
 
+    // Guards against openings for another service, whichever configuration is newer.
+    void openingForAnotherServiceIsRefused()
+    {
+        for (const ConfigVersion version : { 1U, 7U, 11U }) {
+            CPPUNIT_ASSERT(decide(10, version, 0, "board") == OpeningRefusal::None);
+            CPPUNIT_ASSERT(decide(10, version, 0, "intake") == OpeningRefusal::WrongService);
+        }
+        applyRoutes(m_routes, routesTo("intake", 9));
+        CPPUNIT_ASSERT(decide(10, 11, 0, "intake") == OpeningRefusal::WrongService);
+    }
+
     void nothingIsAdmittedWithoutACurrentView()
     {
         m_admission.mayViewBeStale = true;
--- a/tests/packets/testpeermessage.cpp
+++ b/tests/packets/testpeermessage.cpp
@@ -82,7 +82,7 @@
     void malformedMessagesAreRejected()
     {
         PeerMessageEncoder encoder;
-        const auto sent = encoder.encode(FlowMessage { .kind = wire::PeerKind::Open, .flow = flowOf(4), .packet = std::vector<std::uint8_t>(36) });
+        const auto sent = encoder.encode(FlowMessage { .kind = wire::PeerKind::Open, .flow = flowOf(4), .service = "board", .packet = std::vector<std::uint8_t>(36) });
         const std::vector<std::uint8_t> good(sent.begin(), sent.end());
         std::minstd_rand random(20261203);
         FrameError error = FrameError::None;
@@ -92,8 +92,9 @@
                 bytes[random() % bytes.size()] = static_cast<std::uint8_t>(random());
             bytes.resize(bytes.size() - random() % 8);
             if (const auto message = decodePeerMessage(bytes, error))
-                CPPUNIT_ASSERT(message->packet.size() <= bytes.size());
+                CPPUNIT_ASSERT(message->packet.size() <= bytes.size() && message->service.size() <= bytes.size());
         }
+        CPPUNIT_ASSERT_EQUAL(std::string("board"), std::string(decodePeerMessage(good, error)->service));
         CPPUNIT_ASSERT(!decodePeerMessage({}, error));
         CPPUNIT_ASSERT(error == FrameError::Malformed);
     }
