--- a/src/kingcuptraild/packets/connectionadmission.cpp
+++ b/src/kingcuptraild/packets/connectionadmission.cpp
@@ -27,16 +27,21 @@
     }
     const Millis now = m_state.role.clock.now();
     const auto known = m_state.flows.flows.find(message.flow);
-    const bool isRetransmission = known != m_state.flows.flows.end() && known->second.phase != FlowPhase::Closed;
-    if (isRetransmission) {
-        admit(message.flow, message.packet, sender, {});
+    const Offer offer { .service = message.service, .version = message.configVersion, .needsFreeSlot = message.needsFreeSlot };
+    const bool isCopy = known != m_state.flows.flows.end() && known->second.phase != FlowPhase::Closed;
+    if (isCopy) {
+        const OpeningRefusal refusal = decideCopy(m_state.flowAdmission, m_state.network.routes(), requestOf(message.flow, offer), now);
+        if (refusal == OpeningRefusal::None)
+            admit(message.flow, message.packet, sender, {});
+        else
+            refuse(message.flow, message.packet, sender, refusal, message.service);
         return;
     }
     if (recordCopy(m_queue, message.flow, now)) {
         sendReply(m_state, sender, { .kind = wire::PeerKind::Admitted, .flow = message.flow });
         return;
     }
-    const OpeningRefusal refusal = checkAdmission(message.flow, { .service = message.service, .version = message.configVersion, .needsFreeSlot = message.needsFreeSlot }, now);
+    const OpeningRefusal refusal = checkAdmission(message.flow, offer, now);
     m_byNewerVersion += refusal == OpeningRefusal::None && message.configVersion > m_state.network.routes().version ? 1 : 0;
     if (refusal == OpeningRefusal::None)
         admit(message.flow, message.packet, sender, {});
@@ -46,10 +51,9 @@
         refuse(message.flow, message.packet, sender, refusal, message.service);
 }
 
-OpeningRefusal ConnectionAdmission::checkAdmission(const FlowKey& flow, const Offer& offer, Millis now)
+OpeningRequest ConnectionAdmission::requestOf(const FlowKey& flow, const Offer& offer) const
 {
-    m_state.flowAdmission.mayViewBeStale = m_state.network.mayBeStale();
-    const OpeningRequest attempt {
+    return {
         .address = flow.service,
         .service = offer.service,
         .balancerVersion = offer.version,
@@ -57,7 +61,12 @@
         .atWork = m_state.flows.atWork,
         .needsFreeSlot = offer.needsFreeSlot,
     };
-    const OpeningRefusal refusal = decideOpening(m_state.flowAdmission, m_state.network.routes(), m_state.network.outages(), attempt, now);
+}
+
+OpeningRefusal ConnectionAdmission::checkAdmission(const FlowKey& flow, const Offer& offer, Millis now)
+{
+    m_state.flowAdmission.mayViewBeStale = m_state.network.mayBeStale();
+    const OpeningRefusal refusal = decideOpening(m_state.flowAdmission, m_state.network.routes(), m_state.network.outages(), requestOf(flow, offer), now);
     if (refusal == OpeningRefusal::None && !acceptsOpening(m_state.health, now))
         return OpeningRefusal::UpstreamFailing;
     return refusal;
--- a/src/kingcuptraild/packets/connectionadmission.h
+++ b/src/kingcuptraild/packets/connectionadmission.h
@@ -38,6 +38,7 @@
         bool needsFreeSlot = false;
     };
 
+    OpeningRequest requestOf(const FlowKey& flow, const Offer& offer) const;
     OpeningRefusal checkAdmission(const FlowKey& flow, const Offer& offer, Millis now);
     void admit(const FlowKey& flow, std::span<const std::uint8_t> packet, std::uint32_t balancer, const QueueTimes& times);
     void enqueueOpening(const PeerMessage& message, std::uint32_t sender, std::uint32_t retransmissions);
--- a/src/libdecision/flowadmission.cpp
+++ b/src/libdecision/flowadmission.cpp
@@ -38,14 +38,24 @@
         return request.service.empty() ? OpeningRefusal::ViewInDoubt : OpeningRefusal::None;
     }
 
+    // Whether the process at the upstream's address is known, and of the service that the opening is for.
+    OpeningRefusal refusalByIdentity(const FlowAdmission& admission, const OpeningRequest& request, Millis now)
+    {
+        if (!isRunning(admission, now))
+            return OpeningRefusal::NoUpstream;
+        if (!request.service.empty() && request.service != admission.upstream->service)
+            return OpeningRefusal::WrongService;
+        return OpeningRefusal::None;
+    }
+
     OpeningRefusal refusalByState(const FlowAdmission& admission, const RouteTable& routes, const OutageView& outages, const OpeningRequest& request, Millis now)
     {
         if (admission.isLeaving)
             return OpeningRefusal::AgentLeaving;
-        if (!isRunning(admission, now) || !isResponsive(admission.evidence, now))
+        if (const OpeningRefusal refusal = refusalByIdentity(admission, request, now); refusal != OpeningRefusal::None)
+            return refusal;
+        if (!isResponsive(admission.evidence, now))
             return OpeningRefusal::NoUpstream;
-        if (!request.service.empty() && request.service != admission.upstream->service)
-            return OpeningRefusal::WrongService;
         if (admission.upstream->isDraining)
             return OpeningRefusal::UpstreamDraining;
         if (admission.mayViewBeStale)
@@ -94,6 +104,13 @@
     return OpeningRefusal::None;
 }
 
+OpeningRefusal decideCopy(const FlowAdmission& admission, const RouteTable& routes, const OpeningRequest& request, Millis now)
+{
+    if (const OpeningRefusal refusal = refusalByIdentity(admission, request, now); refusal != OpeningRefusal::None)
+        return refusal;
+    return refusalByRoute(admission, routes, request);
+}
+
 ReportEffect applyReport(FlowAdmission& admission, const UpstreamReport& report, Millis now)
 {
     ReportEffect effect = ReportEffect::Nothing;
--- a/src/libdecision/flowadmission.h
+++ b/src/libdecision/flowadmission.h
@@ -137,6 +137,10 @@
 /// Decides whether the upstream gets this opening packet now. An admitted opening counts towards the cold rate.
 OpeningRefusal decideOpening(FlowAdmission&, const RouteTable&, const OutageView&, const OpeningRequest&, Millis now);
 
+/// Decides whether the upstream gets another opening packet of a flow that it was sent an opening of before. It may be a copy, or the
+/// first packet of a new flow from the same port. Its upstream may have been replaced in the meantime; load and state do not matter.
+OpeningRefusal decideCopy(const FlowAdmission&, const RouteTable&, const OpeningRequest&, Millis now);
+
 /// The effect of a report on the agent's state.
 enum class ReportEffect : std::uint8_t {
     /// From a process that has been replaced or has ended, or older than the last report; or from a process of another service
--- a/tests/packets/testflowadmission.cpp
+++ b/tests/packets/testflowadmission.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(lateReportOfAnEndedProcessIsStale);
     CPPUNIT_TEST(lateReportWithTheSameStartIsStale);
     CPPUNIT_TEST(otherServiceIsNotBelievedWhileTheProcessRuns);
+    CPPUNIT_TEST(copyNeedsTheSameEvidenceAsTheFirstPacket);
     CPPUNIT_TEST(dataCentreOutHoldsUntilItIsBack);
     CPPUNIT_TEST(newerConfigurationDecides);
     CPPUNIT_TEST(openingForAnotherServiceIsRefused);
@@ -127,6 +128,18 @@
         CPPUNIT_ASSERT(applyReport(m_admission, other, 1901) == ReportEffect::NewProcess);
     }
 
+    // Guards against an opening that passes for a copy and reaches the next upstream at the address.
+    void copyNeedsTheSameEvidenceAsTheFirstPacket()
+    {
+        const auto decideAt = [this](Millis now, std::string_view service) { return decideCopy(m_admission, m_routes, { .address = flowOf(1).service, .service = service, .balancerVersion = 7 }, now); };
+        m_admission.upstream->isDraining = true;
+        CPPUNIT_ASSERT(decideAt(1900, "board") == OpeningRefusal::None && decideAt(1900, "") == OpeningRefusal::None);
+        CPPUNIT_ASSERT(decideAt(1900, "intake") == OpeningRefusal::WrongService);
+        CPPUNIT_ASSERT(decideAt(1901, "board") == OpeningRefusal::NoUpstream);
+        applyRoutes(m_routes, routesTo("intake", 9));
+        CPPUNIT_ASSERT(decideAt(1900, "") == OpeningRefusal::WrongService);
+    }
+
     void dataCentreOutHoldsUntilItIsBack()
     {
         CPPUNIT_ASSERT(applyOutages(m_outages, { .revision = 5, .out = { "north" } }));
