--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -192,8 +192,7 @@
         handleReturned(flow, packet, *header);
         return;
     }
-    // Packets that waited in the socket during a pause of this process are as old as the pause.
-    if (!m_state.network.mayBeStale() && showsSameProcess(m_state.flows, flow, *header))
+    if (showsSameProcess(m_state.flows, flow, *header))
         recordHeard(m_state.flowAdmission.evidence, now);
     const UpstreamPacketEffect effect = trackUpstreamPacket(m_state.flows, flow, *header, now);
     updateHealth(effect, now);
@@ -381,6 +380,7 @@
 {
     const Millis now = m_state.role.clock.now();
     m_state.network.mayBeStale();
+    recordCheck(m_state.flowAdmission.evidence, now);
     expireWork(m_state.flows, now);
     sweepFlows(m_state.flows, now);
     m_neighbours.expire(now);
--- a/src/libdecision/upstreamevidence.cpp
+++ b/src/libdecision/upstreamevidence.cpp
@@ -36,9 +36,17 @@
     return options;
 }
 
+void recordCheck(UpstreamEvidence& evidence, Millis now)
+{
+    const bool isLate = evidence.checkedAt && now - *evidence.checkedAt > evidence.options.maxCheckGap;
+    evidence.checkedBeforeGap = isLate ? evidence.checkedAt : std::nullopt;
+    evidence.checkedAt = now;
+}
+
 void recordHeard(UpstreamEvidence& evidence, Millis now)
 {
-    evidence.runningAt = now;
+    const Millis sentAfter = evidence.checkedBeforeGap.value_or(evidence.checkedAt.value_or(now));
+    evidence.runningAt = std::max(evidence.runningAt, sentAfter);
     evidence.heardAt = now;
     evidence.refusals = 0;
 }
--- a/src/libdecision/upstreamevidence.h
+++ b/src/libdecision/upstreamevidence.h
@@ -19,6 +19,9 @@
     /// Minimum time between two attempts, and between the refusals that show the upstream's end, in milliseconds.
     Millis connectInterval = 100;
     std::uint32_t minRefusals = 2;
+    /// The agent's checks come every 100 ms. If two are further apart, in milliseconds, the process was paused or is behind, and what
+    /// it reads until the next check may have waited since the one before the gap.
+    Millis maxCheckGap = 150;
 };
 
 /// When the upstream's process was last known to run. A report shows it for `reuseLimit`. Upstreams may report less often than
@@ -37,6 +40,9 @@
     bool hasLostConnection = false;
     std::optional<Millis> attemptedAt;
     std::uint32_t refusals = 0;
+    /// When the last regular check ran, and the one before it if they were further apart than `maxCheckGap`.
+    std::optional<Millis> checkedAt;
+    std::optional<Millis> checkedBeforeGap;
 };
 
 /// Whether the identity of an upstream that reports at this interval can be known all the time, in milliseconds. When the
@@ -47,7 +53,11 @@
 /// milliseconds.
 UpstreamEvidenceOptions evidenceOptions(Millis addressReuse, Millis reportInterval);
 
-/// Records a report, or a packet that only the process that was known before can have sent.
+/// Records that the agent's regular check runs. Between two checks each socket is read.
+void recordCheck(UpstreamEvidence&, Millis now);
+
+/// Records a report, or a packet that only the process that was known before can have sent. It shows that the process ran when it was
+/// sent, at the last regular check at the earliest. The time of reading says nothing: it may have waited while this process was paused.
 void recordHeard(UpstreamEvidence&, Millis now);
 
 /// Whether to try a connection to the upstream now.
--- a/tests/packets/testupstreamevidence.cpp
+++ b/tests/packets/testupstreamevidence.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(lostReportsDoNotEndService);
     CPPUNIT_TEST(pausedAgentTrustsOnlyAnOpenConnection);
     CPPUNIT_TEST(onlyPacketsOfAcceptedFlowsAreEvidence);
+    CPPUNIT_TEST(reportIsAsOldAsTheGapBeforeItsReading);
     CPPUNIT_TEST(reuseTimeMayBeTooShort);
     CPPUNIT_TEST(upstreamIsNotGoneBetweenReports);
     CPPUNIT_TEST_SUITE_END();
@@ -230,6 +231,24 @@
             CPPUNIT_ASSERT(!shouldConnect(untracked));
         }
     }
+
+    // Guards against a report that waited while the agent was paused or behind and then passes for a new one.
+    void reportIsAsOldAsTheGapBeforeItsReading()
+    {
+        UpstreamEvidence& evidence = m_admission.evidence;
+        recordCheck(evidence, 900);
+        recordCheck(evidence, 1000);
+        report(1050);
+        CPPUNIT_ASSERT(isSameProcess(evidence, 2900) && !isSameProcess(evidence, 2901));
+        report(2800);
+        CPPUNIT_ASSERT(!isSameProcess(evidence, 2901));
+        recordCheck(evidence, 2950);
+        report(2960);
+        CPPUNIT_ASSERT(!isSameProcess(evidence, 2960));
+        recordCheck(evidence, 3050);
+        report(3060);
+        CPPUNIT_ASSERT(isSameProcess(evidence, 4950));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestUpstreamEvidence);
