--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -294,9 +294,10 @@
     m_reports.increment(effect);
     if (effect == ReportEffect::Changed || effect == ReportEffect::NewProcess)
         logEvent(Event::UpstreamReported, { { "upstream", report.id }, { "news", nameOf(effect) }, { "service", report.service }, { "slots", report.slots }, { "draining", report.isDraining ? "yes" : "no" }, { "born", report.born }, { "sequence", report.sequence }, { "coldLeft", static_cast<std::uint64_t>(report.coldLeft) }, { "previous", previous.id }, { "previousBorn", previous.born }, { "previousAge", previousAge }, { "open", m_state.flows.open } });
-    if (effect == ReportEffect::Stale)
-        logEvent(Event::StaleReport, { { "upstream", report.id }, { "service", report.service }, { "born", report.born }, { "sequence", report.sequence }, { "known", previous.id }, { "knownBorn", previous.born }, { "knownSequence", previous.sequence }, { "knownAge", previousAge } });
-    if (effect != ReportEffect::Stale) {
+    const bool isIgnored = effect == ReportEffect::Stale || effect == ReportEffect::Contradicting;
+    if (isIgnored)
+        logEvent(effect == ReportEffect::Stale ? Event::StaleReport : Event::ContradictingReport, { { "upstream", report.id }, { "service", report.service }, { "born", report.born }, { "sequence", report.sequence }, { "known", previous.id }, { "knownBorn", previous.born }, { "knownService", previous.service }, { "knownSequence", previous.sequence }, { "knownAge", previousAge }, { "evidenceAge", static_cast<std::uint64_t>(now - m_state.flowAdmission.evidence.runningAt) } });
+    if (!isIgnored) {
         recordReport(m_untrackedFlows, report, effect == ReportEffect::NewProcess);
         recordUpstreamReport(m_state.upstreamEnd);
     }
--- a/src/libdecision/flowadmission.cpp
+++ b/src/libdecision/flowadmission.cpp
@@ -13,6 +13,11 @@
         });
     }
 
+    bool confirmsClaim(const FlowAdmission& admission, const UpstreamReport& report)
+    {
+        return admission.claim && admission.claim->id == report.id && admission.claim->born == report.born && report.sequence > admission.claim->sequence;
+    }
+
     void rememberReplaced(FlowAdmission& admission, Millis now)
     {
         admission.replaced.push_back({ .id = admission.upstream->id, .born = admission.upstream->born, .replacedAt = now });
@@ -130,14 +135,17 @@
             effect = ReportEffect::Changed;
     }
     if (effect == ReportEffect::NewProcess) {
-        if (report.service != admission.upstream->service && isSameProcess(admission.evidence, now))
-            return ReportEffect::Stale;
+        if (report.service != admission.upstream->service && isSameProcess(admission.evidence, now) && !confirmsClaim(admission, report)) {
+            admission.claim = { .id = report.id, .born = report.born, .sequence = report.sequence };
+            return ReportEffect::Contradicting;
+        }
         rememberReplaced(admission, now);
     }
     // The flows of an ended process were given up, so one that turns out to be running counts as changed.
     if (admission.endedAt && effect == ReportEffect::Nothing)
         effect = ReportEffect::Changed;
     admission.endedAt.reset();
+    admission.claim.reset();
     admission.upstream = report;
     admission.reportedAt = now;
     recordHeard(admission.evidence, now);
@@ -160,7 +168,7 @@
 
 bool isRunning(const FlowAdmission& admission, Millis now)
 {
-    return admission.upstream && !admission.endedAt && isSameProcess(admission.evidence, now);
+    return admission.upstream && !admission.endedAt && !admission.claim && isSameProcess(admission.evidence, now);
 }
 
 bool takesFlows(const FlowAdmission& admission)
--- a/src/libdecision/flowadmission.h
+++ b/src/libdecision/flowadmission.h
@@ -100,6 +100,13 @@
 /// The number of replaced processes that are remembered.
 inline constexpr std::size_t maxReplacedProcesses = 8;
 
+/// A process of another service that has reported while the known one is believed to run.
+struct AddressClaim {
+    std::string id;
+    std::uint64_t born = 0;
+    std::uint64_t sequence = 0;
+};
+
 /// An agent's state for deciding whether its upstream gets an opening packet.
 struct FlowAdmission {
     FlowAdmissionOptions options;
@@ -110,6 +117,8 @@
     Millis reportedAt = 0;
     /// Until when the process that sent the last report is known to be the one at its address.
     UpstreamEvidence evidence;
+    /// While it is set, it is not known which of two processes is the one at the address. The next report of either settles it.
+    std::optional<AddressClaim> claim;
     /// When the upstream's process was found to have ended; empty once a report shows that a process is running.
     std::optional<Millis> endedAt;
     /// Until when the upstream is cold, by this process's clock.
@@ -143,9 +152,11 @@
 
 /// The effect of a report on the agent's state.
 enum class ReportEffect : std::uint8_t {
-    /// From a process that has been replaced or has ended, or older than the last report; or from a process of another service
-    /// while the known one runs, so that the address cannot have been reused yet.
+    /// From a process that has been replaced or has ended, or older than the last report.
     Stale,
+    /// From a process of another service while the known one seems to run. Either the report is late, or what shows that the known one
+    /// runs is: there are no openings until one of them reports again.
+    Contradicting,
     Nothing,
     /// Draining state, service or slots differ.
     Changed,
@@ -155,7 +166,7 @@
 
 template <>
 struct EnumNames<ReportEffect> {
-    static constexpr std::array<std::string_view, 4> names { "stale", "nothing", "changed", "newProcess" };
+    static constexpr std::array<std::string_view, 5> names { "stale", "contradicting", "nothing", "changed", "newProcess" };
 };
 
 /// Applies a heartbeat of the upstream.
@@ -169,7 +180,8 @@
 /// reports, or until a report of the same one arrives after `lateReportLimit`, which shows that it runs.
 void recordUpstreamEnd(FlowAdmission&, Millis now);
 
-/// Whether the process that sent the last report is known to run, so that it holds its flows.
+/// Whether the process that sent the last report is known to run, so that it holds its flows. It is not while another one claims its
+/// address.
 bool isRunning(const FlowAdmission&, Millis now);
 
 /// Whether the upstream is one to send new flows to, apart from the age of what is known of it: it has reported, and has
--- a/src/libruntime/events.h
+++ b/src/libruntime/events.h
@@ -71,6 +71,7 @@
     UpstreamEnded = 413,
     StaleReport = 414,
     FlowsVerified = 415,
+    ContradictingReport = 416,
     // Safety
     WrongServicePacket = 500,
     OutcomeUnknown = 501,
