--- a/src/kingcuptraild/packets/connectiondispatcher.cpp
+++ b/src/kingcuptraild/packets/connectiondispatcher.cpp
@@ -119,7 +119,7 @@
     opening.version = m_state.network.routes().version;
     offerTo(*next, flow, opening);
     const AgentLoad& load = m_state.agentLoads[*next];
-    const PeerEntry* entry = findReadyAgent(m_state.network.directory(), *next, *service);
+    const PeerEntry* entry = findByAddress(m_state.network.directory(), *next);
     logFlowEvent(Event::FlowOffered, flow, { { "agent", addressText(*next) }, { "peer", entry ? entry->name : "" }, { "epoch", entry ? entry->epoch : 0 }, { "service", *service }, { "atWork", load.atWork }, { "loadAge", static_cast<std::uint64_t>(now - load.receivedAt) }, { "candidates", ranking.size() }, { "try", opening.triedAgents.size() }, { "version", m_state.network.routes().version } });
 }
 
--- a/src/kingcuptraild/packets/peernetwork.cpp
+++ b/src/kingcuptraild/packets/peernetwork.cpp
@@ -175,9 +175,7 @@
 
 const PeerEntry& PeerNetwork::announce(PeerEntry self)
 {
-    const auto known = m_directory.entries.find(self.name);
-    const std::uint64_t above = known != m_directory.entries.end() ? known->second.epoch + 1 : 0;
-    self.epoch = std::max({ self.epoch, m_self.epoch + 1, above });
+    self.epoch = std::max({ self.epoch, m_self.epoch + 1, lastEpochOf(m_directory, self) + 1 });
     if (m_self.epoch == 0)
         self.epoch = std::max(self.epoch, unixMillis());
     m_self = std::move(self);
@@ -312,6 +310,8 @@
     mayBeStale();
     if (m_isFollowingStore)
         beat(m_readers, m_self.name, m_clock.now());
+    if (!m_self.name.empty() && m_self.state != PeerState::Gone && isSuperseded(m_directory, m_self))
+        announce(m_self);
     gossipNearAndFar();
     if (m_clock.now() - m_trafficLoggedAt >= trafficLogInterval)
         logTraffic();
--- a/src/kingcuptraild/packets/peernetwork.h
+++ b/src/kingcuptraild/packets/peernetwork.h
@@ -70,7 +70,8 @@
     /// Sends a gossip message that asks for an answer; the receivers are `count` random peers.
     void requestGossip(std::size_t count) { gossipToRandomPeers(count, {}); }
 
-    /// Announces this process to its peers. Sets the epoch above that of every known announcement under its name.
+    /// Announces this process to its peers. Sets the epoch above that of every known announcement under its name or for its address,
+    /// since only this process knows that it is the one there.
     const PeerEntry& announce(PeerEntry self);
     const PeerEntry& self() const { return m_self; }
     std::uint32_t ownAddress() const { return m_ownAddress; }
--- a/src/libdecision/directory.cpp
+++ b/src/libdecision/directory.cpp
@@ -140,24 +140,34 @@
     if (found == directory.readyAgents.end())
         return agents;
     agents.reserve(found->second.size());
-    for (const std::string& name : found->second)
-        agents.push_back(&directory.entries.at(name));
+    for (const std::string& name : found->second) {
+        const PeerEntry& entry = directory.entries.at(name);
+        if (!isSuperseded(directory, entry))
+            agents.push_back(&entry);
+    }
     return agents;
 }
 
-const PeerEntry* findReadyAgent(const Directory& directory, std::uint32_t address, std::string_view service)
+std::uint64_t lastEpochOf(const Directory& directory, const PeerEntry& entry)
 {
-    const PeerEntry* latest = nullptr;
-    const auto names = directory.namesByAddress.find(address);
-    if (names == directory.namesByAddress.end())
-        return nullptr;
-    for (const std::string& name : names->second) {
-        const PeerEntry& entry = directory.entries.at(name);
-        const bool isReady = entry.role == PeerRole::Agent && entry.state == PeerState::Ready && entry.service == service;
-        if (isReady && (!latest || entry.epoch > latest->epoch))
-            latest = &entry;
+    const auto known = directory.entries.find(entry.name);
+    std::uint64_t last = known != directory.entries.end() ? known->second.epoch : 0;
+    if (const auto names = directory.namesByAddress.find(entry.address); names != directory.namesByAddress.end()) {
+        for (const std::string& name : names->second)
+            last = std::max(last, directory.entries.at(name).epoch);
     }
-    return latest;
+    return last;
+}
+
+bool isSuperseded(const Directory& directory, const PeerEntry& entry)
+{
+    const auto names = directory.namesByAddress.find(entry.address);
+    if (names == directory.namesByAddress.end() || names->second.size() == 1)
+        return false;
+    return std::ranges::any_of(names->second, [&](const std::string& name) {
+        const std::uint64_t epoch = directory.entries.at(name).epoch;
+        return epoch > entry.epoch || (epoch == entry.epoch && name > entry.name);
+    });
 }
 
 std::vector<const PeerEntry*> othersAtAddress(const Directory& directory, const PeerEntry& entry)
@@ -224,12 +234,13 @@
     const auto found = directory.namesByAddress.find(address);
     if (found == directory.namesByAddress.end())
         return nullptr;
+    const PeerEntry* latest = nullptr;
     for (const std::string& name : found->second) {
         const PeerEntry& entry = directory.entries.at(name);
-        if (entry.state != PeerState::Gone)
-            return &entry;
+        if (entry.state != PeerState::Gone && (!latest || entry.epoch > latest->epoch))
+            latest = &entry;
     }
-    return nullptr;
+    return latest;
 }
 
 }
--- a/src/libdecision/directory.h
+++ b/src/libdecision/directory.h
@@ -132,11 +132,15 @@
 /// The same digest over the agents of one data centre, without those in `excluded`.
 std::uint64_t agentsDigestOf(const Directory&, std::string_view dataCentre, std::span<const std::uint32_t> excluded);
 
-/// The agents that accept new flows for a service, in the order of their names.
-std::vector<const PeerEntry*> readyAgentsOf(const Directory&, std::string_view service);
+/// The highest epoch that is known for this entry's name or address; 0 if none is.
+std::uint64_t lastEpochOf(const Directory&, const PeerEntry&);
+
+/// Whether another name was announced for this entry's address later. An address belongs to one process at a time, so the process of
+/// this entry has ended, whatever state it announced last.
+bool isSuperseded(const Directory&, const PeerEntry&);
 
-/// The entry by which this address is offered flows of a service, or null. Of several names, the one that was announced last.
-const PeerEntry* findReadyAgent(const Directory&, std::uint32_t address, std::string_view service);
+/// The agents that accept new flows for a service, in the order of their names, without those whose address another process has.
+std::vector<const PeerEntry*> readyAgentsOf(const Directory&, std::string_view service);
 
 /// The other names that were announced for this entry's address and have not announced that they are gone. An address belongs to
 /// one process, so the host of an earlier name is gone.
@@ -148,7 +152,7 @@
 /// Number of balancers that are ready and come before `name` in the order of names.
 std::size_t balancersBefore(const Directory&, std::string_view name);
 
-/// The entry of the process at this address that has not announced that it is gone, or null.
+/// The entry that was announced last for this address, of those that have not announced that they are gone, or null.
 const PeerEntry* findByAddress(const Directory&, std::uint32_t address);
 
 }
--- a/tests/packets/testdirectory.cpp
+++ b/tests/packets/testdirectory.cpp
@@ -10,6 +10,7 @@
 class TestDirectory : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(TestDirectory);
     CPPUNIT_TEST(derivedFieldsFollowEveryChange);
+    CPPUNIT_TEST(entryOfAReusedAddressIsNotOffered);
     CPPUNIT_TEST(randomAddressesAreDifferentAndFair);
     CPPUNIT_TEST(announcementReachesEveryDataCentre);
     CPPUNIT_TEST_SUITE_END();
@@ -69,6 +70,27 @@
         CPPUNIT_ASSERT_EQUAL(agentsDigestOf(other, dataCentre, {}), agentsDigestOf(directory, dataCentre, excluded));
     }
 
+    // Guards against openings that are offered to an address for the service that its former host had.
+    void entryOfAReusedAddressIsNotOffered()
+    {
+        Directory directory;
+        PeerEntry former { .name = "a", .address = 1, .dataCentre = "north", .service = "board", .epoch = 10 };
+        PeerEntry next { .name = "b", .address = 1, .dataCentre = "north", .service = "filing", .epoch = 20 };
+        applyEntry(directory, next);
+        applyEntry(directory, former);
+        CPPUNIT_ASSERT(readyAgentsOf(directory, "board").empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, readyAgentsOf(directory, "filing").size());
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), findByAddress(directory, 1)->name);
+        next.state = PeerState::Gone;
+        next.epoch = 21;
+        applyEntry(directory, next);
+        CPPUNIT_ASSERT(readyAgentsOf(directory, "board").empty());
+        // The former name is announced again, by a process that knows the epoch of the other.
+        former.epoch = lastEpochOf(directory, former) + 1;
+        applyEntry(directory, former);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, readyAgentsOf(directory, "board").size());
+    }
+
     // Guards against lists and digests that differ from the entries after a process has changed its state, place, role or
     // address: a search would miss agents, and directories that are equal would be compared again and again.
     void derivedFieldsFollowEveryChange()
--- a/tests/trustplatform/testpeernetwork.cpp
+++ b/tests/trustplatform/testpeernetwork.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(fetchFromPausedPeerIsAbandoned);
     CPPUNIT_TEST(directoriesConverge);
     CPPUNIT_TEST(newProcessLearnsWholeDirectory);
+    CPPUNIT_TEST(processStandsAboveFormerNamesOfItsAddress);
     CPPUNIT_TEST(trafficIsCountedByKind);
     CPPUNIT_TEST_SUITE_END();
 
@@ -174,6 +175,21 @@
     }
 
     // Guards against control traffic that nobody can tell from the callers' packets.
+    // Guards against a new host that is taken for the former one at its address because that one's clock was ahead.
+    void processStandsAboveFormerNamesOfItsAddress()
+    {
+        const std::uint16_t port = freePort();
+        Process next(m_context, 1, port);
+        Process other(m_context, 2, port);
+        const PeerEntry announced = next.network.announce({ .name = "next", .address = host(1).to_uint(), .dataCentre = "north", .service = "board", .slots = 5 });
+        other.network.announce({ .name = "other", .role = PeerRole::Balancer, .address = host(2).to_uint(), .dataCentre = "north" });
+        other.network.updateEntry(announced);
+        other.network.updateEntry({ .name = "former", .address = host(1).to_uint(), .dataCentre = "north", .service = "intake", .slots = 5, .epoch = announced.epoch + 5000 });
+        CPPUNIT_ASSERT(readyAgentsOf(other.network.directory(), "board").empty());
+        runUntil(m_context, [&] { return readyAgentsOf(other.network.directory(), "board").size() == 1; });
+        CPPUNIT_ASSERT(readyAgentsOf(other.network.directory(), "intake").empty());
+    }
+
     void trafficIsCountedByKind()
     {
         const std::uint16_t port = freePort();
