--- a/src/kingcuptraild/packets/pausemeter.cpp
+++ b/src/kingcuptraild/packets/pausemeter.cpp
@@ -1,6 +1,6 @@
 #include "pausemeter.h"
 
-#include <ctime>
+#include "libruntime/clock.h"
 
 namespace kingcuptrail {
 
@@ -13,25 +13,16 @@
     /// during the pause have been read by then.
     constexpr Millis backlogTime = 200;
 
-    Millis suspendAwareNow()
-    {
-        constexpr Millis millisPerSecond = 1000;
-        constexpr Millis nanosPerMilli = 1000000;
-        timespec time {};
-        clock_gettime(CLOCK_BOOTTIME, &time);
-        return Millis { time.tv_sec } * millisPerSecond + time.tv_nsec / nanosPerMilli;
-    }
-
 }
 
 PauseMeter::PauseMeter()
-    : m_lastRun(suspendAwareNow())
+    : m_lastRun(Clock().now())
 {
 }
 
 bool PauseMeter::recordRun()
 {
-    const Millis now = suspendAwareNow();
+    const Millis now = Clock().now();
     const Millis gap = now - m_lastRun;
     m_lastRun = now;
     if (gap <= pauseThreshold)
@@ -44,7 +35,7 @@
 
 void PauseMeter::recordGossip()
 {
-    if (m_mayBeStale && suspendAwareNow() - m_resumedAt >= backlogTime)
+    if (m_mayBeStale && Clock().now() - m_resumedAt >= backlogTime)
         m_mayBeStale = false;
 }
 
--- a/src/libruntime/clock.h
+++ b/src/libruntime/clock.h
@@ -6,7 +6,8 @@
 
 namespace kingcuptrail {
 
-/// Monotonic clock, in milliseconds since an arbitrary start.
+/// Monotonic clock, in milliseconds since an arbitrary start. It also runs while the host is suspended, as other hosts do, so that
+/// what is known of them ages in that time.
 class Clock {
 public:
     Millis now() const;
