--- a/src/libdecision/flowadmission.cpp
+++ b/src/libdecision/flowadmission.cpp
@@ -43,10 +43,11 @@
         return request.service.empty() ? OpeningRefusal::ViewInDoubt : OpeningRefusal::None;
     }
 
-    // Whether the process at the upstream's address is known, and of the service that the opening is for.
+    // Whether the process at the upstream's address is known, and of the service that the opening is for. An idle connection alone does
+    // not show it: the connection may have gone silent, so that its end never arrives.
     OpeningRefusal refusalByIdentity(const FlowAdmission& admission, const OpeningRequest& request, Millis now)
     {
-        if (!isRunning(admission, now))
+        if (!isRunning(admission, now) || !isResponsive(admission.evidence, now))
             return OpeningRefusal::NoUpstream;
         if (!request.service.empty() && request.service != admission.upstream->service)
             return OpeningRefusal::WrongService;
@@ -59,8 +60,6 @@
             return OpeningRefusal::AgentLeaving;
         if (const OpeningRefusal refusal = refusalByIdentity(admission, request, now); refusal != OpeningRefusal::None)
             return refusal;
-        if (!isResponsive(admission.evidence, now))
-            return OpeningRefusal::NoUpstream;
         if (admission.upstream->isDraining)
             return OpeningRefusal::UpstreamDraining;
         if (admission.mayViewBeStale)
--- a/tests/packets/testflowadmission.cpp
+++ b/tests/packets/testflowadmission.cpp
@@ -157,6 +157,8 @@
         CPPUNIT_ASSERT(decideAt(1900, "board") == OpeningRefusal::None && decideAt(1900, "") == OpeningRefusal::None);
         CPPUNIT_ASSERT(decideAt(1900, "intake") == OpeningRefusal::WrongService);
         CPPUNIT_ASSERT(decideAt(1901, "board") == OpeningRefusal::NoUpstream);
+        recordStillConnected(m_admission.evidence, 1901);
+        CPPUNIT_ASSERT(decideAt(1901, "board") == OpeningRefusal::NoUpstream);
         applyRoutes(m_routes, routesTo("intake", 9));
         CPPUNIT_ASSERT(decideAt(1900, "") == OpeningRefusal::WrongService);
     }
--- a/tests/soak/addressreuse.cpp
+++ b/tests/soak/addressreuse.cpp
@@ -91,8 +91,9 @@
     default:
         break;
     }
-    m_log("replace upstream of " + daemon.name + " by one of " + service + ", agent's trouble " + trouble);
-    upstream.replace(downTime, upstream.options().host, service, reportDelay, [] {});
+    const bool isSilent = randomBelow(2) == 0;
+    m_log("replace upstream of " + daemon.name + " by one of " + service + ", agent's trouble " + trouble + (isSilent ? ", connections silent" : ""));
+    upstream.replace(downTime, upstream.options().host, service, reportDelay, isSilent, [] {});
 }
 
 void AddressReuse::changeConfigurations(unsigned count)
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -195,7 +195,7 @@
     if (isPlanned)
         daemon.timer->start(stopTime, [&daemon] { daemon.process->signal(SIGKILL); });
     const std::string name = "host-" + std::to_string(++m_replacedHosts);
-    upstream.replace(replacement.downTime, name, replacement.service, replacement.reportDelay, [this, &daemon, name] {
+    upstream.replace(replacement.downTime, name, replacement.service, replacement.reportDelay, false, [this, &daemon, name] {
         daemon.name = name;
         daemon.settingsPath = m_options.folder + "/" + name + ".json";
         writeSettings(daemon);
--- a/tests/soak/soakupstream.cpp
+++ b/tests/soak/soakupstream.cpp
@@ -2,6 +2,8 @@
 
 #include "platform/trustadapter.h"
 
+#include <algorithm>
+#include <iterator>
 #include <nlohmann/json.hpp>
 
 namespace kingcuptrail {
@@ -46,12 +48,14 @@
                 handlePacket(packet); }, error);
 }
 
-// A connection is closed at once; that it was accepted is all that the agent wants to know.
+// Connections stay open until the process ends.
 void SoakUpstream::acceptConnections()
 {
-    m_acceptor.async_accept([this](const asio::error_code& error, const asio::ip::tcp::socket&) {
-        if (!error)
-            acceptConnections();
+    m_acceptor.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket connection) {
+        if (error)
+            return;
+        m_connections.push_back(std::move(connection));
+        acceptConnections();
     });
 }
 
@@ -73,8 +77,10 @@
     m_changeTimer.start(downTime, [this] { restart(); });
 }
 
-void SoakUpstream::replace(Millis downTime, const std::string& host, const std::string& service, Millis reportDelay, std::function<void()> onStarted)
+void SoakUpstream::replace(Millis downTime, const std::string& host, const std::string& service, Millis reportDelay, bool isSilent, std::function<void()> onStarted)
 {
+    if (isSilent)
+        std::ranges::move(m_connections, std::back_inserter(m_silentConnections));
     stopProcess();
     m_isReplaced = true;
     m_changeTimer.start(downTime, [this, host, service, reportDelay, onStarted = std::move(onStarted)] {
@@ -91,6 +97,7 @@
     m_changeTimer.cancel();
     m_reportTimer.cancel();
     m_acceptor.close();
+    m_connections.clear();
     m_socket.reset();
     m_unread.clear();
     m_flows.clear();
@@ -127,6 +134,7 @@
     m_isPaused = false;
     m_unread.clear();
     m_flows.clear();
+    m_connections.clear();
     openSockets();
     m_previousStart = m_startedAt;
     m_previousSequence = m_sequence;
--- a/tests/soak/soakupstream.h
+++ b/tests/soak/soakupstream.h
@@ -35,8 +35,8 @@
     /// Ends the process: nothing is bound to its port until the next process starts.
     void end(Millis downTime);
     /// Ends the process. After `downTime` one of the given service starts at its address, and `onStarted` is called. Its first
-    /// report comes `reportDelay` later.
-    void replace(Millis downTime, const std::string& host, const std::string& service, Millis reportDelay, std::function<void()> onStarted);
+    /// report comes `reportDelay` later. With `isSilent` the ends of its connections do not arrive.
+    void replace(Millis downTime, const std::string& host, const std::string& service, Millis reportDelay, bool isSilent, std::function<void()> onStarted);
     /// Stops the process and continues it: it keeps its flows, and packets wait in its socket.
     void pause(Millis time);
     /// Sends a report of the process before this one.
@@ -70,6 +70,9 @@
     PromiseChecker& m_promises;
     std::unique_ptr<DatagramSocket> m_socket;
     asio::ip::tcp::acceptor m_acceptor;
+    std::vector<asio::ip::tcp::socket> m_connections;
+    /// Connections of processes that have ended. Their ends do not arrive.
+    std::vector<asio::ip::tcp::socket> m_silentConnections;
     Delay m_reportTimer;
     std::shared_ptr<HttpCall> m_call;
     std::map<std::string, Flow> m_flows;
