--- a/src/libdecision/agentflows.cpp
+++ b/src/libdecision/agentflows.cpp
@@ -53,6 +53,21 @@
         return acknowledged - *flow.answerSequence <= maxFirstAcknowledgement;
     }
 
+    /// How far a caller's acknowledgement may be from its last one: the window in which callers take resets. An upstream never has
+    /// as much in flight.
+    constexpr std::uint32_t acknowledgementWindow = 76800;
+
+    /// Whether a packet with this acknowledgement can be of this flow. Callers use their ports again, and a packet of the former flow may
+    /// have waited anywhere; the upstream would return it, which must not end the flow that is open now. A flow that was learnt
+    /// has no answer to compare with, and 0 stands for a packet that acknowledges nothing.
+    bool mayBelongTo(const AgentFlow& flow, std::uint32_t acknowledged)
+    {
+        if (flow.phase != FlowPhase::Open || !flow.answerSequence || acknowledged == 0)
+            return true;
+        const std::uint32_t distance = acknowledged - flow.callerAcknowledged + acknowledgementWindow;
+        return distance <= 2 * acknowledgementWindow || acknowledgesAnswerOf(flow, acknowledged);
+    }
+
     /// Records that the caller has sent up to `end`. Returns whether that is new data. Sequence numbers wrap around.
     bool advanceCallerSentEnd(AgentFlow& flow, std::uint32_t end)
     {
@@ -122,6 +137,8 @@
         setPhase(table, flow, FlowPhase::Open);
         flow.isConfirmed = !header.flags.resets;
     }
+    if (header.flags.acknowledges && !header.flags.resets && !mayBelongTo(flow, header.acknowledged))
+        return CallerPacketAction::NotHeld;
     flow.lastPacketAt = now;
     flow.balancer = balancer;
     if (header.flags.acknowledges)
@@ -286,9 +303,8 @@
     if (found == table.flows.end())
         return hasAllFlows(table, now) ? HolderAnswer::NotHeld : HolderAnswer::Unsure;
     const AgentFlow& flow = found->second;
-    if (flow.phase != FlowPhase::Opening || acknowledgesAnswerOf(flow, acknowledged))
-        return HolderAnswer::Held;
-    return HolderAnswer::NotHeld;
+    const bool isHeld = flow.phase == FlowPhase::Opening ? acknowledgesAnswerOf(flow, acknowledged) : mayBelongTo(flow, acknowledged);
+    return isHeld ? HolderAnswer::Held : HolderAnswer::NotHeld;
 }
 
 }
--- a/tests/trustplatform/agentdeployment.h
+++ b/tests/trustplatform/agentdeployment.h
@@ -60,7 +60,7 @@
         if (isOpening(*header)) {
             openings.insert(flow.caller.port);
             send({ .source = flow.service, .destination = flow.caller, .flags = { .opens = true, .acknowledges = true }, .sequence = upstreamSequence, .acknowledged = header->sequence + 1 });
-        } else if (!openings.contains(flow.caller.port)) {
+        } else if (!openings.contains(flow.caller.port) || header->acknowledged != upstreamSequence + 1) {
             returnPacket(packet);
         } else {
             ++dataPackets;
--- a/tests/trustplatform/testflowevidence.cpp
+++ b/tests/trustplatform/testflowevidence.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(refusedConnectionsKeepFlowsOfDrainingUpstream);
     CPPUNIT_TEST(refusedConnectionsKeepFlowsOfReadyUpstream);
     CPPUNIT_TEST(endedProcessResetsItsFlows);
+    CPPUNIT_TEST(latePacketOfAFormerFlowKeepsTheNextOne);
     CPPUNIT_TEST(stoppedAgentStaysKnownBesideDrainingUpstream);
     CPPUNIT_TEST(stoppedAgentIsGoneAfterItsUpstreamsNotice);
     CPPUNIT_TEST(restartedAgentDoesNotDenyFlowsOfDrainingUpstream);
@@ -133,6 +134,21 @@
         CPPUNIT_ASSERT(deployment.clock.now() - endedAt < 1000);
     }
 
+    // Guards against a flow that is lost when a late packet of a former flow between the same ports arrives and the upstream returns it.
+    void latePacketOfAFormerFlowKeepsTheNextOne()
+    {
+        Deployment deployment(m_context, m_options);
+        deployment.report({});
+        deployment.open(1);
+        const auto late = encodePacket({ .source = Deployment::flow(1).caller, .destination = boardAddress, .flags = { .acknowledges = true }, .sequence = callerSequence + 1, .acknowledged = upstreamSequence + 5000000, .data = "question" });
+        for (const wire::PeerKind kind : { wire::PeerKind::Probe, wire::PeerKind::Forward })
+            deployment.balancer.send(host(1).to_uint(), { .kind = kind, .flow = Deployment::flow(1), .configVersion = 7, .packet = late });
+        deployment.balancer.send(host(1).to_uint(), { .kind = wire::PeerKind::Find, .flow = Deployment::flow(1), .configVersion = 7, .acknowledged = upstreamSequence + 5000000 });
+        deployment.runFor(settlingTime);
+        CPPUNIT_ASSERT_EQUAL(3U, deployment.denials);
+        expectHeld(deployment, 1);
+    }
+
     // Guards against an agent that is restarted beside a draining upstream and announces that it is gone: searches would deny the
     // upstream's flows without it.
     void stoppedAgentStaysKnownBesideDrainingUpstream()
