--- a/src/kingcuptraild/packets/holderfinder.cpp
+++ b/src/kingcuptraild/packets/holderfinder.cpp
@@ -34,6 +34,14 @@
     /// packets a flow, this bounds the memory at about 10 MB.
     constexpr std::size_t maxSearches = 4096;
 
+    /// The directory has an address once for each name that was announced for it, and one process answers for all of them.
+    std::vector<std::uint32_t> withoutRepetitions(std::vector<std::uint32_t> addresses)
+    {
+        std::ranges::sort(addresses);
+        addresses.erase(std::unique(addresses.begin(), addresses.end()), addresses.end());
+        return addresses;
+    }
+
 }
 
 HolderFinder::HolderFinder(BalancerState& state)
@@ -80,10 +88,13 @@
         return false;
     const std::string& dataCentre = m_state.role.settings.dataCentre;
     const DataCentreMembers& near = membersOf(m_state.network.directory(), dataCentre);
-    const auto agents = near.agents.find(*service);
-    if (agents == near.agents.end() || agents->second.size() <= likelyHolderCount + 1)
+    const auto found = near.agents.find(*service);
+    if (found == near.agents.end() || found->second.size() <= likelyHolderCount + 1)
+        return false;
+    const std::vector<std::uint32_t> agents = withoutRepetitions(found->second);
+    if (agents.size() <= likelyHolderCount + 1)
         return false;
-    std::vector<std::uint32_t> likely = likelyHolders(flow, agents->second, likelyHolderCount);
+    std::vector<std::uint32_t> likely = likelyHolders(flow, agents, likelyHolderCount);
     std::erase_if(likely, [this](std::uint32_t agent) { return m_state.unresponsiveAgents.silentSince.contains(agent); });
     if (likely.empty())
         return false;
@@ -148,7 +159,7 @@
         }
         std::erase_if(addresses, [&](std::uint32_t address) { return isPresumedGone(m_state.unresponsiveAgents, address, now); });
         if (!addresses.empty())
-            agents.emplace(dataCentre, std::move(addresses));
+            agents.emplace(dataCentre, withoutRepetitions(std::move(addresses)));
     }
     return agents;
 }
--- a/tests/soak/addressreuse.cpp
+++ b/tests/soak/addressreuse.cpp
@@ -68,7 +68,7 @@
 
 void AddressReuse::replaceHost(SoakDaemon& daemon, SoakUpstream& upstream)
 {
-    const HostReplacement replacement { .service = nextService(upstream), .downTime = reuseTime + randomBelow(800), .reportDelay = randomBelow(2) * randomBelow(1500), .isPlanned = randomBelow(3) == 0 };
+    const HostReplacement replacement { .service = nextService(upstream), .downTime = reuseTime + randomBelow(800), .reportDelay = Millis { randomBelow(2) } * randomBelow(1500), .isPlanned = randomBelow(3) == 0 };
     m_log("replace host " + daemon.name + " by one of " + replacement.service + (replacement.isPlanned ? ", planned" : ""));
     m_fleet.replaceHost(daemon, replacement);
 }
@@ -77,7 +77,7 @@
 {
     const std::string service = nextService(upstream);
     const Millis downTime = reuseTime + randomBelow(800);
-    const Millis reportDelay = randomBelow(2) * randomBelow(1500);
+    const Millis reportDelay = Millis { randomBelow(2) } * randomBelow(1500);
     std::string trouble = "none";
     switch (randomBelow(3)) {
     case 0:
--- a/tests/trustplatform/testholderfinder.cpp
+++ b/tests/trustplatform/testholderfinder.cpp
@@ -8,6 +8,7 @@
 class TestHolderFinder : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(TestHolderFinder);
     CPPUNIT_TEST(runningSearchTakesPacketsAtTheLimit);
+    CPPUNIT_TEST(hostWithSeveralNamesIsAskedOnce);
     CPPUNIT_TEST(lostCacheCostsThreeMessagesAFlow);
     CPPUNIT_TEST(deniedByLikelyHoldersAsksEveryDataCentre);
     CPPUNIT_TEST(silentLikelyHoldersAreNotWaitedFor);
@@ -43,17 +44,18 @@
         root.destroyAll();
     }
 
-    /// A balancer in one of five data centres with 140 agents each, all of one service.
+    /// A balancer in one of five data centres, with 140 agents in each of them unless told otherwise, all of one service. Each address may
+    /// have had several names.
     struct LargeFleet {
-        LargeFleet()
+        explicit LargeFleet(std::uint32_t hosts = 700, std::uint32_t namesPerHost = 1)
             : settings { .role = DaemonRole::PacketBalancer, .name = "front", .dataCentre = "centre-0", .listen = { asio::ip::address_v4({ 127, 83, 7, 1 }), freePort() } }
             , state({ context, settings, platform, clock, config, root }, trustAdapter())
             , finder(state)
         {
             CPPUNIT_ASSERT(state.network.start({ .onFlowMessage = [](const PeerMessage&, std::uint32_t) {}, .onOutages = [](const std::vector<std::string>&) {} }));
             state.network.updateRoutes({ .version = 1, .routes = { { .address = flow.service, .shares = { { .service = "board" } } } } });
-            for (std::uint32_t number = 0; number < 700; ++number)
-                agents.push_back({ .name = "agent-" + std::to_string(number), .address = firstAddress + number, .dataCentre = "centre-" + std::to_string(number % 5), .service = "board", .epoch = 1 });
+            for (std::uint32_t number = 0; number < hosts * namesPerHost; ++number)
+                agents.push_back({ .name = "agent-" + std::to_string(number), .address = firstAddress + number % hosts, .dataCentre = "centre-" + std::to_string(number % hosts % 5), .service = "board", .epoch = 1 });
             state.network.updateEntries(agents);
             finder.search(flow, packetOf(port), std::vector<std::uint8_t>(40));
         }
@@ -97,6 +99,14 @@
         std::vector<PeerEntry> agents;
     };
 
+    // Guards against searches that ask a host once for each name that its address has had, and take few hosts for many.
+    void hostWithSeveralNamesIsAskedOnce()
+    {
+        LargeFleet fleet(10, 4);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 10 }, fleet.sent("find"));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t { 0 }, fleet.sent("findNear") + fleet.sent("probe"));
+    }
+
     // A balancer was restarted, or callers were moved to it. Guards against a search that costs a message for every agent of
     // the fleet although the flow's hash tells the holder.
     void lostCacheCostsThreeMessagesAFlow()
