--- a/src/kingcuptraild/packets/peernetwork.cpp
+++ b/src/kingcuptraild/packets/peernetwork.cpp
@@ -164,11 +164,13 @@
         }
         return false;
     }
+    const auto known = m_directory.entries.find(entry.name);
+    const bool isNewAtAddress = known == m_directory.entries.end() || known->second.address != entry.address;
+    const PeerEntry* found = isNewAtAddress ? findByAddress(m_directory, entry.address) : nullptr;
+    const std::optional<PeerEntry> other = found ? std::optional(*found) : std::nullopt;
     if (!applyEntry(m_directory, entry))
         return false;
-    if (entry.state == PeerState::Gone)
-        return true;
-    for (const PeerEntry* other : othersAtAddress(m_directory, entry))
+    if (other && other->name != entry.name && entry.state != PeerState::Gone)
         logEvent(Event::AddressReused, { { "peer", entry.name }, { "state", nameOf(entry.state) }, { "service", entry.service }, { "epoch", entry.epoch }, { "other", other->name }, { "otherState", nameOf(other->state) }, { "otherService", other->service }, { "otherEpoch", other->epoch } });
     return true;
 }
--- a/src/libdecision/directory.cpp
+++ b/src/libdecision/directory.cpp
@@ -170,20 +170,6 @@
     });
 }
 
-std::vector<const PeerEntry*> othersAtAddress(const Directory& directory, const PeerEntry& entry)
-{
-    std::vector<const PeerEntry*> others;
-    const auto names = directory.namesByAddress.find(entry.address);
-    if (names == directory.namesByAddress.end())
-        return others;
-    for (const std::string& name : names->second) {
-        const PeerEntry& other = directory.entries.at(name);
-        if (name != entry.name && other.state != PeerState::Gone)
-            others.push_back(&other);
-    }
-    return others;
-}
-
 bool isStaleListing(const Directory& directory, const PeerEntry& listed)
 {
     const auto known = directory.entries.find(listed.name);
--- a/src/libdecision/directory.h
+++ b/src/libdecision/directory.h
@@ -142,10 +142,6 @@
 /// The agents that accept new flows for a service, in the order of their names, without those whose address another process has.
 std::vector<const PeerEntry*> readyAgentsOf(const Directory&, std::string_view service);
 
-/// The other names that were announced for this entry's address and have not announced that they are gone. An address belongs to
-/// one process, so the host of an earlier name is gone.
-std::vector<const PeerEntry*> othersAtAddress(const Directory&, const PeerEntry&);
-
 /// The members of a data centre; empty when none is known there.
 const DataCentreMembers& membersOf(const Directory&, std::string_view dataCentre);
 
--- a/src/libdecision/flowadmission.cpp
+++ b/src/libdecision/flowadmission.cpp
@@ -139,6 +139,7 @@
             return ReportEffect::Contradicting;
         }
         rememberReplaced(admission, now);
+        recordReplaced(admission.evidence);
     }
     // The flows of an ended process were given up, so one that turns out to be running counts as changed.
     if (admission.endedAt && effect == ReportEffect::Nothing)
--- a/src/libdecision/upstreamevidence.cpp
+++ b/src/libdecision/upstreamevidence.cpp
@@ -51,6 +51,13 @@
     evidence.refusals = 0;
 }
 
+void recordReplaced(UpstreamEvidence& evidence)
+{
+    evidence.runningAt = 0;
+    if (evidence.isConnected)
+        recordDisconnected(evidence);
+}
+
 bool shouldConnect(const UpstreamEvidence& evidence, Millis now)
 {
     if (evidence.isConnected || evidence.isConnecting || !isSameProcess(evidence, now))
--- a/src/libdecision/upstreamevidence.h
+++ b/src/libdecision/upstreamevidence.h
@@ -60,6 +60,9 @@
 /// sent, at the last regular check at the earliest. The time of reading says nothing: it may have waited while this process was paused.
 void recordHeard(UpstreamEvidence&, Millis now);
 
+/// Records that another process has taken over the address: nothing that showed the one before counts for it.
+void recordReplaced(UpstreamEvidence&);
+
 /// Whether to try a connection to the upstream now.
 bool shouldConnect(const UpstreamEvidence&, Millis now);
 void recordConnecting(UpstreamEvidence&, Millis now);
--- a/tests/packets/testflowadmission.cpp
+++ b/tests/packets/testflowadmission.cpp
@@ -139,7 +139,9 @@
         CPPUNIT_ASSERT(applyReport(m_admission, other, 100) == ReportEffect::Contradicting);
         CPPUNIT_ASSERT(decide(100) == OpeningRefusal::NoUpstream && !isServing(m_admission, 100));
         other.sequence = 2;
+        m_admission.evidence.isConnected = true;
         CPPUNIT_ASSERT(applyReport(m_admission, other, 200) == ReportEffect::NewProcess);
+        CPPUNIT_ASSERT(!m_admission.evidence.isConnected);
         CPPUNIT_ASSERT(decide(200) == OpeningRefusal::WrongService && isServing(m_admission, 200));
         CPPUNIT_ASSERT(applyReport(m_admission, reportOf(1000, 2), 300) == ReportEffect::Stale && isServing(m_admission, 300));
 
