--- a/tests/soak/addressreuse.cpp
+++ b/tests/soak/addressreuse.cpp
@@ -78,21 +78,21 @@
     const std::string service = nextService(upstream);
     const Millis downTime = reuseTime + randomBelow(800);
     const Millis reportDelay = Millis { randomBelow(2) } * randomBelow(1500);
-    std::string trouble = "none";
+    std::string agentFault = "running";
     switch (randomBelow(3)) {
     case 0:
-        trouble = "paused";
+        agentFault = "paused";
         m_fleet.pause(daemon, downTime - 400 + randomBelow(2000));
         break;
     case 1:
-        trouble = "killed";
+        agentFault = "killed";
         m_fleet.kill(daemon, 200 + randomBelow(3000));
         break;
     default:
         break;
     }
     const bool isSilent = randomBelow(2) == 0;
-    m_log("replace upstream of " + daemon.name + " by one of " + service + ", agent's trouble " + trouble + (isSilent ? ", connections silent" : ""));
+    m_log("replace upstream of " + daemon.name + " by one of " + service + ", agent " + agentFault + (isSilent ? ", connections silent" : ""));
     upstream.replace(downTime, upstream.options().host, service, reportDelay, isSilent, [] {});
 }
 
