--- a/src/libdecision/directory.h
+++ b/src/libdecision/directory.h
@@ -90,7 +90,7 @@
     /// service and not on all agents.
     std::map<std::string, std::set<std::string>, std::less<>> readyAgents;
     /// Names by address. The sender of each message is looked up by its address, so this must not cost a search through all
-    /// entries. Several names share an address when a host was renamed.
+    /// entries. Several names share an address when it was used again by another host.
     std::unordered_map<std::uint32_t, std::set<std::string>> namesByAddress;
 };
 
