--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -56,7 +56,7 @@
     , m_shutdownTimer(role.context)
 {
     m_state.flowAdmission.evidence.options = evidenceOptions(role.settings.packets.addressReuse, role.settings.packets.reportInterval);
-    m_state.flows.completeAt = m_state.startedAt + m_state.flows.options.idleLimit;
+    updateIdleLimits(m_state.flows, m_state.network.idleLimits(), m_state.startedAt);
     const bool hasPeers = m_state.network.start({
         .onFlowMessage = [this](const PeerMessage& message, std::uint32_t sender) { handleFlowMessage(message, sender); },
         .onOutages = [this](const std::vector<std::string>& returned) { handleOutages(returned); },
@@ -384,7 +384,7 @@
     m_state.network.mayBeStale();
     recordCheck(m_state.flowAdmission.evidence, now);
     expireWork(m_state.flows, now);
-    sweepFlows(m_state.flows, now);
+    sweepIdleFlows(now);
     m_neighbours.expire(now);
     checkUpstreamPresence(now);
     m_connection.tick(now);
@@ -399,6 +399,14 @@
     m_tickTimer.start(tickInterval, [this] { tick(); });
 }
 
+void PacketAgent::sweepIdleFlows(Millis now)
+{
+    updateIdleLimits(m_state.flows, m_state.network.idleLimits(), m_state.startedAt);
+    const std::size_t excess = sweepFlows(m_state.flows, now);
+    if (excess > 0)
+        logEvent(Event::IdleFlowsDropped, { { "flows", excess }, { "kept", m_state.flows.flows.size() }, { "idleLimit", static_cast<std::uint64_t>(m_state.network.routes().idleLimit) } });
+}
+
 void PacketAgent::sendLoad(Millis now)
 {
     const AgentLoad current = currentLoad(m_state);
--- a/src/kingcuptraild/packets/packetagent.h
+++ b/src/kingcuptraild/packets/packetagent.h
@@ -44,6 +44,7 @@
     void announceState();
 
     void tick();
+    void sweepIdleFlows(Millis now);
     void sendLoad(Millis now);
     void followStoreIfIsolated(Millis now);
     bool isServingNow() const;
--- a/src/kingcuptraild/packets/packetbalancer.cpp
+++ b/src/kingcuptraild/packets/packetbalancer.cpp
@@ -17,8 +17,9 @@
     constexpr Millis pingInterval = 200;
     /// Agents pinged in one round.
     constexpr std::size_t pingsPerRound = 16;
-    /// A cached holder that was not used for longer is removed, in milliseconds. Longer than the idle limit of flows.
-    constexpr Millis holderIdleLimit = 25000;
+    /// The number of cached holders, about 70 bytes each, above which those that were not used for the longest are removed. The
+    /// idle limit of a configuration may be so long that it does not bound the memory.
+    constexpr std::size_t maxCachedHolders = 400000;
     constexpr Millis sweepInterval = 5000;
     /// How long routers may keep sending packets after the process was told to stop, in milliseconds: two failed readiness
     /// checks half a second apart, and some time for packets in flight.
@@ -241,7 +242,14 @@
 void PacketBalancer::expireCachedHolders(Millis now)
 {
     m_lastSweepAt = now;
-    std::erase_if(m_state.holderCache, [now](const auto& item) { return now - item.second.usedAt > holderIdleLimit; });
+    const IdleLimits& limits = m_state.network.idleLimits();
+    std::erase_if(m_state.holderCache, [&](const auto& item) { return now > idleDeadline(limits, item.second.usedAt); });
+    if (m_state.holderCache.size() <= maxCachedHolders)
+        return;
+    const std::vector<FlowKey> excess = longestIdle(m_state.holderCache, m_state.holderCache.size() - maxCachedHolders, [](const CachedHolder& holder) { return holder.usedAt; });
+    for (const FlowKey& flow : excess)
+        m_state.holderCache.erase(flow);
+    logEvent(Event::IdleFlowsDropped, { { "flows", excess.size() }, { "kept", m_state.holderCache.size() }, { "idleLimit", static_cast<std::uint64_t>(m_state.network.routes().idleLimit) } });
 }
 
 // Routers keep sending until they notice that this process is not ready. Packets that arrive until then are still handled, so
--- a/src/kingcuptraild/packets/peernetwork.cpp
+++ b/src/kingcuptraild/packets/peernetwork.cpp
@@ -40,6 +40,7 @@
     , m_comparisonTimer(context)
     , m_random(std::random_device {}())
     , m_ownAddress(settings.listen.address().to_v4().to_uint())
+    , m_idleLimits { .current = {}, .former = {}, .lifetime = settings.packets.flowLifetime }
     , m_startedAt(clock.now())
     , m_trafficLoggedAt(m_startedAt)
     , m_fetchLimiter { .startedAt = clock.now() }
@@ -74,6 +75,7 @@
 DeploymentView PeerNetwork::view() const
 {
     DeploymentView view = m_view;
+    view.formerIdleLimits = formerLimitAges(m_idleLimits, m_clock.now());
     for (const auto& [name, entry] : m_directory.entries)
         view.entries.push_back(entry);
     return view;
@@ -84,7 +86,8 @@
     const ConfigVersion previous = m_view.routes.version;
     if (!applyRoutes(m_view.routes, std::move(routes)))
         return;
-    logEvent(Event::RoutesInForce, { { "version", m_view.routes.version }, { "previous", previous }, { "routes", m_view.routes.routes.size() } });
+    logEvent(Event::RoutesInForce, { { "version", m_view.routes.version }, { "previous", previous }, { "routes", m_view.routes.routes.size() }, { "idleLimit", static_cast<std::uint64_t>(m_view.routes.idleLimit) } });
+    applyIdleLimit(m_idleLimits, m_view.routes.idleLimit, m_clock.now());
     for (const ServiceLimits& limits : m_view.routes.services)
         logEvent(Event::ServiceLimitsInForce, { { "service", limits.name }, { "flowLimit", limits.flowLimit }, { "warmUp", static_cast<std::uint64_t>(limits.warmUp) }, { "coldRate", static_cast<std::uint64_t>(limits.coldRate) } });
     gossipToRandomPeers(changeFanout, {});
--- a/src/kingcuptraild/packets/peernetwork.h
+++ b/src/kingcuptraild/packets/peernetwork.h
@@ -59,6 +59,8 @@
     const OutageView& outages() const { return m_view.outages; }
     const Directory& directory() const { return m_directory; }
     DeploymentView view() const;
+    /// How long flows without packets have to be kept.
+    const IdleLimits& idleLimits() const { return m_idleLimits; }
 
     /// Apply state from the store or a peer, unless it is older than what is known.
     void updateRoutes(RouteTable routes);
@@ -156,6 +158,7 @@
     std::uint32_t m_ownAddress;
     PeerEntry m_self;
     DeploymentView m_view;
+    IdleLimits m_idleLimits;
     Directory m_directory;
     StoreReaders m_readers;
     bool m_isFollowingStore = false;
--- a/src/kingcuptraild/packets/viewexchange.cpp
+++ b/src/kingcuptraild/packets/viewexchange.cpp
@@ -74,6 +74,7 @@
 {
     m_lastGossipAt = m_clock.now();
     updateRoutes(view.routes);
+    addFormerLimits(m_idleLimits, view.formerIdleLimits, m_clock.now());
     updateOutages(view.outages);
     updateEntries(view.entries);
 }
--- a/src/libdecision/agentflows.cpp
+++ b/src/libdecision/agentflows.cpp
@@ -1,5 +1,7 @@
 #include "agentflows.h"
 
+#include <algorithm>
+
 namespace kingcuptrail {
 
 namespace {
@@ -85,18 +87,18 @@
         return followsOpening ? flow.openedAt : now;
     }
 
-    bool hasExpired(const AgentFlow& flow, const AgentFlowOptions& options, Millis now)
+    bool hasExpired(const AgentFlow& flow, const AgentFlows& table, Millis now)
     {
         const Millis silence = now - flow.lastPacketAt;
         switch (flow.phase) {
         case FlowPhase::Opening:
-            return silence > options.openingLimit;
+            return silence > table.options.openingLimit;
         case FlowPhase::Open:
-            return silence > options.idleLimit;
+            return now > idleDeadline(table.idleLimits, flow.lastPacketAt);
         case FlowPhase::Closed:
             break;
         }
-        return silence > options.closedLimit;
+        return silence > table.options.closedLimit;
     }
 
     void removeFromCounts(AgentFlows& table, AgentFlow& flow)
@@ -106,7 +108,30 @@
 
     bool hasAllFlows(const AgentFlows& table, Millis now)
     {
-        return table.isComplete || now >= table.completeAt;
+        const bool hasSeenAll = table.isComplete || now >= table.completeAt;
+        const bool mayMissRemoved = table.lastRemovedPacketAt && now <= idleDeadline(table.idleLimits, *table.lastRemovedPacketAt);
+        return hasSeenAll && !mayMissRemoved;
+    }
+
+    /// Removes a flow that the upstream may still hold.
+    void removeIdleFlow(AgentFlows& table, const FlowKey& key)
+    {
+        const AgentFlow& flow = table.flows.at(key);
+        if (flow.phase == FlowPhase::Open)
+            table.lastRemovedPacketAt = std::max(table.lastRemovedPacketAt.value_or(flow.lastPacketAt), flow.lastPacketAt);
+        forgetFlow(table, key);
+    }
+
+    std::size_t removeExcessFlows(AgentFlows& table)
+    {
+        if (table.flows.size() <= table.options.maxFlows)
+            return 0;
+        // Some room is made at once, so that not every call has to look at all flows.
+        const std::size_t count = table.flows.size() - table.options.maxFlows + table.options.maxFlows / 8;
+        const std::vector<FlowKey> excess = longestIdle(table.flows, count, [](const AgentFlow& flow) { return flow.lastPacketAt; });
+        for (const FlowKey& key : excess)
+            removeIdleFlow(table, key);
+        return excess.size();
     }
 
 }
@@ -264,6 +289,7 @@
     table.open = 0;
     table.workExpiries.clear();
     table.isComplete = true;
+    table.lastRemovedPacketAt.reset();
     return lost;
 }
 
@@ -280,7 +306,13 @@
     std::erase_if(table.workExpiries, isDue);
 }
 
-void sweepFlows(AgentFlows& table, Millis now)
+void updateIdleLimits(AgentFlows& table, const IdleLimits& limits, Millis startedAt)
+{
+    table.idleLimits = limits;
+    table.completeAt = allIdleAt(limits, startedAt);
+}
+
+std::size_t sweepFlows(AgentFlows& table, Millis now)
 {
     const std::size_t buckets = table.flows.bucket_count();
     const std::size_t part = buckets / sweepParts + 1;
@@ -288,13 +320,14 @@
     for (std::size_t index = 0; index < part; ++index) {
         const std::size_t bucket = (table.sweepBucket + index) % buckets;
         for (auto entry = table.flows.begin(bucket); entry != table.flows.end(bucket); ++entry) {
-            if (hasExpired(entry->second, table.options, now))
+            if (hasExpired(entry->second, table, now))
                 expired.push_back(entry->first);
         }
     }
     table.sweepBucket = (table.sweepBucket + part) % buckets;
     for (const FlowKey& key : expired)
-        forgetFlow(table, key);
+        removeIdleFlow(table, key);
+    return removeExcessFlows(table);
 }
 
 HolderAnswer answerHolderQuery(const AgentFlows& table, const FlowKey& key, std::uint32_t acknowledged, Millis now)
--- a/src/libdecision/agentflows.h
+++ b/src/libdecision/agentflows.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "enumnames.h"
+#include "idlelimits.h"
 #include "packet.h"
 
 #include <deque>
@@ -62,9 +63,6 @@
 };
 
 struct AgentFlowOptions {
-    /// A flow without packets for longer is removed, in milliseconds. Above the idle limit after which callers and
-    /// upstreams discard a flow themselves.
-    Millis idleLimit = 20000;
     /// An opening that its caller has not completed is removed after this time, in milliseconds. Callers give up an opening
     /// after 1.4 s.
     Millis openingLimit = 3000;
@@ -77,6 +75,9 @@
     /// How long an unanswered request counts as work, in milliseconds. Longer than a request takes to process, and short
     /// enough that abandoned requests don't block the upstream's slots.
     Millis requestWorkTime = 1500;
+    /// The number of flows, about 1.4 KB each at most, above which those that have been idle for the longest are removed. The
+    /// idle limit of a configuration may be so long that it does not bound the memory.
+    std::size_t maxFlows = 32768;
 };
 
 /// When a flow that counts as work is checked again.
@@ -88,12 +89,17 @@
 /// The flows of one upstream that its agent has seen. Plain data; the functions below hold the logic.
 struct AgentFlows {
     AgentFlowOptions options;
+    IdleLimits idleLimits;
     std::unordered_map<FlowKey, AgentFlow> flows;
     /// Whether the table has every flow of the upstream. False after the agent alone was restarted, since its upstream
     /// still holds flows that the new process has not seen.
     bool isComplete = false;
-    /// From this time on the table counts as complete, since any flow not in it has exceeded the idle limit.
+    /// From this time on the table counts as complete, since any flow not in it has exceeded its idle limit.
     Millis completeAt = 0;
+    /// The latest last packet of all open flows that were removed because they were idle. The upstream may still hold such a flow,
+    /// so the table is not complete while a flow with this last packet has to be kept: a later configuration has a longer limit, or
+    /// the table was full.
+    std::optional<Millis> lastRemovedPacketAt;
     /// Flows that count as work.
     std::uint32_t atWork = 0;
     std::uint32_t open = 0;
@@ -195,8 +201,12 @@
 /// Stops counting flows as work whose time has expired.
 void expireWork(AgentFlows&, Millis now);
 
-/// Removes flows that have exceeded their limits. Each call checks a part of the table to bound its running time.
-void sweepFlows(AgentFlows&, Millis now);
+/// Applies the idle limits of the configurations in force. The table has seen every flow's packets since `startedAt`.
+void updateIdleLimits(AgentFlows&, const IdleLimits&, Millis startedAt);
+
+/// Removes flows that have exceeded their limits. Each call checks a part of the table to bound its running time. Returns how many
+/// more were removed because there are too many.
+std::size_t sweepFlows(AgentFlows&, Millis now);
 
 /// Answers a balancer that searches for the holder of a flow. `acknowledged` is from the caller's packet.
 HolderAnswer answerHolderQuery(const AgentFlows&, const FlowKey&, std::uint32_t acknowledged, Millis now);
--- a/src/libprotocol/viewcodec.cpp
+++ b/src/libprotocol/viewcodec.cpp
@@ -106,8 +106,11 @@
     packed.outages = std::make_unique<wire::OutagesT>();
     packed.outages->revision = view.outages.revision;
     packed.outages->out = view.outages.out;
-    if (parts.routes)
+    if (parts.routes) {
         packed.routes = pack(view.routes);
+        for (const IdleLimitAge& former : view.formerIdleLimits)
+            packed.routes->former_idle_limits.emplace_back(static_cast<std::uint32_t>(former.limit), static_cast<std::uint32_t>(former.age));
+    }
     if (parts.entries) {
         for (const PeerEntry& entry : view.entries)
             packed.entries.push_back(pack(entry));
@@ -134,6 +137,8 @@
         if (!routes)
             return std::nullopt;
         view.routes = std::move(*routes);
+        for (const wire::IdleLimitAge& former : packed->routes->former_idle_limits)
+            view.formerIdleLimits.push_back({ .limit = former.limit(), .age = former.age() });
     }
     if (const auto* entries = table->entries())
         view.entries = entriesOf(*entries);
--- a/src/libprotocol/viewcodec.h
+++ b/src/libprotocol/viewcodec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libdecision/idlelimits.h"
 #include "peermessage.h"
 
 #include <string>
@@ -12,6 +13,8 @@
     RouteTable routes;
     OutageView outages;
     std::vector<PeerEntry> entries;
+    /// Longer idle limits of earlier configurations that still apply to some flows; part of the routes.
+    std::vector<IdleLimitAge> formerIdleLimits;
 
     bool operator==(const DeploymentView&) const = default;
 };
--- a/src/libruntime/events.cpp
+++ b/src/libruntime/events.cpp
@@ -118,6 +118,8 @@
             "Nothing. The flowReset lines name the flows that the previous process held." },
         { Event::ContradictingReport, EventLevel::Warning, "contradictingReport", "A process of another service reports while the known one seems to run. The upstream gets no openings until one of them reports again.",
             "Nothing for single lines: the report was late, or the address was used again. If they repeat, two upstreams report to this agent, or addressReuseSeconds is longer than the time after which addresses are used again." },
+        { Event::IdleFlowsDropped, EventLevel::Warning, "idleFlowsDropped", "More flows are open than the process keeps: those without packets for the longest were dropped from its table. An agent delivers their next packets to find out whether the upstream holds them; a balancer searches for their agents.",
+            "If the lines repeat, lower the idle limit of the configuration (idleLimit) or add hosts." },
         { Event::WrongServicePacket, EventLevel::Error, "wrongServicePacket", "A packet for another service arrived; the agent refused it and did not pass it to the upstream.",
             "Check whether two services share one address, or whether a balancer uses a very old configuration: compare the versions in kingcuptrailctl status." },
         { Event::OutcomeUnknown, EventLevel::Error, "outcomeUnknown", "A request may have run, but its answer was lost.",
--- a/src/libruntime/events.h
+++ b/src/libruntime/events.h
@@ -72,6 +72,7 @@
     StaleReport = 414,
     FlowsVerified = 415,
     ContradictingReport = 416,
+    IdleFlowsDropped = 417,
     // Safety
     WrongServicePacket = 500,
     OutcomeUnknown = 501,
--- a/src/libruntime/settings.cpp
+++ b/src/libruntime/settings.cpp
@@ -21,14 +21,16 @@
     constexpr Millis heartbeatsInSilence = 2;
     /// A field of packets that an environment variable sets where the file does not. A fleet that is upgraded host by host may
     /// share one settings file with processes of an earlier version, which refuse a field that they do not know.
+    template <typename Number>
     struct EnvironmentNumber {
         const char* field;
         const char* variable;
-        std::uint64_t min;
-        std::uint64_t max;
+        Number min;
+        Number max;
     };
-    constexpr EnvironmentNumber toleratedLosses { .field = "toleratedDataCentreLosses", .variable = "KINGCUPTRAIL_TOLERATED_LOSSES", .min = 0, .max = 16 };
-    constexpr EnvironmentNumber reportInterval { .field = "reportIntervalMs", .variable = "KINGCUPTRAIL_REPORT_INTERVAL_MS", .min = 10, .max = 600000 };
+    constexpr EnvironmentNumber<std::uint64_t> toleratedLosses { .field = "toleratedDataCentreLosses", .variable = "KINGCUPTRAIL_TOLERATED_LOSSES", .min = 0, .max = 16 };
+    constexpr EnvironmentNumber<std::uint64_t> reportInterval { .field = "reportIntervalMs", .variable = "KINGCUPTRAIL_REPORT_INTERVAL_MS", .min = 10, .max = 600000 };
+    constexpr EnvironmentNumber<double> flowLifetime { .field = "flowLifetimeSeconds", .variable = "KINGCUPTRAIL_FLOW_LIFETIME_S", .min = 0, .max = 31536000 };
 
     enum class PortRule : std::uint8_t {
         /// 0 lets the operating system choose a port; used by tests.
@@ -123,21 +125,22 @@
         }
 
         /// The number in the object, or that of the environment; `fallback` when neither is set, the latter is empty or invalid.
-        std::uint64_t readNumber(const json& object, const EnvironmentNumber& source, std::uint64_t fallback)
+        template <typename Number>
+        Number readNumber(const json& object, const EnvironmentNumber<Number>& source, Number fallback)
         {
             if (object.contains(source.field))
-                return object[source.field].get<std::uint64_t>();
+                return object[source.field].template get<Number>();
             // A deployment without a value fills its template with nothing.
             const char* value = std::getenv(source.variable);
             const std::string_view text = value ? value : "";
             if (text.empty())
                 return fallback;
-            std::uint64_t number = 0;
+            Number number = 0;
             const auto parsed = std::from_chars(text.data(), text.data() + text.size(), number);
             const bool isNumber = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
             if (isNumber && number >= source.min && number <= source.max)
                 return number;
-            addFault(FaultKind::OutOfRange, childPointer("/packets", source.field), std::string(source.variable) + " must be a number from " + std::to_string(source.min) + " to " + std::to_string(source.max) + ".");
+            addFault(FaultKind::OutOfRange, childPointer("/packets", source.field), std::string(source.variable) + " must be a number from " + std::to_string(static_cast<std::uint64_t>(source.min)) + " to " + std::to_string(static_cast<std::uint64_t>(source.max)) + ".");
             return fallback;
         }
 
@@ -148,7 +151,9 @@
             readSeconds(object, "leaveSeconds", packets.leave);
             if (object.contains("linkMegabits"))
                 packets.linkMegabits = object["linkMegabits"].get<double>();
-            packets.toleratedDataCentreLosses = readNumber(object, toleratedLosses, packets.toleratedDataCentreLosses);
+            packets.toleratedDataCentreLosses = readNumber(object, toleratedLosses, static_cast<std::uint64_t>(packets.toleratedDataCentreLosses));
+            constexpr double millisPerSecond = 1000;
+            packets.flowLifetime = static_cast<Millis>(readNumber(object, flowLifetime, 0.0) * millisPerSecond);
             packets.reportInterval = static_cast<Millis>(readNumber(object, reportInterval, static_cast<std::uint64_t>(packets.reportInterval)));
             packets.ready = readEndpoint(object, "/packets", "ready", PortRule::MayBeZero);
             packets.ingress = readEndpoint(object, "/packets", "ingress", PortRule::MustBeSet);
--- a/src/libruntime/settings.h
+++ b/src/libruntime/settings.h
@@ -63,6 +63,8 @@
     Millis addressReuse = 2000;
     /// Of an agent: how often its upstream reports.
     Millis reportInterval = 1000;
+    /// Age at which a flow may be discarded although it is in use; 0 if the deployment names none.
+    Millis flowLifetime = 0;
     /// Time that the process may take to shut down gracefully.
     Millis leave = 6000;
     /// Capacity of this host's network link, in Mbit/s.
--- a/src/libruntime/settingsschema.cpp
+++ b/src/libruntime/settingsschema.cpp
@@ -52,6 +52,7 @@
             "seeds": { "type": "array", "items": { "type": "string" }, "maxItems": 16 },
             "addressReuseSeconds": { "type": "number", "minimum": 0.2, "maximum": 600 },
             "reportIntervalMs": { "type": "integer", "minimum": 10, "maximum": 600000 },
+            "flowLifetimeSeconds": { "type": "number", "minimum": 0, "maximum": 31536000 },
             "leaveSeconds": { "type": "number", "minimum": 0.5, "maximum": 600 },
             "linkMegabits": { "type": "number", "minimum": 0.1, "maximum": 1000000 },
             "toleratedDataCentreLosses": { "type": "integer", "minimum": 0, "maximum": 16 }
--- a/tests/packets/testagentflows.cpp
+++ b/tests/packets/testagentflows.cpp
@@ -19,6 +19,11 @@
     CPPUNIT_TEST(resentRequestsDoNotCountAsWork);
     CPPUNIT_TEST(abandonedOpeningsDoNotKeepSlots);
     CPPUNIT_TEST(sweepRemovesExpiredFlows);
+    CPPUNIT_TEST(idleFlowsAreKeptForTheConfiguredTime);
+    CPPUNIT_TEST(shorterLimitKeepsFlowsOfTheLongerOne);
+    CPPUNIT_TEST(longerLimitAppliesToRemovedFlows);
+    CPPUNIT_TEST(fullTableDoesNotDenyWhatItDropped);
+    CPPUNIT_TEST(restartedAgentIsUnsureForTheLongestLimit);
     CPPUNIT_TEST_SUITE_END();
 
     static AgentFlows completeTable()
@@ -200,17 +205,100 @@
     void sweepRemovesExpiredFlows()
     {
         AgentFlows table = completeTable();
+        updateIdleLimits(table, { .current = 15000 }, 0);
         for (std::uint16_t caller = 1; caller <= 100; ++caller)
             openFlow(table, flowOf(caller), 10);
         for (int turn = 0; turn < 64; ++turn)
-            sweepFlows(table, 10 + table.options.idleLimit);
+            sweepFlows(table, 20010);
         CPPUNIT_ASSERT_EQUAL(std::size_t { 100 }, table.flows.size());
         for (int turn = 0; turn < 64; ++turn)
-            sweepFlows(table, 11 + table.options.idleLimit);
+            sweepFlows(table, 20011);
         CPPUNIT_ASSERT(table.flows.empty());
         CPPUNIT_ASSERT_EQUAL(0U, table.open);
         CPPUNIT_ASSERT_EQUAL(0U, table.atWork);
     }
+
+    static void sweepWhole(AgentFlows& table, Millis now)
+    {
+        for (int turn = 0; turn < 64; ++turn)
+            sweepFlows(table, now);
+    }
+
+    // Guards against resetting flows that are idle for less than the configuration's idle limit.
+    void idleFlowsAreKeptForTheConfiguredTime()
+    {
+        for (const Millis limit : { 5000, 15000, 30000, 300000 }) {
+            AgentFlows table = completeTable();
+            updateIdleLimits(table, { .current = limit }, 0);
+            openFlow(table, flowOf(1), 10);
+            sweepWhole(table, 10 + limit);
+            CPPUNIT_ASSERT(answerHolderQuery(table, flowOf(1), 501, 10 + limit) == HolderAnswer::Held);
+            sweepWhole(table, 11 + limit + table.idleLimits.margin);
+            CPPUNIT_ASSERT(answerHolderQuery(table, flowOf(1), 501, 11 + limit + table.idleLimits.margin) == HolderAnswer::NotHeld);
+        }
+    }
+
+    // Guards against resetting a flow that became idle under a longer limit than the one now in force.
+    void shorterLimitKeepsFlowsOfTheLongerOne()
+    {
+        AgentFlows table = completeTable();
+        IdleLimits limits { .current = 60000 };
+        openFlow(table, flowOf(1), 10);
+        applyIdleLimit(limits, 5000, 20000);
+        updateIdleLimits(table, limits, 0);
+        openFlow(table, flowOf(2), 20010);
+        sweepWhole(table, 60000);
+        CPPUNIT_ASSERT(answerHolderQuery(table, flowOf(1), 501, 60000) == HolderAnswer::Held);
+        CPPUNIT_ASSERT(answerHolderQuery(table, flowOf(2), 501, 60000) == HolderAnswer::NotHeld);
+    }
+
+    // Guards against denying a flow that was removed under a shorter limit than the one now in force.
+    void longerLimitAppliesToRemovedFlows()
+    {
+        AgentFlows table = completeTable();
+        IdleLimits limits { .current = 5000 };
+        updateIdleLimits(table, limits, 0);
+        openFlow(table, flowOf(1), 10);
+        sweepWhole(table, 15000);
+        CPPUNIT_ASSERT(answerHolderQuery(table, flowOf(1), 501, 15000) == HolderAnswer::NotHeld);
+        applyIdleLimit(limits, 30000, 16000);
+        updateIdleLimits(table, limits, 0);
+        CPPUNIT_ASSERT(answerHolderQuery(table, flowOf(1), 501, 16000) == HolderAnswer::Unsure);
+        CPPUNIT_ASSERT(trackCallerPacket(table, flowOf(1), callerPacket(501), 16000) == CallerPacketAction::DeliverToLearn);
+        CPPUNIT_ASSERT(answerHolderQuery(table, flowOf(1), 501, 35011) == HolderAnswer::NotHeld);
+    }
+
+    // Guards against resetting flows that were dropped to bound the memory.
+    void fullTableDoesNotDenyWhatItDropped()
+    {
+        AgentFlows table = completeTable();
+        table.options.maxFlows = 80;
+        updateIdleLimits(table, { .current = 3600000 }, 0);
+        for (std::uint16_t caller = 1; caller <= 100; ++caller)
+            openFlow(table, flowOf(caller), caller);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 30 }, sweepFlows(table, 1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 70 }, table.flows.size());
+        CPPUNIT_ASSERT(answerHolderQuery(table, flowOf(30), 501, 1000) == HolderAnswer::Unsure);
+        CPPUNIT_ASSERT(answerHolderQuery(table, flowOf(31), 501, 1000) == HolderAnswer::Held);
+    }
+
+    // Guards against a restarted agent that denies flows which were idle since before its start, for less than their limit.
+    void restartedAgentIsUnsureForTheLongestLimit()
+    {
+        AgentFlows table;
+        IdleLimits limits;
+        updateIdleLimits(table, limits, 1000);
+        CPPUNIT_ASSERT(answerHolderQuery(table, flowOf(1), 501, 1000000) == HolderAnswer::Unsure);
+        applyIdleLimit(limits, 30000, 1100);
+        updateIdleLimits(table, limits, 1000);
+        CPPUNIT_ASSERT(answerHolderQuery(table, flowOf(1), 501, 31000) == HolderAnswer::Unsure);
+        CPPUNIT_ASSERT(answerHolderQuery(table, flowOf(1), 501, 36000) == HolderAnswer::NotHeld);
+        const std::vector<IdleLimitAge> known { { .limit = 50000, .age = 2100 } };
+        addFormerLimits(limits, known, 1100);
+        updateIdleLimits(table, limits, 1000);
+        CPPUNIT_ASSERT(answerHolderQuery(table, flowOf(1), 501, 53999) == HolderAnswer::Unsure);
+        CPPUNIT_ASSERT(answerHolderQuery(table, flowOf(1), 501, 54000) == HolderAnswer::NotHeld);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestAgentFlows);
--- a/tests/packets/testpeermessage.cpp
+++ b/tests/packets/testpeermessage.cpp
@@ -103,6 +103,7 @@
     {
         DeploymentView view { .routes = routesTo("board", 4), .outages = { .revision = 2, .out = { "south" } }, .entries = { entry() } };
         view.routes.routes[0].timeout = 1500;
+        view.formerIdleLimits = { { .limit = 30000, .age = 1200 } };
         FrameError error = FrameError::None;
         const std::string bytes = encodeView(view);
         CPPUNIT_ASSERT(decodeView(bytes, error) == view);
--- a/tests/runtime/testsettings.cpp
+++ b/tests/runtime/testsettings.cpp
@@ -162,6 +162,13 @@
             CPPUNIT_ASSERT_EQUAL_MESSAGE(variable, expected, byEnvironment ? static_cast<int>(byEnvironment->packets.reportInterval) : -1);
         }
         unsetenv("KINGCUPTRAIL_REPORT_INTERVAL_MS");
+        for (const auto& [variable, expected] : { std::pair { "60", 60000 }, std::pair { "0.5", 500 }, std::pair { "-1", -1 }, std::pair { "nan", -1 }, std::pair { "", 0 } }) {
+            setenv("KINGCUPTRAIL_FLOW_LIFETIME_S", variable, 1);
+            const auto byEnvironment = parseSettings(settingsWith("2", ""), faults);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(variable, expected, byEnvironment ? static_cast<int>(byEnvironment->packets.flowLifetime) : -1);
+        }
+        unsetenv("KINGCUPTRAIL_FLOW_LIFETIME_S");
+        CPPUNIT_ASSERT_EQUAL(Millis { 60000 }, parseSettings(settingsWith("2", R"(,"flowLifetimeSeconds":60)"), faults)->packets.flowLifetime);
     }
 };
 
--- a/tests/trustplatform/testflowevidence.cpp
+++ b/tests/trustplatform/testflowevidence.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(stoppedAgentStaysKnownBesideDrainingUpstream);
     CPPUNIT_TEST(stoppedAgentIsGoneAfterItsUpstreamsNotice);
     CPPUNIT_TEST(restartedAgentDoesNotDenyFlowsOfDrainingUpstream);
+    CPPUNIT_TEST(idleFlowIsKeptForTheConfiguredTime);
     CPPUNIT_TEST_SUITE_END();
 
     using Deployment = AgentDeployment;
@@ -32,6 +33,25 @@
         runUntil(deployment.context, [&] { return deployment.acknowledged.contains(port); });
     }
 
+    // Guards against an agent that denies flows which are idle for less than the idle limit of the configuration in force.
+    void idleFlowIsKeptForTheConfiguredTime()
+    {
+        Deployment deployment(m_context, m_options);
+        deployment.listen();
+        deployment.report({});
+        deployment.open(1);
+        RouteTable longer = deployment.balancer.routes();
+        longer.version = 8;
+        longer.idleLimit = 30000;
+        deployment.balancer.updateRoutes(std::move(longer));
+        for (std::uint64_t second = 1; second <= 25; ++second) {
+            deployment.runFor(1000);
+            deployment.report({ .sequence = second + 1 });
+        }
+        expectHeld(deployment, 1);
+        CPPUNIT_ASSERT_EQUAL(0U, deployment.denials);
+    }
+
     // Guards against a reset of flows that a new upstream process accepted before its first report arrived.
     void newProcessKeepsFlowsOpenedBeforeItsFirstReport()
     {
--- a/tests/trustplatform/testpeernetwork.cpp
+++ b/tests/trustplatform/testpeernetwork.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(newProcessLearnsWholeDirectory);
     CPPUNIT_TEST(processStandsAboveFormerNamesOfItsAddress);
     CPPUNIT_TEST(trafficIsCountedByKind);
+    CPPUNIT_TEST(newProcessLearnsFormerIdleLimits);
     CPPUNIT_TEST_SUITE_END();
 
     static asio::ip::address_v4 host(unsigned char number)
@@ -106,6 +107,21 @@
         bool m_hasConnection = false;
     };
 
+    // Guards against a process that starts after the idle limit was lowered and ends flows of the longer one.
+    void newProcessLearnsFormerIdleLimits()
+    {
+        const std::uint16_t port = freePort();
+        Process first(m_context, 1, port);
+        first.network.updateRoutes({ .version = 1, .routes = {}, .services = {}, .idleLimit = 60000 });
+        first.network.updateRoutes({ .version = 2, .routes = {}, .services = {}, .idleLimit = 5000 });
+        Process second(m_context, 2, port);
+        second.settings.packets.seeds = { { host(1), port } };
+        runUntil(m_context, [&second] { return second.network.routes().version == 2; });
+        CPPUNIT_ASSERT_EQUAL(Millis { 5000 }, *second.network.idleLimits().current);
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 1 }, second.network.idleLimits().former.size());
+        CPPUNIT_ASSERT_EQUAL(Millis { 60000 }, second.network.idleLimits().former.front().limit);
+    }
+
     // Guards against a time limit for a whole fetch that a slow link cannot meet: the same bytes were sent again and again and
     // filled the link, and the configuration never arrived.
     void configurationArrivesOverSlowLink()
