--- a/src/libplatform/peerentryjson.cpp
+++ b/src/libplatform/peerentryjson.cpp
@@ -39,6 +39,17 @@
         return value.get<Number>();
     }
 
+    /// Epochs begin at the wall-clock time in milliseconds and grow by one. A far larger one is not of this system, and one that is
+    /// near the end of its type could not be superseded.
+    std::uint64_t epochField(const json& document)
+    {
+        constexpr std::uint64_t maxEpoch = std::uint64_t { 1 } << 62;
+        const auto epoch = numberField<std::uint64_t>(document, "epoch");
+        if (epoch > maxEpoch)
+            throw json::other_error::create(0, "epoch out of range", nullptr);
+        return epoch;
+    }
+
     PeerEntry entryFromJson(const json& document)
     {
         const auto role = fromName<PeerRole>(document.at("role").get<std::string>());
@@ -53,7 +64,7 @@
             .service = document.at("service").get<std::string>(),
             .state = *state,
             .slots = numberField<std::uint32_t>(document, "slots"),
-            .epoch = numberField<std::uint64_t>(document, "epoch"),
+            .epoch = epochField(document),
         };
     }
 
--- a/src/libprotocol/viewcodec.cpp
+++ b/src/libprotocol/viewcodec.cpp
@@ -1,11 +1,19 @@
 #include "viewcodec.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace kingcuptrail {
 
 namespace {
 
+    /// A duration in the width that it has on the wire. Longer ones become the longest, some 50 days.
+    std::uint32_t wireMillis(Millis duration)
+    {
+        constexpr Millis longest = std::numeric_limits<std::uint32_t>::max();
+        return static_cast<std::uint32_t>(std::clamp<Millis>(duration, 0, longest));
+    }
+
     /// The sorted, unique names of all services that the routes refer to.
     std::vector<std::string> serviceNamesOf(const RouteTable& table)
     {
@@ -24,9 +32,9 @@
         wire::RouteT packed;
         packed.address = route.address.address;
         packed.port = route.address.port;
-        packed.latency_target = static_cast<std::uint32_t>(route.latencyTarget);
+        packed.latency_target = wireMillis(route.latencyTarget);
         packed.priority = route.priority;
-        packed.timeout = static_cast<std::uint32_t>(route.timeout);
+        packed.timeout = wireMillis(route.timeout);
         for (const RouteShare& share : route.shares) {
             const auto index = std::ranges::lower_bound(names, share.service) - names.begin();
             packed.shares.emplace_back(static_cast<std::uint16_t>(index), share.weight);
@@ -39,14 +47,14 @@
         auto packed = std::make_unique<wire::RoutesT>();
         packed->version = table.version;
         packed->service_names = serviceNamesOf(table);
-        packed->idle_limit = static_cast<std::uint32_t>(table.idleLimit);
+        packed->idle_limit = wireMillis(table.idleLimit);
         for (const FlowRoute& route : table.routes)
             packed->routes.push_back(std::make_unique<wire::RouteT>(pack(route, packed->service_names)));
         for (const ServiceLimits& limits : table.services) {
             auto service = std::make_unique<wire::ServiceLimitsT>();
             service->name = limits.name;
             service->flow_limit = limits.flowLimit;
-            service->warm_up = static_cast<std::uint32_t>(limits.warmUp);
+            service->warm_up = wireMillis(limits.warmUp);
             service->cold_rate = limits.coldRate;
             packed->services.push_back(std::move(service));
         }
@@ -109,7 +117,7 @@
     if (parts.routes) {
         packed.routes = pack(view.routes);
         for (const IdleLimitAge& former : view.formerIdleLimits)
-            packed.routes->former_idle_limits.emplace_back(static_cast<std::uint32_t>(former.limit), static_cast<std::uint32_t>(former.age));
+            packed.routes->former_idle_limits.emplace_back(wireMillis(former.limit), wireMillis(former.age));
     }
     if (parts.entries) {
         for (const PeerEntry& entry : view.entries)
--- a/tests/packets/testpeermessage.cpp
+++ b/tests/packets/testpeermessage.cpp
@@ -107,6 +107,10 @@
         FrameError error = FrameError::None;
         const std::string bytes = encodeView(view);
         CPPUNIT_ASSERT(decodeView(bytes, error) == view);
+        // Guards against a duration that wraps around to a short one on its way to another process.
+        DeploymentView longLimits = view;
+        longLimits.routes.idleLimit = (Millis { 1 } << 32) + 1000;
+        CPPUNIT_ASSERT_EQUAL((Millis { 1 } << 32) - 1, decodeView(encodeView(longLimits), error)->routes.idleLimit);
         const auto entriesOnly = decodeView(encodeView(view, { .routes = false }), error);
         CPPUNIT_ASSERT(entriesOnly && entriesOnly->routes.version == 0 && entriesOnly->entries == view.entries);
         CPPUNIT_ASSERT(!decodeView("{", error) && error == FrameError::Malformed);
@@ -122,6 +126,9 @@
         // Guards against undefined conversions of numbers that another program wrote to the store.
         for (const std::string address : { "7e128", "-1", "4294967296", "4294967296.0", "\"1\"" })
             CPPUNIT_ASSERT(!parsePeerEntry(R"({"name":"x","role":"agent","address":)" + address + R"(,"dataCentre":"n","service":"s","state":"ready","slots":1,"epoch":1})"));
+        // Guards against an epoch above which an agent cannot announce itself any more.
+        for (const auto& [epoch, isValid] : { std::pair { "18446744073709551615", false }, std::pair { "9223372036854775807", false }, std::pair { "1796563551064", true } })
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(epoch, isValid, parsePeerEntry(R"({"name":"x","role":"agent","address":1,"dataCentre":"n","service":"s","state":"ready","slots":1,"epoch":)" + std::string(epoch) + "}").has_value());
     }
 };
 
--- a/tests/trustplatform/testtrustplatform.cpp
+++ b/tests/trustplatform/testtrustplatform.cpp
@@ -18,6 +18,8 @@
     CPPUNIT_TEST(encodesAndDecodesStoreCalls);
     CPPUNIT_TEST(malformedObjectDoesNotHideOthers);
     CPPUNIT_TEST(rejectsOutOfRangeTimes);
+    CPPUNIT_TEST(rejectsReportsWithTooLargeNumbers);
+    CPPUNIT_TEST(largeNumbersOfTheConfigurationAreCapped);
     CPPUNIT_TEST(randomBytesNeverCrash);
     CPPUNIT_TEST_SUITE_END();
 
@@ -181,6 +183,39 @@
         CPPUNIT_ASSERT_EQUAL(Millis { 0 }, putCold("-1e300").report->coldLeft);
     }
 
+    // Guards against numbers that wrap around to small ones, and against a start time after which no report of the upstream counts.
+    void rejectsReportsWithTooLargeNumbers()
+    {
+        const auto putNumbers = [this](const std::string& slots, const std::string& sequence, const std::string& born) {
+            return put(R"({"service":"s","address":"10.0.0.1:1","zone":"z","state":"ready","warmup-left-ms":0,"slots":)" + slots + R"(,"sequence":)" + sequence + R"(,"born":)" + born + "}");
+        };
+        CPPUNIT_ASSERT(putNumbers("4294967295", "9007199254740991", "1790000000000").report);
+        CPPUNIT_ASSERT(putNumbers("4294967296", "1", "1").error == DecodeError::OutOfRange);
+        CPPUNIT_ASSERT(putNumbers("1", "18446744073709551615", "1").error == DecodeError::OutOfRange);
+        CPPUNIT_ASSERT(putNumbers("1", "1", "9223372036854775807").error == DecodeError::OutOfRange);
+        CPPUNIT_ASSERT(!putNumbers("1e400", "1", "1").report);
+    }
+
+    // Guards against limits that wrap around to small ones, and against refusing a configuration because of a large one.
+    void largeNumbersOfTheConfigurationAreCapped()
+    {
+        const auto withNumber = [this](const std::string& from, const std::string& to) {
+            std::string text = configText();
+            text.replace(text.find(from), from.size(), to);
+            DecodeError error = DecodeError::None;
+            return decodeRoutes(text, error);
+        };
+        constexpr std::uint32_t largest = 0xffffffff;
+        CPPUNIT_ASSERT_EQUAL(Millis { largest }, withNumber("\"idle-timeout-ms\":15000", "\"idle-timeout-ms\":1e18")->idleLimit);
+        CPPUNIT_ASSERT_EQUAL(Millis { largest }, withNumber("\"idle-timeout-ms\":15000", "\"idle-timeout-ms\":4294968296")->idleLimit);
+        CPPUNIT_ASSERT_EQUAL(Millis { 15000 }, withNumber("\"idle-timeout-ms\":15000", "\"other\":1")->idleLimit);
+        CPPUNIT_ASSERT_EQUAL(largest, withNumber("\"max-conns\":2000", "\"max-conns\":4294967296")->services[0].flowLimit);
+        CPPUNIT_ASSERT_EQUAL(largest, withNumber("\"weight\":90", "\"weight\":4294967296")->routes[0].shares[0].weight);
+        CPPUNIT_ASSERT_EQUAL(largest, withNumber("\"priority\":2", "\"priority\":4294967298")->routes[0].priority);
+        CPPUNIT_ASSERT_EQUAL(Millis { largest }, withNumber("\"timeout-ms\":1000", "\"timeout-ms\":1e300")->routes[0].timeout);
+        CPPUNIT_ASSERT(!withNumber("\"priority\":2", "\"priority\":-1"));
+    }
+
     void randomBytesNeverCrash()
     {
         std::minstd_rand random(7);
