--- a/src/kingcuptrailctl/daemons.cpp
+++ b/src/kingcuptrailctl/daemons.cpp
@@ -2,6 +2,7 @@
 
 #include "blocking.h"
 #include "libhttp/httpclient.h"
+#include "libplatform/jsontext.h"
 #include "libruntime/settings.h"
 
 #include <nlohmann/json.hpp>
@@ -21,7 +22,7 @@
 
     std::optional<DaemonEntry> parseEntry(const PlatformObject& object)
     {
-        const json document = json::parse(object.value.value_or(""), nullptr, false);
+        const json document = parseJson(object.value.value_or(""));
         if (!document.is_object())
             return std::nullopt;
         try {
@@ -46,12 +47,12 @@
 
     std::optional<DaemonStatus> parseStatus(const std::string& text)
     {
-        const json document = json::parse(text, nullptr, false);
+        const json document = parseJson(text);
         if (!document.is_object())
             return std::nullopt;
         try {
             DaemonStatus status;
-            status.configVersion = document.at("configVersion").get<ConfigVersion>();
+            status.configVersion = numberField<ConfigVersion>(document, "configVersion");
             status.name = document.value("name", std::string());
             status.role = document.value("role", std::string());
             status.dataCentre = document.value("dataCentre", std::string());
--- a/src/kingcuptrailctl/loglines.cpp
+++ b/src/kingcuptrailctl/loglines.cpp
@@ -1,5 +1,7 @@
 #include "loglines.h"
 
+#include "libplatform/jsontext.h"
+
 #include <algorithm>
 #include <fstream>
 #include <iostream>
@@ -34,7 +36,7 @@
 json logObject(const std::string& line)
 {
     const auto start = line.find('{');
-    return start == std::string::npos ? json() : json::parse(line.substr(start), nullptr, false);
+    return start == std::string::npos ? json() : parseJson(line.substr(start));
 }
 
 std::string textOf(const json& line, std::string_view field)
--- a/src/kingcuptraild/agent/upstreamprobe.cpp
+++ b/src/kingcuptraild/agent/upstreamprobe.cpp
@@ -1,5 +1,6 @@
 #include "upstreamprobe.h"
 
+#include "libplatform/jsontext.h"
 #include "libruntime/events.h"
 
 #include <nlohmann/json.hpp>
@@ -20,10 +21,10 @@
     {
         if (!response)
             return 0;
-        const auto document = nlohmann::json::parse(response->body, nullptr, false);
+        const auto document = parseJson(response->body);
         if (!document.is_object() || !document.contains("busy") || !document["busy"].is_number_unsigned())
             return 0;
-        return document["busy"].get<std::uint32_t>();
+        return static_cast<std::uint32_t>(std::min<std::uint64_t>(document["busy"].get<std::uint64_t>(), std::numeric_limits<std::uint32_t>::max()));
     }
 
 }
--- a/src/kingcuptraild/packets/agentannouncement.cpp
+++ b/src/kingcuptraild/packets/agentannouncement.cpp
@@ -48,7 +48,7 @@
 {
     m_client.get(
         agentKind, name, [this](const std::optional<PlatformObject>& object, PlatformError reason) {
-            const auto found = object && object->value ? parsePeerEntry(*object->value) : std::nullopt;
+            const auto found = object ? parseStoredEntry(*object) : std::nullopt;
             if (found && m_onFound)
                 m_onFound(*found);
             if (!object && reason != PlatformError::NotFound)
@@ -91,7 +91,7 @@
                 return;
             }
             m_version = object ? object->version : 0;
-            const auto found = object && object->value ? parsePeerEntry(*object->value) : std::nullopt;
+            const auto found = object ? parseStoredEntry(*object) : std::nullopt;
             if (found && found->epoch >= m_entry->epoch) {
                 m_entry->epoch = found->epoch + 1;
                 if (m_onFound)
--- a/src/kingcuptraild/packets/peerlookup.cpp
+++ b/src/kingcuptraild/packets/peerlookup.cpp
@@ -40,7 +40,7 @@
     std::vector<PeerEntry> entries;
     for (const PlatformObject& object : objects.objects) {
         // Entries that cannot be parsed are logged by the processes that follow the store.
-        if (auto entry = object.value ? parsePeerEntry(*object.value) : std::nullopt)
+        if (auto entry = parseStoredEntry(object))
             entries.push_back(std::move(*entry));
     }
     m_network.updateEntries(entries);
--- a/src/kingcuptraild/packets/storefollower.cpp
+++ b/src/kingcuptraild/packets/storefollower.cpp
@@ -25,10 +25,9 @@
         return options;
     }
 
-    void logForeignObject(std::string_view kind, const std::string& object, DecodeError error)
-    {
-        logEvent(Event::ForeignObject, { { "kind", kind }, { "object", object }, { "reason", nameOf(error) } });
-    }
+    /// Foreign objects that are remembered as logged, and how much of their names is logged. Names are the other program's choice.
+    constexpr std::size_t maxLoggedObjects = 100;
+    constexpr std::size_t maxLoggedName = 100;
 
 }
 
@@ -111,7 +110,7 @@
         if (auto routes = m_adapter.decodeRoutes(object, error))
             m_network.updateRoutes(std::move(*routes));
         else if (error != DecodeError::None)
-            logForeignObject(m_adapter.routesKind, object.name, error);
+            logForeignObject(m_adapter.routesKind, object, error);
     }
 }
 
@@ -120,7 +119,7 @@
     recordStoreAnswer();
     for (const PlatformObject& object : changes.objects) {
         if (object.name.empty()) {
-            logForeignObject(m_adapter.outagesKind, object.name, DecodeError::BadText);
+            logForeignObject(m_adapter.outagesKind, object, DecodeError::BadText);
             continue;
         }
         std::erase(m_outDataCentres, object.name);
@@ -136,9 +135,9 @@
     std::vector<PeerEntry> entries;
     std::map<std::string, ObjectVersion> staleListings;
     for (const PlatformObject& object : objects.objects) {
-        const auto entry = object.value ? parsePeerEntry(*object.value) : std::nullopt;
-        if (!entry || entry->name != object.name) {
-            logForeignObject(agentKind, object.name, DecodeError::BadText);
+        const auto entry = parseStoredEntry(object);
+        if (!entry) {
+            logForeignObject(agentKind, object, DecodeError::BadText);
             continue;
         }
         entries.push_back(*entry);
@@ -149,6 +148,16 @@
     removeStaleListings(staleListings);
 }
 
+// Entries are listed every few seconds, so each version of an object is logged once.
+void StoreFollower::logForeignObject(std::string_view kind, const PlatformObject& object, DecodeError error)
+{
+    const std::string name = object.name.substr(0, maxLoggedName);
+    if (m_loggedObjects.size() >= maxLoggedObjects)
+        m_loggedObjects.clear();
+    if (m_loggedObjects.insert({ std::string(kind) + "/" + name, object.version }).second)
+        logEvent(Event::ForeignObject, { { "kind", kind }, { "object", name }, { "revision", object.version }, { "reason", nameOf(error) } });
+}
+
 // Removes only entries that two consecutive listings show with the same version: an agent that leaves withdraws its entry
 // itself within seconds, and a listing may be some seconds old. The version condition keeps an entry that was written again.
 void StoreFollower::removeStaleListings(const std::map<std::string, ObjectVersion>& staleListings)
--- a/src/kingcuptraild/packets/storefollower.h
+++ b/src/kingcuptraild/packets/storefollower.h
@@ -6,6 +6,7 @@
 #include "peernetwork.h"
 
 #include <map>
+#include <set>
 
 namespace kingcuptrail {
 
@@ -33,6 +34,7 @@
     void updateRoutes(const ObjectList& objects);
     void updateOutages(const ObjectList& changes);
     void updateAgents(const ObjectList& objects);
+    void logForeignObject(std::string_view kind, const PlatformObject& object, DecodeError error);
     void removeStaleListings(const std::map<std::string, ObjectVersion>& staleListings);
     void recordStoreFailure();
     void recordStoreAnswer();
@@ -51,6 +53,8 @@
     bool m_isUnresponsive = false;
     /// Entries of processes that are gone, with their versions, as of the last listing.
     std::map<std::string, ObjectVersion> m_staleListings;
+    /// Objects of other programs that were logged, with their versions.
+    std::set<std::pair<std::string, ObjectVersion>> m_loggedObjects;
     PlatformClient m_removalClient;
 };
 
--- a/src/libplatform/announcer.cpp
+++ b/src/libplatform/announcer.cpp
@@ -1,6 +1,7 @@
 #include "announcer.h"
 
 #include "delay.h"
+#include "jsontext.h"
 #include "leaserecord.h"
 #include "randomid.h"
 
@@ -34,7 +35,7 @@
         auto presence = text ? parsePresence(*text) : std::nullopt;
         if (!presence)
             return std::nullopt;
-        const json document = json::parse(*text, nullptr, false);
+        const json document = parseJson(*text);
         return PresenceRecord { .presence = std::move(*presence), .announceId = document.value("announceId", std::string()) };
     }
 
--- a/src/libplatform/config.cpp
+++ b/src/libplatform/config.cpp
@@ -1,6 +1,7 @@
 #include "config.h"
 
 #include "configschema.h"
+#include "jsontext.h"
 #include "schemacheck.h"
 
 #include <algorithm>
@@ -43,17 +44,17 @@
         service.name = document.at("name").get<std::string>();
         service.address = parseServiceAddress(document.at("address").get<std::string>()).value_or(0);
         service.dataCentres = document.at("dataCentres").get<std::vector<std::string>>();
-        service.slots = document.at("slots").get<std::uint32_t>();
-        service.queueLimit = document.value("queueLimit", service.queueLimit);
-        service.flowLimit = document.value("flowLimit", service.flowLimit);
-        service.warmUp = document.value("warmUpMs", service.warmUp);
+        service.slots = numberField<std::uint32_t>(document, "slots");
+        service.queueLimit = numberField(document, "queueLimit", service.queueLimit);
+        service.flowLimit = numberField(document, "flowLimit", service.flowLimit);
+        service.warmUp = numberField(document, "warmUpMs", service.warmUp);
         return service;
     }
 
     Config configFromJson(const json& document)
     {
         Config config;
-        config.version = document.value("version", ConfigVersion { 0 });
+        config.version = numberField(document, "version", ConfigVersion { 0 });
         for (const json& service : document.at("services"))
             config.services.push_back(serviceFromJson(service));
         for (const json& dataCentre : document.at("dataCentres")) {
@@ -218,7 +219,7 @@
 
 std::optional<ServiceConfig> parseService(std::string_view text)
 {
-    const json document = json::parse(text, nullptr, false);
+    const json document = parseJson(text);
     if (document.is_discarded())
         return std::nullopt;
     try {
--- a/src/libplatform/leaserecord.cpp
+++ b/src/libplatform/leaserecord.cpp
@@ -1,5 +1,7 @@
 #include "leaserecord.h"
 
+#include "jsontext.h"
+
 #include <nlohmann/json.hpp>
 
 namespace kingcuptrail {
@@ -8,13 +10,13 @@
 
 std::optional<LeaseRecord> parseLease(std::string_view text)
 {
-    const json document = json::parse(text, nullptr, false);
+    const json document = parseJson(text);
     if (document.is_discarded())
         return std::nullopt;
     try {
         return LeaseRecord {
-            .incarnation = document.at("incarnation").get<Incarnation>(),
-            .renewals = document.at("renewals").get<std::uint64_t>(),
+            .incarnation = numberField<Incarnation>(document, "incarnation"),
+            .renewals = numberField<std::uint64_t>(document, "renewals"),
             .announceId = document.at("announceId").get<std::string>(),
         };
     } catch (const json::exception&) {
--- a/src/libplatform/manifest.cpp
+++ b/src/libplatform/manifest.cpp
@@ -1,5 +1,7 @@
 #include "manifest.h"
 
+#include "jsontext.h"
+
 #include <algorithm>
 #include <array>
 #include <cinttypes>
@@ -17,16 +19,16 @@
     Manifest manifestFromJson(const json& document)
     {
         Manifest manifest;
-        manifest.version = document.at("version").get<ConfigVersion>();
+        manifest.version = numberField<ConfigVersion>(document, "version");
         manifest.applyId = document.at("applyId").get<std::string>();
         for (const json& service : document.at("services"))
             manifest.services.push_back({ .name = service.at("name").get<std::string>(), .object = service.at("object").get<std::string>() });
         for (const json& dataCentre : document.at("dataCentres"))
             manifest.dataCentres.push_back({ .name = dataCentre.at("name").get<std::string>(), .out = dataCentre.at("out").get<bool>() });
         for (const json& apply : document.at("recent"))
-            manifest.recent.push_back({ .applyId = apply.at("applyId").get<std::string>(), .version = apply.at("version").get<ConfigVersion>() });
+            manifest.recent.push_back({ .applyId = apply.at("applyId").get<std::string>(), .version = numberField<ConfigVersion>(apply, "version") });
         for (const json& retired : document.value("retired", json::array()))
-            manifest.retired.push_back({ .object = retired.at("object").get<std::string>(), .since = retired.at("since").get<ConfigVersion>() });
+            manifest.retired.push_back({ .object = retired.at("object").get<std::string>(), .since = numberField<ConfigVersion>(retired, "since") });
         return manifest;
     }
 
@@ -76,7 +78,7 @@
 
 std::optional<Manifest> parseManifest(std::string_view text)
 {
-    const json document = json::parse(text, nullptr, false);
+    const json document = parseJson(text);
     if (document.is_discarded())
         return std::nullopt;
     try {
--- a/src/libplatform/peerentryjson.cpp
+++ b/src/libplatform/peerentryjson.cpp
@@ -1,8 +1,6 @@
 #include "peerentryjson.h"
 
-#include <cmath>
-#include <limits>
-#include <nlohmann/json.hpp>
+#include "jsontext.h"
 
 namespace kingcuptrail {
 
@@ -10,6 +8,9 @@
 
 namespace {
 
+    /// Far more than any entry needs. Parsing needs many times the memory of the text, and agents have little.
+    constexpr std::size_t maxEntryBytes = std::size_t { 16 } * 1024;
+
     json entryToJson(const PeerEntry& entry)
     {
         return {
@@ -24,21 +25,6 @@
         };
     }
 
-    /// A field that holds a number of this type. The library's own conversion of a number outside the type's range is undefined
-    /// or wraps around.
-    template <typename Number>
-    Number numberField(const json& document, const char* name)
-    {
-        using Limits = std::numeric_limits<Number>;
-        const json& value = document.at(name);
-        const bool isInRange = value.is_number_unsigned()
-            ? value.get<std::uint64_t>() <= Limits::max()
-            : value.is_number() && value.get<double>() >= 0 && value.get<double>() < std::ldexp(1.0, Limits::digits);
-        if (!isInRange)
-            throw json::other_error::create(0, "not a number in range", nullptr);
-        return value.get<Number>();
-    }
-
     /// Epochs begin at the wall-clock time in milliseconds and grow by one. A far larger one is not of this system, and one that is
     /// near the end of its type could not be superseded.
     std::uint64_t epochField(const json& document)
@@ -50,6 +36,17 @@
         return epoch;
     }
 
+    /// An IPv4 address to which datagrams of one host can be sent.
+    std::uint32_t addressField(const json& document)
+    {
+        constexpr std::uint32_t firstHost = 0x01000000;
+        constexpr std::uint32_t firstMulticast = 0xe0000000;
+        const auto address = numberField<std::uint32_t>(document, "address");
+        if (address < firstHost || address >= firstMulticast)
+            throw json::other_error::create(0, "not the address of a host", nullptr);
+        return address;
+    }
+
     PeerEntry entryFromJson(const json& document)
     {
         const auto role = fromName<PeerRole>(document.at("role").get<std::string>());
@@ -59,7 +56,7 @@
         return {
             .name = document.at("name").get<std::string>(),
             .role = *role,
-            .address = numberField<std::uint32_t>(document, "address"),
+            .address = addressField(document),
             .dataCentre = document.at("dataCentre").get<std::string>(),
             .service = document.at("service").get<std::string>(),
             .state = *state,
@@ -75,9 +72,17 @@
     return entryToJson(entry).dump();
 }
 
+std::optional<PeerEntry> parseStoredEntry(const PlatformObject& object)
+{
+    const auto entry = object.value ? parsePeerEntry(*object.value) : std::nullopt;
+    return entry && entry->name == object.name ? entry : std::nullopt;
+}
+
 std::optional<PeerEntry> parsePeerEntry(std::string_view text)
 {
-    const json document = json::parse(text, nullptr, false);
+    if (text.size() > maxEntryBytes)
+        return std::nullopt;
+    const json document = parseJson(text);
     if (document.is_discarded())
         return std::nullopt;
     try {
--- a/src/libplatform/peerentryjson.h
+++ b/src/libplatform/peerentryjson.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libdecision/directory.h"
+#include "platformclient.h"
 
 #include <optional>
 #include <string>
@@ -14,4 +15,7 @@
 /// Parses an announcement; nothing when the text is not valid.
 std::optional<PeerEntry> parsePeerEntry(std::string_view json);
 
+/// The announcement that the store holds under its own name; nothing for an object that another program wrote.
+std::optional<PeerEntry> parseStoredEntry(const PlatformObject&);
+
 }
--- a/src/libplatform/presence.cpp
+++ b/src/libplatform/presence.cpp
@@ -1,5 +1,7 @@
 #include "presence.h"
 
+#include "jsontext.h"
+
 #include <nlohmann/json.hpp>
 
 namespace kingcuptrail {
@@ -8,7 +10,7 @@
 
 std::optional<Presence> parsePresence(std::string_view text)
 {
-    const json document = json::parse(text, nullptr, false);
+    const json document = parseJson(text);
     if (document.is_discarded())
         return std::nullopt;
     try {
@@ -17,12 +19,12 @@
             return std::nullopt;
         Presence presence;
         presence.upstream = document.at("upstream").get<std::string>();
-        presence.token = { document.at("id").get<UpstreamId>(), document.at("incarnation").get<Incarnation>() };
+        presence.token = { numberField<UpstreamId>(document, "id"), numberField<Incarnation>(document, "incarnation") };
         presence.service = document.at("service").get<std::string>();
         presence.dataCentre = document.at("dataCentre").get<std::string>();
         presence.address = document.at("address").get<std::string>();
         presence.state = *state;
-        presence.lease = document.at("leaseMs").get<Millis>();
+        presence.lease = numberField<Millis>(document, "leaseMs");
         return presence.token.isSet() && presence.lease > 0 ? std::optional(std::move(presence)) : std::nullopt;
     } catch (const json::exception&) {
         return std::nullopt;
--- a/src/libplatform/schemacheck.cpp
+++ b/src/libplatform/schemacheck.cpp
@@ -1,5 +1,7 @@
 #include "schemacheck.h"
 
+#include "jsontext.h"
+
 #include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
@@ -148,6 +150,10 @@
 
 std::optional<nlohmann::json> parseChecked(std::string_view json, std::string_view schema, std::vector<Fault>& faults)
 {
+    if (!isDepthAllowed(json)) {
+        faults.push_back({ .kind = FaultKind::NotJson, .place = "", .detail = "The text is nested too deeply." });
+        return std::nullopt;
+    }
     const std::size_t faultsBefore = faults.size();
     auto document = nlohmann::json::parse(json, DuplicateFinder(faults), false);
     if (document.is_discarded()) {
--- a/src/libplatform/storedialect.cpp
+++ b/src/libplatform/storedialect.cpp
@@ -1,11 +1,9 @@
 #include "storedialect.h"
 
-#include <nlohmann/json.hpp>
+#include "jsontext.h"
 
 namespace kingcuptrail {
 
-using nlohmann::json;
-
 namespace {
 
     constexpr int statusOk = 200;
@@ -19,38 +17,24 @@
         return "/objects/" + percentEncode(kind) + "/" + percentEncode(name);
     }
 
-    PlatformObject objectFromJson(const json& document)
+    /// Reads an object without parsing its value, which any program may have written.
+    std::optional<PlatformObject> objectFromText(std::string_view text)
     {
-        PlatformObject object { .name = document.at("name").get<std::string>(), .version = document.at("version").get<ObjectVersion>(), .value = {} };
-        if (const json& value = document.at("value"); !value.is_null())
-            object.value = value.dump();
+        const auto fields = splitObject(text);
+        const auto name = fields ? parseString(fieldValue(*fields, "name")) : std::nullopt;
+        const auto version = fields ? parseUnsigned(fieldValue(*fields, "version")) : std::nullopt;
+        const std::string_view value = fields ? fieldValue(*fields, "value") : std::string_view();
+        if (!name || !version || value.empty())
+            return std::nullopt;
+        PlatformObject object { .name = *name, .version = *version, .value = {} };
+        if (value != "null")
+            object.value = std::string(value);
         return object;
     }
 
-    ObjectList listFromJson(const json& document)
-    {
-        ObjectList list { .version = document.at("version").get<ObjectVersion>(), .objects = {} };
-        for (const json& object : document.at("objects"))
-            list.objects.push_back(objectFromJson(object));
-        return list;
-    }
-
-    ObjectVersion versionFromJson(const json& document)
+    std::optional<ObjectVersion> versionFromFields(const std::optional<std::vector<JsonField>>& fields)
     {
-        return document.at("version").get<ObjectVersion>();
-    }
-
-    template <typename Result>
-    std::optional<Result> decodeBody(const std::string& body, Result (*read)(const json&))
-    {
-        const json document = json::parse(body, nullptr, false);
-        if (document.is_discarded())
-            return std::nullopt;
-        try {
-            return read(document);
-        } catch (const json::exception&) {
-            return std::nullopt;
-        }
+        return fields ? parseUnsigned(fieldValue(*fields, "version")) : std::nullopt;
     }
 
     HttpRequest getRequest(const std::string& kind, const std::string& name, ReadFreshness)
@@ -85,12 +69,22 @@
 
     std::optional<PlatformObject> decodeObject(const std::string& body)
     {
-        return decodeBody(body, objectFromJson);
+        return objectFromText(body);
     }
 
     std::optional<ObjectList> decodeChanges(const std::string& body)
     {
-        return decodeBody(body, listFromJson);
+        const auto fields = splitObject(body);
+        const auto version = versionFromFields(fields);
+        const auto objects = version ? splitArray(fieldValue(*fields, "objects")) : std::nullopt;
+        if (!objects)
+            return std::nullopt;
+        ObjectList list { .version = *version, .objects = {} };
+        for (const std::string_view object : *objects) {
+            if (auto read = objectFromText(object))
+                list.objects.push_back(std::move(*read));
+        }
+        return list;
     }
 
     std::optional<ObjectPage> decodePage(const std::string& body)
@@ -103,7 +97,7 @@
 
     std::optional<ObjectVersion> decodeVersion(const std::string& body)
     {
-        return decodeBody(body, versionFromJson);
+        return versionFromFields(splitObject(body));
     }
 
     PlatformError errorFromStatus(int status)
--- a/tests/packets/testpeermessage.cpp
+++ b/tests/packets/testpeermessage.cpp
@@ -19,7 +19,7 @@
 
     static PeerEntry entry()
     {
-        return { .name = "agent-1", .role = PeerRole::Agent, .address = 7, .dataCentre = "north", .service = "board", .state = PeerState::Draining, .slots = 5, .epoch = 9 };
+        return { .name = "agent-1", .role = PeerRole::Agent, .address = 0x0a000007, .dataCentre = "north", .service = "board", .state = PeerState::Draining, .slots = 5, .epoch = 9 };
     }
 
     void flowMessageRoundTrips()
@@ -124,11 +124,11 @@
         CPPUNIT_ASSERT(parsePeerEntry(toJson(entry())) == entry());
         CPPUNIT_ASSERT(!parsePeerEntry(R"({"name":"x","role":"nobody"})"));
         // Guards against undefined conversions of numbers that another program wrote to the store.
-        for (const std::string address : { "7e128", "-1", "4294967296", "4294967296.0", "\"1\"" })
+        for (const std::string address : { "7e128", "-1", "4294967296", "4294967296.0", "\"1\"", "0", "3758096384", "4294967295" })
             CPPUNIT_ASSERT(!parsePeerEntry(R"({"name":"x","role":"agent","address":)" + address + R"(,"dataCentre":"n","service":"s","state":"ready","slots":1,"epoch":1})"));
         // Guards against an epoch above which an agent cannot announce itself any more.
         for (const auto& [epoch, isValid] : { std::pair { "18446744073709551615", false }, std::pair { "9223372036854775807", false }, std::pair { "1796563551064", true } })
-            CPPUNIT_ASSERT_EQUAL_MESSAGE(epoch, isValid, parsePeerEntry(R"({"name":"x","role":"agent","address":1,"dataCentre":"n","service":"s","state":"ready","slots":1,"epoch":)" + std::string(epoch) + "}").has_value());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(epoch, isValid, parsePeerEntry(R"({"name":"x","role":"agent","address":167772161,"dataCentre":"n","service":"s","state":"ready","slots":1,"epoch":)" + std::string(epoch) + "}").has_value());
     }
 };
 
--- a/tests/trustplatform/teststorefollower.cpp
+++ b/tests/trustplatform/teststorefollower.cpp
@@ -8,6 +8,8 @@
     CPPUNIT_TEST_SUITE(TestStoreFollower);
     CPPUNIT_TEST(detectsUnresponsiveStore);
     CPPUNIT_TEST(appliesChangeAfterStoreRecovers);
+    CPPUNIT_TEST(foreignObjectsDoNotStopAFollower);
+    CPPUNIT_TEST(followerStartsBesideForeignObjects);
     CPPUNIT_TEST_SUITE_END();
 
     /// A process that follows the store with the long watch times of a real deployment.
@@ -57,6 +59,116 @@
         runUntil(m_context, [&reader] { return reader.follower->isCurrent(); });
         runUntil(m_context, [&reader] { return reader.network.routes().version == 7; });
     }
+
+    /// Writes objects of another program: text and numbers that the JSON library refuses, and nesting that ends a process which copies
+    /// it.
+    void writeForeignObjects()
+    {
+        constexpr std::size_t levels = 500000;
+        for (const char* kind : { "config", "evacuations", "agent" }) {
+            m_server->store().put(kind, "cellar-1", R"({"note":"\udcff\udcfe"})", 0);
+            m_server->store().put(kind, "cellar-2", R"({"until":1e400})", 0);
+            m_server->store().put(kind, "cellar-3", "\"\xff\xfe\"", 0);
+            m_server->store().put(kind, "cellar-4", R"({"note":)" + std::string(levels, '[') + std::string(levels, ']') + "}", 0);
+            m_server->store().put(kind, "cellar-5", "7", 0);
+            m_server->wakeWatches(kind);
+        }
+    }
+
+    void expectChangesInForce(const Reader& reader)
+    {
+        const PeerEntry agent { .name = "agent-1", .address = 0x0a000001, .dataCentre = "north", .service = "board", .slots = 5, .epoch = 9 };
+        m_server->store().put("agent", agent.name, toJson(agent), 0);
+        m_server->store().put("config", "main", R"({"version":7,"routes":[],"services":[]})", 0);
+        m_server->store().put("evacuations", "south", "{}", 0);
+        m_server->wakeWatches("config");
+        m_server->wakeWatches("evacuations");
+        runUntil(m_context, [&reader] { return reader.network.routes().version == 7 && isDataCentreOut(reader.network.outages(), "south"); });
+        runUntil(m_context, [&reader] { return reader.network.directory().entries.contains("agent-1"); });
+        CPPUNIT_ASSERT(reader.follower->isCurrent());
+    }
+
+    // Guards against an object of another program that stops a process from following the store, or ends it.
+    void foreignObjectsDoNotStopAFollower()
+    {
+        Reader reader(m_context, m_options);
+        writeForeignObjects();
+        expectChangesInForce(reader);
+    }
+
+    // Guards against a process that cannot start while such an object is in the store.
+    void followerStartsBesideForeignObjects()
+    {
+        writeForeignObjects();
+        Reader reader(m_context, m_options);
+        expectChangesInForce(reader);
+    }
+
+    /// A store that answers its calls with these bodies in turn, and with the last one from then on.
+    struct ScriptedStore {
+        ScriptedStore(asio::io_context& context, std::vector<std::string> answers)
+            : bodies(std::move(answers))
+        {
+            asio::error_code error;
+            server = HttpServer::listen(
+                context, { asio::ip::make_address("127.0.0.1"), 0 }, {}, [this](const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder) {
+                    responder->respond({ .headers = { { "Content-Type", "application/json" } }, .body = bodies[std::min(targets.size(), bodies.size() - 1)] });
+                    targets.push_back(request.target); },
+                error);
+            CPPUNIT_ASSERT(server);
+        }
+
+        PlatformOptions options() const { return { .server = server->localEndpoint(), .dialect = trustAdapter().store, .minRetryDelay = 5, .maxRetryDelay = 5 }; }
+
+        std::vector<std::string> bodies;
+        std::vector<std::string> targets;
+        std::unique_ptr<HttpServer> server;
+    };
+
+    ObjectList listFrom(ScriptedStore& store)
+    {
+        PlatformClient client(m_context, store.options());
+        std::optional<ObjectList> listed;
+        client.list("agent", [&listed](std::optional<ObjectList> objects, PlatformError) { listed = std::move(objects); });
+        runUntil(m_context, [&listed] { return listed.has_value(); });
+        return *listed;
+    }
+
+    static constexpr const char* unnamedObject = R"({"meta":{"name":"\udcff","revision":2},"spec":{}})";
+    static constexpr const char* firstObject = R"({"meta":{"name":"a","revision":3},"spec":{}})";
+    static constexpr const char* secondObject = R"({"meta":{"name":"b","revision":4},"spec":{}})";
+
+    static std::string pageOf(const std::string& items, bool hasMore)
+    {
+        return R"({"items":[)" + items + R"(],"has-more":)" + (hasMore ? "true" : "false") + R"(,"as-of":8})";
+    }
+
+    // Guards against reading the first page again and again after one that ends with an object whose name cannot be read.
+    void listContinuesAfterTheLastReadableName()
+    {
+        ScriptedStore store(m_context, { pageOf(std::string(firstObject) + "," + unnamedObject, true), pageOf(std::string(unnamedObject) + "," + secondObject, false) });
+        const ObjectList listed = listFrom(store);
+        CPPUNIT_ASSERT(listed.objects.size() == 4 && listed.objects.back().name == "b");
+        CPPUNIT_ASSERT(store.targets == (std::vector<std::string> { "/objects/agent", "/objects/agent?after=a" }));
+    }
+
+    // Guards against a list that never ends because no object on its page has a readable name.
+    void listEndsWhereNoNameCanBeRead()
+    {
+        ScriptedStore store(m_context, { pageOf(firstObject, true), pageOf(unnamedObject, true) });
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, listFrom(store).objects.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t { 2 }, store.targets.size());
+    }
+
+    // Guards against a watch that is repeated for ever although each of its answers is unreadable.
+    void unreadableAnswerOfAWatchLeadsToAList()
+    {
+        ScriptedStore store(m_context, { pageOf(firstObject, false), R"({"events":)", pageOf(secondObject, false) });
+        std::vector<std::string> names;
+        KindWatcher watcher(m_context, store.options(), "agent", { .onList = [&names](const ObjectList& list) { names.push_back(list.objects.back().name); }, .onChanges = [](const ObjectList&) {}, .onError = {} });
+        runUntil(m_context, [&names] { return names.size() >= 2; });
+        CPPUNIT_ASSERT(names[1] == "b" && store.targets[2] == "/objects/agent");
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TestStoreFollower);
--- a/tests/trustplatform/testtrustplatform.cpp
+++ b/tests/trustplatform/testtrustplatform.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(rejectsMalformedConfigurations);
     CPPUNIT_TEST(encodesAndDecodesStoreCalls);
     CPPUNIT_TEST(malformedObjectDoesNotHideOthers);
+    CPPUNIT_TEST(unreadableObjectDoesNotHideOthers);
     CPPUNIT_TEST(rejectsOutOfRangeTimes);
     CPPUNIT_TEST(rejectsReportsWithTooLargeNumbers);
     CPPUNIT_TEST(largeNumbersOfTheConfigurationAreCapped);
@@ -170,6 +171,37 @@
         CPPUNIT_ASSERT(changes && changes->objects.size() == 2 && changes->objects[1].name == "b");
     }
 
+    /// What another program may have written as a spec, or as a part of it, and the JSON library refuses or cannot copy.
+    static std::vector<std::string> unreadableValues()
+    {
+        constexpr std::size_t levels = 500000;
+        return { R"({"note":"\udcff\udcfe"})", R"({"until":1e400})", "\"\xff\xfe\"", std::string(levels, '[') + std::string(levels, ']') };
+    }
+
+    // Guards against an object of another writer that the JSON library refuses, or that ends the process when it is copied: it
+    // made the whole answer unreadable, and no process that started then became ready.
+    void unreadableObjectDoesNotHideOthers()
+    {
+        const StoreDialect& store = *m_adapter.store;
+        for (const std::string& value : unreadableValues()) {
+            const std::string odd = R"({"meta":{"name":"odd","revision":3,"finalizers":[)" + value + R"(]},"spec":)" + value + "}";
+            const std::string good = R"({"meta":{"name":"b","revision":4},"spec":{"x":1}})";
+            const auto page = store.decodePage(R"({"items":[)" + odd + "," + good + R"(],"as-of":8,"has-more":false})");
+            CPPUNIT_ASSERT(page && page->list.objects.size() == 2);
+            CPPUNIT_ASSERT_EQUAL(std::string("odd"), page->list.objects[0].name);
+            CPPUNIT_ASSERT_EQUAL(std::string(R"({"x":1})"), *page->list.objects[1].value);
+            const auto changes = store.decodeChanges(R"({"events":[{"object":)" + odd + R"(,"deleted":false},{"deleted":true,"object":)" + odd + R"(},{"object":)" + good + R"(}],"as-of":9})");
+            CPPUNIT_ASSERT(changes && changes->objects.size() == 3 && changes->version == 9);
+            CPPUNIT_ASSERT(changes->objects[0].value && !changes->objects[1].value && changes->objects[2].name == "b");
+            CPPUNIT_ASSERT(store.decodeObject(odd) && store.decodeVersion(odd) == ObjectVersion { 3 });
+            const auto unnamed = store.decodePage(R"({"items":[{"meta":{"name":)" + value + R"(,"revision":3}},)" + good + R"(],"as-of":8})");
+            CPPUNIT_ASSERT(unnamed && unnamed->list.objects[0].name.empty() && unnamed->list.objects[1].name == "b");
+            DecodeError error = DecodeError::None;
+            CPPUNIT_ASSERT(!decodeRoutes(value, error) && error != DecodeError::None);
+            CPPUNIT_ASSERT(!put(value).report);
+        }
+    }
+
     // Guards against a report whose remaining warm-up time does not fit into an integer of milliseconds. Converting it
     // without a check is undefined behaviour: the upstream counted as cold for ever or not at all. A negative time counts as
     // zero.
--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -9,7 +9,7 @@
 build="${KINGCUPTRAIL_FUZZ_BUILD:-build-fuzz}"
 export CCACHE_BASEDIR="$PWD" CCACHE_NOHASHDIR=1
 [ -f "$build/build.ninja" ] || cmake -S . -B "$build" -G Ninja -DKINGCUPTRAIL_FUZZ=ON -DCMAKE_CXX_COMPILER=clang++ -DCMAKE_C_COMPILER=clang > /dev/null
-targets=(packet report routes store peer)
+targets=(packet report routes store objects peer)
 cmake --build "$build" --target "${targets[@]/#/fuzz_}"
 for target in "${targets[@]}"; do
     # New inputs go to the build folder and not to the cases, so that runs from the same seed are reproducible. They also
