--- a/src/libplatform/platformclient.cpp
+++ b/src/libplatform/platformclient.cpp
@@ -3,12 +3,20 @@
 #include "libhttp/httpclient.h"
 #include "storedialect.h"
 
+#include <algorithm>
 #include <set>
 
 namespace kingcuptrail {
 
 namespace {
 
+    /// The last name that could be read; a page continues after it.
+    std::string lastNameOf(const ObjectList& list)
+    {
+        const auto named = std::find_if(list.objects.rbegin(), list.objects.rend(), [](const PlatformObject& object) { return !object.name.empty(); });
+        return named != list.objects.rend() ? named->name : std::string();
+    }
+
     PlatformError errorFromOutcome(const HttpOutcome& outcome)
     {
         return outcome.mayHaveReached ? PlatformError::NoAnswer : PlatformError::Unreachable;
@@ -78,19 +86,19 @@
 // changes made while the other pages were read.
 void PlatformClient::Private::listNextPage(std::string kind, ReadFreshness freshness, ObjectList listed, Handler<ObjectList> handler)
 {
-    const std::string after = listed.objects.empty() ? std::string() : listed.objects.back().name;
+    const std::string after = lastNameOf(listed);
     HttpRequest request = dialect().list(kind, after, freshness);
     call<ObjectPage>(std::move(request), options.callTimeout, dialect().decodePage,
-        [this, freshness, kind = std::move(kind), listed = std::move(listed), handler = std::move(handler)](std::optional<ObjectPage> page, PlatformError error) mutable {
+        [this, after, freshness, kind = std::move(kind), listed = std::move(listed), handler = std::move(handler)](std::optional<ObjectPage> page, PlatformError error) mutable {
             if (!page) {
                 handler(std::nullopt, error);
                 return;
             }
             if (listed.objects.empty())
                 listed.version = page->list.version;
-            const bool hasMore = page->hasMore && !page->list.objects.empty();
             std::move(page->list.objects.begin(), page->list.objects.end(), std::back_inserter(listed.objects));
-            if (hasMore)
+            // A page on which no name can be read does not show where the next one begins.
+            if (page->hasMore && lastNameOf(listed) != after)
                 listNextPage(std::move(kind), freshness, std::move(listed), std::move(handler));
             else
                 handler(std::move(listed), PlatformError::None);
--- a/tests/trustplatform/teststorefollower.cpp
+++ b/tests/trustplatform/teststorefollower.cpp
@@ -10,6 +10,8 @@
     CPPUNIT_TEST(appliesChangeAfterStoreRecovers);
     CPPUNIT_TEST(foreignObjectsDoNotStopAFollower);
     CPPUNIT_TEST(followerStartsBesideForeignObjects);
+    CPPUNIT_TEST(listContinuesAfterTheLastReadableName);
+    CPPUNIT_TEST(listEndsWhereNoNameCanBeRead);
     CPPUNIT_TEST_SUITE_END();
 
     /// A process that follows the store with the long watch times of a real deployment.
