--- a/src/libplatform/kindwatcher.cpp
+++ b/src/libplatform/kindwatcher.cpp
@@ -44,8 +44,9 @@
 {
     m_client.watch(m_kind, *m_since, [this](const std::optional<ObjectList>& changes, PlatformError reason) {
         if (!changes) {
-            // The store no longer has the history since that version, so all objects are listed again.
-            if (reason == PlatformError::Gone)
+            // All objects are listed again when the store no longer has the history since that version, and when its answer cannot be
+            // read: the same watch would get the same answer again.
+            if (reason == PlatformError::Gone || reason == PlatformError::BadAnswer)
                 m_since.reset();
             retry(reason);
             return;
--- a/tests/trustplatform/teststorefollower.cpp
+++ b/tests/trustplatform/teststorefollower.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(followerStartsBesideForeignObjects);
     CPPUNIT_TEST(listContinuesAfterTheLastReadableName);
     CPPUNIT_TEST(listEndsWhereNoNameCanBeRead);
+    CPPUNIT_TEST(unreadableAnswerOfAWatchLeadsToAList);
     CPPUNIT_TEST_SUITE_END();
 
     /// A process that follows the store with the long watch times of a real deployment.
