--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -497,7 +497,8 @@
         { "routesVersion", m_state.network.routes().version },
         { "out", m_state.network.outages().out },
     };
-    const std::string text = status.dump();
+    // Names from other programs may hold bytes that are no UTF-8.
+    const std::string text = status.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     return text.substr(1, text.size() - 2);
 }
 
--- a/src/kingcuptraild/packets/packetbalancer.cpp
+++ b/src/kingcuptraild/packets/packetbalancer.cpp
@@ -294,7 +294,8 @@
         { "followsStore", m_store != nullptr },
         { "platformTrouble", nameOf(m_store ? m_store->lastError() : PlatformError::None) },
     };
-    const std::string text = status.dump();
+    // Names from other programs may hold bytes that are no UTF-8.
+    const std::string text = status.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     return text.substr(1, text.size() - 2);
 }
 
--- a/tests/trustplatform/testpacketagent.cpp
+++ b/tests/trustplatform/testpacketagent.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(copiesProbeToNeighbours);
     CPPUNIT_TEST(unsureAgentQueriesNeighbours);
     CPPUNIT_TEST(reportsPendingRequestToOtherDataCentre);
+    CPPUNIT_TEST(statusShowsAnIdThatIsNoText);
     CPPUNIT_TEST_SUITE_END();
 
     struct Agent {
@@ -66,7 +67,7 @@
         return settings;
     }
 
-    void report(const Agent& agent, const std::string& state)
+    void report(const Agent& agent, const std::string& state, const std::string& id = "i-1")
     {
         ++m_sequence;
         const std::string body = R"({"service":"board","address":"127.83.1.1:1","zone":"north","slots":5,"warmup-left-ms":0,"born":1000,"state":")" + state + R"(","sequence":)" + std::to_string(m_sequence) + "}";
@@ -76,7 +77,7 @@
             isDone = true;
             CPPUNIT_ASSERT(response && response->status == 200);
         };
-        const auto call = startHttpCall(m_context, agent.settings.packets.control, { .method = "PUT", .target = "/targets/i-1", .body = body }, {}, std::move(handlers));
+        const auto call = startHttpCall(m_context, agent.settings.packets.control, { .method = "PUT", .target = "/targets/" + id, .body = body }, {}, std::move(handlers));
         runUntil(m_context, [&isDone] { return isDone; });
     }
 
@@ -365,6 +366,14 @@
         CPPUNIT_ASSERT(!near.hasReceived(wire::PeerKind::PendingRequests));
     }
 
+    // Guards against a report whose id is no UTF-8 and that ends the agent when its status is asked for.
+    void statusShowsAnIdThatIsNoText()
+    {
+        const Agent agent(m_context, settingsOf("agent-1", 1, freePort()), m_options);
+        report(agent, "ready", "i-%ff");
+        CPPUNIT_ASSERT(agent.agent.statusFields().find("\"service\":\"board\"") != std::string::npos);
+    }
+
     std::uint64_t m_sequence = 0;
     unsigned m_denied = 0;
 };
