--- a/src/kingcuptraild/packets/agentstate.cpp
+++ b/src/kingcuptraild/packets/agentstate.cpp
@@ -48,10 +48,10 @@
 }
 
 // Callers of lost flows get a reset at once, so that they open new flows instead of sending into lost ones until their
-// deadlines. Flows that were learnt after the upstream's last packet may be held by another upstream.
+// deadlines.
 std::size_t resetLostFlows(AgentState& state, FlowLoss reason)
 {
-    const std::vector<LostFlow> lost = extractLostFlows(state.flows, state.upstreamEnd.lastPacketAt);
+    const std::vector<LostFlow> lost = extractLostFlows(state.flows);
     clearUnanswered(state.health);
     forgetProcess(state.upstreamEnd);
     for (const LostFlow& flow : lost)
--- a/src/libdecision/agentflows.cpp
+++ b/src/libdecision/agentflows.cpp
@@ -277,11 +277,11 @@
     return { .flow = key, .callerAcknowledged = flow.callerAcknowledged, .openedAt = flow.openedAt, .lastPacketAt = flow.lastPacketAt, .upstreamPacketAt = flow.upstreamPacketAt };
 }
 
-std::vector<LostFlow> extractLostFlows(AgentFlows& table, Millis learntUntil)
+std::vector<LostFlow> extractLostFlows(AgentFlows& table)
 {
     std::vector<LostFlow> lost;
     for (const auto& [key, flow] : table.flows) {
-        if (flow.phase == FlowPhase::Open && flow.openedAt <= learntUntil)
+        if (flow.phase == FlowPhase::Open && flow.isConfirmed)
             lost.push_back(toLostFlow(key, flow));
     }
     table.flows.clear();
--- a/src/libdecision/agentflows.h
+++ b/src/libdecision/agentflows.h
@@ -5,7 +5,6 @@
 #include "packet.h"
 
 #include <deque>
-#include <limits>
 #include <optional>
 #include <span>
 #include <unordered_map>
@@ -194,9 +193,10 @@
 
 /// Removes every flow, since the upstream's process has ended, and returns those that are open and have to be reset. An
 /// opening that its caller has not completed is not returned: the caller may have accepted another upstream's answer and
-/// hold the flow there. Flows learnt after `learntUntil` are left out: an upstream that has ended returns no packets,
-/// so such a flow may be held elsewhere. The table is complete afterwards, since the agent sees every flow of the new process.
-std::vector<LostFlow> extractLostFlows(AgentFlows&, Millis learntUntil = std::numeric_limits<Millis>::max());
+/// hold the flow there. A flow that was learnt because the upstream did not return its packet is not returned either: an
+/// upstream that is paused or has ended returns no packets, so the flow may be held elsewhere. The table is complete afterwards,
+/// since the agent sees every flow of the new process.
+std::vector<LostFlow> extractLostFlows(AgentFlows&);
 
 /// Stops counting flows as work whose time has expired.
 void expireWork(AgentFlows&, Millis now);
--- a/tests/trustplatform/testflowevidence.cpp
+++ b/tests/trustplatform/testflowevidence.cpp
@@ -9,6 +9,7 @@
     CPPUNIT_TEST(lateReportOfReplacedProcessKeepsFlows);
     CPPUNIT_TEST(lateReportOfAnotherServiceKeepsFlows);
     CPPUNIT_TEST(otherServiceKeepsFlowsLearntFromSilence);
+    CPPUNIT_TEST(laterPacketsOfOtherFlowsDoNotConfirmALearntOne);
     CPPUNIT_TEST(refusedConnectionsKeepFlowsOfDrainingUpstream);
     CPPUNIT_TEST(refusedConnectionsKeepFlowsOfReadyUpstream);
     CPPUNIT_TEST(endedProcessResetsItsFlows);
@@ -112,6 +113,25 @@
         CPPUNIT_ASSERT(deployment.agent.statusFields().find("\"service\":\"intake\"") != std::string::npos);
     }
 
+    // Guards against a reset of another upstream's flow that was learnt from silence, after its own upstream has gone on with others.
+    void laterPacketsOfOtherFlowsDoNotConfirmALearntOne()
+    {
+        Deployment deployment(m_context, m_options);
+        deployment.listen();
+        deployment.report({ .sequence = 70 });
+        deployment.upstream->isSilent = true;
+        deployment.sendData(1);
+        runUntil(m_context, [&] { return deployment.agent.statusFields().find("\"openFlows\":1") != std::string::npos; });
+        deployment.upstream->isSilent = false;
+        deployment.report({ .sequence = 71 });
+        deployment.open(2);
+        deployment.report({ .id = "i-2", .born = 2000, .sequence = 1, .service = "intake" });
+        deployment.report({ .id = "i-2", .born = 2000, .sequence = 2, .service = "intake" });
+        runUntil(m_context, [&] { return deployment.reset.contains(2); });
+        deployment.runFor(settlingTime);
+        CPPUNIT_ASSERT(!deployment.reset.contains(1));
+    }
+
     /// An upstream accepts no connections and is slow to answer; its flow stays open.
     void expectFlowsKeptWithoutListener(const std::string& state)
     {
