--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -230,7 +230,13 @@
 {
     m_configVersion += 3;
     const json services = { { { "name", "board" }, { "max-conns", 2000 }, { "warmup-s", 1.0 }, { "warmup-per-s", 0.0 } }, { { "name", "intake" }, { "max-conns", 2000 }, { "warmup-s", 1.0 }, { "warmup-per-s", 0.0 } } };
-    m_store.write("config", "main", { { "version", m_configVersion }, { "routes", { routeTo("198.18.0.1", "board"), routeTo("198.18.0.2", "intake") } }, { "services", services }, { "limits", { { "idle-timeout-ms", 15000 } } } });
+    m_store.write("config", "main", { { "version", m_configVersion }, { "routes", { routeTo("198.18.0.1", "board"), routeTo("198.18.0.2", "intake") } }, { "services", services }, { "limits", { { "idle-timeout-ms", m_idleLimit } } } });
+}
+
+void Fleet::changeIdleLimit(Millis limit)
+{
+    m_idleLimit = limit;
+    changeConfiguration();
 }
 
 // Probes the readiness of the balancers twice a second. A balancer that has missed two probes gets no packets until it answers
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -77,6 +77,8 @@
     void takeOut(const std::string& dataCentre);
     void bringBack(const std::string& dataCentre);
     void changeConfiguration();
+    /// Changes the idle limit of flows, in milliseconds, with a new version of the configuration.
+    void changeIdleLimit(Millis limit);
     CallerCounts counts() const;
     /// Reports daemons that exited without being told to, and restarts daemons that have exited.
     void checkProcesses();
@@ -101,6 +103,7 @@
     std::vector<std::unique_ptr<SoakUpstream>> m_upstreams;
     std::vector<std::unique_ptr<SoakCaller>> m_callers;
     std::uint64_t m_configVersion = 0;
+    Millis m_idleLimit = 15000;
     unsigned m_replacedHosts = 0;
 };
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,4 +1,5 @@
 #include "addressreuse.h"
+#include "foreignwriter.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -15,6 +16,7 @@
 ABSL_FLAG(bool, modulo, false, "routers choose by hash modulo the number of balancers in rotation");
 ABSL_FLAG(bool, upstream_faults, false, "upstreams also end, pause, report late and close their listeners");
 ABSL_FLAG(bool, address_reuse, false, "addresses of upstreams and of whole hosts are used again by another service");
+ABSL_FLAG(bool, foreign_entries, false, "another program writes objects that cannot be read, and the idle limit changes");
 ABSL_FLAG(unsigned, callers, 2, "callers; each opens 25 flows a second");
 ABSL_FLAG(std::string, program, PROGRAM_KINGCUPTRAILD, "path of kingcuptraild");
 ABSL_FLAG(std::string, folder, "", "folder for settings and logs; kept when a promise is broken");
@@ -45,15 +47,24 @@
         , m_random(seed)
         , m_upstreamRandom(seed + 1)
         , m_addressReuse(context, fleet, seed + 2, logFault)
+        , m_foreignWriter(context, fleet, seed + 3, logFault)
     {
     }
 
-    void start(bool hasUpstreamFaults, bool hasAddressReuse)
+    struct Kinds {
+        bool hasUpstreamFaults = false;
+        bool hasAddressReuse = false;
+        bool hasForeignEntries = false;
+    };
+
+    void start(const Kinds& kinds)
     {
         scheduleNext();
-        if (hasAddressReuse)
+        if (kinds.hasForeignEntries)
+            m_foreignWriter.start();
+        if (kinds.hasAddressReuse)
             m_addressReuse.start();
-        if (hasUpstreamFaults)
+        if (kinds.hasUpstreamFaults)
             scheduleUpstreamFault();
     }
 
@@ -62,6 +73,7 @@
         m_timer.cancel();
         m_upstreamTimer.cancel();
         m_addressReuse.stop();
+        m_foreignWriter.stop();
         clearStoreFault();
         bringBack();
         for (auto& upstream : m_fleet.upstreams()) {
@@ -240,6 +252,7 @@
     std::minstd_rand m_random;
     std::minstd_rand m_upstreamRandom;
     AddressReuse m_addressReuse;
+    ForeignWriter m_foreignWriter;
     std::string m_storeFaultHost;
     std::string m_dataCentreOut;
     std::set<SoakUpstream*> m_draining;
@@ -303,7 +316,7 @@
     Fleet fleet(context, std::move(options), promises);
     FaultInjector faults(context, fleet, promises, seed);
     runFor(context, fleet, startTime);
-    faults.start(absl::GetFlag(FLAGS_upstream_faults), hasAddressReuse);
+    faults.start({ .hasUpstreamFaults = absl::GetFlag(FLAGS_upstream_faults), .hasAddressReuse = hasAddressReuse, .hasForeignEntries = absl::GetFlag(FLAGS_foreign_entries) });
     runFor(context, fleet, Millis { absl::GetFlag(FLAGS_seconds) } * 1000);
     faults.stop();
     runFor(context, fleet, recoveryTime);
--- a/tests/soak/storestandin.cpp
+++ b/tests/soak/storestandin.cpp
@@ -11,11 +11,6 @@
     constexpr Millis usualDelay = 4;
     constexpr Millis slowDelay = 240;
 
-    HttpResponse jsonResponse(int status, const json& body)
-    {
-        return { .status = status, .headers = { { "Content-Type", "application/json" } }, .body = body.dump() };
-    }
-
     struct Target {
         std::string kind;
         std::string name;
@@ -75,7 +70,7 @@
         return;
     }
     if (fault == StoreFault::Busy) {
-        responder->respond(jsonResponse(503, json::object()));
+        responder->respond(response(503, json::object()));
         return;
     }
     const std::uint64_t id = ++m_lastDelay;
@@ -105,11 +100,11 @@
         m_pendingRequests.push_back({ .responder = responder, .host = host, .kind = "(silent)", .since = 0 });
         return;
     }
-    const HttpResponse response = applyWrite(request, target.kind, target.name);
+    const HttpResponse written = applyWrite(request, target.kind, target.name);
     if (isLost)
         m_pendingRequests.push_back({ .responder = responder, .host = host, .kind = "(lost)", .since = 0 });
     else
-        responder->respond(response);
+        responder->respond(written);
     answerPending();
 }
 
@@ -118,7 +113,7 @@
     if (!name.empty()) {
         const auto& objects = m_objects[kind];
         const auto found = objects.find(name);
-        responder->respond(found == objects.end() ? jsonResponse(404, json::object()) : jsonResponse(200, found->second));
+        responder->respond(found == objects.end() ? response(404, json::object()) : response(200, found->second));
         return;
     }
     const std::string watch = queryValue(request.target, "watch");
@@ -126,12 +121,12 @@
         json items = json::array();
         for (const auto& [objectName, object] : m_objects[kind])
             items.push_back(object);
-        responder->respond(jsonResponse(200, { { "items", items }, { "has-more", false }, { "as-of", m_revision } }));
+        responder->respond(response(200, { { "items", items }, { "has-more", false }, { "as-of", m_revision } }));
         return;
     }
     const std::uint64_t since = std::stoull(watch);
     if (since < m_historyFrom)
-        responder->respond(jsonResponse(410, json::object()));
+        responder->respond(response(410, json::object()));
     else
         m_pendingRequests.push_back({ .responder = responder, .host = host, .kind = kind, .since = since });
     answerPending();
@@ -145,18 +140,18 @@
     auto& objects = m_objects[kind];
     const auto found = objects.find(name);
     if (request.method == "POST")
-        return found != objects.end() ? jsonResponse(409, found->second) : jsonResponse(200, store(kind, name, body.at("spec")));
+        return found != objects.end() ? response(409, found->second) : response(200, store(kind, name, body.at("spec")));
     if (found == objects.end())
-        return jsonResponse(404, json::object());
+        return response(404, json::object());
     const std::uint64_t storedRevision = found->second.at("meta").at("revision").get<std::uint64_t>();
     const std::string condition = request.method == "DELETE" ? queryValue(request.target, "revision") : std::to_string(body.at("meta").value("revision", storedRevision));
     if (!condition.empty() && std::stoull(condition) != storedRevision)
-        return jsonResponse(409, found->second);
+        return response(409, found->second);
     if (request.method == "PUT")
-        return jsonResponse(200, store(kind, name, body.at("spec")));
+        return response(200, store(kind, name, body.at("spec")));
     json removed = found->second;
     remove(kind, name);
-    return jsonResponse(200, removed);
+    return response(200, removed);
 }
 
 json StoreStandIn::store(const std::string& kind, const std::string& name, const json& spec)
@@ -174,6 +169,23 @@
     return m_revision;
 }
 
+void StoreStandIn::writeText(const std::string& kind, const std::string& name, const std::string& spec)
+{
+    const std::string placeholder = "(text of " + name + ")";
+    m_texts[json(placeholder).dump()] = spec;
+    write(kind, name, placeholder);
+}
+
+HttpResponse StoreStandIn::response(int status, const json& body) const
+{
+    std::string text = body.dump();
+    for (const auto& [placeholder, spec] : m_texts) {
+        for (std::size_t found = text.find(placeholder); found != std::string::npos; found = text.find(placeholder, found + spec.size()))
+            text.replace(found, placeholder.size(), spec);
+    }
+    return { .status = status, .headers = { { "Content-Type", "application/json" } }, .body = std::move(text) };
+}
+
 void StoreStandIn::remove(const std::string& kind, const std::string& name)
 {
     json object = m_objects[kind][name];
@@ -204,7 +216,7 @@
         const json events = eventsSince(pending.kind, pending.since);
         if (events.empty())
             return false;
-        pending.responder->respond(jsonResponse(200, { { "events", events }, { "as-of", m_revision } }));
+        pending.responder->respond(response(200, { { "events", events }, { "as-of", m_revision } }));
         return true;
     });
 }
--- a/tests/soak/storestandin.h
+++ b/tests/soak/storestandin.h
@@ -43,6 +43,8 @@
 
     /// Writes an object as an operator does, without a condition; returns the new revision.
     std::uint64_t write(const std::string& kind, const std::string& name, const nlohmann::json& spec);
+    /// Writes an object whose spec is this text, which need not be JSON that can be read.
+    void writeText(const std::string& kind, const std::string& name, const std::string& spec);
     void remove(const std::string& kind, const std::string& name);
 
 private:
@@ -62,6 +64,7 @@
     void handle(const std::string& host, const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
     void answer(const std::string& host, const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder);
     void answerRead(const std::string& host, const HttpRequest& request, const std::string& kind, const std::string& name, const std::shared_ptr<HttpResponder>& responder);
+    HttpResponse response(int status, const nlohmann::json& body) const;
     HttpResponse applyWrite(const HttpRequest& request, const std::string& kind, std::string name);
     nlohmann::json store(const std::string& kind, const std::string& name, const nlohmann::json& spec);
     nlohmann::json eventsSince(const std::string& kind, std::uint64_t since) const;
@@ -73,6 +76,8 @@
     std::map<std::string, StoreFault> m_faults;
     std::map<std::string, std::map<std::string, nlohmann::json>> m_objects;
     std::vector<Event> m_events;
+    /// Specs that are written as text, by the placeholder that stands for them in the objects.
+    std::map<std::string, std::string> m_texts;
     std::vector<PendingRequest> m_pendingRequests;
     /// The delayed requests, by number.
     std::map<std::uint64_t, std::unique_ptr<Delay>> m_delays;
