--- a/src/kingcuptraild/packets/directorycomparison.cpp
+++ b/src/kingcuptraild/packets/directorycomparison.cpp
@@ -2,6 +2,8 @@
 
 #include "peernetwork.h"
 
+#include "libdecision/gossipsize.h"
+
 #include <algorithm>
 
 namespace kingcuptrail {
@@ -67,9 +69,10 @@
 
 void PeerNetwork::sendEntries(std::uint32_t address, std::span<const PeerEntry> entries)
 {
-    for (std::size_t first = 0; first < entries.size(); first += maxEntriesPerMessage) {
-        const auto part = entries.subspan(first, std::min(maxEntriesPerMessage, entries.size() - first));
+    while (!entries.empty()) {
+        const auto part = entries.first(entriesThatFit(entries));
         sendGossip(address, { part.begin(), part.end() }, GossipPurpose::Announcement);
+        entries = entries.subspan(part.size());
     }
 }
 
--- a/src/kingcuptraild/packets/peernetwork.cpp
+++ b/src/kingcuptraild/packets/peernetwork.cpp
@@ -1,5 +1,6 @@
 #include "peernetwork.h"
 
+#include "libdecision/gossipsize.h"
 #include "libdecision/peerchoice.h"
 #include "libruntime/events.h"
 
@@ -376,8 +377,7 @@
     if (purpose != GossipPurpose::Announcement)
         gossip.readers = currentHeartbeats(m_readers, m_clock.now());
     std::erase_if(gossip.entries, [](const PeerEntry& entry) { return entry.name.empty(); });
-    if (gossip.entries.size() > maxEntriesPerMessage)
-        gossip.entries.resize(maxEntriesPerMessage);
+    gossip.entries.resize(entriesThatFit(gossip.entries));
     transmit(m_encoder.encode(gossip), wire::PeerKind::News, address);
 }
 
--- a/src/kingcuptraild/packets/peernetwork.h
+++ b/src/kingcuptraild/packets/peernetwork.h
@@ -102,9 +102,6 @@
     void exposeMetrics(std::string& out) const;
 
 private:
-    /// The most directory entries that one gossip message carries.
-    static constexpr std::size_t maxEntriesPerMessage = 6;
-
     enum class GossipPurpose : std::uint8_t {
         /// One of the regular rounds, or a request; the receiver answers.
         Question,
--- a/src/kingcuptraild/packets/storefollower.cpp
+++ b/src/kingcuptraild/packets/storefollower.cpp
@@ -1,5 +1,6 @@
 #include "storefollower.h"
 
+#include "libdecision/gossipsize.h"
 #include "libruntime/events.h"
 
 #include <algorithm>
@@ -122,11 +123,17 @@
             logForeignObject(m_adapter.outagesKind, object, DecodeError::BadText);
             continue;
         }
-        std::erase(m_outDataCentres, object.name);
+        m_outDataCentres.erase(object.name);
         if (object.value)
-            m_outDataCentres.push_back(object.name);
+            m_outDataCentres.emplace(object.name, object.version);
     }
-    m_network.updateOutages({ .revision = changes.version, .out = m_outDataCentres });
+    std::vector<std::string> names;
+    for (const auto& [name, version] : m_outDataCentres)
+        names.push_back(name);
+    OutageSelection selection = selectOutages(std::move(names), m_network.directory());
+    for (const std::string& name : selection.dropped)
+        logForeignObject(m_adapter.outagesKind, { .name = name, .version = m_outDataCentres.at(name), .value = {} }, DecodeError::OutOfRange);
+    m_network.updateOutages({ .revision = changes.version, .out = std::move(selection.taken) });
 }
 
 void StoreFollower::updateAgents(const ObjectList& objects)
--- a/src/kingcuptraild/packets/storefollower.h
+++ b/src/kingcuptraild/packets/storefollower.h
@@ -41,8 +41,8 @@
 
     const DeploymentAdapter& m_adapter;
     PeerNetwork& m_network;
-    /// Data centres that are marked as out in the store.
-    std::vector<std::string> m_outDataCentres;
+    /// Data centres that are marked as out in the store, with the versions of their objects.
+    std::map<std::string, ObjectVersion> m_outDataCentres;
     PlatformError m_loggedError = PlatformError::None;
     KindWatcher m_routes;
     KindWatcher m_outages;
--- a/src/libplatform/jsontext.cpp
+++ b/src/libplatform/jsontext.cpp
@@ -1,5 +1,7 @@
 #include "jsontext.h"
 
+#include "libdecision/gossipsize.h"
+
 #include <algorithm>
 
 namespace kingcuptrail {
@@ -197,6 +199,14 @@
     return value.is_string() ? std::optional(value.get<std::string>()) : std::nullopt;
 }
 
+std::string nameField(const nlohmann::json& document, const char* name)
+{
+    auto text = document.at(name).get<std::string>();
+    if (text.size() > maxNameBytes)
+        throw nlohmann::json::other_error::create(0, "name too long", nullptr);
+    return text;
+}
+
 std::optional<std::uint64_t> parseUnsigned(std::string_view text)
 {
     const nlohmann::json value = parseJson(text);
--- a/src/libplatform/jsontext.h
+++ b/src/libplatform/jsontext.h
@@ -53,11 +53,15 @@
     return value.get<Number>();
 }
 
-/// The same for a field that may be missing.
+/// The same as numberField() for a field that may be missing.
 template <typename Number>
 Number numberField(const nlohmann::json& document, const char* name, Number fallback)
 {
     return document.contains(name) ? numberField<Number>(document, name) : fallback;
 }
 
+/// Reads a field that holds the name of a process, data centre or service. Throws a JSON exception for any other value and for a name
+/// that is too long for the messages of this system.
+std::string nameField(const nlohmann::json& document, const char* name);
+
 }
--- a/src/libplatform/peerentryjson.cpp
+++ b/src/libplatform/peerentryjson.cpp
@@ -54,11 +54,11 @@
         if (!role || !state)
             throw json::other_error::create(0, "unknown role or state", nullptr);
         return {
-            .name = document.at("name").get<std::string>(),
+            .name = nameField(document, "name"),
             .role = *role,
             .address = addressField(document),
-            .dataCentre = document.at("dataCentre").get<std::string>(),
-            .service = document.at("service").get<std::string>(),
+            .dataCentre = nameField(document, "dataCentre"),
+            .service = nameField(document, "service"),
             .state = *state,
             .slots = numberField<std::uint32_t>(document, "slots"),
             .epoch = epochField(document),
--- a/tests/trustplatform/testpeernetwork.cpp
+++ b/tests/trustplatform/testpeernetwork.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(fetchFromPausedPeerIsAbandoned);
     CPPUNIT_TEST(directoriesConverge);
     CPPUNIT_TEST(newProcessLearnsWholeDirectory);
+    CPPUNIT_TEST(entriesWithLongNamesAreExchanged);
     CPPUNIT_TEST(processStandsAboveFormerNamesOfItsAddress);
     CPPUNIT_TEST(trafficIsCountedByKind);
     CPPUNIT_TEST(newProcessLearnsFormerIdleLimits);
@@ -173,6 +174,24 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t { 101 }, first.network.directory().entries.size());
     }
 
+    // Guards against entries whose names are so long that a message with several of them fits into no datagram.
+    void entriesWithLongNamesAreExchanged()
+    {
+        const std::uint16_t port = freePort();
+        Process first(m_context, 1, port);
+        Process second(m_context, 2, port);
+        std::vector<PeerEntry> entries = hundredAgents();
+        entries.resize(20);
+        for (PeerEntry& entry : entries) {
+            entry.name.append(100, 'x');
+            entry.service.append(120, 'y');
+            entry.dataCentre.append(120, 'z');
+        }
+        first.network.updateEntries(entries);
+        second.network.compareDirectory(host(1).to_uint());
+        runUntil(m_context, [&] { return second.network.directory().entries.size() == entries.size(); });
+    }
+
     // Guards against directories that stay different when each has an entry that the other lacks.
     void directoriesConverge()
     {
--- a/tests/trustplatform/teststorefollower.cpp
+++ b/tests/trustplatform/teststorefollower.cpp
@@ -2,6 +2,8 @@
 #include "platform/platformfixture.h"
 #include "platform/trustadapter.h"
 
+#include <asio/ip/udp.hpp>
+
 using namespace kingcuptrail;
 
 class TestStoreFollower : public PlatformFixture {
@@ -10,6 +12,7 @@
     CPPUNIT_TEST(appliesChangeAfterStoreRecovers);
     CPPUNIT_TEST(foreignObjectsDoNotStopAFollower);
     CPPUNIT_TEST(followerStartsBesideForeignObjects);
+    CPPUNIT_TEST(foreignNamesDoNotStopGossip);
     CPPUNIT_TEST(listContinuesAfterTheLastReadableName);
     CPPUNIT_TEST(listEndsWhereNoNameCanBeRead);
     CPPUNIT_TEST(unreadableAnswerOfAWatchLeadsToAList);
@@ -24,11 +27,19 @@
             options.client = "front-1";
             options.watchWait = 30000;
             options.callTimeout = 2000;
+            settings.packets.seeds = { { asio::ip::make_address("127.83.2.2"), settings.listen.port() } };
             follower = std::make_unique<StoreFollower>(context, options, trustAdapter(), network);
             runUntil(context, [this] { return follower->isCurrent(); });
         }
 
-        Settings settings { .name = "front-1", .dataCentre = "north", .listen = { asio::ip::make_address("127.83.2.1"), 0 } };
+        static std::uint16_t freePort()
+        {
+            asio::io_context context;
+            return asio::ip::udp::socket(context, { asio::ip::make_address("127.83.2.1"), 0 }).local_endpoint().port();
+        }
+        std::uint16_t port() const { return settings.listen.port(); }
+
+        Settings settings { .name = "front-1", .dataCentre = "north", .listen = { asio::ip::make_address("127.83.2.1"), freePort() } };
         Clock clock;
         PeerNetwork network;
         std::unique_ptr<StoreFollower> follower;
@@ -107,6 +118,24 @@
         expectChangesInForce(reader);
     }
 
+    // Guards against names of another program that make every gossip message too long for a datagram: no change reached any process
+    // that does not read the store itself.
+    void foreignNamesDoNotStopGossip()
+    {
+        Reader reader(m_context, m_options);
+        const Settings settings { .name = "front-2", .dataCentre = "south", .listen = { asio::ip::make_address("127.83.2.2"), reader.port() } };
+        PeerNetwork peer(m_context, settings, reader.clock);
+        CPPUNIT_ASSERT(peer.start({ .onFlowMessage = [](const PeerMessage&, std::uint32_t) {}, .onOutages = [](const std::vector<std::string>&) {} }));
+        peer.announce({ .name = "front-2", .role = PeerRole::Balancer, .address = 0x7f530202, .dataCentre = "south" });
+        reader.network.updateEntry(peer.self());
+        m_server->store().put("evacuations", std::string(3000, 'x'), "{}", 0);
+        for (int number = 0; number < 300; ++number)
+            m_server->store().put("evacuations", "cellar-" + std::to_string(number), "{}", 0);
+        m_server->store().put("evacuations", "south", "{}", 0);
+        m_server->wakeWatches("evacuations");
+        runUntil(m_context, [&peer] { return isDataCentreOut(peer.outages(), "south"); });
+    }
+
     /// A store that answers its calls with these bodies in turn, and with the last one from then on.
     struct ScriptedStore {
         ScriptedStore(asio::io_context& context, std::vector<std::string> answers)
--- a/tests/trustplatform/testtrustplatform.cpp
+++ b/tests/trustplatform/testtrustplatform.cpp
@@ -1,3 +1,4 @@
+#include "libplatform/peerentryjson.h"
 #include "platform/trustadapter.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -21,6 +22,7 @@
     CPPUNIT_TEST(rejectsOutOfRangeTimes);
     CPPUNIT_TEST(rejectsReportsWithTooLargeNumbers);
     CPPUNIT_TEST(largeNumbersOfTheConfigurationAreCapped);
+    CPPUNIT_TEST(rejectsNamesThatFitIntoNoMessage);
     CPPUNIT_TEST(randomBytesNeverCrash);
     CPPUNIT_TEST_SUITE_END();
 
@@ -248,6 +250,22 @@
         CPPUNIT_ASSERT(!withNumber("\"priority\":2", "\"priority\":-1"));
     }
 
+    // Guards against a report or an entry whose names make the messages about it too long to be sent.
+    void rejectsNamesThatFitIntoNoMessage()
+    {
+        const auto putService = [this](std::size_t length) {
+            return put(R"({"address":"10.0.0.1:1","zone":"z","slots":1,"state":"ready","sequence":1,"warmup-left-ms":0,"service":")" + std::string(length, 's') + "\"}");
+        };
+        CPPUNIT_ASSERT(putService(128).report && putService(129).error == DecodeError::OutOfRange);
+        for (const char* field : { "name", "dataCentre", "service" }) {
+            std::string entry = R"({"name":"x","role":"agent","address":167772161,"dataCentre":"x","service":"x","state":"ready","slots":1,"epoch":1})";
+            CPPUNIT_ASSERT(parsePeerEntry(entry));
+            const std::string place = std::string("\"").append(field).append("\":\"");
+            entry.insert(entry.find(place) + place.size(), 128, 'x');
+            CPPUNIT_ASSERT(!parsePeerEntry(entry));
+        }
+    }
+
     void randomBytesNeverCrash()
     {
         std::minstd_rand random(7);
