--- a/src/libdecision/gossipsize.cpp
+++ b/src/libdecision/gossipsize.cpp
@@ -36,7 +36,7 @@
 
 OutageSelection selectOutages(std::vector<std::string> names, const Directory& directory)
 {
-    std::ranges::stable_partition(names, [&directory](const std::string& name) { return directory.dataCentres.contains(name); });
+    std::stable_partition(names.begin(), names.end(), [&directory](const std::string& name) { return directory.dataCentres.contains(name); });
     OutageSelection selection;
     std::size_t bytes = 0;
     for (std::string& name : names) {
--- a/tests/soak/foreignwriter.cpp
+++ b/tests/soak/foreignwriter.cpp
@@ -39,7 +39,7 @@
     static const std::vector<std::string> specs = foreignSpecs();
     constexpr std::array<const char*, 3> kinds { "config", "evacuations", "agent" };
     if (randomBelow(4) == 0) {
-        const Millis limit = 1000 * (1 + randomBelow(40));
+        const Millis limit = Millis { 1000 } * (1 + randomBelow(40));
         m_log("change idle limit to " + std::to_string(limit) + " ms");
         m_fleet.changeIdleLimit(limit);
         return;
--- a/tests/trustplatform/testtrustplatform.cpp
+++ b/tests/trustplatform/testtrustplatform.cpp
@@ -180,23 +180,31 @@
         return { R"({"note":"\udcff\udcfe"})", R"({"until":1e400})", "\"\xff\xfe\"", std::string(levels, '[') + std::string(levels, ']') };
     }
 
+    static std::string joined(std::initializer_list<std::string_view> parts)
+    {
+        std::string text;
+        for (const std::string_view part : parts)
+            text += part;
+        return text;
+    }
+
     // Guards against an object of another writer that the JSON library refuses, or that ends the process when it is copied: it
     // made the whole answer unreadable, and no process that started then became ready.
     void unreadableObjectDoesNotHideOthers()
     {
         const StoreDialect& store = *m_adapter.store;
+        const std::string good = R"({"meta":{"name":"b","revision":4},"spec":{"x":1}})";
         for (const std::string& value : unreadableValues()) {
-            const std::string odd = R"({"meta":{"name":"odd","revision":3,"finalizers":[)" + value + R"(]},"spec":)" + value + "}";
-            const std::string good = R"({"meta":{"name":"b","revision":4},"spec":{"x":1}})";
-            const auto page = store.decodePage(R"({"items":[)" + odd + "," + good + R"(],"as-of":8,"has-more":false})");
+            const std::string odd = joined({ R"({"meta":{"name":"odd","revision":3,"finalizers":[)", value, R"(]},"spec":)", value, "}" });
+            const auto page = store.decodePage(joined({ R"({"items":[)", odd, ",", good, R"(],"as-of":8,"has-more":false})" }));
             CPPUNIT_ASSERT(page && page->list.objects.size() == 2);
             CPPUNIT_ASSERT_EQUAL(std::string("odd"), page->list.objects[0].name);
             CPPUNIT_ASSERT_EQUAL(std::string(R"({"x":1})"), *page->list.objects[1].value);
-            const auto changes = store.decodeChanges(R"({"events":[{"object":)" + odd + R"(,"deleted":false},{"deleted":true,"object":)" + odd + R"(},{"object":)" + good + R"(}],"as-of":9})");
+            const auto changes = store.decodeChanges(joined({ R"({"events":[{"object":)", odd, R"(,"deleted":false},{"deleted":true,"object":)", odd, R"(},{"object":)", good, R"(}],"as-of":9})" }));
             CPPUNIT_ASSERT(changes && changes->objects.size() == 3 && changes->version == 9);
             CPPUNIT_ASSERT(changes->objects[0].value && !changes->objects[1].value && changes->objects[2].name == "b");
             CPPUNIT_ASSERT(store.decodeObject(odd) && store.decodeVersion(odd) == ObjectVersion { 3 });
-            const auto unnamed = store.decodePage(R"({"items":[{"meta":{"name":)" + value + R"(,"revision":3}},)" + good + R"(],"as-of":8})");
+            const auto unnamed = store.decodePage(joined({ R"({"items":[{"meta":{"name":)", value, R"(,"revision":3}},)", good, R"(],"as-of":8})" }));
             CPPUNIT_ASSERT(unnamed && unnamed->list.objects[0].name.empty() && unnamed->list.objects[1].name == "b");
             DecodeError error = DecodeError::None;
             CPPUNIT_ASSERT(!decodeRoutes(value, error) && error != DecodeError::None);
