--- a/tests/daemon/testagentannouncement.cpp
+++ b/tests/daemon/testagentannouncement.cpp
@@ -17,7 +17,7 @@
 
     static PeerEntry entry()
     {
-        return { .name = "agent-1", .address = 7, .dataCentre = "north", .service = "board", .epoch = 9 };
+        return { .name = "agent-1", .address = 0x0a000007, .dataCentre = "north", .service = "board", .epoch = 9 };
     }
 
     bool isInStore()
