--- a/review/6/latereport.cpp
+++ b/review/6/latereport.cpp
@@ -1,5 +1,5 @@
-// A status report of a crashed boot arrives late, just after the agent's process was started again. Since then the address has gone to
-// another service, whose target must not get the flows of the first one.
+// A status report of a target that is gone arrives late, just after the process of the agent at its address was started again. By then
+// the address belongs to a machine of another service, whose target must not get the flows of the first one.
 
 #include "../standins-2/run.h"
 
@@ -14,7 +14,7 @@
     std::size_t wrong = 0;
     TargetEvents events {
         .onOpening = [&](const std::string& host, const Flow& flow) {
-            const std::string& service = running->machine(host).target->options().service;
+            const std::string service = running->machine(host).service;
             record.add(host + " of " + service + " takes " + toText(flow));
             // The routes lead to the services in the order of their names, in each configuration that was ever written.
             const bool isAllowed = flow.route == running->route(service == "board" ? 0 : 1);
@@ -40,14 +40,14 @@
     if (requesters.front()->counts().answered < 100)
         return finish(record, Outcome::CouldNotRun, "only " + std::to_string(requesters.front()->counts().answered) + " requests were answered before the disruption");
 
-    // The target's boot crashes; a report that it has written is still on its way. After `addr-reuse-s` the address goes to a target of
-    // the service ledger, which reports and serves for 4 s.
+    // A machine is gone for good, and its target with it; a report that the target has written is still on its way. After `addr-reuse-s`
+    // another machine gets the address. Its target is one of the service ledger, which reports and serves for 4 s.
     Machine& machine = **std::ranges::find_if(deployment.machines(), [](const auto& each) { return each->service == "board"; });
     const kingcuptrail::HttpRequest lateReport = machine.target->writeReport();
-    machine.target->crash();
+    deployment.remove(machine);
     deployment.runFor(2500);
-    machine.target->changeService("ledger");
-    machine.target->boot();
+    if (!deployment.reuseAddress(machine, "side-north-29", "ledger"))
+        return finish(record, Outcome::CouldNotRun, "the new machine could not be started");
     deployment.runFor(4000);
 
     if (options.hasTrouble) {
--- a/review/standins-2/deployment.cpp
+++ b/review/standins-2/deployment.cpp
@@ -280,17 +280,34 @@
 {
     m_record.add("zone " + zone + " loses power");
     for (const auto& machine : m_machines) {
-        if (machine->zone != zone)
-            continue;
-        machine->isDark = true;
-        machine->isEnding = true;
-        machine->disturbedAt = m_record.now();
-        machine->process->signal(SIGKILL);
-        if (machine->target)
-            machine->target->crash();
+        if (machine->zone == zone)
+            remove(*machine);
     }
 }
 
+void Deployment::remove(Machine& machine)
+{
+    m_record.add(machine.name + " is dark");
+    machine.isDark = true;
+    machine.isEnding = true;
+    machine.disturbedAt = m_record.now();
+    machine.process->signal(SIGKILL);
+    if (machine.target)
+        machine.target->crash();
+}
+
+bool Deployment::reuseAddress(Machine& machine, const std::string& name, const std::string& service)
+{
+    m_record.add(name + " of " + service + " gets the address of " + machine.name);
+    machine.name = name;
+    machine.service = service;
+    machine.settingsPath = m_options.folder + "/" + name + ".json";
+    machine.isDark = false;
+    writeSettings(machine);
+    machine.target->changeMachine(name, service);
+    return startProcess(machine) && machine.target->boot();
+}
+
 void Deployment::terminate(Machine& machine)
 {
     m_record.add(machine.name + ": SIGTERM");
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -93,6 +93,10 @@
     void kill(Machine&);
     /// All machines of a zone lose power, with their targets, and stay dark.
     void losePower(const std::string& zone);
+    /// A machine is gone for good, with its target.
+    void remove(Machine&);
+    /// Another machine with a target of this service gets the address of one that is gone.
+    bool reuseAddress(Machine&, const std::string& name, const std::string& service);
     /// SIGTERM; the platform sends SIGKILL after the time to stop, and starts the process again.
     void terminate(Machine&);
     /// Restarts processes that have ended. Returns the machines whose process ended by itself.
--- a/review/standins-2/target.h
+++ b/review/standins-2/target.h
@@ -52,8 +52,12 @@
     void crash();
     /// How long the next boots stay cold.
     void setWarmUp(Millis time) { m_options.warmUp = time; }
-    /// The next boot is one of this service: the address goes to another service.
-    void changeService(const std::string& service) { m_options.service = service; }
+    /// The next boot is that of another machine at this address, of this service.
+    void changeMachine(const std::string& host, const std::string& service)
+    {
+        m_options.host = host;
+        m_options.service = service;
+    }
 
     const TargetOptions& options() const { return m_options; }
     bool isRunning() const { return m_socket != nullptr; }
