--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,7 +3,7 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
-case=build-review-2/latereport
+case=build-review-2/lostanswers
 [ -x "$case" ] && [ -x target/src/kingcuptraild/kingcuptraild ] || { echo "build first: the deploy file's build, then review/build-2.sh"; exit 2; }
 folder="$(mktemp -d)" || exit 2
 trap 'rm -rf "$folder"' EXIT
--- a/review/standins-2/deployment.cpp
+++ b/review/standins-2/deployment.cpp
@@ -142,7 +142,7 @@
     };
     for (const std::string& service : services) {
         addRoute(service);
-        serviceList.push_back({ { "name", service }, { "health-path", "/health" }, { "max-conns", 2000 }, { "warmup-s", static_cast<double>(m_options.warmUp) / 1000 }, { "warmup-per-s", m_options.warmUpPerSecond } });
+        serviceList.push_back({ { "name", service }, { "health-path", "/health" }, { "max-conns", 2000 }, { "warmup-s", 2.0 }, { "warmup-per-s", 0 } });
     }
     for (std::uint32_t index = 0; index < m_options.furtherRoutes; ++index)
         addRoute(*services.begin());
@@ -171,12 +171,15 @@
 // The fields of platform/balancer.json.in and platform/agent.json.in, filled as the platform fills them.
 void Deployment::writeSettings(const Machine& machine) const
 {
+    json seeds = json::array();
+    for (const std::uint32_t number : m_options.seeds)
+        seeds.push_back(text(addressOf(number), m_ports.control));
     json packets {
         { "ingress", text(machine.address, m_ports.datagram) },
         { "ready", text(machine.address, m_ports.ready) },
         { "addressReuseSeconds", 2 },
         { "leaveSeconds", graceTime / 1000 },
-        { "seeds", { text(addressOf(11), m_ports.control), text(addressOf(12), m_ports.control) } },
+        { "seeds", seeds },
     };
     if (machine.isFront())
         packets["linkMegabits"] = 1000.0;
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -36,13 +36,12 @@
     std::vector<std::string> targets { "board", "board" };
     Millis heartbeat = 770;
     Millis reportRetry = 100;
-    /// `warmup-s` of the configuration. The first boots of the targets start before the traffic and are not cold.
-    Millis warmUp = 0;
-    std::uint32_t warmUpPerSecond = 0;
     std::uint32_t slots = 5;
     Millis work = 20;
     /// How long after the end of a process the platform starts it again.
     Millis restartDelay = 300;
+    /// The numbers of the seeds' addresses; the first machine has the number 11, and at the last numbers there is none.
+    std::vector<std::uint32_t> seeds { 11, 12 };
     std::uint32_t seed = 1;
 };
 
--- a/review/standins-2/target.cpp
+++ b/review/standins-2/target.cpp
@@ -52,7 +52,6 @@
     m_born = std::max(m_born + 1, unixMillis());
     m_id = "i-" + std::to_string(m_born) + "-" + std::to_string(m_options.address.to_uint() & 0xff);
     m_sequence = 0;
-    m_bootedAt = m_record.now();
     m_record.add(m_options.host + ": boot " + m_id);
     report();
     return m_socket && m_health;
@@ -78,11 +77,6 @@
     return found != m_flows.end() && found->second.isOpen && !found->second.hasEnded;
 }
 
-Millis Target::coldLeft() const
-{
-    return std::max<Millis>(m_options.warmUp - (m_record.now() - m_bootedAt), 0);
-}
-
 HttpRequest Target::writeReport()
 {
     const nlohmann::json body {
@@ -92,7 +86,7 @@
         { "version", "v1" },
         { "slots", m_options.slots },
         { "state", "ready" },
-        { "warmup-left-ms", coldLeft() },
+        { "warmup-left-ms", 0 },
         { "sequence", ++m_sequence },
         { "born", m_born },
     };
--- a/review/standins-2/target.h
+++ b/review/standins-2/target.h
@@ -27,8 +27,6 @@
     Millis heartbeat = 500;
     /// How soon a report that was not confirmed is followed by the next one; 0 for the usual interval.
     Millis reportRetry = 100;
-    /// How long a boot stays cold.
-    Millis warmUp = 0;
 };
 
 /// What the boots of a target have seen, for the checks.
@@ -50,8 +48,6 @@
     bool boot();
     /// The boot ends without a word; its flows are gone.
     void crash();
-    /// How long the next boots stay cold.
-    void setWarmUp(Millis time) { m_options.warmUp = time; }
     /// The next boot is that of another machine at this address, of this service.
     void changeMachine(const std::string& host, const std::string& service)
     {
@@ -94,7 +90,6 @@
     void sendAnswer(const Flow& flow);
     void send(const Flow& flow, std::uint8_t flags, std::uint32_t sequence, std::uint32_t acknowledged, const std::string& data = {});
     void report();
-    Millis coldLeft() const;
 
     asio::io_context& m_context;
     TargetOptions m_options;
@@ -113,7 +108,6 @@
     std::uint64_t m_born = 0;
     std::uint64_t m_sequence = 0;
     std::size_t m_confirmed = 0;
-    Millis m_bootedAt = 0;
 };
 
 }
