--- a/src/kingcuptraild/packets/flowverifier.h
+++ b/src/kingcuptraild/packets/flowverifier.h
@@ -12,6 +12,7 @@
 
     /// Begins to verify all open flows. Returns their number.
     std::size_t begin();
+    bool isRunning() const { return !m_verification.flows.empty(); }
 
     /// Handles a packet of this flow that the upstream has returned: removes the flow and resets its caller if this upstream has
     /// lost it.
--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -194,7 +194,7 @@
         return;
     }
     if (showsSameProcess(m_state.flows, flow, *header))
-        recordHeard(m_state.flowAdmission.evidence, now);
+        handleEvidence(flow, now);
     const UpstreamPacketEffect effect = trackUpstreamPacket(m_state.flows, flow, *header, now);
     updateHealth(effect, now);
     if (effect.answerTime) {
@@ -269,7 +269,9 @@
             logEvent(Event::ForeignReport, { { "reason", nameOf(call.error) }, { "id", call.id } });
             return jsonReply(400, "{}");
         }
-        handleReport(*call.report);
+        // An upstream takes the answer for the confirmation that it gets no openings any more.
+        if (isIgnored(handleReport(*call.report)) && call.report->isDraining)
+            return jsonReply(503, "{}");
         return jsonReply(200, "{}");
     case UpstreamRequest::Kind::ShutdownNotice:
         if (applyShutdownNotice(m_state.flowAdmission, call.id)) {
@@ -285,27 +287,66 @@
     return jsonReply(404, "{}");
 }
 
-void PacketAgent::handleReport(const UpstreamReport& report)
+ReportEffect PacketAgent::handleReport(const UpstreamReport& report)
 {
     m_state.upstreamSocket->handleRefusal();
     const Millis now = m_state.role.clock.now();
     const UpstreamReport previous = m_state.flowAdmission.upstream.value_or(UpstreamReport {});
     const auto previousAge = static_cast<std::uint64_t>(now - m_state.flowAdmission.reportedAt);
-    const ReportEffect effect = applyReport(m_state.flowAdmission, report, now);
+    const bool wasNamed = isNamedService(m_state.network.routes(), previous.service);
+    const ReportEffect effect = applyReport(m_state.flowAdmission, m_state.network.routes(), report, now);
     m_reports.increment(effect);
-    if (effect == ReportEffect::Changed || effect == ReportEffect::NewProcess)
-        logEvent(Event::UpstreamReported, { { "upstream", report.id }, { "news", nameOf(effect) }, { "service", report.service }, { "slots", report.slots }, { "draining", report.isDraining ? "yes" : "no" }, { "born", report.born }, { "sequence", report.sequence }, { "coldLeft", static_cast<std::uint64_t>(report.coldLeft) }, { "previous", previous.id }, { "previousBorn", previous.born }, { "previousAge", previousAge }, { "open", m_state.flows.open } });
-    const bool isIgnored = effect == ReportEffect::Stale || effect == ReportEffect::Contradicting;
-    if (isIgnored)
-        logEvent(effect == ReportEffect::Stale ? Event::StaleReport : Event::ContradictingReport, { { "upstream", report.id }, { "service", report.service }, { "born", report.born }, { "sequence", report.sequence }, { "known", previous.id }, { "knownBorn", previous.born }, { "knownService", previous.service }, { "knownSequence", previous.sequence }, { "knownAge", previousAge }, { "evidenceAge", static_cast<std::uint64_t>(now - m_state.flowAdmission.evidence.runningAt) } });
-    if (!isIgnored) {
-        recordReport(m_untrackedFlows, report, effect == ReportEffect::NewProcess);
+    logReport(report, previous, previousAge, effect);
+    if (!isIgnored(effect)) {
+        // A report of a service that the configuration does not name says nothing about flows.
+        if (isNamedService(m_state.network.routes(), report.service))
+            recordReport(m_untrackedFlows, report, effect == ReportEffect::NewProcess && !m_state.flowAdmission.displaced);
+        else
+            recordFlowPacket(m_untrackedFlows);
         recordUpstreamReport(m_state.upstreamEnd);
     }
-    if (effect == ReportEffect::NewProcess)
-        m_loss.handleNewProcess(previous.service != report.service);
+    if (effect == ReportEffect::NewProcess || effect == ReportEffect::Restored)
+        m_loss.handleNewProcess(wasNamed && previous.service != report.service);
+    else if (effect == ReportEffect::Contradicting && !isProven(m_state.flowAdmission.evidence, now))
+        m_loss.verifyContestedFlows();
     m_state.flows.isComplete = knowsEveryFlow(m_untrackedFlows);
     announceState();
+    return effect;
+}
+
+void PacketAgent::logReport(const UpstreamReport& report, const UpstreamReport& previous, std::uint64_t previousAge, ReportEffect effect) const
+{
+    if (isIgnored(effect))
+        logEvent(effect == ReportEffect::Stale ? Event::StaleReport : Event::ContradictingReport, { { "upstream", report.id }, { "service", report.service }, { "born", report.born }, { "sequence", report.sequence }, { "known", previous.id }, { "knownBorn", previous.born }, { "knownService", previous.service }, { "knownSequence", previous.sequence }, { "knownAge", previousAge }, { "evidenceAge", static_cast<std::uint64_t>(m_state.role.clock.now() - m_state.flowAdmission.evidence.runningAt) } });
+    else if (effect != ReportEffect::Nothing)
+        logEvent(Event::UpstreamReported, { { "upstream", report.id }, { "news", nameOf(effect) }, { "service", report.service }, { "slots", report.slots }, { "draining", report.isDraining ? "yes" : "no" }, { "born", report.born }, { "sequence", report.sequence }, { "coldLeft", static_cast<std::uint64_t>(report.coldLeft) }, { "previous", previous.id }, { "previousBorn", previous.born }, { "previousAge", previousAge }, { "open", m_state.flows.open } });
+}
+
+// Decides whether the report by which a process replaced the one before it was of the upstream.
+void PacketAgent::checkReplacement(Millis now)
+{
+    const std::optional<DisplacedProcess>& displaced = m_state.flowAdmission.displaced;
+    // The answers to the first copies may have been under way when the report was read.
+    if (displaced && m_verifiedReplacement != displaced->displacedAt && earliestSending(m_state.flowAdmission.evidence, now) > displaced->displacedAt) {
+        m_verifiedReplacement = displaced->displacedAt;
+        m_loss.verifyFlows();
+    }
+    if (confirmReplacement(m_state.flowAdmission, now)) {
+        recordReplacement(m_untrackedFlows);
+        m_state.flows.isComplete = knowsEveryFlow(m_untrackedFlows);
+    }
+}
+
+// A packet of a flow that the process at the upstream's address holds.
+void PacketAgent::handleEvidence(const FlowKey& flow, Millis now)
+{
+    FlowAdmission& admission = m_state.flowAdmission;
+    recordFlowEvidence(admission.evidence, now);
+    const UpstreamReport reported = admission.upstream.value_or(UpstreamReport {});
+    if (!applyFlowPacket(admission, m_state.flows.flows.at(flow).openedAt, now))
+        return;
+    logFlowEvent(Event::ReplacementDisproved, flow, { { "upstream", admission.upstream->id }, { "reported", reported.id }, { "reportedBorn", reported.born }, { "reportedService", reported.service } });
+    announceState();
 }
 
 // Checks whether an upstream is running. Once it is known that there is none, this agent holds no flows and can deny every
@@ -386,6 +427,7 @@
     expireWork(m_state.flows, now);
     sweepIdleFlows(now);
     m_neighbours.expire(now);
+    checkReplacement(now);
     checkUpstreamPresence(now);
     m_connection.tick(now);
     checkUnansweredRequests(now);
--- a/src/kingcuptraild/packets/packetagent.h
+++ b/src/kingcuptraild/packets/packetagent.h
@@ -4,6 +4,7 @@
 #include "connectionadmission.h"
 #include "flowlearning.h"
 #include "kingcuptraild/role.h"
+#include "libdecision/upstreamreports.h"
 #include "neighboursearches.h"
 #include "pendingreporter.h"
 #include "storefollower.h"
@@ -36,7 +37,10 @@
     void handleReturned(const FlowKey& flow, std::span<std::uint8_t> packet, const PacketHeader& header);
 
     HttpResponse handleUpstreamRequest(const HttpRequest& request);
-    void handleReport(const UpstreamReport& report);
+    ReportEffect handleReport(const UpstreamReport& report);
+    void logReport(const UpstreamReport& report, const UpstreamReport& previous, std::uint64_t previousAge, ReportEffect effect) const;
+    void checkReplacement(Millis now);
+    void handleEvidence(const FlowKey& flow, Millis now);
     void checkUpstreamPresence(Millis now);
     void withdrawFormerEntry();
     const PeerEntry& withdraw(PeerEntry entry, std::function<void()> done);
@@ -61,6 +65,8 @@
     std::unique_ptr<StoreFollower> m_store;
     std::unique_ptr<DatagramSocket> m_outbound;
     UntrackedFlows m_untrackedFlows;
+    /// When the process was displaced whose flows were verified last.
+    std::optional<Millis> m_verifiedReplacement;
     UpstreamLoss m_loss;
     UpstreamConnectCheck m_connectCheck;
     UpstreamEndWatch m_endWatch;
--- a/src/kingcuptraild/packets/upstreamloss.cpp
+++ b/src/kingcuptraild/packets/upstreamloss.cpp
@@ -28,6 +28,12 @@
     logEvent(Event::FlowsVerified, { { "flows", m_verifier.begin() }, { "reason", "newProcess" } });
 }
 
+void UpstreamLoss::verifyContestedFlows()
+{
+    if (!m_verifier.isRunning())
+        logEvent(Event::FlowsVerified, { { "flows", m_verifier.begin() }, { "reason", "contradictingReport" } });
+}
+
 // The upstream's address refuses connections. Its process may have ended, or only closed its listener: it gets no new flows, and
 // openings that it has not answered may go to other agents, but its flows are kept until they are known to be lost.
 void UpstreamLoss::handleEndSigns()
--- a/src/kingcuptraild/packets/upstreamloss.h
+++ b/src/kingcuptraild/packets/upstreamloss.h
@@ -20,6 +20,8 @@
 
     /// Begins to verify all open flows.
     void verifyFlows() { m_verifier.begin(); }
+    /// The same unless they are being verified already: such reports may come in quick succession.
+    void verifyContestedFlows();
     /// Handles a packet of this flow that the upstream has returned.
     void handleReturned(const FlowKey& flow) { m_verifier.handleReturned(flow); }
 
--- a/src/libdecision/flowadmission.cpp
+++ b/src/libdecision/flowadmission.cpp
@@ -6,23 +6,13 @@
 
 namespace {
 
-    bool isLateReport(const FlowAdmission& admission, const UpstreamReport& report, Millis now)
+    // An address is reused only some time after its process has ended, so that a contradicting report says nothing while packets prove
+    // that the known one runs.
+    bool isContested(const FlowAdmission& admission, Millis now)
     {
-        return std::ranges::any_of(admission.replaced, [&](const ReplacedProcess& process) {
-            return process.id == report.id && process.born == report.born && now - process.replacedAt < admission.options.lateReportLimit;
-        });
-    }
-
-    bool confirmsClaim(const FlowAdmission& admission, const UpstreamReport& report)
-    {
-        return admission.claim && admission.claim->id == report.id && admission.claim->born == report.born && report.sequence > admission.claim->sequence;
-    }
-
-    void rememberReplaced(FlowAdmission& admission, Millis now)
-    {
-        admission.replaced.push_back({ .id = admission.upstream->id, .born = admission.upstream->born, .replacedAt = now });
-        if (admission.replaced.size() > maxReplacedProcesses)
-            admission.replaced.pop_front();
+        if (isProven(admission.evidence, now) || (admission.hasFoundFalseReport && isReporting(admission, now)))
+            return false;
+        return std::ranges::any_of(admission.claims, &AddressClaim::isContradiction);
     }
 
     bool hasColdCapacity(FlowAdmission& admission, double rate, Millis now)
@@ -115,46 +105,10 @@
     return refusalByRoute(admission, routes, request);
 }
 
-ReportEffect applyReport(FlowAdmission& admission, const UpstreamReport& report, Millis now)
-{
-    ReportEffect effect = ReportEffect::Nothing;
-    if (isLateReport(admission, report, now))
-        return ReportEffect::Stale;
-    if (!admission.upstream) {
-        effect = ReportEffect::Changed;
-    } else {
-        const UpstreamReport& known = *admission.upstream;
-        if (report.born < known.born)
-            return ReportEffect::Stale;
-        if (report.born > known.born || report.id != known.id)
-            effect = ReportEffect::NewProcess;
-        else if (report.sequence <= known.sequence || (admission.endedAt && now - *admission.endedAt < admission.options.lateReportLimit))
-            return ReportEffect::Stale;
-        else if (report.isDraining != known.isDraining || report.service != known.service || report.slots != known.slots)
-            effect = ReportEffect::Changed;
-    }
-    if (effect == ReportEffect::NewProcess) {
-        if (report.service != admission.upstream->service && isSameProcess(admission.evidence, now) && !confirmsClaim(admission, report)) {
-            admission.claim = { .id = report.id, .born = report.born, .sequence = report.sequence };
-            return ReportEffect::Contradicting;
-        }
-        rememberReplaced(admission, now);
-        recordReplaced(admission.evidence);
-    }
-    // The flows of an ended process were given up, so one that turns out to be running counts as changed.
-    if (admission.endedAt && effect == ReportEffect::Nothing)
-        effect = ReportEffect::Changed;
-    admission.endedAt.reset();
-    admission.claim.reset();
-    admission.upstream = report;
-    admission.reportedAt = now;
-    recordHeard(admission.evidence, now);
-    admission.coldUntil = now + report.coldLeft;
-    return effect;
-}
-
 bool applyShutdownNotice(FlowAdmission& admission, std::string_view id)
 {
+    if (admission.displaced && admission.displaced->report.id == id)
+        admission.displaced.reset();
     if (!admission.upstream || admission.upstream->id != id)
         return false;
     admission.upstream->isDraining = true;
@@ -164,11 +118,17 @@
 void recordUpstreamEnd(FlowAdmission& admission, Millis now)
 {
     admission.endedAt = now;
+    admission.displaced.reset();
 }
 
 bool isRunning(const FlowAdmission& admission, Millis now)
 {
-    return admission.upstream && !admission.endedAt && !admission.claim && isSameProcess(admission.evidence, now);
+    return admission.upstream && !admission.endedAt && !isContested(admission, now) && isSameProcess(admission.evidence, now);
+}
+
+bool isReporting(const FlowAdmission& admission, Millis now)
+{
+    return now - admission.reportedAt <= admission.evidence.options.silenceLimit;
 }
 
 bool takesFlows(const FlowAdmission& admission)
--- a/src/libdecision/flowadmission.h
+++ b/src/libdecision/flowadmission.h
@@ -88,6 +88,9 @@
     /// How long reports of a process that has ended or was replaced may arrive late, in milliseconds: four retransmissions of TCP.
     /// One that reports later is running, and its connections were refused for another reason.
     Millis lateReportLimit = 3000;
+    /// How long a process of another service claims the address at least before it is believed, in milliseconds: enough for answers to
+    /// the copies by which the flows of the known one are verified.
+    Millis minClaimTime = 300;
 };
 
 /// A process that has reported for the upstream until another one did. An upstream may keep its id when it starts again.
@@ -100,11 +103,27 @@
 /// The number of replaced processes that are remembered.
 inline constexpr std::size_t maxReplacedProcesses = 8;
 
-/// A process of another service that has reported while the known one is believed to run.
+/// A process that has reported for the upstream, and whose report was not taken.
 struct AddressClaim {
     std::string id;
     std::uint64_t born = 0;
     std::uint64_t sequence = 0;
+    Millis since = 0;
+    /// It is of another service than the known process, which has not reported since.
+    bool isContradiction = false;
+};
+
+/// The number of claims that are remembered.
+inline constexpr std::size_t maxAddressClaims = 8;
+
+/// A process that was replaced by the report of another one without any sign that it had ended.
+struct DisplacedProcess {
+    UpstreamReport report;
+    Millis reportedAt = 0;
+    Millis displacedAt = 0;
+    Millis coldUntil = 0;
+    /// Sequence of its last report since then. It may have been late.
+    std::optional<std::uint64_t> lateSequence;
 };
 
 /// An agent's state for deciding whether its upstream gets an opening packet.
@@ -117,8 +136,16 @@
     Millis reportedAt = 0;
     /// Until when the process that sent the last report is known to be the one at its address.
     UpstreamEvidence evidence;
-    /// While it is set, it is not known which of two processes is the one at the address. The next report of either settles it.
-    std::optional<AddressClaim> claim;
+    /// The latest processes whose reports were not taken. While one of them contradicts the known process and no packet proves that
+    /// this one runs, it is not known which of them is the one at the address.
+    std::deque<AddressClaim> claims;
+    /// When the first and the last of a series of contradicting reports arrived.
+    std::optional<Millis> contestedSince;
+    Millis contestedAt = 0;
+    /// Set until it is certain that the known process has replaced the one before it.
+    std::optional<DisplacedProcess> displaced;
+    /// A report was found to be of no process at the address. From then on the known process's own reports outweigh those of others.
+    bool hasFoundFalseReport = false;
     /// When the upstream's process was found to have ended; empty once a report shows that a process is running.
     std::optional<Millis> endedAt;
     /// Until when the upstream is cold, by this process's clock.
@@ -150,28 +177,6 @@
 /// first packet of a new flow from the same port. Its upstream may have been replaced in the meantime; load and state do not matter.
 OpeningRefusal decideCopy(const FlowAdmission&, const RouteTable&, const OpeningRequest&, Millis now);
 
-/// The effect of a report on the agent's state.
-enum class ReportEffect : std::uint8_t {
-    /// From a process that has been replaced or has ended, or older than the last report.
-    Stale,
-    /// From a process of another service while the known one seems to run. Either the report is late, or what shows that the known one
-    /// runs is: there are no openings until one of them reports again.
-    Contradicting,
-    Nothing,
-    /// Draining state, service or slots differ.
-    Changed,
-    /// A new process reports for the upstream. It may have accepted flows before this report.
-    NewProcess,
-};
-
-template <>
-struct EnumNames<ReportEffect> {
-    static constexpr std::array<std::string_view, 5> names { "stale", "contradicting", "nothing", "changed", "newProcess" };
-};
-
-/// Applies a heartbeat of the upstream.
-ReportEffect applyReport(FlowAdmission&, const UpstreamReport&, Millis now);
-
 /// Applies the upstream's notice that it shuts down. Returns false, without effect, when `id` is not that of the known
 /// process.
 bool applyShutdownNotice(FlowAdmission&, std::string_view id);
@@ -184,6 +189,9 @@
 /// address.
 bool isRunning(const FlowAdmission&, Millis now);
 
+/// Whether the known process has reported lately.
+bool isReporting(const FlowAdmission&, Millis now);
+
 /// Whether the upstream is one to send new flows to, apart from the age of what is known of it: it has reported, and has
 /// neither ended nor announced that it shuts down.
 bool takesFlows(const FlowAdmission&);
--- a/src/libdecision/untrackedflows.cpp
+++ b/src/libdecision/untrackedflows.cpp
@@ -44,6 +44,11 @@
     untracked.silence = 0;
 }
 
+void recordReplacement(UntrackedFlows& untracked)
+{
+    untracked.isKnownNew = true;
+}
+
 void recordShutdown(UntrackedFlows& untracked)
 {
     untracked.isGone = true;
--- a/src/libdecision/untrackedflows.h
+++ b/src/libdecision/untrackedflows.h
@@ -65,6 +65,9 @@
 /// Records a report that is not stale. `isNewProcess` is set if the report before it came from another process.
 void recordReport(UntrackedFlows&, const UpstreamReport&, bool isNewProcess);
 
+/// Records that another process has certainly replaced the one that reported before.
+void recordReplacement(UntrackedFlows&);
+
 /// Records the upstream's notice that it shuts down, or that its port was closed.
 void recordShutdown(UntrackedFlows&);
 
--- a/src/libdecision/upstreamevidence.cpp
+++ b/src/libdecision/upstreamevidence.cpp
@@ -45,15 +45,21 @@
 
 void recordHeard(UpstreamEvidence& evidence, Millis now)
 {
-    const Millis sentAfter = evidence.checkedBeforeGap.value_or(evidence.checkedAt.value_or(now));
-    evidence.runningAt = std::max(evidence.runningAt, sentAfter);
+    evidence.runningAt = std::max(evidence.runningAt, earliestSending(evidence, now));
     evidence.heardAt = now;
     evidence.refusals = 0;
 }
 
+void recordFlowEvidence(UpstreamEvidence& evidence, Millis now)
+{
+    recordHeard(evidence, now);
+    evidence.provenAt = std::max(evidence.provenAt.value_or(0), earliestSending(evidence, now));
+}
+
 void recordReplaced(UpstreamEvidence& evidence)
 {
     evidence.runningAt = 0;
+    evidence.provenAt.reset();
     if (evidence.isConnected)
         recordDisconnected(evidence);
 }
@@ -109,6 +115,16 @@
     return now - evidence.runningAt <= evidence.options.reuseLimit;
 }
 
+bool isProven(const UpstreamEvidence& evidence, Millis now)
+{
+    return evidence.provenAt && now - *evidence.provenAt <= evidence.options.reuseLimit;
+}
+
+Millis earliestSending(const UpstreamEvidence& evidence, Millis now)
+{
+    return evidence.checkedBeforeGap.value_or(evidence.checkedAt.value_or(now));
+}
+
 bool isResponsive(const UpstreamEvidence& evidence, Millis now)
 {
     return now - evidence.heardAt <= evidence.options.silenceLimit;
--- a/src/libdecision/upstreamevidence.h
+++ b/src/libdecision/upstreamevidence.h
@@ -32,6 +32,8 @@
 struct UpstreamEvidence {
     UpstreamEvidenceOptions options;
     Millis runningAt = 0;
+    /// The same by packets of flows alone. A report may be late, and a connection may have gone silent, so that its end never arrives.
+    std::optional<Millis> provenAt;
     /// When the last report or packet arrived.
     Millis heardAt = 0;
     bool isConnected = false;
@@ -56,10 +58,13 @@
 /// Records that the agent's regular check runs. Between two checks each socket is read.
 void recordCheck(UpstreamEvidence&, Millis now);
 
-/// Records a report, or a packet that only the process that was known before can have sent. It shows that the process ran when it was
-/// sent, at the last regular check at the earliest. The time of reading says nothing: it may have waited while this process was paused.
+/// Records a report of the process that was known before. It shows that the process ran when it was sent, at the last regular check at
+/// the earliest. The time of reading says nothing: it may have waited while this process was paused.
 void recordHeard(UpstreamEvidence&, Millis now);
 
+/// Records a packet of a flow that the process which was known before holds.
+void recordFlowEvidence(UpstreamEvidence&, Millis now);
+
 /// Records that another process has taken over the address: nothing that showed the one before counts for it.
 void recordReplaced(UpstreamEvidence&);
 
@@ -78,6 +83,12 @@
 /// Whether the process that reported last is the one at the upstream's address.
 bool isSameProcess(const UpstreamEvidence&, Millis now);
 
+/// Whether packets of its flows show this.
+bool isProven(const UpstreamEvidence&, Millis now);
+
+/// When a report or packet that is read now was sent at the earliest.
+Millis earliestSending(const UpstreamEvidence&, Millis now);
+
 /// Whether the upstream has been heard recently enough to get new flows.
 bool isResponsive(const UpstreamEvidence&, Millis now);
 
--- a/src/libruntime/events.h
+++ b/src/libruntime/events.h
@@ -73,6 +73,7 @@
     FlowsVerified = 415,
     ContradictingReport = 416,
     IdleFlowsDropped = 417,
+    ReplacementDisproved = 418,
     // Safety
     WrongServicePacket = 500,
     OutcomeUnknown = 501,
