--- a/src/kingcuptraild/packets/storefollower.cpp
+++ b/src/kingcuptraild/packets/storefollower.cpp
@@ -26,6 +26,13 @@
         return options;
     }
 
+    PlatformOptions verificationOptions(const PlatformOptions& options)
+    {
+        PlatformOptions result = livenessOptions(options);
+        result.watchWait = 1;
+        return result;
+    }
+
     /// Foreign objects that are remembered as logged, and how much of their names is logged. Names are the other program's choice.
     constexpr std::size_t maxLoggedObjects = 100;
     constexpr std::size_t maxLoggedName = 100;
@@ -39,6 +46,7 @@
     , m_outages(context, options, std::string(adapter.outagesKind), outagesHandlers())
     , m_agents(context, options, agentKind, agentsHandlers(), agentsInterval)
     , m_livenessCheck(context, livenessOptions(options), std::string(adapter.outagesKind), livenessHandlers(), livenessInterval)
+    , m_verificationClient(context, verificationOptions(options))
     , m_removalClient(context, options)
 {
 }
@@ -54,7 +62,7 @@
 
 std::uint64_t StoreFollower::callsMade() const
 {
-    return m_routes.callsMade() + m_outages.callsMade() + m_agents.callsMade() + m_livenessCheck.callsMade() + m_removalClient.callsMade();
+    return m_routes.callsMade() + m_outages.callsMade() + m_agents.callsMade() + m_livenessCheck.callsMade() + m_verificationClient.callsMade() + m_removalClient.callsMade();
 }
 
 KindWatcher::Handlers StoreFollower::routesHandlers()
@@ -90,10 +98,13 @@
 KindWatcher::Handlers StoreFollower::livenessHandlers()
 {
     return {
-        .onList = [this](const ObjectList&) {
+        .onList = [this](const ObjectList& list) {
             recordStoreAnswer();
-            if (!std::exchange(m_isUnresponsive, false))
+            if (!std::exchange(m_isUnresponsive, false)) {
+                verifyOutages(list);
+                verifyRoutes(list.version);
                 return;
+            }
             m_routes.restart();
             m_outages.restart(); },
         .onChanges = [](const ObjectList&) {},
@@ -136,6 +147,54 @@
     m_network.updateOutages({ .revision = changes.version, .out = std::move(selection.taken) });
 }
 
+// The list may be older than what the watch has reported.
+void StoreFollower::verifyOutages(const ObjectList& listed)
+{
+    if (!m_outages.isCurrent() || listed.version <= m_outages.version())
+        return;
+    std::map<std::string, ObjectVersion> out;
+    for (const PlatformObject& object : listed.objects) {
+        if (!object.name.empty())
+            out.emplace(object.name, object.version);
+    }
+    if (out == m_outDataCentres)
+        return;
+    logEvent(Event::WatchSilent, { { "kind", m_adapter.outagesKind }, { "revision", listed.version }, { "watchRevision", m_outages.version() } });
+    m_outDataCentres.clear();
+    updateOutages(listed);
+    m_outages.restart();
+}
+
+// The routes are large, so they are not listed. Their changes are asked for only after the store has changed since they were last known
+// to be complete. The watch gets until the next liveness check to report the change itself.
+void StoreFollower::verifyRoutes(ObjectVersion storeVersion)
+{
+    const ObjectVersion verified = std::max(m_verifiedVersion, m_routes.version());
+    const bool isOverdue = std::exchange(m_seenVersion, storeVersion) > verified;
+    if (!isOverdue || !m_routes.isCurrent() || m_isVerifying)
+        return;
+    m_isVerifying = true;
+    m_verificationClient.watch(std::string(m_adapter.routesKind), verified, [this](const std::optional<ObjectList>& changes, PlatformError reason) { handleVerification(changes, reason); });
+}
+
+void StoreFollower::handleVerification(const std::optional<ObjectList>& changes, PlatformError reason)
+{
+    m_isVerifying = false;
+    if (!changes) {
+        // Calls that get no answer are repeated after a later liveness check.
+        if (reason == PlatformError::Gone || reason == PlatformError::BadAnswer)
+            m_routes.restart();
+        return;
+    }
+    m_verifiedVersion = std::max(m_verifiedVersion, changes->version);
+    const auto isMissed = [this](const PlatformObject& object) { return object.version > m_routes.version(); };
+    if (!m_routes.isCurrent() || std::ranges::none_of(changes->objects, isMissed))
+        return;
+    logEvent(Event::WatchSilent, { { "kind", m_adapter.routesKind }, { "revision", changes->version }, { "watchRevision", m_routes.version() } });
+    updateRoutes(*changes);
+    m_routes.restart();
+}
+
 void StoreFollower::updateAgents(const ObjectList& objects)
 {
     recordStoreAnswer();
--- a/src/kingcuptraild/packets/storefollower.h
+++ b/src/kingcuptraild/packets/storefollower.h
@@ -36,6 +36,9 @@
     void updateAgents(const ObjectList& objects);
     void logForeignObject(std::string_view kind, const PlatformObject& object, DecodeError error);
     void removeStaleListings(const std::map<std::string, ObjectVersion>& staleListings);
+    void verifyOutages(const ObjectList& listed);
+    void verifyRoutes(ObjectVersion storeVersion);
+    void handleVerification(const std::optional<ObjectList>& changes, PlatformError reason);
     void recordStoreFailure();
     void recordStoreAnswer();
 
@@ -48,9 +51,16 @@
     KindWatcher m_outages;
     KindWatcher m_agents;
     /// Liveness check: a periodic call that the store answers at once. A pending watch cannot tell a store that no longer
-    /// answers this host from one without changes.
+    /// answers this host from one without changes. The answers also show whether the watches have missed a change: the answer to a
+    /// watch may be lost while the store answers everything else.
     KindWatcher m_livenessCheck;
     bool m_isUnresponsive = false;
+    /// Asks for the routes' changes without waiting for one.
+    PlatformClient m_verificationClient;
+    bool m_isVerifying = false;
+    /// The version of the store up to which the routes are known to be complete, and the one that the last liveness check showed.
+    ObjectVersion m_verifiedVersion = 0;
+    ObjectVersion m_seenVersion = 0;
     /// Entries of processes that are gone, with their versions, as of the last listing.
     std::map<std::string, ObjectVersion> m_staleListings;
     /// Objects of other programs that were logged, with their versions.
--- a/src/libplatform/kindwatcher.h
+++ b/src/libplatform/kindwatcher.h
@@ -30,6 +30,9 @@
     /// Whether the last call succeeded. The reported objects are then up to date, or at most one poll interval old.
     bool isCurrent() const { return m_since && m_lastError == PlatformError::None; }
 
+    /// The version that the last answer reflects; 0 before the first one.
+    ObjectVersion version() const { return m_since.value_or(0); }
+
     PlatformError lastError() const { return m_lastError; }
     std::uint64_t callsMade() const { return m_client.callsMade(); }
 
--- a/src/libruntime/events.cpp
+++ b/src/libruntime/events.cpp
@@ -76,6 +76,8 @@
             "Nothing." },
         { Event::AddressReused, EventLevel::Info, "addressReused", "A process announced itself at an address that another name was announced for. The name with the higher epoch is that of the process that runs there.",
             "Nothing for a host that was replaced. If peerChanged lines of both names follow in turns, two hosts have the same address." },
+        { Event::WatchSilent, EventLevel::Warning, "watchSilent", "The store has changed, and the answer to this process's waiting watch has not arrived. The change was taken from another call, and the watch is begun anew.",
+            "Nothing for single lines. If they repeat, something between this host and the store drops answers or connections." },
         { Event::DataCentreSilent, EventLevel::Warning, "dataCentreSilent", "Nothing was received from a data centre and pings to its agents are unanswered. Openings go to other data centres first; its flows are kept.",
             "Check the network to that data centre and its power. All balancers name it when it has failed; a single balancer names it when its own link is faulty." },
         { Event::DataCentreLost, EventLevel::Error, "dataCentreLost", "A silent data centre is lost: the routers send its callers here, since no balancer there is ready. Openings and searches skip its agents.",
--- a/src/libruntime/events.h
+++ b/src/libruntime/events.h
@@ -49,6 +49,7 @@
     PlatformTrouble = 330,
     PlatformBack = 331,
     AddressReused = 332,
+    WatchSilent = 333,
     // Health of other data centres
     DataCentreSilent = 341,
     DataCentreLost = 342,
--- a/tests/trustplatform/teststorefollower.cpp
+++ b/tests/trustplatform/teststorefollower.cpp
@@ -16,6 +16,11 @@
     CPPUNIT_TEST(listContinuesAfterTheLastReadableName);
     CPPUNIT_TEST(listEndsWhereNoNameCanBeRead);
     CPPUNIT_TEST(unreadableAnswerOfAWatchLeadsToAList);
+    CPPUNIT_TEST(missedOutagesAreFound);
+    CPPUNIT_TEST(missedRoutesAreFound);
+    CPPUNIT_TEST(missedChangesInASeriesAreFound);
+    CPPUNIT_TEST(successorFindsMissedChanges);
+    CPPUNIT_TEST(verificationCostsNoCallsWithoutChanges);
     CPPUNIT_TEST_SUITE_END();
 
     /// A process that follows the store with the long watch times of a real deployment.
@@ -27,8 +32,15 @@
             options.client = "front-1";
             options.watchWait = 30000;
             options.callTimeout = 2000;
+            m_options = options;
             settings.packets.seeds = { { asio::ip::make_address("127.83.2.2"), settings.listen.port() } };
-            follower = std::make_unique<StoreFollower>(context, options, trustAdapter(), network);
+            follow(context);
+        }
+
+        /// Begins to follow the store, as the first or the next of the processes that do.
+        void follow(asio::io_context& context)
+        {
+            follower = std::make_unique<StoreFollower>(context, m_options, trustAdapter(), network);
             runUntil(context, [this] { return follower->isCurrent(); });
         }
 
@@ -43,6 +55,9 @@
         Clock clock;
         PeerNetwork network;
         std::unique_ptr<StoreFollower> follower;
+
+    private:
+        PlatformOptions m_options;
     };
 
     /// Makes the store leave the reader's calls unanswered, including pending watches.
@@ -74,6 +89,96 @@
         runUntil(m_context, [&reader] { return reader.network.routes().version == 7; });
     }
 
+    /// Waits until the condition holds, and expects that within the time that leaves a second for the other processes.
+    static void runSoon(asio::io_context& context, const Reader& reader, const std::function<bool()>& condition)
+    {
+        const Millis begunAt = reader.clock.now();
+        runUntil(context, condition);
+        CPPUNIT_ASSERT(reader.clock.now() - begunAt < 2000);
+    }
+
+    /// Waits until the store holds the follower's watches of routes and outages.
+    void awaitWatches()
+    {
+        runUntil(m_context, [this] { return m_server->calls().waitingWatches == 2; });
+    }
+
+    /// Writes a configuration without an answer to the waiting watches, as when the store's answers to them are lost.
+    void writeRoutesUnseen(ConfigVersion version)
+    {
+        const auto known = m_server->store().get("config", "main");
+        m_server->store().put("config", "main", R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[]})", known ? known->version : 0);
+    }
+
+    // Guards against a follower that takes a watch without an answer for a store without changes: an evacuation, or its end, was
+    // followed only when the watch had run out.
+    void missedOutagesAreFound()
+    {
+        Reader reader(m_context, m_options);
+        awaitWatches();
+        const StoreResult written = m_server->store().put("evacuations", "south", "{}", 0);
+        runSoon(m_context, reader, [&reader] { return isDataCentreOut(reader.network.outages(), "south"); });
+        awaitWatches();
+        m_server->store().remove("evacuations", "south", written.version);
+        runSoon(m_context, reader, [&reader] { return !isDataCentreOut(reader.network.outages(), "south"); });
+    }
+
+    // Guards against the same for the routes.
+    void missedRoutesAreFound()
+    {
+        Reader reader(m_context, m_options);
+        awaitWatches();
+        writeRoutesUnseen(7);
+        runSoon(m_context, reader, [&reader] { return reader.network.routes().version == 7; });
+    }
+
+    // Guards against a follower that finds only the first loss, or only one that comes alone.
+    void missedChangesInASeriesAreFound()
+    {
+        Reader reader(m_context, m_options);
+        for (ConfigVersion version = 7; version < 12; ++version) {
+            const std::string name = "south-" + std::to_string(version);
+            awaitWatches();
+            m_server->store().put("evacuations", name, "{}", 0);
+            writeRoutesUnseen(version);
+            runSoon(m_context, reader, [&] { return reader.network.routes().version == version && isDataCentreOut(reader.network.outages(), name); });
+        }
+        m_server->store().put("evacuations", "west", "{}", 0);
+        m_server->wakeWatches("evacuations");
+        runSoon(m_context, reader, [&reader] { return isDataCentreOut(reader.network.outages(), "west"); });
+    }
+
+    // Guards against a process that begins to follow the store between the losses and trusts its first watch.
+    void successorFindsMissedChanges()
+    {
+        Reader reader(m_context, m_options);
+        writeRoutesUnseen(7);
+        reader.follow(m_context);
+        awaitWatches();
+        writeRoutesUnseen(8);
+        m_server->store().put("evacuations", "south", "{}", 0);
+        runSoon(m_context, reader, [&reader] { return reader.network.routes().version == 8 && isDataCentreOut(reader.network.outages(), "south"); });
+    }
+
+    // Guards against calls that every follower makes all the time, or for changes that its watches have reported.
+    void verificationCostsNoCallsWithoutChanges()
+    {
+        Reader reader(m_context, m_options);
+        const auto runFor = [&](Millis time) {
+            const Millis until = reader.clock.now() + time;
+            runUntil(m_context, [&] { return reader.clock.now() >= until; });
+        };
+        runFor(1200);
+        const std::uint64_t callsBefore = reader.follower->callsMade();
+        for (ConfigVersion version = 7; version < 9; ++version) {
+            writeRoutesUnseen(version);
+            m_server->wakeWatches("config");
+            runFor(1500);
+        }
+        // Six liveness checks, and two watches that follow those answered; a list of the agents may fall into this time.
+        CPPUNIT_ASSERT(reader.follower->callsMade() - callsBefore <= 10);
+    }
+
     /// Writes objects of another program: text and numbers that the JSON library refuses, and nesting that ends a process which copies
     /// it.
     void writeForeignObjects()
