--- a/src/libdecision/agentflows.cpp
+++ b/src/libdecision/agentflows.cpp
@@ -227,9 +227,12 @@
     flow.lastPacketAt = now;
     flow.upstreamPacketAt = now;
     flow.isConfirmed = flow.isConfirmed || (!effect.isAnswer && !header.flags.resets);
-    if (effect.isAnswer)
+    if (effect.isAnswer) {
+        // Another answer opens another flow between the same ports.
+        if (flow.answerSequence && flow.answerSequence != header.sequence)
+            flow.openedAt = now;
         flow.answerSequence = header.sequence;
-    else if (flow.phase == FlowPhase::Opening)
+    } else if (flow.phase == FlowPhase::Opening)
         setPhase(table, flow, FlowPhase::Open);
     if (header.flags.acknowledges)
         advanceCallerSentEnd(flow, header.acknowledged);
--- a/tests/packets/testforeignreports.cpp
+++ b/tests/packets/testforeignreports.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(manyIdsDoNotLockOutTheUpstream);
     CPPUNIT_TEST(packetOfAnOldFlowRestoresItsProcess);
     CPPUNIT_TEST(packetThatMayBeOlderThanTheReportRestoresNothing);
+    CPPUNIT_TEST(reusedPortsDoNotPassForAnOldFlow);
     CPPUNIT_TEST(sequenceAtItsLimitDoesNotLockOutTheUpstream);
     CPPUNIT_TEST(ownIdDoesNotMoveTheUpstream);
     CPPUNIT_TEST(unnamedServiceGivesWay);
@@ -177,6 +178,17 @@
         CPPUNIT_ASSERT(m_admission.upstream->born == 2000);
     }
 
+    // Guards against a new process that is taken for its predecessor because a caller opens a flow there from ports that it used before.
+    void reusedPortsDoNotPassForAnOldFlow()
+    {
+        AgentFlows flows;
+        openFlow(flows, flowOf(1), 100);
+        trackUpstreamPacket(flows, flowOf(1), upstreamAnswer(500), 200);
+        CPPUNIT_ASSERT_EQUAL(Millis { 100 }, flows.flows.at(flowOf(1)).openedAt);
+        trackUpstreamPacket(flows, flowOf(1), upstreamAnswer(900), 6100);
+        CPPUNIT_ASSERT_EQUAL(Millis { 6100 }, flows.flows.at(flowOf(1)).openedAt);
+    }
+
     // Guards against an upstream whose reports stay ignored because another program sent a higher sequence under its id.
     void sequenceAtItsLimitDoesNotLockOutTheUpstream()
     {
