--- a/src/kingcuptraild/packets/storefollower.cpp
+++ b/src/kingcuptraild/packets/storefollower.cpp
@@ -26,13 +26,6 @@
         return options;
     }
 
-    PlatformOptions verificationOptions(const PlatformOptions& options)
-    {
-        PlatformOptions result = livenessOptions(options);
-        result.watchWait = 1;
-        return result;
-    }
-
     /// Foreign objects that are remembered as logged, and how much of their names is logged. Names are the other program's choice.
     constexpr std::size_t maxLoggedObjects = 100;
     constexpr std::size_t maxLoggedName = 100;
@@ -46,7 +39,7 @@
     , m_outages(context, options, std::string(adapter.outagesKind), outagesHandlers())
     , m_agents(context, options, agentKind, agentsHandlers(), agentsInterval)
     , m_livenessCheck(context, livenessOptions(options), std::string(adapter.outagesKind), livenessHandlers(), livenessInterval)
-    , m_verificationClient(context, verificationOptions(options))
+    , m_verificationClient(context, livenessOptions(options))
     , m_removalClient(context, options)
 {
 }
@@ -174,7 +167,7 @@
     if (!isOverdue || !m_routes.isCurrent() || m_isVerifying)
         return;
     m_isVerifying = true;
-    m_verificationClient.watch(std::string(m_adapter.routesKind), verified, [this](const std::optional<ObjectList>& changes, PlatformError reason) { handleVerification(changes, reason); });
+    m_verificationClient.changesSince(std::string(m_adapter.routesKind), verified, [this](const std::optional<ObjectList>& changes, PlatformError reason) { handleVerification(changes, reason); });
 }
 
 void StoreFollower::handleVerification(const std::optional<ObjectList>& changes, PlatformError reason)
--- a/src/libplatform/platformclient.cpp
+++ b/src/libplatform/platformclient.cpp
@@ -132,7 +132,14 @@
 {
     const Millis wait = m_d->options.watchWait;
     const StoreDialect& dialect = m_d->dialect();
-    m_d->call<ObjectList>(dialect.watch(kind, since, wait), wait + m_d->options.callTimeout, dialect.decodeChanges, std::move(handler));
+    m_d->call<ObjectList>(dialect.watch(kind, since, wait, ReadFreshness::Current), wait + m_d->options.callTimeout, dialect.decodeChanges, std::move(handler));
+}
+
+void PlatformClient::changesSince(const std::string& kind, ObjectVersion since, Handler<ObjectList> handler)
+{
+    constexpr Millis shortestWait = 1;
+    const StoreDialect& dialect = m_d->dialect();
+    m_d->call<ObjectList>(dialect.watch(kind, since, shortestWait, ReadFreshness::MayBeStale), m_d->options.callTimeout, dialect.decodeChanges, std::move(handler));
 }
 
 void PlatformClient::cancelAll()
--- a/src/libplatform/platformclient.h
+++ b/src/libplatform/platformclient.h
@@ -105,6 +105,9 @@
     /// Waits for changes after version `since`; yields an empty list when there were none within the wait.
     void watch(const std::string& kind, ObjectVersion since, Handler<ObjectList> handler);
 
+    /// Yields the changes after version `since` that there are, without waiting for one. The answer may be some seconds old.
+    void changesSince(const std::string& kind, ObjectVersion since, Handler<ObjectList> handler);
+
     /// Cancels all pending calls without calling their handlers.
     void cancelAll();
 
--- a/src/libplatform/storedialect.cpp
+++ b/src/libplatform/storedialect.cpp
@@ -62,7 +62,7 @@
         return { .method = "DELETE", .target = objectTarget(kind, name) + "?ifVersion=" + std::to_string(ifVersion) };
     }
 
-    HttpRequest watchRequest(const std::string& kind, ObjectVersion since, Millis wait)
+    HttpRequest watchRequest(const std::string& kind, ObjectVersion since, Millis wait, ReadFreshness)
     {
         return { .target = "/watch/" + percentEncode(kind) + "?since=" + std::to_string(since) + "&wait=" + std::to_string(wait) };
     }
--- a/src/libplatform/storedialect.h
+++ b/src/libplatform/storedialect.h
@@ -20,7 +20,7 @@
     /// Writes the object if it has the version `ifVersion`; 0 means that it must not exist.
     HttpRequest (*put)(const std::string& kind, const std::string& name, const std::string& value, ObjectVersion ifVersion) = nullptr;
     HttpRequest (*remove)(const std::string& kind, const std::string& name, ObjectVersion ifVersion) = nullptr;
-    HttpRequest (*watch)(const std::string& kind, ObjectVersion since, Millis wait) = nullptr;
+    HttpRequest (*watch)(const std::string& kind, ObjectVersion since, Millis wait, ReadFreshness freshness) = nullptr;
 
     std::optional<PlatformObject> (*decodeObject)(const std::string& body) = nullptr;
     std::optional<ObjectPage> (*decodePage)(const std::string& body) = nullptr;
--- a/tests/trustplatform/testtrustplatform.cpp
+++ b/tests/trustplatform/testtrustplatform.cpp
@@ -147,7 +147,8 @@
         CPPUNIT_ASSERT_EQUAL(std::string("POST"), store.put("agent", "a b", "{}", 0).method);
         CPPUNIT_ASSERT_EQUAL(std::string("/objects/agent/a%20b"), store.put("agent", "a b", "{}", 9).target);
         CPPUNIT_ASSERT_EQUAL(std::string("/objects/agent/a?revision=9"), store.remove("agent", "a", 9).target);
-        CPPUNIT_ASSERT_EQUAL(std::string("/objects/agent?watch=5&wait-ms=30000"), store.watch("agent", 5, 30000).target);
+        CPPUNIT_ASSERT_EQUAL(std::string("/objects/agent?watch=5&wait-ms=30000"), store.watch("agent", 5, 30000, ReadFreshness::Current).target);
+        CPPUNIT_ASSERT_EQUAL(std::string("/objects/agent?allow-stale=1&watch=5&wait-ms=1"), store.watch("agent", 5, 1, ReadFreshness::MayBeStale).target);
         const auto page = store.decodePage(R"({"items":[{"meta":{"name":"a","revision":3},"spec":{"x":1}}],"has-more":true,"as-of":8})");
         CPPUNIT_ASSERT(page && page->hasMore && page->list.version == 8 && page->list.objects[0].value == R"({"x":1})");
         const auto changes = store.decodeChanges(R"({"events":[{"deleted":true,"object":{"meta":{"name":"a","revision":9},"spec":{}}}],"as-of":9})");
