--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -300,7 +300,7 @@
     if (!isIgnored(effect)) {
         // A report of a service that the configuration does not name says nothing about flows.
         if (isNamedService(m_state.network.routes(), report.service))
-            recordReport(m_untrackedFlows, report, effect == ReportEffect::NewProcess && !m_state.flowAdmission.displaced);
+            recordReport(m_untrackedFlows, report, effect == ReportEffect::NewProcess && wasNamed && !m_state.flowAdmission.displaced);
         else
             recordFlowPacket(m_untrackedFlows);
         recordUpstreamReport(m_state.upstreamEnd);
--- a/src/libdecision/upstreamreports.cpp
+++ b/src/libdecision/upstreamreports.cpp
@@ -173,17 +173,19 @@
 
     ReportEffect applyReportOfOtherService(FlowAdmission& admission, const RouteTable& routes, const UpstreamReport& report, Millis now)
     {
-        const bool isNamed = isNamedService(routes, report.service);
-        if (isNamed && !isNamedService(routes, admission.upstream->service))
-            return takeNewProcess(admission, report, now);
+        const AddressClaim* claim = findClaim(admission, report);
+        const bool hasLastingClaim = claim && confirmsClaim(admission, report) && now - claim->since >= admission.options.minClaimTime;
+        if (isNamedService(routes, report.service) && !isNamedService(routes, admission.upstream->service)) {
+            // The known process may be of a service that a later configuration names, and the report a late one of its predecessor.
+            const bool mayBeLate = report.born < admission.upstream->born && !hasLastingClaim;
+            return mayBeLate ? ignore(admission, report, ReportEffect::Stale, now) : takeNewProcess(admission, report, now);
+        }
         const bool mayDisplacedRun = admission.displaced && (admission.displaced->lateSequence || now - admission.displaced->displacedAt < admission.options.lateReportLimit);
         if (mayDisplacedRun)
             return ignore(admission, report, ReportEffect::Contradicting, now);
         if (isProven(admission.evidence, now))
             return ignore(admission, report, ReportEffect::Contradicting, now);
         // Without packets it may be the last report that was late, or the idle connection that has gone silent.
-        const AddressClaim* claim = findClaim(admission, report);
-        const bool hasLastingClaim = claim && confirmsClaim(admission, report) && now - claim->since >= admission.options.minClaimTime;
         if (isSameProcess(admission.evidence, now) && (isReporting(admission, now) || !hasLastingClaim))
             return ignore(admission, report, ReportEffect::Contradicting, now);
         if (report.born < admission.upstream->born && !replacesSilentProcess(admission, report, now))
--- a/tests/packets/testforeignreports.cpp
+++ b/tests/packets/testforeignreports.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(sequenceAtItsLimitDoesNotLockOutTheUpstream);
     CPPUNIT_TEST(ownIdDoesNotMoveTheUpstream);
     CPPUNIT_TEST(unnamedServiceGivesWay);
+    CPPUNIT_TEST(lateReportDoesNotReplaceAServiceThatIsNamedLater);
     CPPUNIT_TEST(coldUpstreamStaysCold);
     CPPUNIT_TEST(restartIsTakenAtOnce);
     CPPUNIT_TEST(reusedAddressIsTakenAtOnce);
@@ -221,6 +222,10 @@
     void unnamedServiceGivesWay()
     {
         CPPUNIT_ASSERT(applyReport(m_admission, m_routes, foreign("ledger", 2000), 0) == ReportEffect::Changed);
+        CPPUNIT_ASSERT(report(10) == ReportEffect::Stale);
+        CPPUNIT_ASSERT(report(10 + interval) == ReportEffect::NewProcess && admits(10 + interval));
+        setUp();
+        applyReport(m_admission, m_routes, foreign("ledger", 500), 0);
         CPPUNIT_ASSERT(report(10) == ReportEffect::NewProcess && admits(10));
         setUp();
         applyReport(m_admission, m_routes, foreign("ledger", 2000), 0);
@@ -228,6 +233,23 @@
         CPPUNIT_ASSERT(isServing(m_admission, 10) && report(10) != ReportEffect::NewProcess);
     }
 
+    // Guards against openings for the former service of an address, which a report that a partition has delayed brings back beside an
+    // upstream that no route leads to yet.
+    void lateReportDoesNotReplaceAServiceThatIsNamedLater()
+    {
+        run(0, 6000, [](Millis) {});
+        recordCheck(m_admission.evidence, 7900);
+        recordCheck(m_admission.evidence, 8000);
+        applyReport(m_admission, m_routes, foreign("ledger", 2000), 8000);
+        const Millis late = 8000 + m_admission.options.lateReportLimit;
+        for (Millis now = 8100; now <= late; now += 100)
+            recordCheck(m_admission.evidence, now);
+        applyReport(m_admission, m_routes, foreign("ledger", 2000), late);
+        CPPUNIT_ASSERT(report(late) == ReportEffect::Stale && report(late + 10) == ReportEffect::Stale);
+        CPPUNIT_ASSERT_EQUAL(std::string("ledger"), m_admission.upstream->service);
+        CPPUNIT_ASSERT(!admits(late + 10));
+    }
+
     // Guards against more requests than a cold upstream bears, after a report that says that it is warm.
     void coldUpstreamStaysCold()
     {
--- a/tests/trustplatform/testflowevidence.cpp
+++ b/tests/trustplatform/testflowevidence.cpp
@@ -56,7 +56,7 @@
         CPPUNIT_ASSERT_EQUAL(0U, deployment.denials);
     }
 
-    /// Sends such a report `times` times with a pause in between, while the upstream reports and its flow is in use.
+    /// Sends such a report `times` times, with a pause of `gap` milliseconds after each.
     static void sendForeign(Deployment& deployment, Report foreign, unsigned times, Millis gap)
     {
         for (unsigned sent = 0; sent < times; ++sent) {
@@ -79,6 +79,12 @@
             { .id = "i-1", .born = farFuture, .zone = "attic" },
         };
         Deployment deployment(m_context, m_options);
+        // The upstream acknowledges requests and answers none; without a latency target it does not count as hanging.
+        RouteTable routes = deployment.balancer.routes();
+        routes.version = 8;
+        routes.routes.front().latencyTarget = 0;
+        deployment.balancer.updateRoutes(std::move(routes));
+        runUntil(m_context, [&] { return deployment.agent.statusFields().find("\"routesVersion\":8") != std::string::npos; });
         deployment.listen();
         deployment.report({});
         deployment.open(1);
@@ -107,6 +113,8 @@
         deployment.upstream->openings.insert(1);
         sendForeign(deployment, { .id = "cellar-1", .born = 5000, .service = "ledger" }, 2, 20);
         deployment.report({ .sequence = 70 });
+        deployment.runFor(settlingTime);
+        deployment.report({ .sequence = 71 });
         sendForeign(deployment, { .id = "cellar-2", .born = 6000 }, 2, 20);
         expectHeld(deployment, 1);
         CPPUNIT_ASSERT_EQUAL(0U, deployment.denials);
