--- a/tests/trustplatform/testflowevidence.cpp
+++ b/tests/trustplatform/testflowevidence.cpp
@@ -97,7 +97,7 @@
                 sendForeign(deployment, foreign, 3, gap);
                 expectHeld(deployment, 1);
                 deployment.statusOf({ .method = "PUT", .target = "/targets/i-1", .body = Deployment::bodyOf({ .sequence = ++sequence }) });
-                runUntil(m_context, [&] { return deployment.announcedState() == PeerState::Ready; });
+                runUntil(m_context, [&] { return deployment.agent.statusFields().find("\"serving\":true") != std::string::npos; });
                 deployment.open(++port);
             }
         }
