--- a/src/kingcuptraild/packets/packetagent.cpp
+++ b/src/kingcuptraild/packets/packetagent.cpp
@@ -33,11 +33,6 @@
     /// refused connections and a few ticks.
     constexpr Millis upstreamCheckTime = 600;
 
-    HttpResponse jsonReply(int status, std::string body)
-    {
-        return { .status = status, .headers = { { "Content-Type", "application/json" } }, .body = std::move(body) };
-    }
-
 }
 
 PacketAgent::PacketAgent(const RoleContext& role, const DeploymentAdapter& adapter)
@@ -49,6 +44,7 @@
     , m_announcement(role.context, role.platform)
     , m_untrackedFlows { .options = untrackedFlowsOptions(role.settings.packets.reportInterval), .startedAtWall = unixMillis() }
     , m_loss(m_state, m_untrackedFlows, m_admission, [this] { announceState(); })
+    , m_reportHandler(m_state, m_untrackedFlows, m_loss, [this] { announceState(); })
     , m_connectCheck(role.context)
     , m_endWatch(m_state, m_untrackedFlows, [this] { m_loss.handleEndSigns(); })
     , m_connection(m_state, [this] { m_loss.handleEndSigns(); })
@@ -75,7 +71,7 @@
     }
     role.root.add({ .name = "control", .make = [this](const FailureHandler& onFailure) {
                        return std::make_unique<HttpEndpoint>(
-                           m_state.role.context, m_state.role.settings.packets.control, [this](const HttpRequest& request) { return handleUpstreamRequest(request); }, onFailure);
+                           m_state.role.context, m_state.role.settings.packets.control, [this](const HttpRequest& request) { return m_reportHandler.handleRequest(request); }, onFailure);
                    } });
     role.root.add({ .name = "ready", .make = [this](const FailureHandler& onFailure) {
                        return std::make_unique<HttpEndpoint>(
@@ -194,7 +190,7 @@
         return;
     }
     if (showsSameProcess(m_state.flows, flow, *header))
-        handleEvidence(flow, now);
+        m_reportHandler.handleFlowPacket(flow, now);
     const UpstreamPacketEffect effect = trackUpstreamPacket(m_state.flows, flow, *header, now);
     updateHealth(effect, now);
     if (effect.answerTime) {
@@ -259,96 +255,6 @@
     }
 }
 
-HttpResponse PacketAgent::handleUpstreamRequest(const HttpRequest& request)
-{
-    const UpstreamRequest call = m_state.adapter.decodeUpstreamRequest(request);
-    switch (call.kind) {
-    case UpstreamRequest::Kind::Report:
-        if (!call.report) {
-            m_malformedRequests.increment(call.error);
-            logEvent(Event::ForeignReport, { { "reason", nameOf(call.error) }, { "id", call.id } });
-            return jsonReply(400, "{}");
-        }
-        // An upstream takes the answer for the confirmation that it gets no openings any more.
-        if (isIgnored(handleReport(*call.report)) && call.report->isDraining)
-            return jsonReply(503, "{}");
-        return jsonReply(200, "{}");
-    case UpstreamRequest::Kind::ShutdownNotice:
-        if (applyShutdownNotice(m_state.flowAdmission, call.id)) {
-            logEvent(Event::UpstreamLeft, { { "upstream", call.id } });
-            recordShutdown(m_untrackedFlows);
-            m_state.flows.isComplete = knowsEveryFlow(m_untrackedFlows);
-            announceState();
-        }
-        return jsonReply(200, "{}");
-    case UpstreamRequest::Kind::Unknown:
-        break;
-    }
-    return jsonReply(404, "{}");
-}
-
-ReportEffect PacketAgent::handleReport(const UpstreamReport& report)
-{
-    m_state.upstreamSocket->handleRefusal();
-    const Millis now = m_state.role.clock.now();
-    const UpstreamReport previous = m_state.flowAdmission.upstream.value_or(UpstreamReport {});
-    const auto previousAge = static_cast<std::uint64_t>(now - m_state.flowAdmission.reportedAt);
-    const bool wasNamed = isNamedService(m_state.network.routes(), previous.service);
-    const ReportEffect effect = applyReport(m_state.flowAdmission, m_state.network.routes(), report, now);
-    m_reports.increment(effect);
-    logReport(report, previous, previousAge, effect);
-    if (!isIgnored(effect)) {
-        // A report of a service that the configuration does not name says nothing about flows.
-        if (isNamedService(m_state.network.routes(), report.service))
-            recordReport(m_untrackedFlows, report, effect == ReportEffect::NewProcess && wasNamed && !m_state.flowAdmission.displaced);
-        else
-            recordFlowPacket(m_untrackedFlows);
-        recordUpstreamReport(m_state.upstreamEnd);
-    }
-    if (effect == ReportEffect::NewProcess || effect == ReportEffect::Restored)
-        m_loss.handleNewProcess(wasNamed && previous.service != report.service);
-    else if (effect == ReportEffect::Contradicting && !isProven(m_state.flowAdmission.evidence, now))
-        m_loss.verifyContestedFlows();
-    m_state.flows.isComplete = knowsEveryFlow(m_untrackedFlows);
-    announceState();
-    return effect;
-}
-
-void PacketAgent::logReport(const UpstreamReport& report, const UpstreamReport& previous, std::uint64_t previousAge, ReportEffect effect) const
-{
-    if (isIgnored(effect))
-        logEvent(effect == ReportEffect::Stale ? Event::StaleReport : Event::ContradictingReport, { { "upstream", report.id }, { "service", report.service }, { "born", report.born }, { "sequence", report.sequence }, { "known", previous.id }, { "knownBorn", previous.born }, { "knownService", previous.service }, { "knownSequence", previous.sequence }, { "knownAge", previousAge }, { "evidenceAge", static_cast<std::uint64_t>(m_state.role.clock.now() - m_state.flowAdmission.evidence.runningAt) } });
-    else if (effect != ReportEffect::Nothing)
-        logEvent(Event::UpstreamReported, { { "upstream", report.id }, { "news", nameOf(effect) }, { "service", report.service }, { "slots", report.slots }, { "draining", report.isDraining ? "yes" : "no" }, { "born", report.born }, { "sequence", report.sequence }, { "coldLeft", static_cast<std::uint64_t>(report.coldLeft) }, { "previous", previous.id }, { "previousBorn", previous.born }, { "previousAge", previousAge }, { "open", m_state.flows.open } });
-}
-
-// Decides whether the report by which a process replaced the one before it was of the upstream.
-void PacketAgent::checkReplacement(Millis now)
-{
-    const std::optional<DisplacedProcess>& displaced = m_state.flowAdmission.displaced;
-    // The answers to the first copies may have been under way when the report was read.
-    if (displaced && m_verifiedReplacement != displaced->displacedAt && earliestSending(m_state.flowAdmission.evidence, now) > displaced->displacedAt) {
-        m_verifiedReplacement = displaced->displacedAt;
-        m_loss.verifyFlows();
-    }
-    if (confirmReplacement(m_state.flowAdmission, now)) {
-        recordReplacement(m_untrackedFlows);
-        m_state.flows.isComplete = knowsEveryFlow(m_untrackedFlows);
-    }
-}
-
-// A packet of a flow that the process at the upstream's address holds.
-void PacketAgent::handleEvidence(const FlowKey& flow, Millis now)
-{
-    FlowAdmission& admission = m_state.flowAdmission;
-    recordFlowEvidence(admission.evidence, now);
-    const UpstreamReport reported = admission.upstream.value_or(UpstreamReport {});
-    if (!applyFlowPacket(admission, m_state.flows.flows.at(flow).openedAt, now))
-        return;
-    logFlowEvent(Event::ReplacementDisproved, flow, { { "upstream", admission.upstream->id }, { "reported", reported.id }, { "reportedBorn", reported.born }, { "reportedService", reported.service } });
-    announceState();
-}
-
 // Checks whether an upstream is running. Once it is known that there is none, this agent holds no flows and can deny every
 // flow for certain.
 void PacketAgent::checkUpstreamPresence(Millis now)
@@ -427,7 +333,7 @@
     expireWork(m_state.flows, now);
     sweepIdleFlows(now);
     m_neighbours.expire(now);
-    checkReplacement(now);
+    m_reportHandler.checkReplacement(now);
     checkUpstreamPresence(now);
     m_connection.tick(now);
     checkUnansweredRequests(now);
@@ -548,8 +454,7 @@
 {
     exposeCounters(out, "kingcuptrail_agent_packets_total", "Packets by what was done with them.", m_state.packetOutcomes);
     exposeCounters(out, "kingcuptrail_openings_refused_total", "Openings that were not admitted, by reason.", m_state.refusals);
-    exposeCounters(out, "kingcuptrail_upstream_reports_total", "Reports of the upstream by what they changed.", m_reports);
-    exposeCounters(out, "kingcuptrail_upstream_calls_malformed_total", "Calls of the upstream that could not be read, by reason.", m_malformedRequests);
+    m_reportHandler.exposeMetrics(out);
     m_admission.exposeMetrics(out);
     m_pendingReporter.exposeMetrics(out);
     m_state.answerTimes.expose(out, "kingcuptrail_answer_milliseconds", "Time from an opening's delivery, or a request's first packet on an open flow, to the answer's first data, in milliseconds.");
--- a/src/kingcuptraild/packets/packetagent.h
+++ b/src/kingcuptraild/packets/packetagent.h
@@ -4,9 +4,9 @@
 #include "connectionadmission.h"
 #include "flowlearning.h"
 #include "kingcuptraild/role.h"
-#include "libdecision/upstreamreports.h"
 #include "neighboursearches.h"
 #include "pendingreporter.h"
+#include "reporthandler.h"
 #include "storefollower.h"
 #include "upstreamconnectcheck.h"
 #include "upstreamconnection.h"
@@ -36,11 +36,6 @@
     void checkUnansweredRequests(Millis now);
     void handleReturned(const FlowKey& flow, std::span<std::uint8_t> packet, const PacketHeader& header);
 
-    HttpResponse handleUpstreamRequest(const HttpRequest& request);
-    ReportEffect handleReport(const UpstreamReport& report);
-    void logReport(const UpstreamReport& report, const UpstreamReport& previous, std::uint64_t previousAge, ReportEffect effect) const;
-    void checkReplacement(Millis now);
-    void handleEvidence(const FlowKey& flow, Millis now);
     void checkUpstreamPresence(Millis now);
     void withdrawFormerEntry();
     const PeerEntry& withdraw(PeerEntry entry, std::function<void()> done);
@@ -65,9 +60,8 @@
     std::unique_ptr<StoreFollower> m_store;
     std::unique_ptr<DatagramSocket> m_outbound;
     UntrackedFlows m_untrackedFlows;
-    /// When the process was displaced whose flows were verified last.
-    std::optional<Millis> m_verifiedReplacement;
     UpstreamLoss m_loss;
+    ReportHandler m_reportHandler;
     UpstreamConnectCheck m_connectCheck;
     UpstreamEndWatch m_endWatch;
     UpstreamConnection m_connection;
@@ -79,9 +73,6 @@
     std::unordered_map<std::uint32_t, Millis> m_activeBalancers;
     float m_lastSentLoad = 0;
     Millis m_loadSentAt = 0;
-
-    EnumCounters<ReportEffect> m_reports;
-    EnumCounters<DecodeError> m_malformedRequests;
 };
 
 }
--- a/src/libruntime/events.h
+++ b/src/libruntime/events.h
@@ -75,6 +75,7 @@
     ContradictingReport = 416,
     IdleFlowsDropped = 417,
     ReplacementDisproved = 418,
+    ReplacementConfirmed = 419,
     // Safety
     WrongServicePacket = 500,
     OutcomeUnknown = 501,
