--- a/tests/soak/soakupstream.cpp
+++ b/tests/soak/soakupstream.cpp
@@ -106,6 +106,9 @@
 
 void SoakUpstream::pause(Millis time)
 {
+    // One that has ended cannot be paused, and its next start must not be lost.
+    if (!m_socket)
+        return;
     m_isPaused = true;
     m_reportTimer.cancel();
     m_changeTimer.start(time, [this] {
