--- a/src/kingcuptraild/packets/reporthandler.cpp
+++ b/src/kingcuptraild/packets/reporthandler.cpp
@@ -58,6 +58,7 @@
 {
     m_state.upstreamSocket->handleRefusal();
     const Millis now = m_state.role.clock.now();
+    checkReplacement(now);
     const UpstreamReport previous = m_state.flowAdmission.upstream.value_or(UpstreamReport {});
     const auto previousAge = static_cast<std::uint64_t>(now - m_state.flowAdmission.reportedAt);
     const UpstreamEvidence evidence = m_state.flowAdmission.evidence;
--- a/src/libdecision/flowadmission.h
+++ b/src/libdecision/flowadmission.h
@@ -103,12 +103,23 @@
 /// The number of replaced processes that are remembered.
 inline constexpr std::size_t maxReplacedProcesses = 8;
 
+/// Reports of one process that were not taken and follow each other as those of a running process do.
+struct ReportSeries {
+    std::uint64_t sequence = 0;
+    Millis since = 0;
+    Millis lastAt = 0;
+    std::uint32_t reports = 0;
+};
+
+/// The least length of a series that shows that its sender runs. It also has to last: reports that a partition has delayed arrive
+/// together.
+inline constexpr std::uint32_t minRunningReports = 3;
+
 /// A process that has reported for the upstream, and whose report was not taken.
 struct AddressClaim {
     std::string id;
     std::uint64_t born = 0;
-    std::uint64_t sequence = 0;
-    Millis since = 0;
+    ReportSeries series;
     /// It is of another service than the known process, which has not reported since.
     bool isContradiction = false;
 };
@@ -122,8 +133,8 @@
     Millis reportedAt = 0;
     Millis displacedAt = 0;
     Millis coldUntil = 0;
-    /// Sequence of its last report since then. It may have been late.
-    std::optional<std::uint64_t> lateSequence;
+    /// Its reports since then.
+    ReportSeries series;
 };
 
 /// An agent's state for deciding whether its upstream gets an opening packet.
--- a/src/libdecision/upstreamreports.cpp
+++ b/src/libdecision/upstreamreports.cpp
@@ -25,12 +25,30 @@
         return found != admission.claims.end() ? &*found : nullptr;
     }
 
-    // A process that has ended sends no further report, so that two in a row show that their sender runs. Both may have been delayed, so
-    // this alone replaces no process that reports.
-    bool confirmsClaim(const FlowAdmission& admission, const UpstreamReport& report)
+    bool continuesSeries(const ReportSeries& series, std::uint64_t sequence, Millis maxGap, Millis now)
     {
-        const AddressClaim* claim = findClaim(admission, report);
-        return claim && report.sequence > claim->sequence;
+        return series.reports > 0 && sequence > series.sequence && now - series.lastAt <= maxGap;
+    }
+
+    void addReport(ReportSeries& series, std::uint64_t sequence, Millis maxGap, Millis now)
+    {
+        if (!continuesSeries(series, sequence, maxGap, now))
+            series = { .since = now };
+        series.sequence = sequence;
+        series.lastAt = now;
+        ++series.reports;
+    }
+
+    /// Whether a report with this sequence, added to the series, shows that its sender runs.
+    bool showsRunning(const ReportSeries& series, std::uint64_t sequence, Millis maxGap, Millis now)
+    {
+        return continuesSeries(series, sequence, maxGap, now) && series.reports + 1 >= minRunningReports && now - series.since > maxGap;
+    }
+
+    /// Whether the process that was displaced may still run: it goes on reporting, or it is too early to tell.
+    bool mayDisplacedRun(const FlowAdmission& admission, Millis now)
+    {
+        return admission.displaced && now - std::max(admission.displaced->displacedAt, admission.displaced->series.lastAt) <= admission.evidence.options.silenceLimit;
     }
 
     bool hasStoppedReporting(const FlowAdmission& admission, Millis now)
@@ -40,7 +58,8 @@
 
     bool replacesSilentProcess(const FlowAdmission& admission, const UpstreamReport& report, Millis now)
     {
-        return hasStoppedReporting(admission, now) && confirmsClaim(admission, report);
+        const AddressClaim* claim = findClaim(admission, report);
+        return claim && hasStoppedReporting(admission, now) && showsRunning(claim->series, report.sequence, admission.evidence.options.silenceLimit, now);
     }
 
     void recordContradiction(FlowAdmission& admission, Millis now)
@@ -55,9 +74,10 @@
     {
         const bool isContradiction = effect == ReportEffect::Contradicting && report.service != admission.upstream->service;
         const AddressClaim* known = findClaim(admission, report);
-        const Millis since = known ? known->since : now;
-        std::erase_if(admission.claims, [&](const AddressClaim& claim) { return isSender(claim, report); });
-        admission.claims.push_back({ .id = report.id, .born = report.born, .sequence = report.sequence, .since = since, .isContradiction = isContradiction });
+        AddressClaim claim { .id = report.id, .born = report.born, .series = known ? known->series : ReportSeries {}, .isContradiction = isContradiction };
+        addReport(claim.series, report.sequence, admission.evidence.options.silenceLimit, now);
+        std::erase_if(admission.claims, [&](const AddressClaim& other) { return isSender(other, report); });
+        admission.claims.push_back(std::move(claim));
         if (admission.claims.size() > maxAddressClaims)
             admission.claims.pop_front();
         if (isContradiction)
@@ -126,15 +146,12 @@
     ReportEffect applyReportOfDisplaced(FlowAdmission& admission, const UpstreamReport& report, Millis now)
     {
         DisplacedProcess& displaced = *admission.displaced;
+        const Millis maxGap = admission.evidence.options.silenceLimit;
         const bool mayBeLate = now - displaced.displacedAt < admission.options.lateReportLimit;
-        const bool isNext = report.sequence > displaced.lateSequence.value_or(displaced.report.sequence);
-        // Of two processes that started in the same millisecond, either may be the later one.
-        const bool isConfirmed = displaced.lateSequence || displaced.report.born == admission.upstream->born;
-        if (mayBeLate || !isNext || !isConfirmed) {
-            if (isNext)
-                displaced.lateSequence = report.sequence;
+        const bool isRunning = !mayBeLate && showsRunning(displaced.series, report.sequence, maxGap, now);
+        addReport(displaced.series, report.sequence, maxGap, now);
+        if (!isRunning)
             return ReportEffect::Stale;
-        }
         restoreDisplaced(admission, now);
         return take(admission, report, ReportEffect::Restored, now);
     }
@@ -174,14 +191,13 @@
     ReportEffect applyReportOfOtherService(FlowAdmission& admission, const RouteTable& routes, const UpstreamReport& report, Millis now)
     {
         const AddressClaim* claim = findClaim(admission, report);
-        const bool hasLastingClaim = claim && confirmsClaim(admission, report) && now - claim->since >= admission.options.minClaimTime;
+        const bool hasLastingClaim = claim && report.sequence > claim->series.sequence && now - claim->series.since >= admission.options.minClaimTime;
         if (isNamedService(routes, report.service) && !isNamedService(routes, admission.upstream->service)) {
             // The known process may be of a service that a later configuration names, and the report a late one of its predecessor.
             const bool mayBeLate = report.born < admission.upstream->born && !hasLastingClaim;
             return mayBeLate ? ignore(admission, report, ReportEffect::Stale, now) : takeNewProcess(admission, report, now);
         }
-        const bool mayDisplacedRun = admission.displaced && (admission.displaced->lateSequence || now - admission.displaced->displacedAt < admission.options.lateReportLimit);
-        if (mayDisplacedRun)
+        if (mayDisplacedRun(admission, now))
             return ignore(admission, report, ReportEffect::Contradicting, now);
         if (isProven(admission.evidence, now))
             return ignore(admission, report, ReportEffect::Contradicting, now);
@@ -209,7 +225,7 @@
 
 ReportEffect applyReport(FlowAdmission& admission, const RouteTable& routes, const UpstreamReport& report, Millis now)
 {
-    if (admission.displaced && isSender(admission.displaced->report, report))
+    if (mayDisplacedRun(admission, now) && isSender(admission.displaced->report, report))
         return applyReportOfDisplaced(admission, report, now);
     if (!admission.upstream)
         return take(admission, report, ReportEffect::Changed, now);
@@ -234,10 +250,7 @@
 
 bool confirmReplacement(FlowAdmission& admission, Millis now)
 {
-    if (!admission.displaced)
-        return false;
-    const Millis limit = admission.options.lateReportLimit + 2 * admission.evidence.options.silenceLimit;
-    if (now - admission.displaced->displacedAt <= limit)
+    if (!admission.displaced || mayDisplacedRun(admission, now))
         return false;
     admission.displaced.reset();
     return true;
--- a/tests/packets/testflowadmission.cpp
+++ b/tests/packets/testflowadmission.cpp
@@ -114,7 +114,7 @@
         CPPUNIT_ASSERT(applyReport(m_admission, m_routes, second, 10) == ReportEffect::NewProcess);
         CPPUNIT_ASSERT(applyReport(m_admission, m_routes, reportOf(1000, 2), 20) == ReportEffect::Stale);
         CPPUNIT_ASSERT_EQUAL(std::string("i-second"), m_admission.upstream->id);
-        CPPUNIT_ASSERT(applyReport(m_admission, m_routes, reportOf(1000, 9), 10 + m_admission.options.lateReportLimit) == ReportEffect::Restored);
+        CPPUNIT_ASSERT(applyReport(m_admission, m_routes, reportOf(1000, 9), 10 + m_admission.options.lateReportLimit) == ReportEffect::NewProcess);
         CPPUNIT_ASSERT(applyReport(m_admission, m_routes, second, 20 + m_admission.options.lateReportLimit) == ReportEffect::Stale);
     }
 
--- a/tests/packets/testforeignreports.cpp
+++ b/tests/packets/testforeignreports.cpp
@@ -15,6 +15,8 @@
     CPPUNIT_TEST(laterStartDoesNotLockOutTheUpstream);
     CPPUNIT_TEST(manyIdsDoNotLockOutTheUpstream);
     CPPUNIT_TEST(packetOfAnOldFlowRestoresItsProcess);
+    CPPUNIT_TEST(lateReportsInARowRestoreNothing);
+    CPPUNIT_TEST(lateReportsDoNotReplaceAPausedUpstream);
     CPPUNIT_TEST(packetThatMayBeOlderThanTheReportRestoresNothing);
     CPPUNIT_TEST(reusedPortsDoNotPassForAnOldFlow);
     CPPUNIT_TEST(sequenceAtItsLimitDoesNotLockOutTheUpstream);
@@ -168,6 +170,38 @@
         CPPUNIT_ASSERT(report(6040) == ReportEffect::Nothing);
     }
 
+    // Guards against a process that has ended and comes back in place of the running one, because several of its reports were delayed.
+    void lateReportsInARowRestoreNothing()
+    {
+        for (const Millis gap : { 0, 120, 1500, 2500 }) {
+            setUp();
+            run(0, 6000, [](Millis) {});
+            std::uint64_t sequence = 0;
+            for (Millis now = 6000; now < 20000; now += step) {
+                if (now % 100 == 0)
+                    recordCheck(m_admission.evidence, now);
+                if ((now - 6000) % interval == 0)
+                    CPPUNIT_ASSERT(!isIgnored(applyReport(m_admission, m_routes, reportOf(2000, ++sequence), now)));
+                const bool isLate = now == 11000 || now == 11000 + gap || now == 11000 + 2 * gap;
+                for (int copies = gap == 0 ? 3 : 1; isLate && copies > 0; --copies)
+                    CPPUNIT_ASSERT(isIgnored(report(now)));
+                CPPUNIT_ASSERT(m_admission.upstream->born == 2000 && admits(now));
+            }
+        }
+    }
+
+    // Guards against the same while the running upstream is paused and does not report.
+    void lateReportsDoNotReplaceAPausedUpstream()
+    {
+        run(0, 6000, [](Millis) {});
+        UpstreamReport draining = reportOf(2000, 1);
+        draining.isDraining = true;
+        applyReport(m_admission, m_routes, draining, 6000);
+        for (const Millis now : { 11000, 11010, 11400 })
+            CPPUNIT_ASSERT(isIgnored(report(now)));
+        CPPUNIT_ASSERT(m_admission.upstream->born == 2000 && m_admission.upstream->isDraining);
+    }
+
     // Guards against a packet of a process that has ended, read after the first report of the next one, that brings the former back.
     void packetThatMayBeOlderThanTheReportRestoresNothing()
     {
